--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,60 @@
+//! Measurements of the workspace's packages.
+//!
+//! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
+
+mod report;
+
+use {getopts::Options, report::Measure, std::process::ExitCode};
+
+/// A named group of measures that run together.
+struct Case {
+    /// Name on the command line.
+    name: &'static str,
+    /// What it measures.
+    about: &'static str,
+    /// Runs it.
+    run: fn() -> Result<Vec<Measure>, String>,
+}
+
+/// All cases, in the order of the design page.
+const CASES: &[Case] = &[];
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("bench: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let mut options = Options::new();
+    options.optflag("", "json", "print one JSON object a line");
+    options.optflag("h", "help", "print this help");
+    let matches = options
+        .parse(std::env::args().skip(1))
+        .map_err(|err| err.to_string())?;
+    if matches.opt_present("help") || matches.free.is_empty() {
+        println!(
+            "{}",
+            options.usage("usage: bench list | bench CASE... [--json]")
+        );
+        return Ok(());
+    }
+    if matches.free[0] == "list" {
+        for case in CASES {
+            println!("{:10} {}", case.name, case.about);
+        }
+        return Ok(());
+    }
+    for name in &matches.free {
+        let case = CASES.iter().find(|case| case.name == name);
+        let case = case.ok_or_else(|| format!("no case {name:?}; `bench list` names all"))?;
+        for measure in (case.run)()? {
+            println!("{}", measure.line(case.name, matches.opt_present("json")));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Part of ragwortreel.
--- /dev/null
+++ b/crates/placement/src/api.rs
@@ -0,0 +1,135 @@
+//! The interface between a pool's owner and its scheduler.
+
+use {
+    derive_more::{Display, Error},
+    ragwortreel_model::{
+        Assignment, Attempt, JobId, JobSpec, Rack, Resources, TaskId, TaskResult, Team, WaitReason,
+        WorkerId,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// A worker and what it can hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerSpec {
+    /// Name of the worker.
+    pub id: WorkerId,
+    /// Rack that it stands in.
+    pub rack: Rack,
+    /// Everything that it has.
+    pub capacity: Resources,
+}
+
+/// Whether a worker may be given tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WorkerState {
+    /// Takes new tasks.
+    Ready,
+    /// Keeps its tasks and takes no new ones.
+    Draining,
+    /// Does not answer; its tasks may still run.
+    Silent,
+}
+
+/// What a team may use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TeamShare {
+    /// Name of the team.
+    pub team: Team,
+    /// Weight relative to other teams.
+    pub weight: u32,
+    /// Most resources that its tasks in this pool may hold at once.
+    pub quota: Resources,
+}
+
+/// One decision; the caller makes it durable before it acts on it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// Start a task; its resources are reserved from now on.
+    Start(Assignment),
+    /// Start all tasks of a gang, all or nothing.
+    StartGang(Vec<Assignment>),
+    /// Checkpoint a patient task to make room; it returns to the queue when [`PoolScheduler::ended`] is called.
+    Checkpoint(Assignment),
+}
+
+/// A job that cannot be accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum SubmitError {
+    /// A job with the same identifier but another specification exists.
+    #[display("job {job} exists with another specification")]
+    Conflict {
+        /// Identifier of the job.
+        #[error(not(source))]
+        job: JobId,
+    },
+    /// The team is not known.
+    #[display("team {team} is not known")]
+    UnknownTeam {
+        /// Name of the team.
+        #[error(not(source))]
+        team: Team,
+    },
+    /// The queue of the pool is full.
+    #[display("the queue of the pool is full at {limit} tasks")]
+    QueueFull {
+        /// Most tasks in the queue.
+        limit: usize,
+    },
+}
+
+/// Figures of a pool for metrics and summaries.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolStats {
+    /// Sum over all workers that answer.
+    pub capacity: Resources,
+    /// Sum of all reservations.
+    pub reserved: Resources,
+    /// Tasks that wait.
+    pub queued: u64,
+    /// Tasks that run.
+    pub running: u64,
+    /// Workers that are set aside because they fail what they start.
+    pub quarantined: u64,
+}
+
+/// Scheduler of one pool.
+pub trait PoolScheduler: Send {
+    /// Adds a worker, or changes its capacity.
+    fn upsert_worker(&mut self, spec: WorkerSpec, now_ms: u64);
+    /// Changes whether a worker takes tasks.
+    fn set_worker_state(&mut self, worker: &WorkerId, state: WorkerState);
+    /// Removes a worker whose tasks are proven to have ended; the tasks return to the queue and are listed.
+    fn remove_worker(&mut self, worker: &WorkerId, now_ms: u64) -> Vec<Assignment>;
+    /// Adds or changes a team.
+    fn upsert_team(&mut self, share: TeamShare);
+    /// Queues a job; a repeat with the same specification is accepted and changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the job cannot be accepted.
+    fn submit(&mut self, spec: JobSpec, now_ms: u64) -> Result<(), SubmitError>;
+    /// Records a run that was found alive, or in the journal, after a change of owner. Must follow `submit` of its job.
+    fn restore(&mut self, assignment: Assignment, now_ms: u64);
+    /// Records after a change of owner that a task succeeded before; it is not queued again.
+    fn restore_succeeded(&mut self, task: &TaskId);
+    /// Records after a change of owner the highest attempt number that a queued task has used.
+    fn restore_attempt(&mut self, task: &TaskId, attempt: Attempt);
+    /// Takes up to `limit` decisions.
+    fn decide(&mut self, now_ms: u64, limit: usize) -> Vec<Decision>;
+    /// Records that a worker took a start.
+    fn started(&mut self, task: &TaskId, attempt: Attempt, now_ms: u64);
+    /// Records that a run ended; resources are free again, and the task is done or queued again by its result.
+    fn ended(&mut self, task: &TaskId, attempt: Attempt, result: TaskResult, now_ms: u64);
+    /// Records the usage that a worker reported for a task.
+    fn used(&mut self, task: &TaskId, attempt: Attempt, used: Resources);
+    /// Cancels a job; its queued tasks are dropped, and the runs to be stopped are returned.
+    fn cancel(&mut self, job: &JobId, now_ms: u64) -> Vec<Assignment>;
+    /// Forgets a job of which nothing is queued or running.
+    fn forget(&mut self, job: &JobId);
+    /// Why tasks of the job wait; `None` when none does or the job is not known.
+    fn explain(&self, job: &JobId, now_ms: u64) -> Option<WaitReason>;
+    /// Figures for metrics.
+    fn stats(&self) -> PoolStats;
+}
--- /dev/null
+++ b/crates/platform/src/api.rs
@@ -0,0 +1,174 @@
+//! The interfaces to the platform's services.
+//!
+//! All calls may fail at any time. [`PlatformError::Unknown`] means that a write may or may not have taken effect; the
+//! caller reads back before it draws a conclusion.
+
+use {
+    async_trait::async_trait,
+    derive_more::{Display, Error},
+    ragwortreel_model::{InstanceId, Rack, Resources, ServiceName, Team, Zone},
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// Most rows in one transaction.
+pub const MAX_TXN_ROWS: usize = 100;
+/// Most bytes of values in one transaction.
+pub const MAX_TXN_BYTES: usize = 256 * 1024;
+
+/// A row of the table service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Key.
+    pub key: Arc<str>,
+    /// Value, JSON text by convention.
+    pub value: Arc<str>,
+    /// Version, from 1, raised by each write of the row; never reused after a delete.
+    pub version: u64,
+}
+
+/// Condition of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Check {
+    /// Key.
+    pub key: Arc<str>,
+    /// Version that the row must have; 0 for no row.
+    pub version: u64,
+}
+
+/// Write of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// Key.
+    pub key: Arc<str>,
+    /// New value; absent to delete the row.
+    pub value: Option<Arc<str>>,
+}
+
+/// A transaction: all writes take effect when all checks hold, otherwise none does.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Txn {
+    /// Conditions.
+    pub checks: Vec<Check>,
+    /// Writes.
+    pub writes: Vec<Write>,
+}
+
+/// Result of a transaction that the service answered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "result")]
+pub enum TxnOutcome {
+    /// All writes took effect.
+    Committed {
+        /// New version of each written row, in order; 0 for a deleted one.
+        versions: Vec<u64>,
+    },
+    /// A check did not hold; nothing was written.
+    Conflict {
+        /// Rows of the checks that did not hold, as they are now; absent rows are left out.
+        current: Vec<Row>,
+    },
+}
+
+/// Failure of a call to the platform.
+#[derive(Debug, Clone, Display, Error)]
+pub enum PlatformError {
+    /// Nothing was done: refused at once, connection refused, breaker open or queue full.
+    #[display("{step} at {peer}: not done: {problem}")]
+    NotDone {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the service.
+        peer: Arc<str>,
+        /// What went wrong.
+        problem: Arc<str>,
+    },
+    /// The call may or may not have taken effect.
+    #[display("{step} at {peer}: outcome unknown: {problem}")]
+    Unknown {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the service.
+        peer: Arc<str>,
+        /// What went wrong.
+        problem: Arc<str>,
+    },
+}
+
+/// The transactional table service.
+#[async_trait]
+pub trait TableService: Send + Sync {
+    /// Runs a transaction.
+    async fn commit(&self, txn: Txn) -> Result<TxnOutcome, PlatformError>;
+    /// Reads one row.
+    async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError>;
+    /// Reads all rows whose keys begin with any of the prefixes, ordered by key, as of one moment.
+    async fn scan(&self, prefixes: &[&str]) -> Result<Vec<Row>, PlatformError>;
+}
+
+/// The object store.
+#[async_trait]
+pub trait ObjectStore: Send + Sync {
+    /// Writes an object whole.
+    async fn put(&self, key: &str, value: Vec<u8>) -> Result<(), PlatformError>;
+    /// Reads an object whole.
+    async fn get(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError>;
+    /// Deletes an object; deleting an absent one succeeds.
+    async fn delete(&self, key: &str) -> Result<(), PlatformError>;
+}
+
+/// State of an instance in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum InstanceState {
+    /// Runs.
+    Live,
+    /// Is about to be stopped; gets no new work.
+    Leaving,
+    /// Was stopped for good.
+    Terminated,
+}
+
+/// What an instance in the platform's list is for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "role")]
+pub enum ListedRole {
+    /// An entry instance of this system.
+    Entry,
+    /// A worker.
+    Worker {
+        /// Rack.
+        rack: Rack,
+        /// Everything that it has.
+        capacity: Resources,
+    },
+    /// A backend server.
+    Backend {
+        /// Team that offers the service.
+        team: Team,
+        /// The service.
+        service: ServiceName,
+    },
+}
+
+/// An entry of the platform's list, which lags behind reality.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedInstance {
+    /// Name.
+    pub id: InstanceId,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Address.
+    pub address: SocketAddr,
+    /// State.
+    pub state: InstanceState,
+    /// What it is for.
+    pub role: ListedRole,
+}
+
+/// The platform's list of instances.
+#[async_trait]
+pub trait InstanceList: Send + Sync {
+    /// Reads the whole list.
+    async fn list(&self) -> Result<Vec<ListedInstance>, PlatformError>;
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,17 @@
+//! Executor threads, timers, the stop signal and numbered log events.
+//!
+//! One `async-executor` serves the whole process; `async-io` drives its sockets and timers. Tasks are detached or
+//! awaited through the handle that [`spawn`] returns.
+
+mod executor;
+mod log;
+mod stop;
+mod time;
+
+pub use async_executor::Task;
+pub use executor::{Spawner, block_on, spawn, start_threads};
+pub use futures_lite::future;
+pub use log::{Event, Level, discard_logger, json_logger};
+pub use slog::{self, Logger};
+pub use stop::{Stop, StopGuard, stop_on_signals};
+pub use time::{Elapsed, sleep, sleep_ms, timeout, timeout_at, timeout_ms};
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ragwortreel.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Ragwortreel.
+
+fn main() {}
