--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,7 +4,12 @@
 //! [`PoolScheduler`]: it reports what workers and teams do, and asks for decisions.
 
 mod api;
+mod config;
+pub mod naive;
+mod scheduler;
 
-pub use api::{
-    Decision, PoolScheduler, PoolStats, SubmitError, TeamShare, WorkerSpec, WorkerState,
+pub use {
+    api::{Decision, PoolScheduler, PoolStats, SubmitError, TeamShare, WorkerSpec, WorkerState},
+    config::Config,
+    scheduler::Scheduler,
 };
--- /dev/null
+++ b/crates/placement/src/naive.rs
@@ -0,0 +1,397 @@
+//! A scheduler that scans everything, first come first served.
+//!
+//! It is the oracle of the differential tests and the baseline of the measurements. It has no fair shares, no
+//! reservations, no learned sizes and no worker health; it takes the oldest task that fits and the worker that is
+//! left with the least free capacity.
+
+use {
+    crate::{
+        Config, Decision, PoolScheduler, PoolStats, SubmitError, TeamShare, WorkerSpec, WorkerState,
+    },
+    ragwortreel_model::{
+        Assignment, Attempt, JobId, JobKind, JobSpec, Pool, Resources, TaskId, TaskResult, Team,
+        WaitReason, WorkerId,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// A worker with the sum of its reservations.
+#[derive(Debug, Clone)]
+struct Worker {
+    spec: WorkerSpec,
+    state: WorkerState,
+    reserved: Resources,
+}
+
+/// A job with its tasks.
+#[derive(Debug, Clone)]
+struct Job {
+    spec: JobSpec,
+    queued: BTreeSet<u32>,
+    running: BTreeMap<u32, Assignment>,
+    attempts: BTreeMap<u32, u32>,
+    cancelled: bool,
+}
+
+/// Scheduler that scans all jobs and all workers for each decision.
+#[derive(Debug, Clone)]
+pub struct NaiveScheduler {
+    pool: Pool,
+    cfg: Config,
+    workers: BTreeMap<WorkerId, Worker>,
+    teams: BTreeMap<Team, TeamShare>,
+    used: BTreeMap<Team, Resources>,
+    jobs: BTreeMap<JobId, Job>,
+    arrival: Vec<JobId>,
+}
+
+impl NaiveScheduler {
+    /// Makes a scheduler without workers, teams or jobs.
+    #[must_use]
+    pub const fn new(pool: Pool, cfg: Config) -> Self {
+        Self {
+            pool,
+            cfg,
+            workers: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            used: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            arrival: Vec::new(),
+        }
+    }
+
+    /// All runs, ordered by job and task.
+    pub fn runs(&self) -> impl Iterator<Item = &Assignment> {
+        self.jobs.values().flat_map(|job| job.running.values())
+    }
+
+    /// Whether every worker holds at most its capacity and every team at most its quota.
+    #[must_use]
+    pub fn is_within_bounds(&self) -> bool {
+        let workers = self.workers.values();
+        let mut teams = self.teams.values();
+        workers
+            .clone()
+            .all(|worker| worker.reserved.fits_in(&worker.spec.capacity))
+            && teams.all(|share| self.team_used(&share.team).fits_in(&share.quota))
+    }
+
+    fn team_used(&self, team: &Team) -> Resources {
+        self.used.get(team).copied().unwrap_or_default()
+    }
+
+    fn queued_tasks(&self) -> usize {
+        self.jobs.values().map(|job| job.queued.len()).sum()
+    }
+
+    fn reserve(&mut self, run: &Assignment, team: &Team) {
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.reserved += run.resources;
+        }
+        *self.used.entry(team.clone()).or_default() += run.resources;
+    }
+
+    fn release(&mut self, run: &Assignment, team: &Team) {
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.reserved = worker.reserved.saturating_sub(&run.resources);
+        }
+        if let Some(used) = self.used.get_mut(team) {
+            *used = used.saturating_sub(&run.resources);
+        }
+    }
+
+    fn best_fit(&self, need: &Resources) -> Option<WorkerId> {
+        let ready = |worker: &&Worker| worker.state == WorkerState::Ready;
+        let room = |worker: &Worker| worker.spec.capacity.saturating_sub(&worker.reserved);
+        self.workers
+            .values()
+            .filter(ready)
+            .filter(|worker| need.fits_in(&room(worker)))
+            .min_by_key(|worker| {
+                room(worker)
+                    .saturating_sub(need)
+                    .dominant_share_ppm(&worker.spec.capacity)
+            })
+            .map(|worker| worker.spec.id.clone())
+    }
+
+    fn start(&mut self, id: &JobId, index: u32) -> Option<Assignment> {
+        let job = self.jobs.get(id)?;
+        let (team, need) = (job.spec.team.clone(), job.spec.resources);
+        let quota = self.teams.get(&team)?.quota;
+        if !(self.team_used(&team) + need).fits_in(&quota) {
+            return None;
+        }
+        let worker = self.best_fit(&need)?;
+        let job = self.jobs.get_mut(id)?;
+        let attempt = job.attempts.entry(index).or_default();
+        *attempt += 1;
+        let run = Assignment {
+            task: TaskId {
+                job: id.clone(),
+                index,
+            },
+            attempt: Attempt(*attempt),
+            worker,
+            resources: need,
+        };
+        job.queued.remove(&index);
+        job.running.insert(index, run.clone());
+        self.reserve(&run, &team);
+        Some(run)
+    }
+
+    fn undo(&mut self, run: &Assignment) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        job.running.remove(&run.task.index);
+        job.queued.insert(run.task.index);
+        job.attempts
+            .insert(run.task.index, run.attempt.0.saturating_sub(1));
+        let team = job.spec.team.clone();
+        self.release(run, &team);
+    }
+
+    fn start_gang(&mut self, id: &JobId) -> Option<Decision> {
+        let job = self.jobs.get(id)?;
+        if !job.running.is_empty() {
+            return None;
+        }
+        let mut started = Vec::new();
+        for index in job.queued.clone() {
+            let Some(run) = self.start(id, index) else {
+                for run in started.iter().rev() {
+                    self.undo(run);
+                }
+                return None;
+            };
+            started.push(run);
+        }
+        Some(Decision::StartGang(started))
+    }
+
+    fn next_decision(&mut self) -> Option<Decision> {
+        for id in self.arrival.clone() {
+            let job = &self.jobs[&id];
+            let Some(&first) = job.queued.first() else {
+                continue;
+            };
+            let decision = match job.spec.kind {
+                JobKind::Gang => self.start_gang(&id),
+                JobKind::Service | JobKind::Batch => self.start(&id, first).map(Decision::Start),
+            };
+            if decision.is_some() {
+                return decision;
+            }
+        }
+        None
+    }
+}
+
+impl PoolScheduler for NaiveScheduler {
+    fn upsert_worker(&mut self, spec: WorkerSpec, _now_ms: u64) {
+        let runs = self.runs().filter(|run| run.worker == spec.id);
+        let reserved = runs.fold(Resources::ZERO, |sum, run| sum + run.resources);
+        let state = WorkerState::Ready;
+        let worker = self.workers.entry(spec.id.clone()).or_insert(Worker {
+            spec: spec.clone(),
+            state,
+            reserved,
+        });
+        worker.spec = spec;
+    }
+
+    fn set_worker_state(&mut self, worker: &WorkerId, state: WorkerState) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.state = state;
+        }
+    }
+
+    fn remove_worker(&mut self, worker: &WorkerId, now_ms: u64) -> Vec<Assignment> {
+        let runs: Vec<Assignment> = self
+            .runs()
+            .filter(|run| run.worker == *worker)
+            .cloned()
+            .collect();
+        self.workers.remove(worker);
+        for run in &runs {
+            self.ended(&run.task, run.attempt, TaskResult::Lost, now_ms);
+        }
+        runs
+    }
+
+    fn upsert_team(&mut self, share: TeamShare) {
+        self.teams.insert(share.team.clone(), share);
+    }
+
+    fn submit(&mut self, spec: JobSpec, _now_ms: u64) -> Result<(), SubmitError> {
+        if let Some(job) = self.jobs.get(&spec.id) {
+            if job.spec == spec {
+                return Ok(());
+            }
+            return Err(SubmitError::Conflict { job: spec.id });
+        }
+        if !self.teams.contains_key(&spec.team) {
+            return Err(SubmitError::UnknownTeam { team: spec.team });
+        }
+        let limit = self.cfg.max_queued_tasks;
+        if self.queued_tasks() + spec.tasks as usize > limit {
+            return Err(SubmitError::QueueFull { limit });
+        }
+        self.arrival.push(spec.id.clone());
+        let job = Job {
+            queued: (0..spec.tasks).collect(),
+            running: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            cancelled: false,
+            spec: spec.clone(),
+        };
+        self.jobs.insert(spec.id, job);
+        Ok(())
+    }
+
+    fn restore(&mut self, assignment: Assignment, _now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&assignment.task.job) else {
+            return;
+        };
+        let index = assignment.task.index;
+        let team = job.spec.team.clone();
+        let known = job.running.get(&index).cloned();
+        if known
+            .as_ref()
+            .is_some_and(|run| run.attempt >= assignment.attempt)
+        {
+            return;
+        }
+        job.queued.remove(&index);
+        let attempt = job.attempts.entry(index).or_default();
+        *attempt = (*attempt).max(assignment.attempt.0);
+        job.running.insert(index, assignment.clone());
+        if let Some(run) = known {
+            self.release(&run, &team);
+        }
+        self.reserve(&assignment, &team);
+    }
+
+    fn restore_succeeded(&mut self, task: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.queued.remove(&task.index);
+        }
+    }
+
+    fn restore_attempt(&mut self, task: &TaskId, attempt: Attempt) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let known = job.attempts.entry(task.index).or_default();
+            *known = (*known).max(attempt.0);
+        }
+    }
+
+    fn decide(&mut self, _now_ms: u64, limit: usize) -> Vec<Decision> {
+        std::iter::from_fn(|| self.next_decision())
+            .take(limit)
+            .collect()
+    }
+
+    fn started(&mut self, _task: &TaskId, _attempt: Attempt, _now_ms: u64) {}
+
+    fn ended(&mut self, task: &TaskId, attempt: Attempt, result: TaskResult, _now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(run) = job.running.get(&task.index).cloned() else {
+            return;
+        };
+        if run.attempt != attempt {
+            return;
+        }
+        job.running.remove(&task.index);
+        if result != TaskResult::Succeeded && !job.cancelled {
+            job.queued.insert(task.index);
+        }
+        let team = job.spec.team.clone();
+        self.release(&run, &team);
+    }
+
+    fn used(&mut self, _task: &TaskId, _attempt: Attempt, _used: Resources) {}
+
+    fn cancel(&mut self, job: &JobId, _now_ms: u64) -> Vec<Assignment> {
+        let Some(job) = self.jobs.get_mut(job) else {
+            return Vec::new();
+        };
+        job.cancelled = true;
+        job.queued.clear();
+        job.running.values().cloned().collect()
+    }
+
+    fn forget(&mut self, job: &JobId) {
+        let idle = |job: &Job| job.queued.is_empty() && job.running.is_empty();
+        if self.jobs.get(job).is_some_and(idle) {
+            self.jobs.remove(job);
+            self.arrival.retain(|id| id != job);
+        }
+    }
+
+    fn explain(&self, job: &JobId, _now_ms: u64) -> Option<WaitReason> {
+        let job = self.jobs.get(job)?;
+        if job.queued.is_empty() {
+            return None;
+        }
+        let need = job.spec.resources;
+        let quota = self.teams.get(&job.spec.team)?.quota;
+        let capacities = self.workers.values().map(|worker| worker.spec.capacity);
+        if !capacities.clone().any(|capacity| need.fits_in(&capacity)) {
+            let largest = capacities.max().unwrap_or_default();
+            return Some(WaitReason::NoWorkerLargeEnough { need, largest });
+        }
+        let whole = match job.spec.kind {
+            JobKind::Gang => need.checked_mul(job.spec.tasks.into())?,
+            JobKind::Service | JobKind::Batch => need,
+        };
+        if !whole.fits_in(&quota) {
+            return Some(WaitReason::LargerThanQuota { quota });
+        }
+        if job.spec.kind == JobKind::Gang {
+            let slots = |capacity: Resources| {
+                let mut count = 0;
+                while need
+                    .checked_mul(u64::from(count) + 1)
+                    .is_some_and(|sum| sum.fits_in(&capacity))
+                {
+                    count += 1;
+                }
+                count
+            };
+            let possible = capacities.map(slots).sum();
+            let tasks = job.spec.tasks;
+            if possible < tasks {
+                let pool = self.pool.clone();
+                return Some(WaitReason::PoolTooSmall {
+                    pool,
+                    possible,
+                    tasks,
+                });
+            }
+        }
+        if !(self.team_used(&job.spec.team) + whole).fits_in(&quota) {
+            return Some(WaitReason::QuotaInUse { quota });
+        }
+        let before = self.arrival.iter().take_while(|id| **id != job.spec.id);
+        let ahead = before.map(|id| self.jobs[id].queued.len() as u64).sum();
+        Some(WaitReason::WaitingForRoom { ahead })
+    }
+
+    fn stats(&self) -> PoolStats {
+        let answering = self.workers.values();
+        let answering = answering.filter(|worker| worker.state != WorkerState::Silent);
+        PoolStats {
+            capacity: answering.fold(Resources::ZERO, |sum, worker| sum + worker.spec.capacity),
+            reserved: self
+                .runs()
+                .fold(Resources::ZERO, |sum, run| sum + run.resources),
+            queued: self.queued_tasks() as u64,
+            running: self.runs().count() as u64,
+            quarantined: 0,
+        }
+    }
+}
