--- a/crates/placement/src/decide.rs
+++ b/crates/placement/src/decide.rs
@@ -96,7 +96,8 @@
                 capacity: entry.spec.capacity,
                 same_job_in_rack: job.racks.get(&entry.spec.rack).copied().unwrap_or(0),
             });
-            if job.failed_on.contains(&worker) {
+            let failed_before = job.failed_on.contains(&worker);
+            if failed_before {
                 cost += FAILED_BEFORE_COST;
             }
             if best.is_none_or(|(least, _)| cost < least) {
@@ -107,7 +108,12 @@
                 best = Some((cost, pick));
             }
             left -= 1;
-            if left == 0 { Visit::Stop } else { next }
+            match left {
+                0 => Visit::Stop,
+                // Workers of a cell are alike, but another one may not have failed the job.
+                _ if failed_before => Visit::Next,
+                _ => next,
+            }
         };
         self.workers
             .visit_open(&shape.need, policy.order(), &mut |worker, free| {
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -40,7 +40,7 @@
     pub not_urgent: bool,
     /// Weighted share of the team with aging.
     pub score: u64,
-    /// Time since which the lane has waited, in ms.
+    /// Time since which the lane waits for its turn in the team, in ms.
     pub since_ms: u64,
 }
 
@@ -89,8 +89,9 @@
     pub shape: ShapeKey,
     /// Queued jobs, oldest first.
     pub jobs: BTreeSet<JobPosition>,
-    /// Last start, in ms.
-    pub last_start_ms: u64,
+    /// Time up to which the lane's starts count as its turn, in ms; it ranks among its team's lanes as if its jobs
+    /// had been submitted no earlier.
+    pub served_until_ms: u64,
     /// Tasks for which room is being made by checkpoints.
     pub claims: u32,
     /// Jobs, queued or not, that belong to the lane.
@@ -163,7 +164,7 @@
             key: key.clone(),
             shape,
             jobs: BTreeSet::new(),
-            last_start_ms: 0,
+            served_until_ms: 0,
             claims: 0,
             members: 1,
             queued: 0,
--- a/crates/placement/src/runs.rs
+++ b/crates/placement/src/runs.rs
@@ -10,6 +10,11 @@
     ragwortreel_model::{Assignment, JobKind, Rack, Resources, TaskResult},
 };
 
+/// Longest run time that counts for a turn, in ms; services run without end.
+const MAX_TURN_MS: u64 = 600_000;
+/// Weight of turns against age: a lane that uses a tenth of its team's quota ages as fast as it is served.
+const TURN_FACTOR: u64 = 10;
+
 /// Where a task is to run.
 #[derive(Debug, Clone, Copy)]
 pub struct Pick {
@@ -25,11 +30,8 @@
         let before = self.jobs[job].queued();
         let index = self.jobs[job].take_next()?;
         let attempt = self.jobs[job].next_attempt(index);
-        let lane = self.queue.lane_mut(self.jobs[job].lane);
-        lane.last_start_ms = self.now_ms;
-        let shape = lane.shape;
-        let team = lane.key.team;
-        self.teams.get_mut(team).last_start_ms = self.now_ms;
+        self.count_turn(job);
+        let shape = self.queue.lane(self.jobs[job].lane).shape;
         let run = Run {
             attempt,
             worker: pick.worker,
@@ -46,6 +48,21 @@
         Some(self.assignment((job, index)))
     }
 
+    /// Counts a start of a job as a turn of its lane and its team.
+    ///
+    /// A start moves the lane back by the time for which the task would use the whole quota, times `TURN_FACTOR`. A
+    /// job of many tasks thus lets later jobs of its team in, and still no lane is overtaken for ever.
+    fn count_turn(&mut self, job: u32) {
+        let lane = self.queue.lane_mut(self.jobs[job].lane);
+        let team = self.teams.get_mut(lane.key.team);
+        team.last_start_ms = self.now_ms;
+        let part_ppm = lane.shape.need.dominant_share_ppm(&team.share.quota);
+        let run_time_ms = lane.shape.run_time_ms.min(MAX_TURN_MS);
+        let turn_ms = run_time_ms.saturating_mul(part_ppm) / 1_000_000 * TURN_FACTOR;
+        let from_ms = lane.served_until_ms.max(self.jobs[job].submit_ms);
+        lane.served_until_ms = from_ms.saturating_add(turn_ms);
+    }
+
     fn add_run(&mut self, key: RunKey, mut run: Run) {
         let job = &mut self.jobs[key.0];
         let policy = self.policies.of(job.spec.kind);
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -173,7 +173,7 @@
         let lane = self.queue.lane(ix);
         let &(oldest_ms, _, _) = lane.jobs.first()?;
         let team = self.teams.get(lane.key.team);
-        let since_ms = lane.last_start_ms.max(oldest_ms);
+        let since_ms = lane.served_until_ms.max(oldest_ms);
         // A team that is served regularly does not age, so its backlog cannot displace other teams. A patient lane
         // ages by its own starts, so that it is served in the end beside the same team's normal work.
         let aged_ms = match lane.key.priority {
--- a/crates/placement/tests/random_histories.rs
+++ b/crates/placement/tests/random_histories.rs
@@ -15,7 +15,7 @@
 };
 
 /// Something that happens to a pool; numbers choose among what exists.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Step {
     Submit(Submit),
     Decide(usize),
