bench: add the case place

The targets for placement had no measurement. The case keeps 1,200 workers, 7,400 running tasks and 1,780 waiting ones (of 28 teams at their quota, and jobs that fit only an almost empty worker), replaces one task at a time and times the decisions until nothing more can start.

--- /dev/null
+++ b/bench/src/cell.rs
@@ -0,0 +1,239 @@
+//! A pool in the state of the design size, for the placement cases.
+
+use {
+    ragwortreel_model::{
+        Assignment, JobId, JobKind, JobSpec, NameError, Pool, Priority, Rack, Resources,
+        TaskResult, Team, WorkerId,
+    },
+    ragwortreel_placement::{
+        Config, Decision, PoolScheduler, TeamShare, WorkerSpec, naive::NaiveScheduler,
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Workers of the design size.
+pub const WORKERS: usize = 1_200;
+/// Accelerators of the design size.
+const ACCELERATORS: usize = 2_900;
+/// Running tasks of the design size.
+const TASKS: usize = 7_400;
+/// Teams of the design size.
+const TEAMS: usize = 280;
+/// Accelerators of a worker that has any.
+const PER_WORKER: usize = 8;
+/// Every tenth team has reached its quota.
+const QUOTA_TEAMS: usize = 10;
+/// Waiting jobs that fit only an almost empty worker.
+const LARGE_JOBS: usize = 300;
+/// Time between two starts at the peak of 170 a second, in ms.
+const STEP_MS: u64 = 6;
+
+/// Makes a name; all names of the cases are valid.
+pub fn name<T>(make: fn(&str) -> Result<T, NameError>, text: &str) -> T {
+    make(text).expect("a valid name")
+}
+
+/// Workers of 32 cores and 128 GiB in racks of 8, with accelerators in the proportion of the design size.
+pub fn workers(count: usize) -> Vec<WorkerSpec> {
+    let accelerators = ACCELERATORS * count / WORKERS;
+    let equipped = accelerators / PER_WORKER;
+    let is_equipped = |number: usize| number * equipped / count != (number + 1) * equipped / count;
+    let spec = |number: usize| {
+        let own = if is_equipped(number) {
+            PER_WORKER as u64
+        } else {
+            0
+        };
+        WorkerSpec {
+            id: name(WorkerId::new, &format!("w{number}")),
+            rack: name(Rack::new, &format!("r{}", number / 8)),
+            capacity: Resources::new(32_000, 128 * 1_024, own),
+        }
+    };
+    (0..count).map(spec).collect()
+}
+
+/// A scheduler under load.
+pub struct Cell<S> {
+    /// The scheduler.
+    pub sched: S,
+    /// Everything that runs.
+    pub running: Vec<Assignment>,
+    /// Simulated time in ms.
+    pub now_ms: u64,
+    /// Source of sizes and choices.
+    pub rng: fastrand::Rng,
+    /// Jobs that are not forgotten, with their order of submission.
+    pub specs: BTreeMap<JobId, (usize, JobSpec)>,
+    shares: Vec<TeamShare>,
+    next_job: usize,
+    teams: usize,
+}
+
+impl<S: PoolScheduler> Cell<S> {
+    /// Fills a pool with workers, teams, running tasks and waiting work in the proportions of the design size.
+    pub fn new(sched: S, count: usize) -> Self {
+        let mut cell = Self::empty(sched, count, TEAMS);
+        let quota = Resources::new(1_000, 1_024, 0);
+        for number in (0..TEAMS).step_by(QUOTA_TEAMS) {
+            cell.set_quota(number, quota);
+            cell.submit_sized(number, JobKind::Batch, 50, quota);
+            cell.submit_sized(number, JobKind::Batch, 1, Resources::new(2_000, 1_024, 0));
+        }
+        let tasks = TASKS * count / WORKERS;
+        while cell.running.len() < tasks {
+            for _ in 0..(tasks - cell.running.len()).min(500) {
+                cell.submit();
+            }
+            if cell.decide(1_000).is_empty() {
+                break;
+            }
+        }
+        for number in 0..LARGE_JOBS * count / WORKERS {
+            let need = Resources::new(30_000, 100 * 1_024, 0);
+            cell.submit_sized(number * 7 + 1, JobKind::Batch, 1, need);
+        }
+        cell.decide(10_000);
+        cell
+    }
+
+    /// A pool with workers and teams only.
+    pub fn empty(mut sched: S, count: usize, teams: usize) -> Self {
+        for spec in workers(count) {
+            sched.upsert_worker(spec, 0);
+        }
+        let mut cell = Self {
+            sched,
+            running: Vec::new(),
+            now_ms: 1_000_000,
+            rng: fastrand::Rng::with_seed(7),
+            specs: BTreeMap::new(),
+            shares: Vec::new(),
+            next_job: 0,
+            teams,
+        };
+        for number in 0..teams {
+            let quota = Resources::new(1_000_000_000, 1_000_000_000, 100_000);
+            cell.set_quota(number, quota);
+        }
+        cell
+    }
+
+    fn team(&self, number: usize) -> Team {
+        name(Team::new, &format!("t{}", number % self.teams))
+    }
+
+    fn set_quota(&mut self, number: usize, quota: Resources) {
+        let team = self.team(number);
+        let share = TeamShare {
+            team,
+            weight: 100,
+            quota,
+        };
+        self.sched.upsert_team(share.clone());
+        self.shares.push(share);
+    }
+
+    /// Submits a job of certain size and returns its specification.
+    pub fn submit_sized(
+        &mut self,
+        team: usize,
+        kind: JobKind,
+        tasks: u32,
+        resources: Resources,
+    ) -> JobSpec {
+        let number = self.next_job;
+        self.next_job += 1;
+        let seconds = self.rng.u64(30..1_800);
+        let spec = JobSpec {
+            id: name(JobId::new, &format!("j{number}")),
+            team: self.team(team),
+            name: Arc::from(format!("n{}", number % 5)),
+            kind,
+            priority: Priority::Normal,
+            tasks,
+            resources,
+            run_time_ms: (kind != JobKind::Service).then_some(seconds * 1_000),
+            zone: None,
+            payload: Arc::from(""),
+        };
+        let accepted = self.sched.submit(spec.clone(), self.now_ms);
+        accepted.expect("the job is acceptable");
+        self.specs.insert(spec.id.clone(), (number, spec.clone()));
+        spec
+    }
+
+    /// Submits a job of one task of random team, kind and size.
+    pub fn submit(&mut self) -> JobSpec {
+        let rng = &mut self.rng;
+        let kind = if rng.u8(0..5) == 0 {
+            JobKind::Service
+        } else {
+            JobKind::Batch
+        };
+        let cores = *rng.choice(&[1, 2, 4, 4, 6, 8]).unwrap_or(&1);
+        let memory = cores * rng.u64(2..6);
+        let accelerators = if rng.u8(0..6) == 0 { rng.u64(1..4) } else { 0 };
+        let need = Resources::new(cores * 1_000, memory * 1_024, accelerators);
+        // Teams at their quota get no new work, so that the others decide the load.
+        let team = rng.usize(0..self.teams) / QUOTA_TEAMS * QUOTA_TEAMS + 1 + rng.usize(0..9);
+        self.submit_sized(team, kind, 1, need)
+    }
+
+    /// Takes decisions and notes what runs.
+    pub fn decide(&mut self, limit: usize) -> Vec<Decision> {
+        let decisions = self.sched.decide(self.now_ms, limit);
+        for decision in &decisions {
+            match decision {
+                Decision::Start(run) => self.running.push(run.clone()),
+                Decision::StartGang(runs) => self.running.extend(runs.iter().cloned()),
+                Decision::Checkpoint(run) => {
+                    self.running.retain(|known| known.task != run.task);
+                    let result = TaskResult::Checkpointed;
+                    let now_ms = self.now_ms;
+                    self.sched.ended(&run.task, run.attempt, result, now_ms);
+                }
+            }
+        }
+        decisions
+    }
+
+    /// Ends a run with success and forgets its job where nothing of it is left.
+    pub fn end(&mut self, at: usize) {
+        let run = self.running.swap_remove(at);
+        let (result, now_ms) = (TaskResult::Succeeded, self.now_ms);
+        self.sched.ended(&run.task, run.attempt, result, now_ms);
+        self.sched.forget(&run.task.job);
+        self.specs.remove(&run.task.job);
+    }
+
+    /// Ends a random run, and submits a job in its place.
+    pub fn replace_one(&mut self) {
+        self.now_ms += STEP_MS;
+        let at = self.rng.usize(0..self.running.len());
+        self.end(at);
+        self.submit();
+    }
+}
+
+/// Gives a naive scheduler the workers, teams, jobs and runs of another cell.
+pub fn copy_to_naive<S: PoolScheduler>(from: &Cell<S>, count: usize) -> Cell<NaiveScheduler> {
+    let sched = NaiveScheduler::new(name(Pool::new, "p"), Config::default());
+    let mut cell = Cell::empty(sched, count, TEAMS);
+    cell.now_ms = from.now_ms;
+    cell.next_job = from.next_job;
+    for share in &from.shares {
+        cell.sched.upsert_team(share.clone());
+    }
+    let mut specs: Vec<&(usize, JobSpec)> = from.specs.values().collect();
+    specs.sort_by_key(|(number, _)| *number);
+    for (_, spec) in specs {
+        let accepted = cell.sched.submit(spec.clone(), from.now_ms);
+        accepted.expect("the job is acceptable");
+    }
+    for run in &from.running {
+        cell.sched.restore(run.clone(), from.now_ms);
+    }
+    cell.running.clone_from(&from.running);
+    cell
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
+mod cell;
+mod place;
 mod report;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
@@ -17,7 +19,11 @@
 }
 
 /// All cases, in the order of the design page.
-const CASES: &[Case] = &[];
+const CASES: &[Case] = &[Case {
+    name: "place",
+    about: "cost and packing of single placements",
+    run: || Ok(place::run()),
+}];
 
 fn main() -> ExitCode {
     match run() {
