--- a/bench/src/cell.rs
+++ b/bench/src/cell.rs
@@ -28,6 +28,16 @@
 /// Time between two starts at the peak of 170 a second, in ms.
 const STEP_MS: u64 = 6;
 
+/// Shortest declared run time of a batch task in ms. Up to 32 times as long in powers of two, with the stragglers, the
+/// mean is 41 s; 5,920 running tasks that are no services and 170 starts a second make 35 s.
+const SHORTEST_RUN_MS: u64 = 3_000;
+/// One batch task of this many is a straggler.
+const STRAGGLER_EVERY: u32 = 100;
+/// Declared run time of a straggler in ms.
+const STRAGGLER_MS: u64 = 960_000;
+/// Shortest declared run time of a gang in ms; the longest is 16 times as long.
+const SHORTEST_GANG_MS: u64 = 30_000;
+
 /// Makes a name; all names of the cases are valid.
 pub fn name<T>(make: fn(&str) -> Result<T, NameError>, text: &str) -> T {
     make(text).expect("a valid name")
@@ -134,6 +144,22 @@
         self.shares.push(share);
     }
 
+    /// Class and run time of the next job; jobs of one class share a name, as like jobs in a real cell do.
+    fn run_time(&mut self, kind: JobKind) -> (u32, u64) {
+        let rng = &mut self.rng;
+        match kind {
+            JobKind::Gang => {
+                let class = rng.u32(0..5);
+                (10 + class, SHORTEST_GANG_MS << class)
+            }
+            _ if rng.u32(0..STRAGGLER_EVERY) == 0 => (6, STRAGGLER_MS),
+            _ => {
+                let class = rng.u32(0..6);
+                (class, SHORTEST_RUN_MS << class)
+            }
+        }
+    }
+
     /// Submits a job of certain size and returns its specification.
     pub fn submit_sized(
         &mut self,
@@ -144,16 +170,16 @@
     ) -> JobSpec {
         let number = self.next_job;
         self.next_job += 1;
-        let seconds = self.rng.u64(30..1_800);
+        let (class, run_time_ms) = self.run_time(kind);
         let spec = JobSpec {
             id: name(JobId::new, &format!("j{number}")),
             team: self.team(team),
-            name: Arc::from(format!("n{}", number % 5)),
+            name: Arc::from(format!("n{class}")),
             kind,
             priority: Priority::Normal,
             tasks,
             resources,
-            run_time_ms: (kind != JobKind::Service).then_some(seconds * 1_000),
+            run_time_ms: (kind != JobKind::Service).then_some(run_time_ms),
             zone: None,
             payload: Arc::from(""),
         };
--- a/crates/placement/src/config.rs
+++ b/crates/placement/src/config.rs
@@ -9,7 +9,8 @@
     pub headroom_ppm: u64,
     /// Run time assumed for a batch or gang task that declares none and has no history, in ms.
     pub default_run_time_ms: u64,
-    /// Wait after which a single task may hold a reservation like a gang, in ms.
+    /// Time for which a single task must be first in rank without starting before it may hold a reservation, in ms.
+    /// By age alone, gangs would queue behind every older single task of an overloaded pool.
     pub reserve_after_ms: u64,
     /// Time between two plans of the same reservation, in ms.
     pub replan_ms: u64,
--- a/crates/placement/src/decide.rs
+++ b/crates/placement/src/decide.rs
@@ -54,6 +54,10 @@
                 self.flush_stops(out, limit);
             } else {
                 self.queue.close(lane);
+                // A gang need not wait for the next regular plan when no room is being gathered.
+                if self.queue.lane(lane).key.gang_tasks > 0 && self.reservation.is_none() {
+                    self.next_plan_ms = 0;
+                }
             }
         }
     }
--- a/crates/placement/src/gather.rs
+++ b/crates/placement/src/gather.rs
@@ -10,18 +10,25 @@
         Scheduler,
         capacity::{SearchOrder, Visit},
         queue::Place,
-        workers::{Trust, slots},
+        workers::{RunKey, Trust, slots},
     },
     ragwortreel_model::Resources,
-    std::collections::BTreeMap,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        iter::Peekable,
+    },
 };
 
 /// Waiting lanes that are looked at to find the next job to gather room for.
 const LANES_TO_LOOK_AT: usize = 256;
+/// Any single task may gather room after this many times the wait of the one that is first in rank.
+const PATIENCE_FACTOR: u64 = 60;
 /// Reservations that are tried in one call; the others follow after `replan_ms`.
 const PLANS_IN_A_CALL: usize = 4;
 /// Estimated ends later than this are not waited for, in ms (30 days); services have such ends.
 const MAX_GATHERING_MS: u64 = 2_592_000_000;
+/// Least time by which a held worker must be later than another one to be given up, in ms.
+const KEEP_MS: u64 = 5_000;
 /// Time that checkpoints for an urgent gang are expected to take, in ms.
 const CHECKPOINT_MS: u64 = 3_000;
 
@@ -65,26 +72,38 @@
     need: Resources,
     left: u32,
     by_worker: BTreeMap<u32, (Resources, u32)>,
+    settled: BTreeSet<u32>,
 }
 
 impl Rooms {
-    const fn new(need: Resources, tasks: u32) -> Self {
+    fn new(need: Resources, tasks: u32) -> Self {
         Self {
             need,
             left: tasks,
             by_worker: BTreeMap::new(),
+            settled: BTreeSet::new(),
         }
     }
 
-    /// Grows the room on a worker; returns whether all tasks fit now.
-    fn grow(&mut self, worker: u32, initial: Resources, more: &Resources) -> bool {
+    /// Grows the room on a worker; returns the tasks that fit in addition.
+    fn grow(&mut self, worker: u32, initial: Resources, more: &Resources) -> u32 {
+        if self.settled.contains(&worker) {
+            return 0;
+        }
         let (room, tasks) = self.by_worker.entry(worker).or_insert((initial, 0));
         *room += *more;
         let gained = slots(room, &self.need, u32::MAX).saturating_sub(*tasks);
         let gained = gained.min(self.left);
         *tasks += gained;
         self.left -= gained;
-        self.left == 0
+        gained
+    }
+
+    /// Leaves the workers so far at their present number of tasks.
+    fn settle(&mut self) {
+        let settled = self.by_worker.iter().filter(|(_, (_, tasks))| *tasks > 0);
+        self.settled = settled.map(|(&worker, _)| worker).collect();
+        self.by_worker.retain(|_, (_, tasks)| *tasks > 0);
     }
 
     fn into_plan(self, at_ms: u64) -> Option<Plan> {
@@ -94,6 +113,20 @@
     }
 }
 
+type End = (u64, RunKey);
+
+/// Takes the earlier of the first elements of two ordered sequences.
+fn next_of_both(
+    one: &mut Peekable<impl Iterator<Item = End>>,
+    other: &mut Peekable<impl Iterator<Item = End>>,
+) -> Option<End> {
+    match (one.peek(), other.peek()) {
+        (Some(a), Some(b)) if a <= b => one.next(),
+        (Some(_), None) => one.next(),
+        _ => other.next(),
+    }
+}
+
 impl Scheduler {
     /// Whether room is being gathered for a job.
     pub(crate) fn is_gathering(&self, job: u32) -> bool {
@@ -146,6 +179,9 @@
         if self.now_ms < self.next_plan_ms {
             return false;
         }
+        if let Some(lane) = self.queue.first_closed_single() {
+            self.queue.lane_mut(lane).passed_over += 1;
+        }
         if let Some(job) = self.displacing_job() {
             self.drop_reservation();
             self.next_plan_ms = self.now_ms.saturating_add(self.cfg.replan_ms);
@@ -159,9 +195,6 @@
             return !waits_for_checkpoints && self.reserve_for(job);
         }
         let candidates = self.gathering_candidates();
-        if candidates.is_empty() {
-            return false;
-        }
         self.next_plan_ms = self.now_ms.saturating_add(self.cfg.replan_ms);
         candidates.into_iter().any(|job| self.reserve_for(job))
     }
@@ -178,12 +211,20 @@
 
     /// Jobs that may gather room, in order.
     fn gathering_candidates(&self) -> Vec<u32> {
+        let passed_over = self.cfg.reserve_after_ms / self.cfg.replan_ms.max(1);
+        let patience_ms = self.cfg.reserve_after_ms.saturating_mul(PATIENCE_FACTOR);
         let lanes = self.queue.waiting().take(LANES_TO_LOOK_AT);
         let job = |lane: u32| {
-            let &(submit_ms, _, job) = self.queue.lane(lane).jobs.first()?;
-            let waited_ms = self.now_ms.saturating_sub(submit_ms);
-            let may_gather = self.jobs[job].is_gang() || waited_ms >= self.cfg.reserve_after_ms;
-            (may_gather && self.queue.is_closed(lane)).then_some(job)
+            let entry = self.queue.lane(lane);
+            let &(submit_ms, _, job) = entry.jobs.first()?;
+            let Place::Listed { gather_ms, .. } = entry.place else {
+                return None;
+            };
+            let may_gather = gather_ms <= self.now_ms && self.queue.is_closed(lane);
+            let is_next = entry.key.gang_tasks > 0
+                || entry.passed_over >= passed_over
+                || self.now_ms.saturating_sub(submit_ms) >= patience_ms;
+            (may_gather && is_next).then_some(job)
         };
         lanes.filter_map(job).take(PLANS_IN_A_CALL).collect()
     }
@@ -194,7 +235,7 @@
         let need = self.queue.lane(job.lane).shape.need;
         let tasks = if job.is_gang() { job.queued() } else { 1 };
         let sequence = job.sequence;
-        let by_ends = self.plan(&need, tasks);
+        let by_ends = self.plan(ix, &need, tasks);
         let soon_ms = self.now_ms.saturating_add(CHECKPOINT_MS);
         let is_soon = by_ends.as_ref().is_some_and(|plan| plan.at_ms <= soon_ms);
         let by_checkpoints = (job.is_urgent() && job.is_gang() && !is_soon)
@@ -237,62 +278,125 @@
         !unchanged
     }
 
-    /// Where the tasks fit soonest by the estimated ends of runs.
-    fn plan(&self, need: &Resources, tasks: u32) -> Option<Plan> {
+    /// Where the tasks fit soon by the estimated ends of runs.
+    ///
+    /// A plan that always took the soonest workers would give up workers whose runs are late, which then fill with
+    /// long work, for others whose runs turn out late as well. So held workers are kept unless they are much later.
+    fn plan(&self, ix: u32, need: &Resources, tasks: u32) -> Option<Plan> {
+        let mut rooms = Rooms::new(*need, tasks);
+        let at_ms = self.fill(&mut rooms)?;
+        if !self.is_gathering(ix) {
+            return rooms.into_plan(at_ms);
+        }
+        let slack_ms = (at_ms.saturating_sub(self.now_ms) / 2).max(KEEP_MS);
         let mut rooms = Rooms::new(*need, tasks);
+        let kept_ms = self.fill_held(&mut rooms, at_ms.saturating_add(slack_ms));
+        let at_ms = self.fill(&mut rooms)?;
+        rooms.into_plan(at_ms.max(kept_ms))
+    }
+
+    fn is_usable(&self, worker: u32, need: &Resources) -> bool {
+        let entry = self.workers.get(worker);
+        entry.takes_tasks() && entry.trust == Trust::Good && need.fits_in(&entry.spec.capacity)
+    }
+
+    /// Adds rooms of held workers that are expected by `until_ms`; returns the time of the last one.
+    fn fill_held(&self, rooms: &mut Rooms, until_ms: u64) -> u64 {
+        let holds = self.reservation.iter().flat_map(|held| held.holds.keys());
+        let held: Vec<u32> = holds.copied().collect();
+        let mut ends: Vec<End> = Vec::new();
+        for worker in held {
+            let entry = self.workers.get(worker);
+            if !self.is_usable(worker, &rooms.need) {
+                continue;
+            }
+            rooms.grow(worker, entry.free(), &Resources::ZERO);
+            let expected = entry.runs.iter().map(|&(job, index)| {
+                let end_ms = self.jobs[job].runs[&index].end_ms;
+                (self.expected_end(end_ms), (job, index))
+            });
+            ends.extend(expected.filter(|&(end_ms, _)| end_ms <= until_ms));
+        }
+        ends.sort_unstable();
+        let mut last_ms = self.now_ms;
+        for (end_ms, (job, index)) in ends {
+            let run = &self.jobs[job].runs[&index];
+            let free = self.workers.get(run.worker).free();
+            if rooms.left > 0 && rooms.grow(run.worker, free, &run.size) > 0 {
+                last_ms = end_ms;
+            }
+        }
+        rooms.settle();
+        last_ms
+    }
+
+    /// Adds the rooms that are expected soonest until all tasks fit; returns when they do.
+    fn fill(&self, rooms: &mut Rooms) -> Option<u64> {
+        let need = rooms.need;
+        if rooms.left == 0 {
+            return Some(self.now_ms);
+        }
         let mut add = |worker: u32, free: &Resources| {
-            if self.workers.get(worker).trust == Trust::Good
-                && rooms.grow(worker, *free, &Resources::ZERO)
-            {
-                return Visit::Stop;
+            if self.is_usable(worker, &need) {
+                rooms.grow(worker, *free, &Resources::ZERO);
+            }
+            if rooms.left == 0 {
+                Visit::Stop
+            } else {
+                Visit::Next
             }
-            Visit::Next
         };
-        let order = SearchOrder::Tightest;
-        // Workers that are held already come first, so that a plan does not wander.
-        self.workers.visit_held(need, order, &mut add);
-        self.workers.visit_open(need, order, &mut add);
+        self.workers
+            .visit_open(&need, SearchOrder::Tightest, &mut add);
+        self.workers
+            .visit_held(&need, SearchOrder::Tightest, &mut add);
         if rooms.left == 0 {
-            return rooms.into_plan(self.now_ms);
+            return Some(self.now_ms);
         }
-        for &(end_ms, (job, index)) in &self.ends {
+        let late = self.ends.range(..(self.now_ms, (0, 0)));
+        let late = late.map(|&(end_ms, run)| (self.expected_end(end_ms), run));
+        let mut late: Vec<End> = late.collect();
+        late.sort_unstable();
+        let mut late = late.into_iter().peekable();
+        let mut due = self.ends.range((self.now_ms, (0, 0))..).copied().peekable();
+        while let Some((end_ms, (job, index))) = next_of_both(&mut late, &mut due) {
             if end_ms > self.now_ms.saturating_add(MAX_GATHERING_MS) {
-                break;
+                return None;
             }
             let run = &self.jobs[job].runs[&index];
-            let worker = self.workers.get(run.worker);
-            let usable = worker.takes_tasks() && worker.trust == Trust::Good;
-            if usable
-                && need.fits_in(&worker.spec.capacity)
-                && rooms.grow(run.worker, worker.free(), &run.size)
-            {
-                return rooms.into_plan(self.expected_end(end_ms));
+            if self.is_usable(run.worker, &need) {
+                let free = self.workers.get(run.worker).free();
+                rooms.grow(run.worker, free, &run.size);
+            }
+            if rooms.left == 0 {
+                return Some(end_ms);
             }
         }
         None
     }
 
-    /// When a run is expected to end; one that is overdue is given half as long again as it is late.
+    /// When a run is expected to end; the later it is, the longer it is expected to go on.
     fn expected_end(&self, end_ms: u64) -> u64 {
-        let late_ms = self.now_ms.saturating_sub(end_ms);
-        let grace_ms = (late_ms / 2).max(self.cfg.replan_ms);
-        if late_ms > 0 {
-            self.now_ms.saturating_add(grace_ms)
-        } else {
-            end_ms
+        if end_ms >= self.now_ms {
+            return end_ms;
         }
+        let late_ms = self.now_ms - end_ms;
+        let more_ms = (late_ms / 2).max(self.cfg.replan_ms);
+        self.now_ms.saturating_add(more_ms)
     }
 
     /// Where the tasks fit when patient batch runs are checkpointed.
     fn plan_checkpoints(&self, need: &Resources, tasks: u32) -> Option<Plan> {
         let mut rooms = Rooms::new(*need, tasks);
         self.workers.visit_reclaimable(need, &mut |worker, room| {
-            if self.workers.get(worker).trust == Trust::Good
-                && rooms.grow(worker, *room, &Resources::ZERO)
-            {
-                return Visit::Stop;
+            if self.is_usable(worker, need) {
+                rooms.grow(worker, *room, &Resources::ZERO);
+            }
+            if rooms.left == 0 {
+                Visit::Stop
+            } else {
+                Visit::Next
             }
-            Visit::Next
         });
         rooms.into_plan(self.now_ms.saturating_add(CHECKPOINT_MS))
     }
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -68,8 +68,8 @@
         shape: u32,
         /// Its rank in the shape.
         rank: Rank,
-        /// Submission of its first job, in ms.
-        oldest_ms: u64,
+        /// Time from which its first job may gather room, in ms.
+        gather_ms: u64,
     },
     /// It waits for its team's quota.
     QuotaBlocked,
@@ -92,6 +92,8 @@
     /// Time up to which the lane's starts count as its turn, in ms; it ranks among its team's lanes as if its jobs
     /// had been submitted no earlier.
     pub served_until_ms: u64,
+    /// Plans at which the lane was first in rank and did not start, since its last start.
+    pub passed_over: u64,
     /// Tasks for which room is being made by checkpoints.
     pub claims: u32,
     /// Jobs, queued or not, that belong to the lane.
@@ -165,6 +167,7 @@
             shape,
             jobs: BTreeSet::new(),
             served_until_ms: 0,
+            passed_over: 0,
             claims: 0,
             members: 1,
             queued: 0,
@@ -191,10 +194,10 @@
         if let Place::Listed {
             shape,
             rank,
-            oldest_ms,
+            gather_ms,
         } = self.lanes[ix].place
         {
-            self.waiting.remove(&(rank.not_urgent, oldest_ms, ix));
+            self.waiting.remove(&(rank.not_urgent, gather_ms, ix));
             self.shapes[shape].lanes.remove(&(rank, ix));
             self.refresh(shape);
             if self.shapes[shape].lanes.is_empty() {
@@ -210,35 +213,35 @@
     }
 
     /// Lists a lane in its shape.
-    pub fn list(&mut self, ix: u32, rank: Rank, oldest_ms: u64) {
+    pub fn list(&mut self, ix: u32, rank: Rank, gather_ms: u64) {
         let key = self.lanes[ix].shape;
         if let Place::Listed {
             shape,
             rank: old,
-            oldest_ms: old_ms,
+            gather_ms: old_ms,
         } = self.lanes[ix].place
             && self.shapes[shape].key == key
         {
-            if (old, old_ms) == (rank, oldest_ms) {
+            if (old, old_ms) == (rank, gather_ms) {
                 return;
             }
             self.waiting.remove(&(old.not_urgent, old_ms, ix));
             self.shapes[shape].lanes.remove(&(old, ix));
-            self.insert(ix, shape, rank, oldest_ms);
+            self.insert(ix, shape, rank, gather_ms);
             return;
         }
         self.set_place(ix, Place::Idle);
         let shape = self.shape_of(key);
-        self.insert(ix, shape, rank, oldest_ms);
+        self.insert(ix, shape, rank, gather_ms);
     }
 
-    fn insert(&mut self, ix: u32, shape: u32, rank: Rank, oldest_ms: u64) {
-        self.waiting.insert((rank.not_urgent, oldest_ms, ix));
+    fn insert(&mut self, ix: u32, shape: u32, rank: Rank, gather_ms: u64) {
+        self.waiting.insert((rank.not_urgent, gather_ms, ix));
         self.shapes[shape].lanes.insert((rank, ix));
         self.lanes[ix].place = Place::Listed {
             shape,
             rank,
-            oldest_ms,
+            gather_ms,
         };
         self.refresh(shape);
     }
@@ -345,7 +348,15 @@
         }
     }
 
-    /// Lanes that wait for room, urgent first, then by the age of their first job.
+    /// The first lane in rank, gangs aside, whose shape has been set aside; takes time in proportion to the shapes.
+    pub fn first_closed_single(&self) -> Option<u32> {
+        let closed = self.shapes.iter().map(|(_, shape)| shape);
+        let closed = closed.filter(|shape| !shape.open && shape.key.gang_tasks == 0);
+        let first = closed.filter_map(|shape| shape.lanes.first()).min();
+        first.map(|&(_, lane)| lane)
+    }
+
+    /// Lanes that wait for room, urgent first, then by the time from which they may gather room.
     pub fn waiting(&self) -> impl Iterator<Item = u32> {
         self.waiting.iter().map(|&(_, _, lane)| lane)
     }
--- a/crates/placement/src/runs.rs
+++ b/crates/placement/src/runs.rs
@@ -54,6 +54,7 @@
     /// job of many tasks thus lets later jobs of its team in, and still no lane is overtaken for ever.
     fn count_turn(&mut self, job: u32) {
         let lane = self.queue.lane_mut(self.jobs[job].lane);
+        lane.passed_over = 0;
         let team = self.teams.get_mut(lane.key.team);
         team.last_start_ms = self.now_ms;
         let part_ppm = lane.shape.need.dominant_share_ppm(&team.share.quota);
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -169,6 +169,7 @@
         })
     }
 
+    /// Rank of a lane, and the time from which its first job may gather room.
     fn rank(&self, ix: u32) -> Option<(Rank, u64)> {
         let lane = self.queue.lane(ix);
         let &(oldest_ms, _, _) = lane.jobs.first()?;
@@ -186,7 +187,11 @@
             score: share.saturating_add(aged_ms.saturating_mul(AGING_PER_MS)),
             since_ms,
         };
-        Some((rank, oldest_ms))
+        let delay_ms = match lane.key.kind {
+            JobKind::Gang => 0,
+            JobKind::Service | JobKind::Batch => self.cfg.reserve_after_ms,
+        };
+        Some((rank, oldest_ms.saturating_add(delay_ms)))
     }
 
     /// Puts a lane where it belongs.
@@ -196,7 +201,7 @@
         team.listed.remove(&ix);
         team.quota_blocked.remove(&ix);
         team.parked.remove(&ix);
-        let Some((rank, oldest_ms)) = self.rank(ix) else {
+        let Some((rank, gather_ms)) = self.rank(ix) else {
             self.queue.set_place(ix, Place::Idle);
             return;
         };
@@ -215,7 +220,7 @@
         let team = self.teams.get_mut(lane.key.team);
         if team.has_quota(&whole) {
             team.listed.insert(ix);
-            self.queue.list(ix, rank, oldest_ms);
+            self.queue.list(ix, rank, gather_ms);
         } else {
             team.quota_blocked.insert(ix);
             self.queue.set_place(ix, Place::QuotaBlocked);
@@ -233,8 +238,8 @@
                 self.queue.set_place(ix, Place::QuotaBlocked);
                 return false;
             }
-            if let Some((rank, oldest_ms)) = self.rank(ix) {
-                self.queue.list(ix, rank, oldest_ms);
+            if let Some((rank, gather_ms)) = self.rank(ix) {
+                self.queue.list(ix, rank, gather_ms);
             }
             true
         });
