bench: add the case churn

Recovery from a burst of cancellations and lost workers had no measurement. The case queues 10,000 jobs (100 of them with 100 tasks) in the state of the case place, cancels and forgets all of them, loses 100 workers with 581 tasks, and decides until nothing more starts.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
 mod cell;
+mod churn;
 mod gang;
 mod place;
 mod report;
@@ -31,6 +32,11 @@
         about: "start of gangs beside small work",
         run: || Ok(gang::run()),
     },
+    Case {
+        name: "churn",
+        about: "recovery from cancellations and lost workers",
+        run: || Ok(churn::run()),
+    },
 ];
 
 fn main() -> ExitCode {
