bench: measure placement in a full pool with a deep queue

The case place had a pool that is four fifths full, where a free worker is found at once. A pool with 8,000 further tasks shows the cost of work that waits.

--- a/bench/src/place.rs
+++ b/bench/src/place.rs
@@ -15,6 +15,10 @@
 const CYCLES: usize = 30_000;
 /// Placements of the naive version that are timed; each takes a thousand times as long.
 const NAIVE_CYCLES: usize = 60;
+/// Tasks beyond the design size that fill the pool and leave some thousand waiting.
+const SATURATING_TASKS: usize = 8_000;
+/// Placements of the naive version that are timed in a full pool.
+const NAIVE_SATURATED_CYCLES: usize = 10;
 /// Workers of the packing comparison; the naive version fills them in seconds.
 const PACKED_WORKERS: usize = 300;
 
@@ -128,6 +132,28 @@
     ]
 }
 
+/// Figures of a full pool of the design size with a deep queue, beside those of the naive version.
+fn saturated() -> [Measure; 2] {
+    let mut cell = Cell::new(scheduler(), WORKERS);
+    for _ in 0..SATURATING_TASKS {
+        cell.submit();
+    }
+    while !cell.decide(1_000).is_empty() {}
+    let cost = measure(&mut cell, CYCLES / 3);
+    let mut naive = copy_to_naive(&cell, WORKERS);
+    let scan = measure(&mut naive, NAIVE_SATURATED_CYCLES);
+    let p99 = Measure::info("saturated_p99", cost.call_us(0.99), Unit::Microseconds);
+    let starts = Measure::info(
+        "saturated_decisions_per_s",
+        cost.starts_per_s,
+        Unit::PerSecond,
+    );
+    [
+        p99.with_baseline(scan.call_us(0.99)),
+        starts.with_baseline(scan.starts_per_s),
+    ]
+}
+
 /// Runs the case.
 pub fn run() -> Vec<Measure> {
     let mut measures = Vec::new();
@@ -148,6 +174,7 @@
             measures.extend(other_size(count, &cost));
         }
     }
+    measures.extend(saturated());
     let growth = medians[2] / medians[1];
     let growth = Measure::at_most("growth_1200_to_12000", growth, Unit::Ratio, 2.0);
     measures.push(growth);
