placement: open closed shapes one at a time

In a full pool each end of a run opened every shape that fits the worker, and all but one of them were searched for in vain and closed again. The freed workers are now noted, and only the first fitting shape in rank is opened; after more than 8 freed workers all fitting shapes are opened as before. A change of rank no longer touches the order of gathering.

--- a/crates/placement/src/decide.rs
+++ b/crates/placement/src/decide.rs
@@ -42,6 +42,7 @@
             if out.len() >= limit {
                 return;
             }
+            self.open_for_freed();
             let Some(lane) = self.queue.first() else {
                 return;
             };
@@ -53,7 +54,7 @@
             } else if self.make_room(lane) {
                 self.flush_stops(out, limit);
             } else {
-                self.queue.close(lane);
+                self.tried.extend(self.queue.close(lane));
                 // A gang need not wait for the next regular plan when no room is being gathered.
                 if self.queue.lane(lane).key.gang_tasks > 0 && self.reservation.is_none() {
                     self.next_plan_ms = 0;
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -104,12 +104,17 @@
     pub place: Place,
 }
 
+/// Room for all tasks of a shape that must start together.
+fn whole(key: &ShapeKey) -> Resources {
+    let tasks = u64::from(key.gang_tasks.max(1));
+    let most = Resources::new(u64::MAX, u64::MAX, u64::MAX);
+    key.need.checked_mul(tasks).unwrap_or(most)
+}
+
 impl Lane {
     /// Room for all tasks that must start together.
     pub fn whole(&self) -> Resources {
-        let tasks = u64::from(self.key.gang_tasks.max(1));
-        let most = Resources::new(u64::MAX, u64::MAX, u64::MAX);
-        self.shape.need.checked_mul(tasks).unwrap_or(most)
+        whole(&self.shape)
     }
 }
 
@@ -118,7 +123,12 @@
 struct Shape {
     key: ShapeKey,
     lanes: BTreeSet<(Rank, u32)>,
+    /// Room for all tasks that must start together.
+    whole: Resources,
     open: bool,
+    /// Rank of its first lane.
+    best: Option<Rank>,
+    /// Rank under which it stands among the ready shapes.
     ready_at: Option<Rank>,
 }
 
@@ -225,7 +235,9 @@
             if (old, old_ms) == (rank, gather_ms) {
                 return;
             }
-            self.waiting.remove(&(old.not_urgent, old_ms, ix));
+            if (old.not_urgent, old_ms) != (rank.not_urgent, gather_ms) {
+                self.waiting.remove(&(old.not_urgent, old_ms, ix));
+            }
             self.shapes[shape].lanes.remove(&(old, ix));
             self.insert(ix, shape, rank, gather_ms);
             return;
@@ -253,7 +265,9 @@
         let ix = self.shapes.insert(Shape {
             key,
             lanes: BTreeSet::new(),
+            whole: whole(&key),
             open: true,
+            best: None,
             ready_at: None,
         });
         self.by_shape.insert(key, ix);
@@ -270,8 +284,8 @@
     /// Brings a shape's entry among the ready shapes up to date.
     fn refresh(&mut self, ix: u32) {
         let shape = &mut self.shapes[ix];
-        let best = shape.lanes.first().map(|&(rank, _)| rank);
-        let wanted = best.filter(|_| shape.open);
+        shape.best = shape.lanes.first().map(|&(rank, _)| rank);
+        let wanted = shape.best.filter(|_| shape.open);
         let old = std::mem::replace(&mut shape.ready_at, wanted);
         if old == wanted {
             return;
@@ -290,15 +304,16 @@
         self.shapes[shape].lanes.first().map(|&(_, lane)| lane)
     }
 
-    /// Sets a lane's shape aside until room is freed.
-    pub fn close(&mut self, lane: u32) {
+    /// Sets a lane's shape aside until room is freed, and returns it.
+    pub fn close(&mut self, lane: u32) -> Option<u32> {
         let Place::Listed { shape, .. } = self.lanes[lane].place else {
-            return;
+            return None;
         };
         self.shapes[shape].open = false;
         let cpu = self.shapes[shape].key.need.milli_cores;
         self.closed.insert((cpu, shape));
         self.refresh(shape);
+        Some(shape)
     }
 
     /// Whether the lane waits in a shape that has been set aside.
@@ -323,20 +338,40 @@
         }
     }
 
-    /// Opens the shapes that may fit now that a worker has `free` and the pool has `pool_free`.
+    /// The first closed shape in rank that may fit now that a worker has `free` and the pool has `pool_free`, among
+    /// those that are not `tried`.
+    pub fn best_closed(
+        &self,
+        free: &Resources,
+        pool_free: &Resources,
+        tried: &BTreeSet<u32>,
+    ) -> Option<(Rank, u32)> {
+        let range = self.closed.range(..=(free.milli_cores, u32::MAX));
+        let fits = range.filter_map(|&(_, ix)| {
+            let shape = &self.shapes[ix];
+            let fits = shape.key.need.fits_in(free) && shape.whole.fits_in(pool_free);
+            shape.best.filter(|_| fits).map(|rank| (rank, ix))
+        });
+        fits.filter(|(_, ix)| !tried.contains(ix)).min()
+    }
+
+    /// Opens a shape if it comes before all open ones.
+    pub fn open_if_first(&mut self, rank: Rank, shape: u32) {
+        let is_first = self.ready.first().is_none_or(|&(first, _)| rank < first);
+        if is_first {
+            self.open(shape);
+        }
+    }
+
+    /// Opens the closed shapes that may fit now that a worker has `free` and the pool has `pool_free`.
     pub fn open_fitting(&mut self, free: &Resources, pool_free: &Resources) {
         let range = self.closed.range(..=(free.milli_cores, u32::MAX));
-        let fits = |shape: &&u32| {
-            let key = &self.shapes[**shape].key;
-            let whole = key.need.checked_mul(key.gang_tasks.max(1).into());
-            key.need.fits_in(free) && whole.is_some_and(|whole| whole.fits_in(pool_free))
+        let fits = |ix: &u32| {
+            let shape = &self.shapes[*ix];
+            shape.key.need.fits_in(free) && shape.whole.fits_in(pool_free)
         };
-        let shapes: Vec<u32> = range
-            .map(|(_, shape)| shape)
-            .filter(fits)
-            .copied()
-            .collect();
-        for shape in shapes {
+        let shapes = range.map(|&(_, ix)| ix).filter(fits);
+        for shape in shapes.collect::<Vec<u32>>() {
             self.open(shape);
         }
     }
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -23,6 +23,8 @@
 
 /// Weighted share that a wait of one millisecond is worth. A minute equals one percent of the pool at weight 100.
 const AGING_PER_MS: u64 = 1_667;
+/// Freed workers that are compared with the closed shapes one by one; with more, all shapes that fit are opened.
+const MAX_FREED: usize = 8;
 /// Wait that puts a patient lane level with a normal one, in ms.
 const PATIENT_DELAY_MS: u64 = 600_000;
 /// Run time assumed for services, in ms (100 years); they end only on request.
@@ -49,6 +51,10 @@
     pub(crate) leave_by: BTreeSet<(u64, RunKey)>,
     /// Gangs of which some tasks run and others do not.
     pub(crate) partial_gangs: BTreeSet<u32>,
+    /// Workers with room that may suffice for closed shapes.
+    pub(crate) freed: BTreeSet<u32>,
+    /// Shapes for which a search failed since room was last freed.
+    pub(crate) tried: BTreeSet<u32>,
     pub(crate) claims: Claims,
     pub(crate) reservation: Option<Reservation>,
     pub(crate) next_plan_ms: u64,
@@ -81,6 +87,8 @@
             back_offs: BTreeSet::new(),
             leave_by: BTreeSet::new(),
             partial_gangs: BTreeSet::new(),
+            freed: BTreeSet::new(),
+            tried: BTreeSet::new(),
             claims: Claims::default(),
             reservation: None,
             next_plan_ms: 0,
@@ -285,12 +293,34 @@
         }
     }
 
-    /// Opens the shapes that a worker may now have room for.
+    /// Notes that a worker may have room for work that found none.
     pub(crate) fn room_freed(&mut self, worker: u32) {
-        let entry = self.workers.get(worker);
-        if entry.takes_tasks() {
-            let (free, pool_free) = (entry.free(), self.workers.free());
-            self.queue.open_fitting(&free, &pool_free);
+        if self.workers.get(worker).takes_tasks() {
+            self.freed.insert(worker);
+            self.tried.clear();
+        }
+    }
+
+    /// Opens the shapes that the freed workers may have room for: the first one in rank, or all after a large change.
+    pub(crate) fn open_for_freed(&mut self) {
+        let pool_free = self.workers.free();
+        if self.freed.len() > MAX_FREED {
+            for worker in std::mem::take(&mut self.freed) {
+                let free = self.workers.get(worker).free();
+                self.queue.open_fitting(&free, &pool_free);
+            }
+        }
+        let mut first: Option<(Rank, u32)> = None;
+        let workers = &self.workers;
+        let (queue, tried) = (&self.queue, &self.tried);
+        self.freed.retain(|&worker| {
+            let free = workers.get(worker).free();
+            let best = queue.best_closed(&free, &pool_free, tried);
+            first = first.into_iter().chain(best).min();
+            best.is_some()
+        });
+        if let Some((rank, shape)) = first {
+            self.queue.open_if_first(rank, shape);
         }
     }
 
@@ -415,6 +445,7 @@
             self.end_run(run, TaskResult::Lost);
         }
         self.drop_hold(ix);
+        self.freed.remove(&ix);
         self.workers.remove(ix);
         self.sizes_changed = true;
         lost
