http: add the guarded HTTP/1.1 server and client

async-h1 accepts cut bodies and ambiguous lengths, and has no pool and no time limits. A guarding reader checks each head byte by byte and counts each body before async-h1 sees the message. The server runs one task for each connection; the client keeps a bounded number of idle connections for each address.

--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,119 @@
+//! Client with a small pool of idle connections.
+
+use {
+    crate::{ClientError, ClientLimits, Connection, Request, Response, Sent},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Instant,
+    },
+};
+
+/// Addresses after which idle connections of all addresses are checked for their age.
+const MAX_IDLE_ADDRESSES: usize = 256;
+
+/// HTTP/1.1 client; shared by reference.
+///
+/// It keeps at most `max_idle_per_address` idle connections for each address. A request is never sent twice unless
+/// no byte of it was sent the first time.
+#[derive(Debug)]
+pub struct Client {
+    limits: ClientLimits,
+    // Shared by all senders; the lock is held only to take or put a connection.
+    idle: Mutex<BTreeMap<SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Client {
+    /// Makes a client without connections.
+    #[must_use]
+    pub fn new(limits: ClientLimits) -> Self {
+        Self {
+            limits,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Sends a request to an address and returns its whole response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no complete response arrives by the deadline; it tells whether any byte was sent.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        req: Request,
+        deadline: Instant,
+    ) -> Result<Response, ClientError> {
+        while let Some(connection) = self.take(addr) {
+            match self.exchange(connection, &req, deadline).await {
+                // The connection broke while idle: nothing was sent, so another one may be used.
+                Err(err) if err.sent == Sent::Nothing && Instant::now() < deadline => {}
+                result => return result,
+            }
+        }
+        let connection = Connection::connect(addr, &self.limits, deadline).await?;
+        self.exchange(connection, &req, deadline).await
+    }
+
+    /// Number of idle connections to an address.
+    #[must_use]
+    pub fn idle_connections(&self, addr: SocketAddr) -> usize {
+        self.lock().get(&addr).map_or(0, Vec::len)
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        req: &Request,
+        deadline: Instant,
+    ) -> Result<Response, ClientError> {
+        let response = connection.exchange(req, deadline).await?;
+        if connection.is_usable() {
+            self.put(connection);
+        }
+        Ok(response)
+    }
+
+    /// The most recently used idle connection that is still fit.
+    fn take(&self, addr: SocketAddr) -> Option<Connection> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&addr)?;
+        while let Some(Idle { connection, since }) = connections.pop() {
+            if since.elapsed() < self.limits.idle_time && connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        idle.remove(&addr);
+        None
+    }
+
+    fn put(&self, connection: Connection) {
+        let mut idle = self.lock();
+        let limit = self.limits.idle_time;
+        if idle.len() >= MAX_IDLE_ADDRESSES {
+            idle.retain(|_, connections| {
+                connections.retain(|idle| idle.since.elapsed() < limit);
+                !connections.is_empty()
+            });
+        }
+        let connections = idle.entry(connection.peer()).or_default();
+        connections.retain(|idle| idle.since.elapsed() < limit);
+        if connections.len() < self.limits.max_idle_per_address {
+            connections.push(Idle {
+                connection,
+                since: Instant::now(),
+            });
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/http/src/codec.rs
@@ -0,0 +1,299 @@
+//! Conversion of checked messages through `async-h1` and `http-types`.
+//!
+//! Decoding hands a complete message, with its length declared, to `async-h1` and refuses it unless both agree on it.
+//! The guard's reading of the target and of the fields is kept, because `http-types` normalises targets, loses the
+//! order of fields and, in a response without a date, gets a malformed one. Encoding takes the fields from
+//! `async-h1` and writes the start line itself, because `http-types` knows only registered status codes.
+
+use {
+    crate::{
+        Headers, Method, Refusal,
+        Refusal::Malformed,
+        Request, Response,
+        head::{RequestHead, ResponseHead, is_connection_field, is_field_value, is_host},
+        head::{is_origin_form, is_token},
+    },
+    async_h1::{client, server},
+    futures_lite::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWrite, io::Cursor},
+    http_types::{Body, StatusCode, Url},
+    std::{
+        fmt::Write as _,
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        sync::{Arc, OnceLock},
+        task::{Context, Poll},
+    },
+};
+
+/// Why a message cannot be sent.
+pub type EncodeError = &'static str;
+
+/// Decodes a checked request.
+pub async fn decode_request(head: RequestHead, body: &[u8]) -> Result<Request, Refusal> {
+    let start = format!("{} / HTTP/1.1\r\n", head.method);
+    let message = Message::new(start, &head.headers, body);
+    let decoded = server::decode(message).await;
+    let (mut request, rest) = decoded
+        .ok()
+        .flatten()
+        .ok_or(Malformed("head not accepted by async-h1"))?;
+    if request.method() != head.method {
+        return Err(Malformed("method read differently by async-h1"));
+    }
+    let body = read_body(request.take_body()).await?;
+    drop(rest);
+    Ok(Request {
+        method: head.method,
+        path: head.path,
+        headers: head.headers,
+        body,
+    })
+}
+
+/// Decodes a checked response.
+pub async fn decode_response(head: ResponseHead, body: &[u8]) -> Result<Response, Refusal> {
+    let known = known_status(head.status);
+    let start = format!("HTTP/1.1 {} \r\n", u16::from(known));
+    let message = Message::new(start, &head.headers, body);
+    let mut response = client::decode(message)
+        .await
+        .map_err(|_| Malformed("head not accepted by async-h1"))?;
+    if response.status() != known {
+        return Err(Malformed("status read differently by async-h1"));
+    }
+    let body = read_body(response.take_body()).await?;
+    Ok(Response {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
+async fn read_body(mut body: Body) -> Result<Vec<u8>, Refusal> {
+    let expected = body.len().unwrap_or(0);
+    let mut bytes = Vec::with_capacity(expected);
+    body.read_to_end(&mut bytes)
+        .await
+        .map_err(|_| Malformed("body not accepted by async-h1"))?;
+    if bytes.len() != expected {
+        return Err(Malformed("body read differently by async-h1"));
+    }
+    Ok(bytes)
+}
+
+/// Encodes the head of a request; its body follows unchanged.
+pub async fn encode_request_head(
+    request: &Request,
+    peer: SocketAddr,
+) -> Result<Vec<u8>, EncodeError> {
+    if !is_origin_form(&request.path) {
+        return Err("target is not in origin form");
+    }
+    if request.method == Method::Connect {
+        return Err("CONNECT is not supported");
+    }
+    check_fields(&request.headers)?;
+    let mut inner = http_types::Request::new(request.method, placeholder_url());
+    inner.set_body(Body::from_reader(Nothing, Some(request.body.len())));
+    inner.remove_header("content-type");
+    for (name, value) in sendable(&request.headers) {
+        inner.append_header(name, value);
+    }
+    match request.headers.get("host") {
+        None => drop(inner.insert_header("host", peer.to_string())),
+        Some(host) if is_host(host) => {}
+        Some(_) => return Err("invalid host"),
+    }
+    let start = format!("{} {} HTTP/1.1\r\n", request.method, request.path);
+    let encoder = client::Encoder::new(inner);
+    encode_head(encoder, &start).await
+}
+
+/// Encodes the head of a response to a request of this method; its body follows unchanged, if there is one.
+pub async fn encode_response_head(
+    response: &Response,
+    method: Method,
+    close: bool,
+) -> Result<Vec<u8>, EncodeError> {
+    if !(200..600).contains(&response.status) {
+        return Err("status is not 200 to 599");
+    }
+    check_fields(&response.headers)?;
+    let known = known_status(response.status);
+    let mut inner = http_types::Response::new(known);
+    let declared = declared_length(response, method)?;
+    inner.set_body(Body::from_reader(Nothing, Some(declared.unwrap_or(0))));
+    inner.remove_header("content-type");
+    for (name, value) in sendable(&response.headers) {
+        inner.append_header(name, value);
+    }
+    if close {
+        inner.insert_header("connection", "close");
+    }
+    let mut start = String::with_capacity(32);
+    let reason = match StatusCode::try_from(response.status) {
+        Ok(status) => status.canonical_reason(),
+        Err(_) => "",
+    };
+    let _ = write!(start, "HTTP/1.1 {} {reason}\r\n", response.status);
+    let encoder = server::Encoder::new(inner, method);
+    let mut head = encode_head(encoder, &start).await?;
+    if declared.is_none() {
+        remove_line(&mut head, b"\r\ncontent-length: 0\r\n");
+    }
+    Ok(head)
+}
+
+/// Whether a response with this status to a request of this method has a body.
+pub fn has_body(status: u16, method: Method) -> bool {
+    method != Method::Head && !matches!(status, 100..=199 | 204 | 304)
+}
+
+/// Length to declare; `None` where the status allows none or it is unknown.
+fn declared_length(response: &Response, method: Method) -> Result<Option<usize>, EncodeError> {
+    if has_body(response.status, method) {
+        return Ok(Some(response.body.len()));
+    }
+    if response.status == 204 {
+        return Ok(None);
+    }
+    let declared = response.headers.get("content-length").map(str::parse);
+    match declared {
+        Some(Ok(length)) => Ok(Some(length)),
+        Some(Err(_)) => Err("invalid content-length"),
+        None if response.body.is_empty() => Ok(None),
+        None => Ok(Some(response.body.len())),
+    }
+}
+
+/// Reads the head from an encoder and replaces its start line.
+async fn encode_head(
+    mut encoder: impl AsyncRead + Unpin,
+    start: &str,
+) -> Result<Vec<u8>, EncodeError> {
+    let mut head = Vec::with_capacity(512);
+    // The placeholder body ends at once, so this reads the head only.
+    encoder
+        .read_to_end(&mut head)
+        .await
+        .map_err(|_| "head not accepted by async-h1")?;
+    let end = head.iter().position(|byte| *byte == b'\n');
+    let end = end.ok_or("head not accepted by async-h1")?;
+    head.splice(..=end, start.bytes());
+    Ok(head)
+}
+
+fn remove_line(head: &mut Vec<u8>, line: &[u8]) {
+    let found = head.windows(line.len()).position(|window| window == line);
+    if let Some(at) = found {
+        head.drain(at..at + line.len() - 2);
+    }
+}
+
+fn check_fields(headers: &Headers) -> Result<(), EncodeError> {
+    let valid = |(name, value): (&str, &str)| {
+        is_token(name.as_bytes()) && is_field_value(value.as_bytes()) && value.trim_ascii() == value
+    };
+    if headers.iter().all(valid) {
+        return Ok(());
+    }
+    Err("invalid header field")
+}
+
+/// Fields that are sent as given; the others are determined by the connection and the body.
+fn sendable(headers: &Headers) -> impl Iterator<Item = (&str, &str)> {
+    headers
+        .iter()
+        .filter(|(name, _)| !is_connection_field(name) && *name != "content-length")
+}
+
+/// The status itself when `http-types` knows it, or the general one of its class.
+fn known_status(status: u16) -> StatusCode {
+    let general = match status {
+        200..=299 => StatusCode::Ok,
+        300..=399 => StatusCode::MultipleChoice,
+        400..=499 => StatusCode::BadRequest,
+        _ => StatusCode::InternalServerError,
+    };
+    StatusCode::try_from(status).unwrap_or(general)
+}
+
+fn placeholder_url() -> Url {
+    static PLACEHOLDER: OnceLock<Url> = OnceLock::new();
+    PLACEHOLDER
+        .get_or_init(|| Url::parse("http://placeholder/").expect("the constant is a valid URL"))
+        .clone()
+}
+
+/// A checked message in memory, in the form that `async-h1` reads.
+#[derive(Debug, Clone)]
+struct Message {
+    bytes: Cursor<Arc<[u8]>>,
+}
+
+impl Message {
+    fn new(start: String, headers: &Headers, body: &[u8]) -> Self {
+        let mut text = start;
+        for (name, value) in headers.iter().filter(|(name, _)| *name != "content-length") {
+            let _ = write!(text, "{name}: {value}\r\n");
+        }
+        let _ = write!(text, "content-length: {}\r\n\r\n", body.len());
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(body);
+        Self {
+            bytes: Cursor::new(bytes.into()),
+        }
+    }
+}
+
+impl AsyncRead for Message {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.bytes).poll_read(cx, buf)
+    }
+}
+
+// `async-h1` asks for a writer only to answer `expect: 100-continue`, which never reaches it.
+impl AsyncWrite for Message {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Stands for a body that is written separately.
+#[derive(Debug)]
+struct Nothing;
+
+impl AsyncRead for Nothing {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        _: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Ok(0))
+    }
+}
+
+impl AsyncBufRead for Nothing {
+    fn poll_fill_buf(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Poll::Ready(Ok(&[]))
+    }
+
+    fn consume(self: Pin<&mut Self>, _: usize) {}
+}
--- /dev/null
+++ b/crates/http/src/head.rs
@@ -0,0 +1,350 @@
+//! Byte-level check of message heads.
+//!
+//! Everything that two readers could understand differently is refused: line ends other than CR LF, line folding,
+//! spaces before a colon, control characters, several or signed lengths, and a length beside a transfer coding.
+
+use {
+    crate::{Headers, Method, Refusal, Refusal::Malformed, limits::MAX_FIELDS, message::method_of},
+    std::str,
+};
+
+/// Most digits of a declared length; enough for a petabyte and far from any overflow.
+const MAX_LENGTH_DIGITS: usize = 15;
+
+/// How a body's end is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// There is no body.
+    None,
+    /// The body has this number of bytes.
+    Length(u64),
+    /// The body is chunked.
+    Chunked,
+}
+
+/// Checked head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: Method,
+    /// Target, beginning with `/`.
+    pub path: String,
+    /// Fields that concern the whole exchange.
+    pub headers: Headers,
+    /// How the body ends.
+    pub framing: Framing,
+    /// Whether the client asked to close the connection after the response.
+    pub close: bool,
+    /// Whether the client waits for 100 before it sends the body.
+    pub expects_continue: bool,
+}
+
+/// Checked head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status code, 100 to 599.
+    pub status: u16,
+    /// Fields that concern the whole exchange.
+    pub headers: Headers,
+    /// How the body ends.
+    pub framing: Framing,
+    /// Whether the server closes the connection after the response.
+    pub close: bool,
+}
+
+/// Finds the end of a head, looking at the bytes from `from` on.
+///
+/// # Errors
+///
+/// Refuses a CR or LF that stands alone, so that a malformed head is answered at once and not after a timeout.
+pub fn head_end(bytes: &[u8], from: usize) -> Result<Option<usize>, Refusal> {
+    for index in from.saturating_sub(1)..bytes.len() {
+        match bytes[index] {
+            b'\n' if index == 0 || bytes[index - 1] != b'\r' => return Err(Malformed("bare LF")),
+            b'\r' if bytes.get(index + 1).is_some_and(|next| *next != b'\n') => {
+                return Err(Malformed("bare CR"));
+            }
+            b'\n' if index == 1 => return Err(Malformed("empty line before the head")),
+            b'\n' if index >= 3 && bytes[index - 2] == b'\n' => return Ok(Some(index + 1)),
+            _ => {}
+        }
+    }
+    Ok(None)
+}
+
+/// Checks the head of a request, which ends with an empty line.
+///
+/// # Errors
+///
+/// Returns the reason why the head is not accepted.
+pub fn parse_request_head(bytes: &[u8]) -> Result<RequestHead, Refusal> {
+    let mut lines = lines(bytes)?;
+    let (method, target) = parse_request_line(lines.next().unwrap_or_default())?;
+    let fields = parse_fields(lines)?;
+    let host = only_value(&fields, "host", "Host must be given exactly once")?
+        .ok_or(Malformed("Host is missing"))?;
+    if !is_host(host) {
+        return Err(Malformed("invalid Host"));
+    }
+    let path = origin_form(target, host)?;
+    let framing = request_framing(&fields)?;
+    let expects_continue = match fields.get("expect") {
+        None => false,
+        Some(value) if value.eq_ignore_ascii_case("100-continue") => framing != Framing::None,
+        Some(_) => return Err(Refusal::Expectation),
+    };
+    let close = has_connection_option(&fields, "close");
+    let mut headers = end_to_end(fields);
+    headers.remove("content-length");
+    Ok(RequestHead {
+        method,
+        path,
+        headers,
+        framing,
+        close,
+        expects_continue,
+    })
+}
+
+/// Checks the head of a response to a request of this method.
+///
+/// # Errors
+///
+/// Returns the reason why the head is not accepted.
+pub fn parse_response_head(bytes: &[u8], method: Method) -> Result<ResponseHead, Refusal> {
+    let mut lines = lines(bytes)?;
+    let status = parse_status_line(lines.next().unwrap_or_default())?;
+    let fields = parse_fields(lines)?;
+    let bodiless = method == Method::Head || matches!(status, 100..=199 | 204 | 304);
+    let declared = declared_framing(&fields)?;
+    let framing = match declared {
+        _ if bodiless => Framing::None,
+        Some(framing) => framing,
+        None => return Err(Malformed("response without a length")),
+    };
+    let close = has_connection_option(&fields, "close");
+    let mut headers = end_to_end(fields);
+    if !bodiless {
+        headers.remove("content-length");
+    }
+    Ok(ResponseHead {
+        status,
+        headers,
+        framing,
+        close,
+    })
+}
+
+/// Parses the field lines of a chunked body's trailer, which ends with an empty line.
+///
+/// # Errors
+///
+/// Returns the reason why the trailer is not accepted.
+pub fn check_trailer_line(line: &[u8]) -> Result<(), Refusal> {
+    parse_field(line).map(|_| ())
+}
+
+/// Whether the text is a token, as names and methods are.
+pub fn is_token(text: &[u8]) -> bool {
+    !text.is_empty() && text.iter().all(|byte| is_token_byte(*byte))
+}
+
+/// Whether the bytes can stand in a field value; http-types carries ASCII only.
+pub fn is_field_value(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| matches!(byte, b'\t' | b' '..=b'~'))
+}
+
+/// Whether the text can stand as a request target in origin form.
+pub fn is_origin_form(target: &str) -> bool {
+    target.starts_with('/') && target.bytes().all(|byte| matches!(byte, b'!'..=b'~'))
+}
+
+/// Whether the text can stand in a Host field.
+pub fn is_host(text: &str) -> bool {
+    let allowed = |byte: u8| {
+        byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':' | b'[' | b']')
+    };
+    !text.is_empty() && text.bytes().all(allowed)
+}
+
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// The lines of a head without their ends and without the closing empty line.
+fn lines(bytes: &[u8]) -> Result<impl Iterator<Item = &[u8]>, Refusal> {
+    let text = bytes
+        .strip_suffix(b"\r\n\r\n")
+        .ok_or(Malformed("head without an end"))?;
+    Ok(text
+        .split(|byte| *byte == b'\n')
+        .map(|line| line.strip_suffix(b"\r").unwrap_or(line)))
+}
+
+fn parse_request_line(line: &[u8]) -> Result<(Method, &str), Refusal> {
+    let line = str::from_utf8(line).map_err(|_| Malformed("invalid request line"))?;
+    let mut parts = line.split(' ');
+    let (Some(method), Some(target), Some(version), None) =
+        (parts.next(), parts.next(), parts.next(), parts.next())
+    else {
+        return Err(Malformed("invalid request line"));
+    };
+    if !is_token(method.as_bytes()) {
+        return Err(Malformed("invalid method"));
+    }
+    check_version(version)?;
+    let method = method_of(method).filter(|method| *method != Method::Connect);
+    Ok((method.ok_or(Refusal::Method)?, target))
+}
+
+fn parse_status_line(line: &[u8]) -> Result<u16, Refusal> {
+    let line = str::from_utf8(line).map_err(|_| Malformed("invalid status line"))?;
+    let (version, rest) = line
+        .split_once(' ')
+        .ok_or(Malformed("invalid status line"))?;
+    check_version(version)?;
+    let (code, reason) = rest.split_once(' ').unwrap_or((rest, ""));
+    if !is_field_value(reason.as_bytes()) {
+        return Err(Malformed("invalid reason"));
+    }
+    let digits = code.len() == 3 && code.bytes().all(|byte| byte.is_ascii_digit());
+    code.parse()
+        .ok()
+        .filter(|code| digits && (100..600).contains(code))
+        .ok_or(Malformed("invalid status code"))
+}
+
+fn check_version(version: &str) -> Result<(), Refusal> {
+    match version.as_bytes() {
+        b"HTTP/1.1" => Ok(()),
+        [b'H', b'T', b'T', b'P', b'/', b'0'..=b'9', b'.', b'0'..=b'9'] => Err(Refusal::Version),
+        _ => Err(Malformed("invalid version")),
+    }
+}
+
+fn parse_fields<'a>(lines: impl Iterator<Item = &'a [u8]>) -> Result<Headers, Refusal> {
+    let mut fields = Headers::new();
+    for line in lines {
+        if fields.len() == MAX_FIELDS {
+            return Err(Refusal::HeadTooLarge);
+        }
+        let (name, value) = parse_field(line)?;
+        fields.append(name, value);
+    }
+    Ok(fields)
+}
+
+fn parse_field(line: &[u8]) -> Result<(&str, &str), Refusal> {
+    if matches!(line.first(), Some(b' ' | b'\t')) {
+        return Err(Malformed("line folding"));
+    }
+    let colon = line.iter().position(|byte| *byte == b':');
+    let (name, value) = line.split_at(colon.ok_or(Malformed("field without a colon"))?);
+    let value = value[1..].trim_ascii();
+    if !is_token(name) {
+        return Err(Malformed("invalid field name"));
+    }
+    if !is_field_value(value) {
+        return Err(Malformed("invalid field value"));
+    }
+    let text = |bytes| str::from_utf8(bytes).map_err(|_| Malformed("invalid field"));
+    Ok((text(name)?, text(value)?))
+}
+
+fn only_value<'a>(
+    fields: &'a Headers,
+    name: &'a str,
+    problem: &'static str,
+) -> Result<Option<&'a str>, Refusal> {
+    let mut values = fields.get_all(name);
+    let first = values.next();
+    if values.next().is_some() {
+        return Err(Malformed(problem));
+    }
+    Ok(first)
+}
+
+/// Origin form of the target; an absolute form must name the same host as the Host field.
+fn origin_form(target: &str, host: &str) -> Result<String, Refusal> {
+    let path = match target.strip_prefix("http://") {
+        Some(rest) => {
+            let slash = rest.find('/').ok_or(Malformed("target without a path"))?;
+            let (authority, path) = rest.split_at(slash);
+            if !authority.eq_ignore_ascii_case(host) {
+                return Err(Malformed("Host differs from the target"));
+            }
+            path
+        }
+        None => target,
+    };
+    if !is_origin_form(path) {
+        return Err(Malformed("invalid target"));
+    }
+    Ok(path.to_owned())
+}
+
+fn request_framing(fields: &Headers) -> Result<Framing, Refusal> {
+    match declared_framing(fields)? {
+        None | Some(Framing::Length(0)) => Ok(Framing::None),
+        Some(framing) => Ok(framing),
+    }
+}
+
+fn declared_framing(fields: &Headers) -> Result<Option<Framing>, Refusal> {
+    let length = only_value(fields, "content-length", "several lengths")?;
+    let coding = only_value(fields, "transfer-encoding", "several transfer codings")?;
+    match (length, coding) {
+        (None, None) => Ok(None),
+        (Some(length), None) => parse_length(length).map(|length| Some(Framing::Length(length))),
+        (None, Some(coding)) if coding.eq_ignore_ascii_case("chunked") => {
+            Ok(Some(Framing::Chunked))
+        }
+        (None, Some(_)) => Err(Malformed("unknown transfer coding")),
+        (Some(_), Some(_)) => Err(Malformed("length beside a transfer coding")),
+    }
+}
+
+fn parse_length(text: &str) -> Result<u64, Refusal> {
+    let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    if !digits || text.len() > MAX_LENGTH_DIGITS {
+        return Err(Malformed("invalid length"));
+    }
+    text.parse().map_err(|_| Malformed("invalid length"))
+}
+
+fn has_connection_option(fields: &Headers, option: &str) -> bool {
+    fields
+        .get_all("connection")
+        .flat_map(|value| value.split(','))
+        .any(|item| item.trim().eq_ignore_ascii_case(option))
+}
+
+/// Drops the fields that concern one connection only.
+fn end_to_end(mut fields: Headers) -> Headers {
+    // Lengths and the host say what the message is, so a Connection field cannot remove them.
+    let nominated: Vec<String> = fields
+        .get_all("connection")
+        .flat_map(|value| value.split(','))
+        .map(|item| item.trim().to_ascii_lowercase())
+        .filter(|item| item != "content-length" && item != "host")
+        .collect();
+    fields.retain(|name| {
+        !is_connection_field(name) && !nominated.iter().any(|nominated| nominated == name)
+    });
+    fields
+}
+
+/// Whether the field concerns one connection only.
+pub fn is_connection_field(name: &str) -> bool {
+    matches!(
+        name,
+        "connection"
+            | "expect"
+            | "keep-alive"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+    )
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,305 @@
+//! Server with one task for each connection.
+
+use {
+    crate::{
+        Method, ReadError, Refusal, Request, Response, ServerLimits,
+        codec::{decode_request, encode_response_head, has_body},
+        events::{
+            ACCEPT_FAILED, HANDLER_PANICKED, INVALID_RESPONSE, REQUEST_REFUSED,
+            RESPONSE_NOT_WRITTEN,
+        },
+        head::Framing,
+        reader::{MessageReader, ReadLimits, ReadTimes},
+        stream::Stream,
+    },
+    async_channel::Sender,
+    async_io::Async,
+    async_lock::{Semaphore, SemaphoreGuardArc},
+    async_trait::async_trait,
+    futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future},
+    ragwortreel_runtime::{Logger, Stop, log_event, sleep, sleep_ms, spawn, timeout, timeout_ms},
+    std::{
+        io,
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+        panic::AssertUnwindSafe,
+        sync::Arc,
+    },
+};
+
+/// Pause after a failed accept, for instance when no file descriptor is free.
+const ACCEPT_RETRY_MS: u64 = 50;
+/// Time for which a closing connection still discards received bytes, so that the last response is not reset.
+const CLOSE_LINGER_MS: u64 = 1000;
+/// Most bytes that a closing connection discards.
+const CLOSE_LINGER_BYTES: usize = 1024 * 1024;
+/// Bodies up to this size are sent in one write together with the head.
+const JOINED_BODY_BYTES: usize = 32 * 1024;
+
+/// Answers requests.
+#[async_trait]
+pub trait Handler: Send + Sync {
+    /// Answers a complete request.
+    async fn handle(&self, req: Request, peer: SocketAddr) -> Response;
+}
+
+/// HTTP/1.1 server.
+pub struct Server {
+    listener: Async<TcpListener>,
+    local_addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    handler: Arc<dyn Handler>,
+    limits: ServerLimits,
+    log: Logger,
+}
+
+impl Server {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub fn bind(
+        addr: SocketAddr,
+        handler: Arc<dyn Handler>,
+        limits: ServerLimits,
+        log: Logger,
+    ) -> io::Result<Self> {
+        let listener = Async::<TcpListener>::bind(addr)?;
+        let local_addr = listener.get_ref().local_addr()?;
+        let shared = Shared {
+            handler,
+            limits,
+            log,
+        };
+        Ok(Self {
+            listener,
+            local_addr,
+            shared: Arc::new(shared),
+        })
+    }
+
+    /// The bound address.
+    #[must_use]
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local_addr
+    }
+
+    /// Serves until the stop is requested and all connections have ended.
+    ///
+    /// After the request for a stop nothing is accepted, requests in flight are answered, and idle connections close
+    /// after a short time in which requests that are already on their way are still answered.
+    pub async fn run(self, stop: Stop) {
+        let permits = Arc::new(Semaphore::new(self.shared.limits.max_connections));
+        // Each connection holds a sender; receiving fails when the last one is gone.
+        let (open_tx, open_rx) = async_channel::bounded::<()>(1);
+        loop {
+            let next = future::or(async { Some(self.accept(&permits).await) }, async {
+                stop.requested().await;
+                None
+            });
+            let Some((stream, peer, permit)) = next.await else {
+                break;
+            };
+            let task = ConnectionTask {
+                shared: Arc::clone(&self.shared),
+                stop: stop.clone(),
+                peer,
+                _open: open_tx.clone(),
+                _permit: permit,
+            };
+            spawn(task.run(stream)).detach();
+        }
+        drop(self.listener);
+        drop(open_tx);
+        let _ = open_rx.recv().await;
+    }
+
+    async fn accept(
+        &self,
+        permits: &Arc<Semaphore>,
+    ) -> (Async<TcpStream>, SocketAddr, SemaphoreGuardArc) {
+        let permit = permits.acquire_arc().await;
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, peer)) => return (stream, peer, permit),
+                Err(err) => {
+                    log_event!(self.shared.log, ACCEPT_FAILED; "error" => err.to_string());
+                    sleep_ms(ACCEPT_RETRY_MS).await;
+                }
+            }
+        }
+    }
+}
+
+/// Task of one connection.
+struct ConnectionTask {
+    shared: Arc<Shared>,
+    stop: Stop,
+    peer: SocketAddr,
+    _open: Sender<()>,
+    _permit: SemaphoreGuardArc,
+}
+
+impl ConnectionTask {
+    async fn run(self, stream: Async<TcpStream>) {
+        let _guard = self.stop.guard();
+        let Ok(stream) = Stream::new(stream) else {
+            return;
+        };
+        let mut reader = MessageReader::new(stream, read_limits(&self.shared.limits));
+        while self.wait(&mut reader).await {
+            if !self.serve_one(&mut reader).await {
+                close(reader.io_mut()).await;
+                return;
+            }
+        }
+    }
+
+    /// Waits for a request; false when the connection is to be closed instead.
+    async fn wait(&self, reader: &mut MessageReader<Stream>) -> bool {
+        let limits = &self.shared.limits;
+        let request = async { reader.wait().await.is_ok() };
+        let idle = async {
+            sleep(limits.idle_time).await;
+            false
+        };
+        let stopped = async {
+            self.stop.requested().await;
+            sleep(limits.stop_linger).await;
+            false
+        };
+        // The request comes first: one that has arrived is served even when the time is over.
+        request.or(idle).or(stopped).await
+    }
+
+    /// Answers one request; false when the connection is to be closed.
+    async fn serve_one(&self, reader: &mut MessageReader<Stream>) -> bool {
+        let (request, client_closes) = match self.read(reader).await {
+            Ok(read) => read,
+            Err(ReadError::Refused(refusal)) => return self.refuse(reader, refusal).await,
+            Err(ReadError::Cut) => {
+                let refusal = Refusal::Malformed("message cut");
+                return self.refuse(reader, refusal).await;
+            }
+            Err(ReadError::Closed | ReadError::Io(_)) => return false,
+        };
+        let method = request.method;
+        let response = self.answer(request).await;
+        let close = client_closes || self.stop.is_requested();
+        self.write(reader.io_mut(), response, method, close).await && !close
+    }
+
+    async fn read(&self, reader: &mut MessageReader<Stream>) -> Result<(Request, bool), ReadError> {
+        let head = reader.request_head().await?;
+        if let Framing::Length(length) = head.framing
+            && length > self.shared.limits.max_body_bytes as u64
+        {
+            return Err(Refusal::BodyTooLarge.into());
+        }
+        if head.expects_continue && !reader.has_buffered() {
+            let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+            reader.io_mut().write_all(interim).await?;
+        }
+        let body = reader.body(head.framing).await?;
+        let close = head.close;
+        Ok((decode_request(head, &body).await?, close))
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let handled = self.shared.handler.handle(request, self.peer);
+        let result = AssertUnwindSafe(handled).catch_unwind().await;
+        result.unwrap_or_else(|_| {
+            log_event!(self.shared.log, HANDLER_PANICKED; "peer" => self.peer.to_string());
+            Response::text(500, "internal error\n")
+        })
+    }
+
+    async fn refuse(&self, reader: &mut MessageReader<Stream>, refusal: Refusal) -> bool {
+        log_event!(self.shared.log, REQUEST_REFUSED;
+            "peer" => self.peer.to_string(), "reason" => refusal.to_string());
+        let response = Response::text(refusal.status(), format!("{refusal}\n"));
+        self.write(reader.io_mut(), response, Method::Get, true)
+            .await;
+        false
+    }
+
+    /// Writes a response; false when that failed.
+    async fn write(
+        &self,
+        stream: &mut Stream,
+        response: Response,
+        method: Method,
+        close: bool,
+    ) -> bool {
+        let encoded = encode_response_head(&response, method, close).await;
+        let (mut head, response) = match encoded {
+            Ok(head) => (head, response),
+            Err(problem) => {
+                log_event!(self.shared.log, INVALID_RESPONSE; "problem" => problem);
+                let response = Response::text(500, "internal error\n");
+                match encode_response_head(&response, method, close).await {
+                    Ok(head) => (head, response),
+                    Err(_) => return false,
+                }
+            }
+        };
+        let body: &[u8] = if has_body(response.status, method) {
+            &response.body
+        } else {
+            &[]
+        };
+        let joined = body.len() <= JOINED_BODY_BYTES;
+        if joined {
+            head.extend_from_slice(body);
+        }
+        let write = async {
+            stream.write_all(&head).await?;
+            if !joined {
+                stream.write_all(body).await?;
+            }
+            Ok::<_, io::Error>(())
+        };
+        let written = timeout(self.shared.limits.write_time, write).await;
+        let ok = matches!(written, Ok(Ok(())));
+        if !ok {
+            log_event!(self.shared.log, RESPONSE_NOT_WRITTEN; "peer" => self.peer.to_string());
+        }
+        ok
+    }
+}
+
+/// Closes the sending side and discards what still arrives for a short time.
+///
+/// Closing a socket with unread bytes resets the connection, and the client could lose the last response.
+async fn close(stream: &mut Stream) {
+    if stream.socket().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let discard = async {
+        let mut buf = vec![0; 4096];
+        let mut discarded = 0;
+        while discarded < CLOSE_LINGER_BYTES {
+            match stream.read(&mut buf).await {
+                Ok(0) | Err(_) => return,
+                Ok(read) => discarded += read,
+            }
+        }
+    };
+    let _ = timeout_ms(CLOSE_LINGER_MS, discard).await;
+}
+
+fn read_limits(limits: &ServerLimits) -> ReadLimits {
+    ReadLimits {
+        max_head_bytes: limits.max_head_bytes,
+        max_body_bytes: limits.max_body_bytes,
+        times: Some(ReadTimes {
+            head_time: limits.head_time,
+            body_time: limits.body_time,
+            body_grace: limits.body_grace,
+            min_body_rate: limits.min_body_rate,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/http/src/stream.rs
@@ -0,0 +1,97 @@
+//! TCP stream that counts the bytes that move.
+
+use {
+    async_io::Async,
+    futures_lite::{AsyncRead, AsyncWrite},
+    std::{
+        io,
+        net::TcpStream,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        task::{Context, Poll, ready},
+    },
+};
+
+/// Count of the bytes that moved on a connection, readable while an exchange runs.
+#[derive(Debug, Default)]
+pub struct Progress {
+    written: AtomicU64,
+    read: AtomicU64,
+}
+
+impl Progress {
+    /// Bytes handed to the operating system since the connection opened.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
+    /// Bytes received since the connection opened.
+    pub fn read(&self) -> u64 {
+        self.read.load(Ordering::Relaxed)
+    }
+}
+
+/// A connected socket.
+#[derive(Debug)]
+pub struct Stream {
+    io: Async<TcpStream>,
+    progress: Arc<Progress>,
+}
+
+impl Stream {
+    /// Wraps a connected socket; small messages are sent at once.
+    pub fn new(io: Async<TcpStream>) -> io::Result<Self> {
+        io.get_ref().set_nodelay(true)?;
+        Ok(Self {
+            io,
+            progress: Arc::default(),
+        })
+    }
+
+    /// The socket.
+    pub fn socket(&self) -> &TcpStream {
+        self.io.get_ref()
+    }
+
+    /// Count of the bytes that moved.
+    pub fn progress(&self) -> &Arc<Progress> {
+        &self.progress
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
+        self.progress.read.fetch_add(read as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(read))
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
+        self.progress
+            .written
+            .fetch_add(written as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_close(cx)
+    }
+}
