Add the routing package's Router with first-come queues

The daemon needs a stable interface to assemble: admission with a bounded queue, permits that free their slot when dropped, refusals that prove that a request did not run.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,18 @@
-//! Part of ragwortreel.
+//! How an entry instance decides about requests: admission, queues, slots, retries and the choice of a backend server.
+//!
+//! [`Router`] is the handle that the daemon uses. All of its state is behind one mutex, because many tasks share the
+//! queues and a decision must not wait for a scheduler turn; the mutex is never held over an await.
+
+mod request;
+mod router;
+mod shares;
+mod state;
+
+pub use {
+    request::{
+        BackendId, BackendServer, Refusal, RefusalReason, RequestInfo, RequestResult, RouterConfig,
+    },
+    router::{Permit, Router},
+    shares::{Share, SlotShares},
+    state::{BackendFigures, QueueFigures, RouterFigures, TeamFigures},
+};
--- /dev/null
+++ b/crates/routing/src/router.rs
@@ -0,0 +1,255 @@
+//! The handle of the router and the permits that it gives.
+
+use {
+    crate::{
+        BackendId, BackendServer, Refusal, RequestInfo, RequestResult, RouterConfig, RouterFigures,
+        SlotShares,
+        state::{Delivery, Grant, GrantId, State, Verdict, WaitId},
+    },
+    async_channel::Receiver,
+    ragwortreel_model::{Clock, Settings},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// Decides about requests of one entry instance; clones share the same state.
+#[derive(Clone)]
+pub struct Router {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+}
+
+impl Router {
+    /// A router without backend servers and slots.
+    #[must_use]
+    pub fn new(config: RouterConfig, clock: Arc<dyn Clock>) -> Self {
+        let state = Mutex::new(State::new(config));
+        Self {
+            shared: Arc::new(Shared { clock, state }),
+        }
+    }
+
+    /// Takes over a settings tree.
+    pub fn update_settings(&self, settings: &Settings) {
+        self.shared
+            .change(|state, now| state.update_settings(now, settings));
+    }
+
+    /// Takes over the list of backend servers; those of other zones are left out.
+    pub fn update_backends(&self, backends: Vec<BackendServer>) {
+        self.shared
+            .change(|state, now| state.update_backends(now, backends));
+    }
+
+    /// Takes over what this instance may use of each backend server.
+    pub fn update_shares(&self, shares: SlotShares) {
+        self.shared
+            .change(|state, now| state.update_shares(now, shares));
+    }
+
+    /// Refuses all waiting requests and every later one; requests in flight go on.
+    pub fn stop(&self) {
+        self.shared.change(State::stop);
+    }
+
+    /// Gives their final answer to waiting requests that can no longer be in time, and slots to those that can.
+    ///
+    /// Returns the time until the next call is due, in ms. The daemon calls it in a loop.
+    #[must_use]
+    pub fn tick(&self) -> u64 {
+        let mut wait_ms = 0;
+        self.shared.change(|state, now| wait_ms = state.tick(now));
+        wait_ms
+    }
+
+    /// Waits for a slot of a backend server.
+    ///
+    /// # Errors
+    ///
+    /// A refusal proves that the request did not run.
+    pub async fn admit(&self, request: RequestInfo) -> Result<Permit, Refusal> {
+        self.enter(request, &[]).await
+    }
+
+    /// Waits for a slot of a backend server other than those in `avoid`.
+    ///
+    /// The caller has asked [`Router::retry_allowed`] before.
+    ///
+    /// # Errors
+    ///
+    /// A refusal proves that this attempt did not run.
+    pub async fn readmit(
+        &self,
+        request: RequestInfo,
+        avoid: &[BackendId],
+    ) -> Result<Permit, Refusal> {
+        self.enter(request, avoid).await
+    }
+
+    /// Whether a request may be sent once more, after `attempts` attempts; a permitted retry is charged to the budget.
+    ///
+    /// `proven_not_run` tells that no byte of the last attempt was taken by a backend server.
+    #[must_use]
+    pub fn retry_allowed(
+        &self,
+        request: &RequestInfo,
+        attempts: u32,
+        proven_not_run: bool,
+    ) -> bool {
+        let now = self.shared.clock.now_ms();
+        self.shared
+            .lock()
+            .retry_allowed(now, request, attempts, proven_not_run)
+    }
+
+    /// Slots in use of each backend server, for the release of slots to other members.
+    #[must_use]
+    pub fn slots_in_use(&self) -> std::collections::BTreeMap<BackendId, u32> {
+        self.shared.lock().slots_in_use()
+    }
+
+    /// Figures for metrics.
+    #[must_use]
+    pub fn figures(&self) -> RouterFigures {
+        let now = self.shared.clock.now_ms();
+        self.shared.lock().figures(now)
+    }
+
+    async fn enter(&self, request: RequestInfo, avoid: &[BackendId]) -> Result<Permit, Refusal> {
+        let (tx, rx) = async_channel::bounded(1);
+        let mut entered = Ok(0);
+        self.shared
+            .change(|state, now| entered = state.enqueue(now, request, avoid, tx));
+        let guard = WaitGuard {
+            shared: &self.shared,
+            id: entered?,
+        };
+        let verdict = receive(rx).await;
+        std::mem::forget(guard);
+        verdict
+    }
+}
+
+/// Waits for the verdict. The state answers each waiting request before it forgets it.
+async fn receive(rx: Receiver<Verdict>) -> Verdict {
+    match rx.recv().await {
+        Ok(verdict) => verdict,
+        Err(_) => Err(Refusal {
+            reason: crate::RefusalReason::Stopping,
+            retry_after_ms: 1_000,
+        }),
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the state, then hands out what the change decided, outside of the lock.
+    fn change(self: &Arc<Self>, change: impl FnOnce(&mut State, u64)) {
+        let now = self.clock.now_ms();
+        let deliveries = {
+            let mut state = self.lock();
+            change(&mut state, now);
+            state.take_deliveries()
+        };
+        for delivery in deliveries {
+            self.deliver(delivery);
+        }
+    }
+
+    /// Sends a verdict. When the request went away meanwhile, the permit is dropped here and frees its slot.
+    fn deliver(self: &Arc<Self>, delivery: Delivery) {
+        let verdict = delivery.verdict.map(|grant| Permit {
+            shared: Arc::clone(self),
+            grant,
+            result: RequestResult::Abandoned,
+        });
+        let _ = delivery.tx.try_send(verdict);
+    }
+}
+
+/// Removes a request from the queue when its task stops waiting.
+struct WaitGuard<'a> {
+    shared: &'a Arc<Shared>,
+    id: WaitId,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.shared.change(|state, now| state.cancel(now, self.id));
+    }
+}
+
+/// One slot of a backend server, held until the permit is dropped.
+pub struct Permit {
+    shared: Arc<Shared>,
+    grant: Grant,
+    result: RequestResult,
+}
+
+impl Permit {
+    /// The chosen backend server.
+    #[must_use]
+    pub fn backend(&self) -> &BackendId {
+        &self.grant.backend
+    }
+
+    /// Where it accepts connections.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.grant.address
+    }
+
+    /// Most open connections that this instance may have to it.
+    #[must_use]
+    pub fn connection_limit(&self) -> u32 {
+        self.grant.connections
+    }
+
+    /// Class that the request was given.
+    #[must_use]
+    pub fn class(&self) -> ragwortreel_model::WorkClass {
+        self.grant.class
+    }
+
+    /// Time that the request waited, in ms.
+    #[must_use]
+    pub fn waited_ms(&self) -> u64 {
+        self.grant.waited_ms
+    }
+
+    /// Frees the slot and records how the request ended.
+    pub fn finish(mut self, result: RequestResult) {
+        self.result = result;
+    }
+
+    /// Identifier within the router, for tests and logs.
+    #[must_use]
+    pub fn id(&self) -> GrantId {
+        self.grant.id
+    }
+}
+
+impl std::fmt::Debug for Permit {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Permit")
+            .field("grant", &self.grant)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let (id, result) = (self.grant.id, self.result);
+        self.shared
+            .change(|state, now| state.finish(now, id, result));
+    }
+}
