Add the platform's services in memory with faults and limits

Other packages need a table, an object store and an instance list before the HTTP stand-in exists. MemoryPlatform implements the three client interfaces and serves the later HTTP stand-in through the same call function. New rows start above the highest deleted version, so no version of a key is used twice.

--- /dev/null
+++ b/crates/standins/src/platform/memory.rs
@@ -0,0 +1,418 @@
+//! The platform's services in memory, with rate limits and faults.
+//!
+//! [`MemoryPlatform`] implements the client interfaces directly for fast tests. The HTTP stand-in serves the same
+//! object through [`MemoryPlatform::call`].
+
+use {
+    crate::{
+        faults::{FaultSwitch, Outage, Verdict},
+        platform::{
+            listing::LaggingList,
+            meter::{Counts, Limits, Meter},
+            tables::MemoryTable,
+        },
+    },
+    async_trait::async_trait,
+    ragwortreel_model::{InstanceId, Zone},
+    ragwortreel_platform::{
+        InstanceList, InstanceState, ListedInstance, MAX_TXN_BYTES, MAX_TXN_ROWS, ObjectStore,
+        PlatformError, Row, TableService, Txn, TxnOutcome,
+    },
+    ragwortreel_runtime::{sleep_ms, spawn},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// A call to the platform.
+#[derive(Debug, Clone)]
+pub enum Call {
+    /// Runs a transaction.
+    Commit(Txn),
+    /// Reads a row.
+    Get(Arc<str>),
+    /// Reads all rows under prefixes.
+    Scan(Vec<Arc<str>>),
+    /// Writes an object.
+    PutObject(Arc<str>, Vec<u8>),
+    /// Reads an object.
+    GetObject(Arc<str>),
+    /// Deletes an object.
+    DeleteObject(Arc<str>),
+    /// Reads the list of instances.
+    List,
+}
+
+/// Answer to a call.
+#[derive(Debug, Clone)]
+pub enum Answer {
+    /// Result of a transaction.
+    Txn(TxnOutcome),
+    /// Rows that were read, at most one for [`Call::Get`].
+    Rows(Vec<Row>),
+    /// Object that was read.
+    Object(Option<Vec<u8>>),
+    /// Object written or deleted.
+    Done,
+    /// Instances.
+    Instances(Vec<ListedInstance>),
+}
+
+/// Why a call got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// Refused: the service is down.
+    Down,
+    /// Refused: above the rate limit.
+    OverLimit,
+    /// Refused: more than one transaction may hold.
+    TooLarge,
+    /// Not done, and the caller hears nothing.
+    Silent,
+    /// The caller hears nothing; a write took effect or will.
+    Lost,
+}
+
+/// The platform's services in memory.
+#[derive(Debug)]
+pub struct MemoryPlatform {
+    shared: Arc<Shared>,
+    zone: Option<Zone>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    faults: FaultSwitch,
+}
+
+#[derive(Debug)]
+struct State {
+    table: MemoryTable,
+    objects: BTreeMap<Arc<str>, Vec<u8>>,
+    list: LaggingList,
+    meter: Meter,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl MemoryPlatform {
+    /// Makes empty services without rate limits.
+    #[must_use]
+    pub fn new() -> Arc<Self> {
+        Self::with_limits(Limits::NONE, 0)
+    }
+
+    /// Makes empty services with rate limits and a seed for random faults.
+    #[must_use]
+    pub fn with_limits(limits: Limits, seed: u64) -> Arc<Self> {
+        let state = State {
+            table: MemoryTable::default(),
+            objects: BTreeMap::new(),
+            list: LaggingList::default(),
+            meter: Meter::new(limits),
+        };
+        let shared = Shared {
+            state: Mutex::new(state),
+            faults: FaultSwitch::new(seed),
+        };
+        Arc::new(Self {
+            shared: Arc::new(shared),
+            zone: None,
+        })
+    }
+
+    /// The same services as seen from a zone, which a partition may cut off.
+    #[must_use]
+    pub fn in_zone(&self, zone: Zone) -> Arc<Self> {
+        Arc::new(Self {
+            shared: Arc::clone(&self.shared),
+            zone: Some(zone),
+        })
+    }
+
+    /// The fault switches.
+    #[must_use]
+    pub fn faults(&self) -> &FaultSwitch {
+        &self.shared.faults
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.shared.lock().meter.counts
+    }
+
+    /// Sets the age of what readers of the instance list see.
+    pub fn set_list_lag_ms(&self, lag_ms: u64) {
+        self.shared.lock().list.set_lag_ms(lag_ms);
+    }
+
+    /// Adds an instance to the list or replaces it.
+    pub fn put_instance(&self, instance: ListedInstance) {
+        self.shared.lock().list.put(instance);
+    }
+
+    /// Changes the state of a listed instance.
+    pub fn set_instance_state(&self, id: &InstanceId, state: InstanceState) {
+        self.shared.lock().list.set_state(id, state);
+    }
+
+    /// Removes an instance from the list.
+    pub fn remove_instance(&self, id: &InstanceId) {
+        self.shared.lock().list.remove(id);
+    }
+
+    /// Reads a row past all faults and limits, for checks in tests.
+    #[must_use]
+    pub fn peek(&self, key: &str) -> Option<Row> {
+        self.shared.lock().table.get(key)
+    }
+
+    /// Reads rows past all faults and limits, for checks in tests.
+    #[must_use]
+    pub fn peek_all(&self, prefix: &str) -> Vec<Row> {
+        self.shared.lock().table.scan(&[prefix])
+    }
+
+    /// Serves a call from this object's zone.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the caller gets no answer; the call itself may have taken effect.
+    pub async fn call(&self, call: Call) -> Result<Answer, NoAnswer> {
+        self.call_from(self.zone.as_ref(), call).await
+    }
+
+    /// Serves a call from a zone.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the caller gets no answer; the call itself may have taken effect.
+    pub async fn call_from(&self, zone: Option<&Zone>, call: Call) -> Result<Answer, NoAnswer> {
+        let verdict = self.shared.faults.decide(zone);
+        if verdict.delay_ms > 0 {
+            sleep_ms(verdict.delay_ms).await;
+        }
+        self.check_outage(&verdict)?;
+        let size = Size::of(&call);
+        if matches!(call, Call::Commit(_)) && !size.fits_one_txn() {
+            return Err(NoAnswer::TooLarge);
+        }
+        let is_write = size.is_write;
+        if is_write && !self.shared.lock().meter.take_writes(size.charge()) {
+            return Err(NoAnswer::OverLimit);
+        }
+        if let Some(late_by_ms) = verdict.late_by_ms.filter(|_| is_write) {
+            self.apply_late(call, late_by_ms);
+            return Err(NoAnswer::Lost);
+        }
+        let answer = self.shared.apply(call);
+        let mut state = self.shared.lock();
+        if !is_write && !state.meter.take_reads(Size::of_answer(&answer).charge()) {
+            return Err(NoAnswer::OverLimit);
+        }
+        if verdict.lose_answer {
+            state.meter.counts.lost_answers += 1;
+            return Err(NoAnswer::Lost);
+        }
+        Ok(answer)
+    }
+
+    fn check_outage(&self, verdict: &Verdict) -> Result<(), NoAnswer> {
+        let Some(outage) = verdict.outage else {
+            return Ok(());
+        };
+        self.shared.lock().meter.counts.refused += 1;
+        Err(match outage {
+            Outage::Refuse => NoAnswer::Down,
+            Outage::Silent => NoAnswer::Silent,
+        })
+    }
+
+    fn apply_late(&self, call: Call, late_by_ms: u64) {
+        let shared = Arc::clone(&self.shared);
+        spawn(async move {
+            sleep_ms(late_by_ms).await;
+            shared.lock().meter.counts.late_writes += 1;
+            shared.apply(call);
+        })
+        .detach();
+    }
+}
+
+impl Shared {
+    fn apply(&self, call: Call) -> Answer {
+        let mut state = self.lock();
+        match call {
+            Call::Commit(txn) => {
+                let outcome = state.table.commit(&txn);
+                if matches!(outcome, TxnOutcome::Conflict { .. }) {
+                    state.meter.counts.conflicts += 1;
+                }
+                Answer::Txn(outcome)
+            }
+            Call::Get(key) => Answer::Rows(state.table.get(&key).into_iter().collect()),
+            Call::Scan(prefixes) => Answer::Rows(state.table.scan(&prefixes)),
+            Call::PutObject(key, value) => {
+                state.objects.insert(key, value);
+                Answer::Done
+            }
+            Call::GetObject(key) => Answer::Object(state.objects.get(&key).cloned()),
+            Call::DeleteObject(key) => {
+                state.objects.remove(&key);
+                Answer::Done
+            }
+            Call::List => Answer::Instances(state.list.visible()),
+        }
+    }
+}
+
+/// Size of a call or an answer, which decides its charge.
+#[derive(Debug, Default)]
+struct Size {
+    rows: usize,
+    bytes: usize,
+    is_write: bool,
+}
+
+impl Size {
+    fn of(call: &Call) -> Self {
+        match call {
+            Call::Commit(txn) => Self {
+                rows: txn.checks.len().max(txn.writes.len()),
+                bytes: (txn.writes.iter())
+                    .filter_map(|write| write.value.as_ref())
+                    .map(|value| value.len())
+                    .sum(),
+                is_write: true,
+            },
+            Call::PutObject(..) | Call::DeleteObject(_) => Self {
+                rows: 1,
+                bytes: 0,
+                is_write: true,
+            },
+            _ => Self::default(),
+        }
+    }
+
+    fn of_answer(answer: &Answer) -> Self {
+        match answer {
+            Answer::Rows(rows) => Self {
+                rows: rows.len(),
+                bytes: rows.iter().map(|row| row.value.len()).sum(),
+                is_write: false,
+            },
+            _ => Self::default(),
+        }
+    }
+
+    fn fits_one_txn(&self) -> bool {
+        self.rows <= MAX_TXN_ROWS && self.bytes <= MAX_TXN_BYTES
+    }
+
+    fn charge(&self) -> u32 {
+        let units = (self.rows.div_ceil(MAX_TXN_ROWS)).max(self.bytes.div_ceil(MAX_TXN_BYTES));
+        u32::try_from(units.max(1)).unwrap_or(u32::MAX)
+    }
+}
+
+const PEER: &str = "memory";
+
+// A lost answer and silence are the same to a caller: both leave the outcome open. The in-process client answers at
+// once, where one over the network waits for its time limit.
+fn to_error(step: &'static str, no_answer: NoAnswer) -> PlatformError {
+    let peer = Arc::from(PEER);
+    let refused = |problem: &str| PlatformError::NotDone {
+        step,
+        peer: Arc::from(PEER),
+        problem: Arc::from(problem),
+    };
+    match no_answer {
+        NoAnswer::Down => refused("the service is down"),
+        NoAnswer::OverLimit => refused("above the rate limit"),
+        NoAnswer::TooLarge => refused("the transaction is too large"),
+        NoAnswer::Silent | NoAnswer::Lost => PlatformError::Unknown {
+            step,
+            peer,
+            problem: Arc::from("no answer"),
+        },
+    }
+}
+
+fn unexpected(step: &'static str) -> PlatformError {
+    PlatformError::Unknown {
+        step,
+        peer: Arc::from(PEER),
+        problem: Arc::from("answer of another kind"),
+    }
+}
+
+impl MemoryPlatform {
+    async fn ask(&self, step: &'static str, call: Call) -> Result<Answer, PlatformError> {
+        self.call(call).await.map_err(|err| to_error(step, err))
+    }
+}
+
+#[async_trait]
+impl TableService for MemoryPlatform {
+    async fn commit(&self, txn: Txn) -> Result<TxnOutcome, PlatformError> {
+        match self.ask("commit", Call::Commit(txn)).await? {
+            Answer::Txn(outcome) => Ok(outcome),
+            _ => Err(unexpected("commit")),
+        }
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        match self.ask("get row", Call::Get(Arc::from(key))).await? {
+            Answer::Rows(rows) => Ok(rows.into_iter().next()),
+            _ => Err(unexpected("get row")),
+        }
+    }
+
+    async fn scan(&self, prefixes: &[&str]) -> Result<Vec<Row>, PlatformError> {
+        let prefixes = prefixes.iter().map(|prefix| Arc::from(*prefix)).collect();
+        match self.ask("scan", Call::Scan(prefixes)).await? {
+            Answer::Rows(rows) => Ok(rows),
+            _ => Err(unexpected("scan")),
+        }
+    }
+}
+
+#[async_trait]
+impl ObjectStore for MemoryPlatform {
+    async fn put(&self, key: &str, value: Vec<u8>) -> Result<(), PlatformError> {
+        let call = Call::PutObject(Arc::from(key), value);
+        self.ask("put object", call).await.map(drop)
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        match self
+            .ask("get object", Call::GetObject(Arc::from(key)))
+            .await?
+        {
+            Answer::Object(object) => Ok(object),
+            _ => Err(unexpected("get object")),
+        }
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), PlatformError> {
+        let call = Call::DeleteObject(Arc::from(key));
+        self.ask("delete object", call).await.map(drop)
+    }
+}
+
+#[async_trait]
+impl InstanceList for MemoryPlatform {
+    async fn list(&self) -> Result<Vec<ListedInstance>, PlatformError> {
+        match self.ask("list instances", Call::List).await? {
+            Answer::Instances(instances) => Ok(instances),
+            _ => Err(unexpected("list instances")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/tables.rs
@@ -0,0 +1,99 @@
+//! Rows and objects in memory.
+
+use {
+    ragwortreel_platform::{Row, Txn, TxnOutcome},
+    std::{collections::BTreeMap, ops::Bound, sync::Arc},
+};
+
+#[derive(Debug)]
+struct Stored {
+    value: Arc<str>,
+    version: u64,
+}
+
+/// Table with versions and transactions.
+#[derive(Debug, Default)]
+pub struct MemoryTable {
+    rows: BTreeMap<Arc<str>, Stored>,
+    /// Highest version of any deleted row. New rows start above it, so that no version of a key is used twice
+    /// without a record of each deleted key.
+    deleted_version: u64,
+}
+
+impl MemoryTable {
+    /// Runs a transaction.
+    pub fn commit(&mut self, txn: &Txn) -> TxnOutcome {
+        let version_of = |table: &Self, key: &str| table.rows.get(key).map_or(0, |row| row.version);
+        let failed: Vec<_> = txn
+            .checks
+            .iter()
+            .filter(|check| version_of(self, &check.key) != check.version)
+            .collect();
+        if !failed.is_empty() {
+            let current = failed
+                .iter()
+                .filter_map(|check| self.get(&check.key))
+                .collect();
+            return TxnOutcome::Conflict { current };
+        }
+        let versions = txn
+            .writes
+            .iter()
+            .map(|write| match &write.value {
+                Some(value) => self.put(&write.key, value),
+                None => self.delete(&write.key),
+            })
+            .collect();
+        TxnOutcome::Committed { versions }
+    }
+
+    fn put(&mut self, key: &Arc<str>, value: &Arc<str>) -> u64 {
+        let old = self.rows.get(key).map(|row| row.version);
+        let version = old.unwrap_or(self.deleted_version) + 1;
+        let row = Stored {
+            value: Arc::clone(value),
+            version,
+        };
+        self.rows.insert(Arc::clone(key), row);
+        version
+    }
+
+    fn delete(&mut self, key: &str) -> u64 {
+        if let Some(row) = self.rows.remove(key) {
+            self.deleted_version = self.deleted_version.max(row.version);
+        }
+        0
+    }
+
+    /// Reads one row.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<Row> {
+        let (key, row) = self.rows.get_key_value(key)?;
+        Some(to_row(key, row))
+    }
+
+    /// Reads all rows whose keys begin with any of the prefixes, ordered by key.
+    #[must_use]
+    pub fn scan<P: AsRef<str>>(&self, prefixes: &[P]) -> Vec<Row> {
+        let mut found = BTreeMap::new();
+        for prefix in prefixes.iter().map(AsRef::as_ref) {
+            let from = self
+                .rows
+                .range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
+            let matching = from.take_while(|(key, _)| key.starts_with(prefix));
+            found.extend(matching);
+        }
+        found
+            .into_iter()
+            .map(|(key, row)| to_row(key, row))
+            .collect()
+    }
+}
+
+fn to_row(key: &Arc<str>, row: &Stored) -> Row {
+    Row {
+        key: Arc::clone(key),
+        value: Arc::clone(&row.value),
+        version: row.version,
+    }
+}
