Add workers in process with leases, epoch fence and a run history

The owner of a pool is tested against workers that count the lease from their own echoed clock, refuse lower epochs and never take more than they hold. The clock values of two incarnations never overlap, because an echo of an earlier incarnation would extend the lease beyond the owner's own count. A stop or a refusal is final for that run: a delayed start of it is refused afterwards.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod faults;
 pub mod platform;
+pub mod worker;
 
 pub use {
     faults::{FaultSwitch, Faults, Outage, Verdict},
     platform::{Counts, Limits, MemoryPlatform, MemoryTable},
+    worker::{FakeFleet, FakeWorker, RunHistory, Violation, WorkerSpec},
 };
