entry: carry calls between entry instances over HTTP/2

Adds the server and client of the Entry service over hyper and smol-hyper, behind the traits EntryService and EntryPeer. Errors tell a refused port and a request that was not sent from one that may have run. HTTP/2 keepalive finds a silent connection.

cargo test -p ragwortreel-entry: 6 tests over loopback.

--- /dev/null
+++ b/crates/entry/src/api.rs
@@ -0,0 +1,96 @@
+//! The interfaces between entry instances.
+
+use {
+    crate::generated::{
+        ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
+        HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply, ReleaseSlotsReply,
+        ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+    },
+    async_trait::async_trait,
+    derive_more::{Display, Error},
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// Failure of a call to another entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum EntryError {
+    /// The peer's port refused the connection, so no process listens there.
+    #[display("{step} at {peer}: connection refused")]
+    Refused {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the peer.
+        peer: SocketAddr,
+    },
+    /// No byte of the request was handed to the peer.
+    #[display("{step} at {peer}: not sent: {problem}")]
+    NotSent {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the peer.
+        peer: SocketAddr,
+        /// What went wrong.
+        problem: Arc<str>,
+    },
+    /// The peer may or may not have run the request.
+    #[display("{step} at {peer}: outcome unknown: {problem}")]
+    Unknown {
+        /// What was attempted.
+        step: &'static str,
+        /// Address of the peer.
+        peer: SocketAddr,
+        /// What went wrong.
+        problem: Arc<str>,
+    },
+}
+
+impl EntryError {
+    /// Whether the peer certainly did not run the request.
+    #[must_use]
+    pub const fn is_not_run(&self) -> bool {
+        !matches!(self, Self::Unknown { .. })
+    }
+}
+
+macro_rules! calls {
+    ($($(#[$doc:meta])* $name:ident($req:ident) -> $reply:ident;)*) => {
+        /// Answers the calls of other entry instances.
+        #[async_trait]
+        pub trait EntryService: Send + Sync {
+            $($(#[$doc])* async fn $name(&self, req: $req) -> $reply;)*
+        }
+
+        /// Another entry instance.
+        #[async_trait]
+        pub trait EntryPeer: Send + Sync {
+            $($(#[$doc])* async fn $name(&self, req: $req) -> Result<$reply, EntryError>;)*
+        }
+    };
+}
+
+calls! {
+    /// Exchanges liveness, versions and load.
+    heartbeat(HeartbeatRequest) -> HeartbeatReply;
+    /// Hands over a settings tree; the reply is the receiver's version afterwards.
+    push_settings(SettingsTree) -> SettingsVersion;
+    /// Returns the receiver's settings tree, without content when it is not newer than the version asked with.
+    pull_settings(SettingsVersion) -> SettingsTree;
+    /// Confirms a slot epoch and promises not to change it for the lease time.
+    confirm_slot_epoch(ConfirmSlotEpochRequest) -> ConfirmSlotEpochReply;
+    /// Asks a previous holder whether its requests in flight on gained slots have ended.
+    release_slots(ReleaseSlotsRequest) -> ReleaseSlotsReply;
+    /// Carries a caller's request to an instance in another zone.
+    forward_request(ForwardedRequest) -> ForwardedResponse;
+    /// Hands a job to the owner of its pool.
+    submit_job(JobMessage) -> JobReply;
+    /// Cancels a job at the owner of its pool.
+    cancel_job(JobReference) -> JobReply;
+    /// Describes jobs at the owner of their pool.
+    describe_job(JobReference) -> JobReply;
+}
+
+/// Makes clients for other entry instances.
+pub trait PeerConnector: Send + Sync {
+    /// Makes a client for the instance at an address; the connection is opened on use.
+    fn connect(&self, address: SocketAddr) -> Arc<dyn EntryPeer>;
+}
--- /dev/null
+++ b/crates/entry/src/client.rs
@@ -0,0 +1,185 @@
+//! Client for another entry instance.
+
+use {
+    crate::{
+        MAX_HEARTBEAT_BYTES, MAX_MESSAGE_BYTES,
+        api::{EntryError, EntryPeer, PeerConnector},
+        connection::{ConnectError, Connection, OneCall},
+        generated::{
+            ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
+            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
+            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+            entry_client::EntryClient as Stub,
+        },
+    },
+    async_trait::async_trait,
+    prost::Message,
+    ragwortreel_runtime::timeout_at,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tonic::Code,
+};
+
+/// Time limits of a client.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientLimits {
+    /// Time to open a connection.
+    pub connect: Duration,
+    /// Time for a heartbeat or a question about slots.
+    pub short_call: Duration,
+    /// Time for any other call; a forwarded request brings its own.
+    pub call: Duration,
+    /// Time between two probes of the connection.
+    pub keep_alive_interval: Duration,
+    /// Time without an answer to a probe after which the connection counts as broken.
+    ///
+    /// With the interval it stays below the 3 s within which a silent connection must be found.
+    pub keep_alive_timeout: Duration,
+    /// Wait after the first failed attempt to connect; doubles with each further one.
+    pub back_off_min: Duration,
+    /// Longest wait between two attempts to connect.
+    pub back_off_max: Duration,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            short_call: Duration::from_secs(1),
+            call: Duration::from_secs(5),
+            keep_alive_interval: Duration::from_secs(1),
+            keep_alive_timeout: Duration::from_millis(1_500),
+            back_off_min: Duration::from_millis(50),
+            back_off_max: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Makes clients that call over HTTP/2.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TonicConnector {
+    /// Time limits of the clients.
+    pub limits: ClientLimits,
+}
+
+impl PeerConnector for TonicConnector {
+    fn connect(&self, address: SocketAddr) -> Arc<dyn EntryPeer> {
+        Arc::new(EntryClient::new(address, self.limits))
+    }
+}
+
+/// Client with one connection to one peer.
+pub struct EntryClient {
+    address: SocketAddr,
+    limits: ClientLimits,
+    connection: Connection,
+}
+
+impl EntryClient {
+    /// Makes a client; the connection is opened by the first call.
+    #[must_use]
+    pub fn new(address: SocketAddr, limits: ClientLimits) -> Self {
+        Self {
+            address,
+            limits,
+            connection: Connection::new(address, limits),
+        }
+    }
+
+    fn connect_failed(&self, step: &'static str, err: &ConnectError) -> EntryError {
+        let peer = self.address;
+        match err {
+            ConnectError::Refused => EntryError::Refused { step, peer },
+            ConnectError::Failed { problem } => EntryError::NotSent {
+                step,
+                peer,
+                problem: Arc::clone(problem),
+            },
+        }
+    }
+
+    fn call_failed(&self, step: &'static str, not_run: bool, problem: &str) -> EntryError {
+        let (peer, problem) = (self.address, problem.into());
+        if not_run {
+            EntryError::NotSent {
+                step,
+                peer,
+                problem,
+            }
+        } else {
+            EntryError::Unknown {
+                step,
+                peer,
+                problem,
+            }
+        }
+    }
+}
+
+macro_rules! peer {
+    ($($name:ident($step:literal, $req:ident, $limit:expr, $bytes:expr) -> $reply:ident;)*) => {
+        #[async_trait]
+        impl EntryPeer for EntryClient {
+            $(async fn $name(&self, req: $req) -> Result<$reply, EntryError> {
+                let limit: fn(&ClientLimits, &$req) -> Duration = $limit;
+                if req.encoded_len() > $bytes {
+                    return Err(self.call_failed($step, true, "the message is too large"));
+                }
+                let deadline = Instant::now() + limit(&self.limits, &req);
+                let sender = self.connection.sender(deadline).await;
+                let sender = sender.map_err(|err| self.connect_failed($step, &err))?;
+                let sent = Arc::new(AtomicBool::new(false));
+                let call = OneCall { sender, sent: Arc::clone(&sent) };
+                let origin = http::Uri::builder()
+                    .scheme("http")
+                    .authority(self.address.to_string())
+                    .path_and_query("/")
+                    .build()
+                    .map_err(|err| self.call_failed($step, true, &err.to_string()))?;
+                let mut stub = Stub::with_origin(call, origin)
+                    .max_decoding_message_size($bytes)
+                    .max_encoding_message_size($bytes);
+                match timeout_at(deadline, stub.$name(req)).await {
+                    Ok(Ok(reply)) => Ok(reply.into_inner()),
+                    Ok(Err(status)) => {
+                        // A status that says that a message is too large does not tell whether it means the
+                        // request or the reply of a call that ran.
+                        let not_run = !sent.load(Ordering::SeqCst) || status.code() == Code::Unimplemented;
+                        Err(self.call_failed($step, not_run, &status.to_string()))
+                    }
+                    Err(_) => {
+                        let not_run = !sent.load(Ordering::SeqCst);
+                        Err(self.call_failed($step, not_run, "timeout"))
+                    }
+                }
+            })*
+        }
+    };
+}
+
+peer! {
+    heartbeat("heartbeat", HeartbeatRequest, |limits, _| limits.short_call, MAX_HEARTBEAT_BYTES)
+        -> HeartbeatReply;
+    push_settings("push settings", SettingsTree, |limits, _| limits.call, MAX_MESSAGE_BYTES)
+        -> SettingsVersion;
+    pull_settings("pull settings", SettingsVersion, |limits, _| limits.call, MAX_MESSAGE_BYTES)
+        -> SettingsTree;
+    confirm_slot_epoch("confirm slot epoch", ConfirmSlotEpochRequest, |limits, _| limits.short_call, MAX_MESSAGE_BYTES)
+        -> ConfirmSlotEpochReply;
+    release_slots("release slots", ReleaseSlotsRequest, |limits, _| limits.short_call, MAX_MESSAGE_BYTES)
+        -> ReleaseSlotsReply;
+    forward_request("forward request", ForwardedRequest, |_, req| Duration::from_millis(req.deadline_ms), MAX_MESSAGE_BYTES)
+        -> ForwardedResponse;
+    submit_job("submit job", JobMessage, |limits, _| limits.call, MAX_MESSAGE_BYTES)
+        -> JobReply;
+    cancel_job("cancel job", JobReference, |limits, _| limits.call, MAX_MESSAGE_BYTES)
+        -> JobReply;
+    describe_job("describe job", JobReference, |limits, _| limits.call, MAX_MESSAGE_BYTES)
+        -> JobReply;
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,178 @@
+//! Server for the calls of other entry instances.
+
+use {
+    crate::{
+        MAX_HEARTBEAT_BYTES, MAX_MESSAGE_BYTES,
+        api::EntryService,
+        connection::HyperExecutor,
+        events::{ACCEPT_FAILED, CONNECTION_BROKEN, CONNECTION_REFUSED},
+        generated::{
+            ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
+            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
+            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+            entry_server::{Entry, EntryServer as Generated},
+        },
+    },
+    async_io::Async,
+    async_trait::async_trait,
+    futures_lite::future,
+    hyper::{body::Incoming, server::conn::http2::Builder, service::service_fn},
+    ragwortreel_runtime::{Logger, Stop, log_event, sleep, spawn, timeout},
+    smol_hyper::rt::{FuturesIo, SmolTimer},
+    std::{
+        net::{SocketAddr, TcpListener, TcpStream},
+        pin::pin,
+        sync::Arc,
+        time::Duration,
+    },
+    tonic::{Request, Response, Status, body::Body},
+    tower_service::Service,
+};
+
+/// Most open connections; a cell has at most 9 members in each of 8 zones.
+const MAX_CONNECTIONS: usize = 128;
+/// Most calls in flight on a connection.
+const MAX_STREAMS: u32 = 256;
+/// Time between two probes of a connection.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without an answer to a probe after which a connection is closed.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time that calls in flight get to end after a stop was requested.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+/// Wait after a failed accept, which most often means that no file descriptor is free.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Accepts connections of other entry instances.
+#[derive(Debug)]
+pub struct EntryServer {
+    listener: Async<TcpListener>,
+}
+
+#[derive(Clone)]
+struct Handler {
+    service: Arc<dyn EntryService>,
+}
+
+impl EntryServer {
+    /// Binds a socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(Self {
+            listener: Async::<TcpListener>::bind(address)?,
+        })
+    }
+
+    /// Address of the socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the operating system does not tell it.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.listener.get_ref().local_addr()
+    }
+
+    /// Serves until the stop is requested; calls in flight are then finished.
+    pub async fn serve(self, service: Arc<dyn EntryService>, log: Logger, stop: Stop) {
+        let connections = Stop::new();
+        loop {
+            let accepted = future::or(async { Some(self.listener.accept().await) }, async {
+                stop.requested().await;
+                None
+            });
+            let (stream, peer) = match accepted.await {
+                None => break,
+                Some(Ok(accepted)) => accepted,
+                Some(Err(err)) => {
+                    log_event!(log, ACCEPT_FAILED; "error" => err.to_string());
+                    sleep(ACCEPT_RETRY).await;
+                    continue;
+                }
+            };
+            if connections.guards() >= MAX_CONNECTIONS {
+                log_event!(log, CONNECTION_REFUSED; "peer" => peer.to_string());
+                continue;
+            }
+            let guard = connections.guard();
+            let handler = Handler {
+                service: Arc::clone(&service),
+            };
+            let (log, stop) = (log.clone(), stop.clone());
+            spawn(async move {
+                if let Err(err) = serve_connection(stream, handler, &stop).await {
+                    log_event!(log, CONNECTION_BROKEN; "peer" => peer.to_string(), "error" => err.to_string());
+                }
+                drop(guard);
+            })
+            .detach();
+        }
+        drop(self.listener);
+        let _ = timeout(DRAIN_LIMIT, connections.drained()).await;
+    }
+}
+
+async fn serve_connection(
+    stream: Async<TcpStream>,
+    handler: Handler,
+    stop: &Stop,
+) -> Result<(), hyper::Error> {
+    let _ = stream.get_ref().set_nodelay(true);
+    let limited = |bytes| {
+        Generated::new(handler.clone())
+            .max_decoding_message_size(bytes)
+            .max_encoding_message_size(bytes)
+    };
+    let (heartbeats, others) = (limited(MAX_HEARTBEAT_BYTES), limited(MAX_MESSAGE_BYTES));
+    let service = service_fn(move |req: http::Request<Incoming>| {
+        let is_heartbeat = req.uri().path().ends_with("/Heartbeat");
+        let mut server = if is_heartbeat {
+            heartbeats.clone()
+        } else {
+            others.clone()
+        };
+        server.call(req.map(Body::new))
+    });
+    let mut connection = pin!(
+        Builder::new(HyperExecutor)
+            .timer(SmolTimer::new())
+            .max_concurrent_streams(MAX_STREAMS)
+            .keep_alive_interval(KEEP_ALIVE_INTERVAL)
+            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+            .max_header_list_size(16 * 1024)
+            .serve_connection(FuturesIo::new(stream), service)
+    );
+    let ended = future::or(async { Some(connection.as_mut().await) }, async {
+        stop.requested().await;
+        None
+    });
+    if let Some(result) = ended.await {
+        return result;
+    }
+    connection.as_mut().graceful_shutdown();
+    timeout(DRAIN_LIMIT, connection).await.unwrap_or(Ok(()))
+}
+
+macro_rules! handlers {
+    ($($name:ident($req:ident) -> $reply:ident;)*) => {
+        #[async_trait]
+        impl Entry for Handler {
+            $(async fn $name(&self, req: Request<$req>) -> Result<Response<$reply>, Status> {
+                Ok(Response::new(self.service.$name(req.into_inner()).await))
+            })*
+        }
+    };
+}
+
+handlers! {
+    heartbeat(HeartbeatRequest) -> HeartbeatReply;
+    push_settings(SettingsTree) -> SettingsVersion;
+    pull_settings(SettingsVersion) -> SettingsTree;
+    confirm_slot_epoch(ConfirmSlotEpochRequest) -> ConfirmSlotEpochReply;
+    release_slots(ReleaseSlotsRequest) -> ReleaseSlotsReply;
+    forward_request(ForwardedRequest) -> ForwardedResponse;
+    submit_job(JobMessage) -> JobReply;
+    cancel_job(JobReference) -> JobReply;
+    describe_job(JobReference) -> JobReply;
+}
--- /dev/null
+++ b/crates/entry/tests/link.rs
@@ -0,0 +1,313 @@
+//! Calls over real connections on the loopback interface, with connections that break or go silent.
+
+use {
+    async_io::Async,
+    async_trait::async_trait,
+    futures_lite::{AsyncReadExt, AsyncWriteExt},
+    ragwortreel_entry::{
+        ClientLimits, EntryClient, EntryError, EntryPeer, EntryServer, EntryService,
+        generated::{
+            ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
+            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
+            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+        },
+    },
+    ragwortreel_runtime::{Stop, block_on, discard_logger, sleep_ms, spawn},
+    std::{
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+};
+
+/// Answers after a delay, and counts the calls that it ran.
+#[derive(Default)]
+struct Echo {
+    delay_ms: AtomicU64,
+    calls: AtomicU64,
+}
+
+impl Echo {
+    async fn run(&self) {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        sleep_ms(self.delay_ms.load(Ordering::SeqCst)).await;
+    }
+}
+
+#[async_trait]
+impl EntryService for Echo {
+    async fn heartbeat(&self, req: HeartbeatRequest) -> HeartbeatReply {
+        self.run().await;
+        HeartbeatReply {
+            instance: req.instance,
+            ..HeartbeatReply::default()
+        }
+    }
+    async fn push_settings(&self, tree: SettingsTree) -> SettingsVersion {
+        self.run().await;
+        SettingsVersion {
+            version: tree.version,
+        }
+    }
+    async fn pull_settings(&self, _: SettingsVersion) -> SettingsTree {
+        SettingsTree::default()
+    }
+    async fn confirm_slot_epoch(&self, _: ConfirmSlotEpochRequest) -> ConfirmSlotEpochReply {
+        ConfirmSlotEpochReply::default()
+    }
+    async fn release_slots(&self, _: ReleaseSlotsRequest) -> ReleaseSlotsReply {
+        ReleaseSlotsReply::default()
+    }
+    async fn forward_request(&self, req: ForwardedRequest) -> ForwardedResponse {
+        self.run().await;
+        ForwardedResponse {
+            body: req.body,
+            ..ForwardedResponse::default()
+        }
+    }
+    async fn submit_job(&self, _: JobMessage) -> JobReply {
+        JobReply::default()
+    }
+    async fn cancel_job(&self, _: JobReference) -> JobReply {
+        JobReply::default()
+    }
+    async fn describe_job(&self, _: JobReference) -> JobReply {
+        JobReply::default()
+    }
+}
+
+struct Server {
+    address: SocketAddr,
+    echo: Arc<Echo>,
+    stop: Stop,
+    ended: Arc<AtomicBool>,
+}
+
+fn serve(address: SocketAddr) -> Server {
+    let server = EntryServer::bind(address).expect("binds");
+    let address = server.local_addr().expect("has an address");
+    let (echo, stop, ended) = (Arc::new(Echo::default()), Stop::new(), Arc::default());
+    let serving = server.serve(Arc::clone(&echo) as _, discard_logger(), stop.clone());
+    let flag: Arc<AtomicBool> = Arc::clone(&ended);
+    spawn(async move {
+        serving.await;
+        flag.store(true, Ordering::SeqCst);
+    })
+    .detach();
+    Server {
+        address,
+        echo,
+        stop,
+        ended,
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn client(address: SocketAddr) -> EntryClient {
+    EntryClient::new(address, ClientLimits::default())
+}
+
+fn heartbeat(instance: &str) -> HeartbeatRequest {
+    HeartbeatRequest {
+        instance: instance.to_owned(),
+        ..HeartbeatRequest::default()
+    }
+}
+
+/// A relay between client and server that can stop passing bytes on its open connections.
+struct Relay {
+    address: SocketAddr,
+    silent: Arc<AtomicBool>,
+}
+
+fn relay(server: SocketAddr) -> Relay {
+    let listener = Async::<TcpListener>::bind(loopback()).expect("binds");
+    let address = listener.get_ref().local_addr().expect("has an address");
+    let silent = Arc::new(AtomicBool::new(false));
+    let switch = Arc::clone(&silent);
+    spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = Async::<TcpStream>::connect(server).await.expect("connects");
+            // Connections that are opened after the switch work.
+            let silent = if switch.load(Ordering::SeqCst) {
+                Arc::default()
+            } else {
+                Arc::clone(&switch)
+            };
+            let (near, far) = (Arc::new(near), Arc::new(far));
+            for (from, to) in [(&near, &far), (&far, &near)] {
+                let (from, to) = (Arc::clone(from), Arc::clone(to));
+                let silent = Arc::clone(&silent);
+                spawn(async move {
+                    let mut buf = [0; 4096];
+                    while let Ok(len @ 1..) = (&*from).read(&mut buf).await {
+                        if !silent.load(Ordering::SeqCst)
+                            && (&*to).write_all(&buf[..len]).await.is_err()
+                        {
+                            break;
+                        }
+                    }
+                })
+                .detach();
+            }
+        }
+    })
+    .detach();
+    Relay { address, silent }
+}
+
+#[test]
+fn concurrent_calls_get_their_own_answers() {
+    let server = serve(loopback());
+    let client = Arc::new(client(server.address));
+    block_on(async {
+        let calls: Vec<_> = (0..100)
+            .map(|index| {
+                let client = Arc::clone(&client);
+                spawn(async move {
+                    let name = format!("i{index}");
+                    client
+                        .heartbeat(heartbeat(&name))
+                        .await
+                        .map(|reply| reply.instance == name)
+                })
+            })
+            .collect();
+        for call in calls {
+            assert_eq!(call.await, Ok(true));
+        }
+        let tree = SettingsTree {
+            version: 7,
+            sha256: vec![0; 32],
+            json: vec![b' '; 4 * 1024 * 1024],
+        };
+        assert_eq!(
+            client.push_settings(tree).await.map(|reply| reply.version),
+            Ok(7)
+        );
+    });
+}
+
+/// A message over its limit must not take the peer's memory, nor count as possibly run.
+#[test]
+fn oversized_messages_are_refused_and_not_run() {
+    let server = serve(loopback());
+    let client = client(server.address);
+    block_on(async {
+        let result = client.heartbeat(heartbeat(&"x".repeat(5_000))).await;
+        assert!(result.is_err_and(|err| err.is_not_run()));
+        let tree = SettingsTree {
+            json: vec![0; 5 * 1024 * 1024],
+            ..SettingsTree::default()
+        };
+        assert!(
+            client
+                .push_settings(tree)
+                .await
+                .is_err_and(|err| err.is_not_run())
+        );
+        assert_eq!(server.echo.calls.load(Ordering::SeqCst), 0);
+    });
+}
+
+/// A refused port proves that the peer's process is gone; a wait before the next attempt proves nothing.
+#[test]
+fn refused_port_is_told_apart() {
+    let address = serve_and_stop();
+    let client = client(address);
+    block_on(async {
+        let first = client.heartbeat(heartbeat("a")).await;
+        assert!(
+            matches!(first, Err(EntryError::Refused { .. })),
+            "{first:?}"
+        );
+        let second = client.heartbeat(heartbeat("a")).await;
+        assert!(
+            matches!(second, Err(EntryError::NotSent { .. })),
+            "{second:?}"
+        );
+        let server = serve(address);
+        sleep_ms(200).await;
+        let third = client.heartbeat(heartbeat("a")).await;
+        assert!(third.is_ok(), "{third:?}");
+        server.stop.request();
+    });
+}
+
+fn serve_and_stop() -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).expect("binds");
+    listener.local_addr().expect("has an address")
+}
+
+/// A call without an answer may have run, and must never be reported as not run.
+#[test]
+fn timeout_after_sending_is_unknown() {
+    let server = serve(loopback());
+    server.echo.delay_ms.store(60_000, Ordering::SeqCst);
+    let client = client(server.address);
+    block_on(async {
+        let result = client.heartbeat(heartbeat("a")).await;
+        assert!(
+            matches!(result, Err(EntryError::Unknown { .. })),
+            "{result:?}"
+        );
+        assert_eq!(server.echo.calls.load(Ordering::SeqCst), 1);
+    });
+}
+
+/// A connection that goes silent must be found and replaced within 3 s, although new ones work.
+#[test]
+fn silent_connection_is_replaced() {
+    let server = serve(loopback());
+    let relay = relay(server.address);
+    let client = client(relay.address);
+    block_on(async {
+        client.heartbeat(heartbeat("a")).await.expect("answers");
+        relay.silent.store(true, Ordering::SeqCst);
+        let since = Instant::now();
+        while client.heartbeat(heartbeat("a")).await.is_err() {
+            assert!(since.elapsed() < Duration::from_secs(4), "not replaced");
+            sleep_ms(20).await;
+        }
+        assert!(
+            since.elapsed() <= Duration::from_secs(3),
+            "{:?}",
+            since.elapsed()
+        );
+    });
+}
+
+/// A planned stop must not cut off calls in flight.
+#[test]
+fn stop_finishes_calls_in_flight() {
+    let server = serve(loopback());
+    server.echo.delay_ms.store(300, Ordering::SeqCst);
+    let client = Arc::new(client(server.address));
+    block_on(async {
+        let requester = Arc::clone(&client);
+        let call = spawn(async move {
+            let req = ForwardedRequest {
+                body: vec![1, 2, 3],
+                deadline_ms: 5_000,
+                ..ForwardedRequest::default()
+            };
+            requester.forward_request(req).await
+        });
+        while server.echo.calls.load(Ordering::SeqCst) == 0 {
+            sleep_ms(5).await;
+        }
+        server.stop.request();
+        assert_eq!(call.await.map(|reply| reply.body), Ok(vec![1, 2, 3]));
+        let since = Instant::now();
+        while !server.ended.load(Ordering::SeqCst) {
+            assert!(since.elapsed() < Duration::from_secs(5), "does not end");
+            sleep_ms(10).await;
+        }
+    });
+}
