--- /dev/null
+++ b/crates/caller/src/api.rs
@@ -0,0 +1,162 @@
+//! What the HTTP interface needs from the daemon.
+
+use {
+    async_trait::async_trait,
+    derive_more::{Display, Error},
+    ragwortreel_http::{Headers, Method, Response},
+    ragwortreel_model::{
+        InstanceId, JobId, JobSpec, JobStatus, Outcome, ServiceName, Team, WorkerId,
+    },
+    std::{sync::Arc, time::Instant},
+};
+
+/// A request to a service.
+#[derive(Debug, Clone)]
+pub struct ServiceCall {
+    /// Team that offers the service.
+    pub team: Team,
+    /// The service.
+    pub service: ServiceName,
+    /// Team that calls and is charged.
+    pub caller: Team,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query behind the service's name.
+    pub path: Arc<str>,
+    /// Headers for the backend server.
+    pub headers: Headers,
+    /// Whole body.
+    pub body: Vec<u8>,
+    /// Time left when the caller named one, in ms.
+    pub deadline_ms: Option<u64>,
+    /// Time at which the request arrived.
+    pub arrived: Instant,
+    /// Key under which the request runs at most once.
+    pub idempotency_key: Option<Arc<str>>,
+}
+
+/// Result of a request to a service.
+#[derive(Debug, Clone)]
+pub struct CallReply {
+    /// What the caller is told.
+    pub outcome: Outcome,
+    /// Response of the backend server when the outcome is answered.
+    pub response: Option<Response>,
+    /// Why there is no answer.
+    pub reason: Arc<str>,
+    /// When to come back after a request that did not run, in ms.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Routes requests to backend servers.
+#[async_trait]
+pub trait ServiceCalls: Send + Sync {
+    /// Carries one request out and tells its outcome.
+    async fn call(&self, call: ServiceCall) -> CallReply;
+}
+
+/// Why a command was not carried out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalKind {
+    /// The input is not acceptable.
+    Invalid,
+    /// It does not exist.
+    NotFound,
+    /// It contradicts the present state.
+    Conflict,
+    /// The system cannot make it durable now; it was not carried out.
+    Unavailable,
+    /// It may or may not have been carried out.
+    Unknown,
+}
+
+/// A command that was not, or perhaps not, carried out.
+#[derive(Debug, Clone, Display, Error)]
+#[display("{problem}")]
+pub struct Refusal {
+    /// Kind of refusal.
+    pub kind: RefusalKind,
+    /// What is wrong, for the caller.
+    pub problem: String,
+}
+
+impl Refusal {
+    /// Makes a refusal.
+    #[must_use]
+    pub fn new(kind: RefusalKind, problem: impl Into<String>) -> Self {
+        Self {
+            kind,
+            problem: problem.into(),
+        }
+    }
+}
+
+/// Job commands; every call is limited to one team's jobs.
+#[async_trait]
+pub trait JobCalls: Send + Sync {
+    /// Submits a job; the returned status is durable.
+    async fn submit(&self, spec: JobSpec) -> Result<JobStatus, Refusal>;
+    /// Lists jobs, of one team or of all.
+    async fn list(&self, team: Option<&Team>) -> Result<Vec<JobStatus>, Refusal>;
+    /// Describes one job.
+    async fn describe(&self, job: &JobId) -> Result<JobStatus, Refusal>;
+    /// Cancels one job.
+    async fn cancel(&self, job: &JobId) -> Result<JobStatus, Refusal>;
+}
+
+/// A change of the settings.
+#[derive(Debug, Clone)]
+pub struct SettingsChange {
+    /// Version that the change was made from.
+    pub base_version: u64,
+    /// Branch to replace; the whole tree when absent.
+    pub team: Option<Team>,
+    /// New content as JSON.
+    pub json: Vec<u8>,
+    /// Whether an operator asks; a team may not change its own quota, weight, job limit or token.
+    pub by_operator: bool,
+}
+
+/// Settings as shown to an operator or a team.
+#[derive(Debug, Clone)]
+pub struct SettingsReply {
+    /// Version.
+    pub version: u64,
+    /// Content as JSON.
+    pub json: Vec<u8>,
+}
+
+/// Reading and changing settings.
+#[async_trait]
+pub trait SettingsCalls: Send + Sync {
+    /// Reads the whole tree or one team's branch.
+    async fn read(&self, team: Option<&Team>) -> Result<SettingsReply, Refusal>;
+    /// Changes the tree; returns the new version. A conflict's problem is the current tree's JSON.
+    async fn change(&self, change: SettingsChange) -> Result<u64, Refusal>;
+}
+
+/// What is to be drained.
+#[derive(Debug, Clone)]
+pub enum DrainTarget {
+    /// A worker.
+    Worker(WorkerId),
+    /// An entry instance.
+    Instance(InstanceId),
+}
+
+/// Commands and reports for operators.
+#[async_trait]
+pub trait Admin: Send + Sync {
+    /// Lets a worker or an instance finish what it has and gives it nothing new.
+    async fn drain(&self, target: DrainTarget) -> Result<(), Refusal>;
+    /// Counts for the service-level-burn report, as JSON.
+    fn burn(&self) -> Vec<u8>;
+    /// Metrics in the Prometheus text format.
+    fn metrics(&self) -> Vec<u8>;
+    /// Whether this instance may be given requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it may not.
+    fn ready(&self) -> Result<(), String>;
+}
--- /dev/null
+++ b/crates/caller/src/handler.rs
@@ -0,0 +1,361 @@
+//! Dispatches HTTP requests.
+
+use {
+    crate::{
+        api::{
+            Admin, CallReply, DrainTarget, JobCalls, Refusal, RefusalKind, ServiceCall,
+            ServiceCalls, SettingsCalls, SettingsChange,
+        },
+        auth::{Authenticator, Principal},
+        reply::{self, DEADLINE_HEADER, IDEMPOTENCY_HEADER},
+        route::{Route, parse_route},
+    },
+    async_trait::async_trait,
+    ragwortreel_http::{Handler, Headers, Request, Response},
+    ragwortreel_model::{JobId, JobSpec, Outcome, Team},
+    serde::Serialize,
+    std::{net::SocketAddr, sync::Arc, time::Instant},
+};
+
+/// Longest accepted idempotency key.
+const MAX_KEY_BYTES: usize = 128;
+/// Longest accepted deadline in ms: one day.
+const MAX_DEADLINE_MS: u64 = 24 * 3_600_000;
+/// Largest accepted job specification.
+const MAX_SPEC_BYTES: usize = 256 * 1024;
+/// Headers of one connection, and ours, which are not passed on to a backend server.
+const NOT_FORWARDED: &[&str] = &[
+    "authorization",
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    DEADLINE_HEADER,
+];
+
+/// The HTTP interface of an entry instance.
+pub struct ApiHandler {
+    auth: Arc<Authenticator>,
+    services: Arc<dyn ServiceCalls>,
+    jobs: Arc<dyn JobCalls>,
+    settings: Arc<dyn SettingsCalls>,
+    admin: Arc<dyn Admin>,
+}
+
+#[derive(Serialize)]
+struct VersionReply {
+    version: u64,
+}
+
+impl ApiHandler {
+    /// Makes a handler over the daemon's parts.
+    #[must_use]
+    pub fn new(
+        auth: Arc<Authenticator>,
+        services: Arc<dyn ServiceCalls>,
+        jobs: Arc<dyn JobCalls>,
+        settings: Arc<dyn SettingsCalls>,
+        admin: Arc<dyn Admin>,
+    ) -> Self {
+        Self {
+            auth,
+            services,
+            jobs,
+            settings,
+            admin,
+        }
+    }
+
+    async fn dispatch(&self, route: Route, req: Request) -> Response {
+        match route {
+            Route::Health => reply::raw_json(200, b"{}".to_vec()),
+            Route::Ready => self.ready(),
+            Route::Metrics => self.metrics(),
+            route => {
+                let Some(principal) = self.auth.principal(req.headers.get("authorization")) else {
+                    return reply::problem_with_outcome(
+                        401,
+                        "a valid bearer token is needed",
+                        Outcome::NotRun,
+                    );
+                };
+                self.dispatch_authenticated(route, req, &principal).await
+            }
+        }
+    }
+
+    async fn dispatch_authenticated(
+        &self,
+        route: Route,
+        req: Request,
+        principal: &Principal,
+    ) -> Response {
+        let result = match route {
+            // Any team's callers may use a service that another team offers.
+            Route::Service {
+                team,
+                service,
+                path,
+            } => {
+                return match service_call(principal, team, service, path, req) {
+                    Ok(call) => reply::call_reply(self.services.call(call).await),
+                    Err(refusal) => reply::refusal(&refusal),
+                };
+            }
+            Route::SubmitJob => self.submit(&req, principal).await,
+            Route::ListJobs => self.list(principal).await,
+            Route::DescribeJob(id) => self.describe(&id, principal).await,
+            Route::CancelJob(id) => self.cancel(&id, principal).await,
+            Route::ReadSettings(team) => self.read_settings(team.as_ref(), principal).await,
+            Route::ChangeSettings(team) => self.change_settings(team, req, principal).await,
+            Route::DrainWorker(id) => self.drain(DrainTarget::Worker(id), principal).await,
+            Route::DrainInstance(id) => self.drain(DrainTarget::Instance(id), principal).await,
+            Route::Burn => {
+                operator_only(principal).map(|()| reply::raw_json(200, self.admin.burn()))
+            }
+            Route::Health | Route::Ready | Route::Metrics => Err(not_allowed()),
+        };
+        result.unwrap_or_else(|refusal| reply::refusal(&refusal))
+    }
+
+    fn ready(&self) -> Response {
+        match self.admin.ready() {
+            Ok(()) => reply::raw_json(200, b"{}".to_vec()),
+            Err(reason) => reply::problem(503, &reason),
+        }
+    }
+
+    fn metrics(&self) -> Response {
+        let mut headers = Headers::new();
+        headers.insert("content-type", "text/plain; version=0.0.4");
+        Response {
+            status: 200,
+            headers,
+            body: self.admin.metrics(),
+        }
+    }
+
+    async fn submit(&self, req: &Request, principal: &Principal) -> Result<Response, Refusal> {
+        if req.body.len() > MAX_SPEC_BYTES {
+            return Err(Refusal::new(
+                RefusalKind::Invalid,
+                "a job specification has at most 262144 bytes",
+            ));
+        }
+        let spec: JobSpec = serde_json::from_slice(&req.body).map_err(|err| {
+            Refusal::new(RefusalKind::Invalid, format!("job specification: {err}"))
+        })?;
+        require_access(principal, &spec.team)?;
+        spec.check().map_err(|err| {
+            Refusal::new(RefusalKind::Invalid, format!("job specification: {err}"))
+        })?;
+        let status = self.jobs.submit(spec).await?;
+        Ok(reply::with_outcome(
+            reply::json(201, &status),
+            Outcome::Answered,
+        ))
+    }
+
+    async fn list(&self, principal: &Principal) -> Result<Response, Refusal> {
+        let team = match principal {
+            Principal::Operator => None,
+            Principal::Team(team) => Some(team),
+        };
+        Ok(reply::json(200, &self.jobs.list(team).await?))
+    }
+
+    async fn describe(&self, id: &JobId, principal: &Principal) -> Result<Response, Refusal> {
+        let status = self.jobs.describe(id).await?;
+        // Another team's job looks like one that does not exist, so that identifiers cannot be probed.
+        require_access(principal, &status.spec.team).map_err(|_| no_such_job(id))?;
+        Ok(reply::json(200, &status))
+    }
+
+    async fn cancel(&self, id: &JobId, principal: &Principal) -> Result<Response, Refusal> {
+        let status = self.jobs.describe(id).await?;
+        require_access(principal, &status.spec.team).map_err(|_| no_such_job(id))?;
+        let status = self.jobs.cancel(id).await?;
+        Ok(reply::with_outcome(
+            reply::json(200, &status),
+            Outcome::Answered,
+        ))
+    }
+
+    async fn read_settings(
+        &self,
+        team: Option<&Team>,
+        principal: &Principal,
+    ) -> Result<Response, Refusal> {
+        match team {
+            Some(team) => require_access(principal, team)?,
+            None => operator_only(principal)?,
+        }
+        let settings = self.settings.read(team).await?;
+        let mut response = reply::raw_json(200, settings.json);
+        response
+            .headers
+            .insert("etag", format!("\"{}\"", settings.version));
+        Ok(response)
+    }
+
+    async fn change_settings(
+        &self,
+        team: Option<Team>,
+        req: Request,
+        principal: &Principal,
+    ) -> Result<Response, Refusal> {
+        match &team {
+            Some(team) => require_access(principal, team)?,
+            None => operator_only(principal)?,
+        }
+        let base_version = base_version(&req.headers)?;
+        let by_operator = *principal == Principal::Operator;
+        let change = SettingsChange {
+            base_version,
+            team,
+            json: req.body,
+            by_operator,
+        };
+        let version = self.settings.change(change).await?;
+        let mut response = reply::json(200, &VersionReply { version });
+        response.headers.insert("etag", format!("\"{version}\""));
+        Ok(reply::with_outcome(response, Outcome::Answered))
+    }
+
+    async fn drain(&self, target: DrainTarget, principal: &Principal) -> Result<Response, Refusal> {
+        operator_only(principal)?;
+        self.admin.drain(target).await?;
+        Ok(reply::with_outcome(
+            reply::raw_json(202, b"{}".to_vec()),
+            Outcome::Answered,
+        ))
+    }
+}
+
+#[async_trait]
+impl Handler for ApiHandler {
+    async fn handle(&self, req: Request, _peer: SocketAddr) -> Response {
+        match parse_route(req.method.as_ref(), &req.path) {
+            Ok(route) => self.dispatch(route, req).await,
+            Err(err) => reply::route_error(&err),
+        }
+    }
+}
+
+fn not_allowed() -> Refusal {
+    Refusal::new(RefusalKind::NotFound, "not available to this token")
+}
+
+fn no_such_job(id: &JobId) -> Refusal {
+    Refusal::new(RefusalKind::NotFound, format!("no job {id}"))
+}
+
+fn operator_only(principal: &Principal) -> Result<(), Refusal> {
+    if *principal == Principal::Operator {
+        Ok(())
+    } else {
+        Err(not_allowed())
+    }
+}
+
+fn require_access(principal: &Principal, team: &Team) -> Result<(), Refusal> {
+    if principal.may_act_on(team) {
+        Ok(())
+    } else {
+        Err(not_allowed())
+    }
+}
+
+/// The version in `if-match`, with or without quotation marks.
+fn base_version(headers: &Headers) -> Result<u64, Refusal> {
+    let missing = || {
+        let problem = "header if-match must name the version that the change was made from";
+        Refusal::new(RefusalKind::Invalid, problem)
+    };
+    let text = headers.get("if-match").ok_or_else(missing)?;
+    text.trim_matches('"').parse().map_err(|_| missing())
+}
+
+fn service_call(
+    principal: &Principal,
+    team: Team,
+    service: ragwortreel_model::ServiceName,
+    path: Arc<str>,
+    req: Request,
+) -> Result<ServiceCall, Refusal> {
+    let invalid = |problem: &str| Refusal::new(RefusalKind::Invalid, problem);
+    let deadline_ms = match req.headers.get(DEADLINE_HEADER).map(str::parse::<u64>) {
+        None => None,
+        Some(Ok(value)) if (1..=MAX_DEADLINE_MS).contains(&value) => Some(value),
+        Some(_) => return Err(invalid("ragwortreel-deadline-ms: expected 1 to 86400000")),
+    };
+    let idempotency_key = match req.headers.get(IDEMPOTENCY_HEADER) {
+        None => None,
+        Some(key) if is_key(key) => Some(Arc::from(key)),
+        Some(_) => {
+            return Err(invalid(
+                "idempotency-key: expected 1 to 128 letters, digits, '-', '_' or '.'",
+            ));
+        }
+    };
+    // An operator has no team, so the request is charged to the team that offers the service.
+    let caller = match principal {
+        Principal::Operator => team.clone(),
+        Principal::Team(own) => own.clone(),
+    };
+    let listed = connection_options(&req.headers);
+    let mut headers = Headers::new();
+    for (name, value) in req.headers.iter() {
+        if !NOT_FORWARDED.contains(&name) && !listed.iter().any(|option| option == name) {
+            headers.append(name, value);
+        }
+    }
+    Ok(ServiceCall {
+        team,
+        service,
+        method: req.method,
+        caller,
+        path,
+        headers,
+        body: req.body,
+        deadline_ms,
+        arrived: Instant::now(),
+        idempotency_key,
+    })
+}
+
+fn is_key(key: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    !key.is_empty() && key.len() <= MAX_KEY_BYTES && key.bytes().all(allowed)
+}
+
+/// Names of further headers that concern only this connection.
+fn connection_options(headers: &Headers) -> Vec<String> {
+    let options = headers.get("connection").unwrap_or_default();
+    options
+        .split(',')
+        .map(|option| option.trim().to_ascii_lowercase())
+        .collect()
+}
+
+impl From<Refusal> for CallReply {
+    fn from(refusal: Refusal) -> Self {
+        let outcome = match refusal.kind {
+            RefusalKind::Unknown => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        };
+        Self {
+            outcome,
+            response: None,
+            reason: Arc::from(refusal.problem),
+            retry_after_ms: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/caller/src/reply.rs
@@ -0,0 +1,140 @@
+//! Responses of the HTTP interface.
+
+use {
+    crate::{
+        api::{CallReply, Refusal, RefusalKind},
+        route::RouteError,
+    },
+    ragwortreel_http::{Headers, Response},
+    ragwortreel_model::Outcome,
+    serde::Serialize,
+};
+
+/// Header that names the outcome.
+pub const OUTCOME_HEADER: &str = "ragwortreel-outcome";
+/// Header that says why there is no answer.
+pub const REASON_HEADER: &str = "ragwortreel-reason";
+/// Header in which a caller names the time left, in ms.
+pub const DEADLINE_HEADER: &str = "ragwortreel-deadline-ms";
+/// Header in which a caller names the key under which a request runs at most once.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+/// Wait that is suggested when nothing better is known, in ms.
+const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    problem: &'a str,
+}
+
+/// A response with a JSON body.
+pub fn json(status: u16, body: &impl Serialize) -> Response {
+    let body = serde_json::to_vec(body)
+        .unwrap_or_else(|err| format!("{{\"problem\":\"{err}\"}}").into_bytes());
+    raw_json(status, body)
+}
+
+/// A response whose body is JSON text already.
+pub fn raw_json(status: u16, body: Vec<u8>) -> Response {
+    let mut headers = Headers::new();
+    headers.insert("content-type", "application/json");
+    Response {
+        status,
+        headers,
+        body,
+    }
+}
+
+/// A response that explains a problem.
+pub fn problem(status: u16, text: &str) -> Response {
+    json(status, &Problem { problem: text })
+}
+
+/// A response that explains a problem and names the outcome.
+pub fn problem_with_outcome(status: u16, text: &str, outcome: Outcome) -> Response {
+    with_outcome(problem(status, text), outcome)
+}
+
+/// Adds the outcome to a response.
+pub fn with_outcome(mut response: Response, outcome: Outcome) -> Response {
+    response.headers.insert(OUTCOME_HEADER, outcome.to_string());
+    response
+}
+
+/// Response to a target that names nothing.
+pub fn route_error(err: &RouteError) -> Response {
+    let status = match err {
+        RouteError::TooLong => 414,
+        RouteError::NotFound => 404,
+        RouteError::MethodNotAllowed { .. } => 405,
+        RouteError::Name(_) => 400,
+    };
+    problem_with_outcome(status, &err.to_string(), Outcome::NotRun)
+}
+
+/// Response to a command that was not, or perhaps not, carried out.
+pub fn refusal(refusal: &Refusal) -> Response {
+    let (status, outcome) = match refusal.kind {
+        RefusalKind::Invalid => (400, Outcome::NotRun),
+        RefusalKind::NotFound => (404, Outcome::NotRun),
+        RefusalKind::Conflict => (409, Outcome::NotRun),
+        RefusalKind::Unavailable => (503, Outcome::NotRun),
+        RefusalKind::Unknown => (504, Outcome::Unknown),
+    };
+    let is_tree = refusal.kind == RefusalKind::Conflict && refusal.problem.starts_with('{');
+    let mut response = if is_tree {
+        raw_json(status, refusal.problem.clone().into_bytes())
+    } else {
+        problem(status, &refusal.problem)
+    };
+    if refusal.kind == RefusalKind::Unavailable {
+        add_retry_after(&mut response, DEFAULT_RETRY_AFTER_MS);
+    }
+    with_outcome(response, outcome)
+}
+
+/// Response to a request to a service.
+pub fn call_reply(reply: CallReply) -> Response {
+    let CallReply {
+        outcome,
+        response,
+        reason,
+        retry_after_ms,
+    } = reply;
+    let mut response = match (outcome, response) {
+        (Outcome::Answered, Some(response)) => return with_outcome(response, outcome),
+        (Outcome::NotRun, _) => problem(503, &reason),
+        (Outcome::Answered | Outcome::Unknown, _) => problem(504, &reason),
+    };
+    response.headers.insert(REASON_HEADER, header_text(&reason));
+    if outcome == Outcome::NotRun {
+        add_retry_after(
+            &mut response,
+            retry_after_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS),
+        );
+    }
+    with_outcome(response, outcome)
+}
+
+/// Adds when to come back: whole seconds for any client, milliseconds for those that read them.
+fn add_retry_after(response: &mut Response, wait_ms: u64) {
+    response
+        .headers
+        .insert("retry-after", wait_ms.div_ceil(1_000).max(1).to_string());
+    response
+        .headers
+        .insert("retry-after-ms", wait_ms.to_string());
+}
+
+fn header_text(text: &str) -> String {
+    text.chars()
+        .map(|c| {
+            if c.is_ascii_graphic() || c == ' ' {
+                c
+            } else {
+                '?'
+            }
+        })
+        .take(256)
+        .collect()
+}
--- /dev/null
+++ b/crates/caller/src/route.rs
@@ -0,0 +1,158 @@
+//! Paths of the HTTP interface.
+
+use {
+    derive_more::{Display, Error},
+    ragwortreel_model::{InstanceId, JobId, NameError, ServiceName, Team, WorkerId},
+    std::sync::Arc,
+};
+
+/// Longest accepted request target.
+const MAX_TARGET_BYTES: usize = 4096;
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Route {
+    /// `ANY /v1/services/TEAM/SERVICE/PATH`.
+    Service {
+        /// Team that offers the service.
+        team: Team,
+        /// The service.
+        service: ServiceName,
+        /// Path and query, beginning with `/`.
+        path: Arc<str>,
+    },
+    /// `POST /v1/jobs`.
+    SubmitJob,
+    /// `GET /v1/jobs`.
+    ListJobs,
+    /// `GET /v1/jobs/ID`.
+    DescribeJob(JobId),
+    /// `DELETE /v1/jobs/ID`.
+    CancelJob(JobId),
+    /// `GET /v1/settings` or `GET /v1/settings/teams/TEAM`.
+    ReadSettings(Option<Team>),
+    /// `PUT /v1/settings` or `PUT /v1/settings/teams/TEAM`.
+    ChangeSettings(Option<Team>),
+    /// `POST /v1/workers/ID/drain`.
+    DrainWorker(WorkerId),
+    /// `POST /v1/instances/ID/drain`.
+    DrainInstance(InstanceId),
+    /// `GET /v1/burn`.
+    Burn,
+    /// `GET /metrics`.
+    Metrics,
+    /// `GET /health`.
+    Health,
+    /// `GET /ready`.
+    Ready,
+}
+
+/// A target that names nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum RouteError {
+    /// The target is too long.
+    #[display("the request target is longer than {MAX_TARGET_BYTES} bytes")]
+    TooLong,
+    /// The path does not exist.
+    #[display("no such path")]
+    NotFound,
+    /// The path exists, but not with this method.
+    #[display("method not allowed, expected {allowed}")]
+    MethodNotAllowed {
+        /// Methods that the path has.
+        allowed: &'static str,
+    },
+    /// A name in the path is not acceptable.
+    #[display("{_0}")]
+    Name(NameError),
+}
+
+/// Finds what a method and a target ask for.
+///
+/// # Errors
+///
+/// Returns why the target names nothing.
+pub fn parse_route(method: &str, target: &str) -> Result<Route, RouteError> {
+    if target.len() > MAX_TARGET_BYTES {
+        return Err(RouteError::TooLong);
+    }
+    if let Some(rest) = target.strip_prefix("/v1/services/") {
+        return parse_service(rest);
+    }
+    let path = target.split_once('?').map_or(target, |(path, _query)| path);
+    let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    match segments.as_slice() {
+        ["v1", "jobs"] => by_method(
+            method,
+            &[("GET", Route::ListJobs), ("POST", Route::SubmitJob)],
+        ),
+        ["v1", "jobs", id] => {
+            let id = JobId::new(id).map_err(RouteError::Name)?;
+            by_method(
+                method,
+                &[
+                    ("GET", Route::DescribeJob(id.clone())),
+                    ("DELETE", Route::CancelJob(id)),
+                ],
+            )
+        }
+        ["v1", "settings"] => settings_route(method, None),
+        ["v1", "settings", "teams", team] => {
+            settings_route(method, Some(Team::new(team).map_err(RouteError::Name)?))
+        }
+        ["v1", "workers", id, "drain"] => {
+            let id = WorkerId::new(id).map_err(RouteError::Name)?;
+            by_method(method, &[("POST", Route::DrainWorker(id))])
+        }
+        ["v1", "instances", id, "drain"] => {
+            let id = InstanceId::new(id).map_err(RouteError::Name)?;
+            by_method(method, &[("POST", Route::DrainInstance(id))])
+        }
+        ["v1", "burn"] => by_method(method, &[("GET", Route::Burn)]),
+        ["metrics"] => by_method(method, &[("GET", Route::Metrics)]),
+        ["health"] => by_method(method, &[("GET", Route::Health)]),
+        ["ready"] => by_method(method, &[("GET", Route::Ready)]),
+        _ => Err(RouteError::NotFound),
+    }
+}
+
+fn parse_service(rest: &str) -> Result<Route, RouteError> {
+    let (team, rest) = rest.split_once('/').ok_or(RouteError::NotFound)?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, path) = rest.split_at(end);
+    let path = if path.starts_with('/') {
+        Arc::from(path)
+    } else {
+        Arc::from(format!("/{path}"))
+    };
+    let team = Team::new(team).map_err(RouteError::Name)?;
+    let service = ServiceName::new(service).map_err(RouteError::Name)?;
+    Ok(Route::Service {
+        team,
+        service,
+        path,
+    })
+}
+
+fn settings_route(method: &str, team: Option<Team>) -> Result<Route, RouteError> {
+    let read = Route::ReadSettings(team.clone());
+    by_method(
+        method,
+        &[("GET", read), ("PUT", Route::ChangeSettings(team))],
+    )
+}
+
+fn by_method(method: &str, routes: &[(&str, Route)]) -> Result<Route, RouteError> {
+    if let Some((_, route)) = routes.iter().find(|(allowed, _)| *allowed == method) {
+        return Ok(route.clone());
+    }
+    let has = |wanted| routes.iter().any(|(method, _)| *method == wanted);
+    let allowed = match (has("GET"), has("POST"), has("DELETE"), has("PUT")) {
+        (true, true, ..) => "GET or POST",
+        (true, _, true, _) => "GET or DELETE",
+        (true, _, _, true) => "GET or PUT",
+        (true, ..) => "GET",
+        _ => "POST",
+    };
+    Err(RouteError::MethodNotAllowed { allowed })
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -23,5 +23,5 @@
 pub use resources::Resources;
 pub use settings::{
     CellSettings, MAX_SETTINGS_BYTES, MAX_TEAMS, ServiceSettings, Settings, SettingsError,
-    SloSettings, TeamSettings, WorkClass,
+    SloSettings, TeamSettings, WorkClass, parse_json,
 };
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -7,7 +7,7 @@
     crate::{Resources, ServiceName, Team},
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Largest accepted settings document.
@@ -170,6 +170,24 @@
     pub problem: String,
 }
 
+/// Parses a settings document into a type that denies unknown fields.
+///
+/// # Errors
+///
+/// Returns the path of the first unknown key or wrong type, and what was expected.
+pub fn parse_json<T: serde::de::DeserializeOwned>(json: &[u8]) -> Result<T, SettingsError> {
+    if json.len() > MAX_SETTINGS_BYTES {
+        return Err(SettingsError::new(".", "expected at most 4 MiB"));
+    }
+    let mut deserializer = serde_json::Deserializer::from_slice(json);
+    let value = serde_path_to_error::deserialize(&mut deserializer)
+        .map_err(|err| SettingsError::new(&err.path().to_string(), &err.inner().to_string()))?;
+    deserializer
+        .end()
+        .map_err(|err| SettingsError::new(".", &err.to_string()))?;
+    Ok(value)
+}
+
 impl Settings {
     /// Parses and checks a JSON document.
     ///
@@ -177,15 +195,7 @@
     ///
     /// Returns the path of the first unknown key, wrong type or impossible value, and what was expected.
     pub fn parse(json: &[u8]) -> Result<Self, SettingsError> {
-        if json.len() > MAX_SETTINGS_BYTES {
-            return Err(SettingsError::new(".", "expected at most 4 MiB"));
-        }
-        let mut deserializer = serde_json::Deserializer::from_slice(json);
-        let settings: Self = serde_path_to_error::deserialize(&mut deserializer)
-            .map_err(|err| SettingsError::new(&err.path().to_string(), &err.inner().to_string()))?;
-        deserializer
-            .end()
-            .map_err(|err| SettingsError::new(".", &err.to_string()))?;
+        let settings: Self = parse_json(json)?;
         settings.check()?;
         Ok(settings)
     }
@@ -200,14 +210,33 @@
         if self.teams.len() > MAX_TEAMS {
             return Err(SettingsError::new("teams", "expected at most 4096 teams"));
         }
-        self.teams
-            .iter()
-            .try_for_each(|(team, branch)| branch.check(&format!("teams.{team}")))
+        for (team, branch) in &self.teams {
+            branch.check(&format!("teams.{team}"))?;
+        }
+        self.check_tokens()
+    }
+
+    /// A token must belong to one principal only, or one team could act as another.
+    fn check_tokens(&self) -> Result<(), SettingsError> {
+        let mut digests = BTreeSet::from([self.cell.operator_token_sha256.as_str()]);
+        for (team, branch) in &self.teams {
+            let digest = branch.token_sha256.as_str();
+            if !digest.is_empty() && !digests.insert(digest) {
+                let path = format!("teams.{team}.token_sha256");
+                return Err(SettingsError::new(
+                    &path,
+                    "the token belongs to another team or to the operators",
+                ));
+            }
+        }
+        Ok(())
     }
 }
 
 impl SettingsError {
-    fn new(path: &str, problem: &str) -> Self {
+    /// Makes an error.
+    #[must_use]
+    pub fn new(path: &str, problem: &str) -> Self {
         Self {
             path: path.to_owned(),
             problem: problem.to_owned(),
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,364 @@
+//! Command line: the subcommand is parsed first, then one option set for each.
+
+use {
+    crate::error::Error,
+    getopts::{Matches, Options},
+    ragwortreel_model::{InstanceId, JobId, Team, WorkerId},
+    std::{env, net::SocketAddr, path::PathBuf, time::Duration},
+};
+
+/// Environment variable that holds the bearer token.
+const TOKEN_VARIABLE: &str = "RAGWORTREEL_TOKEN";
+/// Address of an entry instance when none is given.
+const DEFAULT_ADDRESS: &str = "127.0.0.1:8080";
+/// Time that a command waits for its answer when none is given.
+const DEFAULT_TIMEOUT_MS: u64 = 10_000;
+
+/// What the program is asked to do.
+#[derive(Debug)]
+pub enum Command {
+    /// Run an entry instance.
+    Serve(PathBuf),
+    /// Check settings files.
+    Check(Vec<PathBuf>),
+    /// Run the built-in demonstration.
+    Quickstart(QuickstartOptions),
+    /// Run stand-ins of the platform, for tests.
+    Standin(PathBuf),
+    /// Send a command to an entry instance.
+    Remote(Remote, RemoteCommand),
+    /// Print a text.
+    Print(String),
+}
+
+/// Options of the demonstration.
+#[derive(Debug, Clone, Copy)]
+pub struct QuickstartOptions {
+    /// Length of the load, in s.
+    pub seconds: u64,
+    /// Print the report as JSON.
+    pub json: bool,
+}
+
+/// Where and how to reach an entry instance.
+#[derive(Debug, Clone)]
+pub struct Remote {
+    /// Addresses; all commands but `burn` use the first.
+    pub addresses: Vec<SocketAddr>,
+    /// Bearer token.
+    pub token: Option<String>,
+    /// Longest time to wait for the answer.
+    pub timeout: Duration,
+    /// Print JSON in place of a table.
+    pub json: bool,
+}
+
+/// Command for an entry instance.
+#[derive(Debug, Clone)]
+pub enum RemoteCommand {
+    /// Read the settings tree or one team's branch.
+    SettingsGet(Option<Team>),
+    /// Replace the settings tree or one team's branch.
+    SettingsSet {
+        /// Branch; the whole tree when absent.
+        team: Option<Team>,
+        /// File with the new content.
+        file: PathBuf,
+        /// Version that the change was made from.
+        base: u64,
+    },
+    /// Submit a job.
+    Submit(PathBuf),
+    /// List jobs.
+    Jobs,
+    /// Describe a job.
+    Describe(JobId),
+    /// Cancel a job.
+    Cancel(JobId),
+    /// Drain a worker.
+    DrainWorker(WorkerId),
+    /// Drain an entry instance.
+    DrainInstance(InstanceId),
+    /// Print the service-level-burn report.
+    Burn,
+}
+
+const HELP: &str = "\
+ragwortreel schedules services, batch work and jobs whose tasks start together.
+
+usage: ragwortreel COMMAND [OPTIONS]
+
+daemon:
+  serve --settings FILE             run an entry instance
+  check FILE...                     check settings files
+  quickstart                        run a whole small cell on this machine
+
+settings:
+  settings get [--team TEAM]        print the tree or one team's branch
+  settings set FILE --base VERSION [--team TEAM]
+                                    replace the tree or one team's branch
+
+jobs:
+  submit FILE                       submit the job in a JSON file
+  jobs                              list jobs
+  describe JOB                      show one job and why its tasks wait
+  cancel JOB                        cancel a job
+
+operation:
+  drain worker NAME                 give a worker no new tasks
+  drain instance NAME               stop an entry instance gracefully
+  burn                              report how fast error budgets are used
+
+other:
+  version                           print the version
+  help                              print this help
+
+'ragwortreel COMMAND --help' lists a command's options.
+exit codes: 0 done, 1 failure, 2 wrong command line, 3 not acceptable,
+  4 conflict, 5 not run, 6 outcome unknown, 7 not found, 8 violation found
+";
+
+/// Parses the arguments after the program's name.
+///
+/// # Errors
+///
+/// Returns a usage error that says what is wrong.
+pub fn parse(args: &[String]) -> Result<Command, Error> {
+    let Some((name, rest)) = args.split_first() else {
+        return Err(Error::usage("a command is missing"));
+    };
+    match name.as_str() {
+        "help" | "--help" | "-h" => Ok(Command::Print(HELP.to_owned())),
+        "version" | "--version" | "-V" => Ok(Command::Print(
+            concat!("ragwortreel ", env!("CARGO_PKG_VERSION"), "\n").to_owned(),
+        )),
+        "serve" | "standin" => parse_file_command(name, rest),
+        "check" => parse_check(rest),
+        "quickstart" => parse_quickstart(rest),
+        "settings" => parse_settings(rest),
+        "submit" | "jobs" | "describe" | "cancel" | "drain" | "burn" => parse_remote(name, rest),
+        _ => Err(Error::usage(format!("unknown command '{name}'"))),
+    }
+}
+
+/// Result of parsing one option set: the matches, or a text to print.
+enum Parsed {
+    Matches(Matches),
+    Print(Command),
+}
+
+fn parse_options(usage: &str, mut options: Options, args: &[String]) -> Result<Parsed, Error> {
+    options.optflag("h", "help", "print this help");
+    let matches = options
+        .parse(args)
+        .map_err(|err| Error::usage(format!("{usage}: {err}")))?;
+    if matches.opt_present("help") {
+        let text = options.usage(&format!("usage: ragwortreel {usage}"));
+        return Ok(Parsed::Print(Command::Print(text)));
+    }
+    Ok(Parsed::Matches(matches))
+}
+
+fn parse_file_command(name: &str, args: &[String]) -> Result<Command, Error> {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "settings file of the process", "FILE");
+    let matches = match parse_options(&format!("{name} --settings FILE"), options, args)? {
+        Parsed::Matches(matches) => matches,
+        Parsed::Print(command) => return Ok(command),
+    };
+    expect_free(&matches, 0, name)?;
+    let file = matches
+        .opt_str("settings")
+        .ok_or_else(|| Error::usage(format!("{name}: --settings is missing")))?;
+    let file = PathBuf::from(file);
+    Ok(if name == "serve" {
+        Command::Serve(file)
+    } else {
+        Command::Standin(file)
+    })
+}
+
+fn parse_check(args: &[String]) -> Result<Command, Error> {
+    match parse_options("check FILE...", Options::new(), args)? {
+        Parsed::Print(command) => Ok(command),
+        Parsed::Matches(matches) if matches.free.is_empty() => {
+            Err(Error::usage("check: a file is missing"))
+        }
+        Parsed::Matches(matches) => Ok(Command::Check(
+            matches.free.iter().map(PathBuf::from).collect(),
+        )),
+    }
+}
+
+fn parse_quickstart(args: &[String]) -> Result<Command, Error> {
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "seconds",
+        "length of the load, 1 to 300 (default 10)",
+        "N",
+    );
+    options.optflag("", "json", "print JSON");
+    let matches = match parse_options("quickstart", options, args)? {
+        Parsed::Matches(matches) => matches,
+        Parsed::Print(command) => return Ok(command),
+    };
+    expect_free(&matches, 0, "quickstart")?;
+    let seconds = number(&matches, "seconds", 10)?;
+    if !(1..=300).contains(&seconds) {
+        return Err(Error::usage("quickstart: --seconds must be 1 to 300"));
+    }
+    Ok(Command::Quickstart(QuickstartOptions {
+        seconds,
+        json: matches.opt_present("json"),
+    }))
+}
+
+fn remote_options() -> Options {
+    let mut options = Options::new();
+    options.optmulti(
+        "a",
+        "address",
+        "entry instance (default 127.0.0.1:8080)",
+        "IP:PORT",
+    );
+    options.optopt(
+        "",
+        "token-file",
+        "file with the bearer token (default: $RAGWORTREEL_TOKEN)",
+        "FILE",
+    );
+    options.optopt(
+        "",
+        "timeout-ms",
+        "longest wait for the answer (default 10000)",
+        "MS",
+    );
+    options.optflag("", "json", "print JSON");
+    options
+}
+
+fn remote(matches: &Matches) -> Result<Remote, Error> {
+    let mut addresses = matches.opt_strs("address");
+    if addresses.is_empty() {
+        addresses.push(DEFAULT_ADDRESS.to_owned());
+    }
+    let addresses = addresses.iter().map(|text| {
+        text.parse()
+            .map_err(|_| Error::usage(format!("--address: '{text}' is not IP:PORT")))
+    });
+    let token = match matches.opt_str("token-file") {
+        Some(file) => {
+            let text = crate::config::read(&PathBuf::from(file))?;
+            Some(String::from_utf8_lossy(&text).trim().to_owned())
+        }
+        None => env::var(TOKEN_VARIABLE).ok(),
+    };
+    Ok(Remote {
+        addresses: addresses.collect::<Result<_, _>>()?,
+        token,
+        timeout: Duration::from_millis(number(matches, "timeout-ms", DEFAULT_TIMEOUT_MS)?),
+        json: matches.opt_present("json"),
+    })
+}
+
+fn parse_settings(args: &[String]) -> Result<Command, Error> {
+    let usage = "settings get [--team TEAM] | settings set FILE --base VERSION [--team TEAM]";
+    let mut options = remote_options();
+    options.optopt("t", "team", "branch of one team", "TEAM");
+    options.optopt(
+        "b",
+        "base",
+        "version that the change was made from",
+        "VERSION",
+    );
+    let matches = match parse_options(usage, options, args)? {
+        Parsed::Matches(matches) => matches,
+        Parsed::Print(command) => return Ok(command),
+    };
+    let team = matches
+        .opt_str("team")
+        .map(|text| Team::new(&text))
+        .transpose();
+    let team = team.map_err(|err| Error::usage(format!("--team: {err}")))?;
+    let command = match matches
+        .free
+        .iter()
+        .map(String::as_str)
+        .collect::<Vec<_>>()
+        .as_slice()
+    {
+        ["get"] => RemoteCommand::SettingsGet(team),
+        ["set", file] => {
+            if !matches.opt_present("base") {
+                return Err(Error::usage(
+                    "settings set: --base is missing; 'settings get' prints the version",
+                ));
+            }
+            RemoteCommand::SettingsSet {
+                team,
+                file: PathBuf::from(file),
+                base: number(&matches, "base", 0)?,
+            }
+        }
+        _ => return Err(Error::usage(format!("usage: ragwortreel {usage}"))),
+    };
+    Ok(Command::Remote(remote(&matches)?, command))
+}
+
+fn parse_remote(name: &str, args: &[String]) -> Result<Command, Error> {
+    let usage = match name {
+        "submit" => "submit FILE",
+        "describe" => "describe JOB",
+        "cancel" => "cancel JOB",
+        "drain" => "drain worker NAME | drain instance NAME",
+        _ => name,
+    };
+    let matches = match parse_options(usage, remote_options(), args)? {
+        Parsed::Matches(matches) => matches,
+        Parsed::Print(command) => return Ok(command),
+    };
+    let command = remote_command(name, &matches).map_err(|problem| {
+        let problem = problem.unwrap_or_else(|| format!("usage: ragwortreel {usage}"));
+        Error::usage(problem)
+    })?;
+    Ok(Command::Remote(remote(&matches)?, command))
+}
+
+/// The command that the free arguments name; the error is a problem with a name, or none for a wrong number of them.
+fn remote_command(name: &str, matches: &Matches) -> Result<RemoteCommand, Option<String>> {
+    let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    let problem = |err: ragwortreel_model::NameError| Some(err.to_string());
+    match (name, free.as_slice()) {
+        ("submit", [file]) => Ok(RemoteCommand::Submit(PathBuf::from(file))),
+        ("jobs", []) => Ok(RemoteCommand::Jobs),
+        ("describe", [job]) => Ok(RemoteCommand::Describe(JobId::new(job).map_err(problem)?)),
+        ("cancel", [job]) => Ok(RemoteCommand::Cancel(JobId::new(job).map_err(problem)?)),
+        ("drain", ["worker", id]) => Ok(RemoteCommand::DrainWorker(
+            WorkerId::new(id).map_err(problem)?,
+        )),
+        ("drain", ["instance", id]) => Ok(RemoteCommand::DrainInstance(
+            InstanceId::new(id).map_err(problem)?,
+        )),
+        ("burn", []) => Ok(RemoteCommand::Burn),
+        _ => Err(None),
+    }
+}
+
+fn expect_free(matches: &Matches, count: usize, name: &str) -> Result<(), Error> {
+    match matches.free.get(count) {
+        None => Ok(()),
+        Some(extra) => Err(Error::usage(format!(
+            "{name}: unexpected argument '{extra}'"
+        ))),
+    }
+}
+
+fn number(matches: &Matches, option: &str, default: u64) -> Result<u64, Error> {
+    match matches.opt_str(option) {
+        None => Ok(default),
+        Some(text) => text
+            .parse()
+            .map_err(|_| Error::usage(format!("--{option}: '{text}' is not a number"))),
+    }
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,325 @@
+//! Commands that are sent to an entry instance.
+
+use {
+    crate::{
+        burn::{self, BurnCounts},
+        cli::{Remote, RemoteCommand},
+        config,
+        error::Error,
+        exit_codes::Exit,
+        output::{self, Table},
+    },
+    ragwortreel_caller::OUTCOME_HEADER,
+    ragwortreel_http::{Client, ClientLimits, Headers, Method, Request, Response, Sent},
+    ragwortreel_model::{JobSpec, JobStatus, Settings, SettingsError, Team, TeamSettings},
+    std::{net::SocketAddr, path::Path, time::Instant},
+};
+
+/// Sends a command and prints its result.
+///
+/// # Errors
+///
+/// Returns what the instance or the connection to it reported, with the exit code for what became of the command.
+pub async fn run(remote: &Remote, command: RemoteCommand) -> Result<(), Error> {
+    let client = Client::new(ClientLimits::default());
+    let session = Session { remote, client };
+    match command {
+        RemoteCommand::SettingsGet(team) => session.get_settings(team.as_ref()).await,
+        RemoteCommand::SettingsSet { team, file, base } => {
+            session.set_settings(team.as_ref(), &file, base).await
+        }
+        RemoteCommand::Submit(file) => session.submit(&file).await,
+        RemoteCommand::Jobs => session.jobs().await,
+        RemoteCommand::Describe(job) => {
+            session
+                .describe(
+                    "describing the job",
+                    Method::Get,
+                    &format!("/v1/jobs/{job}"),
+                )
+                .await
+        }
+        RemoteCommand::Cancel(job) => {
+            session
+                .describe(
+                    "cancelling the job",
+                    Method::Delete,
+                    &format!("/v1/jobs/{job}"),
+                )
+                .await
+        }
+        RemoteCommand::DrainWorker(id) => session.drain(&format!("/v1/workers/{id}/drain")).await,
+        RemoteCommand::DrainInstance(id) => {
+            session.drain(&format!("/v1/instances/{id}/drain")).await
+        }
+        RemoteCommand::Burn => session.burn().await,
+    }
+}
+
+struct Session<'a> {
+    remote: &'a Remote,
+    client: Client,
+}
+
+impl Session<'_> {
+    async fn get_settings(&self, team: Option<&Team>) -> Result<(), Error> {
+        let response = self
+            .send(
+                "reading settings",
+                Method::Get,
+                &settings_path(team),
+                None,
+                Vec::new(),
+            )
+            .await?;
+        let version = response
+            .headers
+            .get("etag")
+            .unwrap_or_default()
+            .trim_matches('"')
+            .to_owned();
+        eprintln!("version {version}");
+        let value: serde_json::Value = self.parse("reading settings", &response)?;
+        output::print(&format!("{value:#}\n"))
+    }
+
+    async fn set_settings(&self, team: Option<&Team>, file: &Path, base: u64) -> Result<(), Error> {
+        let json = config::read(file)?;
+        check_settings(team, &json).map_err(|source| Error::Settings {
+            path: file.to_owned(),
+            source,
+        })?;
+        let response = self
+            .send(
+                "changing settings",
+                Method::Put,
+                &settings_path(team),
+                Some(base),
+                json,
+            )
+            .await?;
+        output::print(&format!("{}\n", String::from_utf8_lossy(&response.body)))
+    }
+
+    async fn submit(&self, file: &Path) -> Result<(), Error> {
+        let json = config::read(file)?;
+        let invalid = |source| Error::Settings {
+            path: file.to_owned(),
+            source,
+        };
+        let spec: JobSpec = ragwortreel_model::parse_json(&json).map_err(invalid)?;
+        spec.check()
+            .map_err(|err| invalid(SettingsError::new(err.field, err.problem)))?;
+        let response = self
+            .send("submitting the job", Method::Post, "/v1/jobs", None, json)
+            .await?;
+        self.print_job("submitting the job", &response)
+    }
+
+    async fn describe(&self, step: &'static str, method: Method, path: &str) -> Result<(), Error> {
+        let response = self.send(step, method, path, None, Vec::new()).await?;
+        self.print_job(step, &response)
+    }
+
+    fn print_job(&self, step: &'static str, response: &Response) -> Result<(), Error> {
+        if self.remote.json {
+            return output::print(&format!("{}\n", String::from_utf8_lossy(&response.body)));
+        }
+        let status: JobStatus = self.parse(step, response)?;
+        let waiting = status
+            .waiting
+            .as_ref()
+            .map_or_else(|| "-".to_owned(), ToString::to_string);
+        let lines = [
+            ("job", status.spec.id.to_string()),
+            ("team", status.spec.team.to_string()),
+            ("kind", status.spec.kind.to_string()),
+            ("priority", status.spec.priority.to_string()),
+            ("pool", status.pool.to_string()),
+            ("state", status.state.to_string()),
+            ("tasks", status.spec.tasks.to_string()),
+            ("running", status.running.to_string()),
+            ("succeeded", status.succeeded.to_string()),
+            ("failures", status.failures.to_string()),
+            ("waiting", waiting),
+        ];
+        let lines = lines.iter().map(|(key, value)| format!("{key:10} {value}"));
+        output::print(&format!("{}\n", lines.collect::<Vec<_>>().join("\n")))
+    }
+
+    async fn jobs(&self) -> Result<(), Error> {
+        let response = self
+            .send("listing jobs", Method::Get, "/v1/jobs", None, Vec::new())
+            .await?;
+        if self.remote.json {
+            return output::print(&format!("{}\n", String::from_utf8_lossy(&response.body)));
+        }
+        let jobs: Vec<JobStatus> = self.parse("listing jobs", &response)?;
+        let mut table = Table::new(&[
+            "JOB",
+            "TEAM",
+            "KIND",
+            "STATE",
+            "RUNNING",
+            "SUCCEEDED",
+            "TASKS",
+            "WAITING",
+        ]);
+        for job in jobs {
+            table.row(vec![
+                job.spec.id.to_string(),
+                job.spec.team.to_string(),
+                job.spec.kind.to_string(),
+                job.state.to_string(),
+                job.running.to_string(),
+                job.succeeded.to_string(),
+                job.spec.tasks.to_string(),
+                job.waiting
+                    .map_or_else(|| "-".to_owned(), |reason| reason.to_string()),
+            ]);
+        }
+        output::print(&table.text())
+    }
+
+    async fn drain(&self, path: &str) -> Result<(), Error> {
+        self.send("draining", Method::Post, path, None, Vec::new())
+            .await?;
+        output::print("draining\n")
+    }
+
+    async fn burn(&self) -> Result<(), Error> {
+        let mut counts = BurnCounts::default();
+        for &address in &self.remote.addresses {
+            let step = "reading burn counts";
+            let response = self
+                .send_to(address, step, Method::Get, "/v1/burn", None, Vec::new())
+                .await?;
+            counts.merge(&self.parse(step, &response)?);
+        }
+        let report = burn::report(&counts);
+        if self.remote.json {
+            let json =
+                serde_json::to_string(&report).map_err(|err| Error::start("burn report", &err))?;
+            return output::print(&format!("{json}\n"));
+        }
+        output::print(&burn::table(&report))
+    }
+
+    async fn send(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        base: Option<u64>,
+        body: Vec<u8>,
+    ) -> Result<Response, Error> {
+        self.send_to(self.remote.addresses[0], step, method, path, base, body)
+            .await
+    }
+
+    async fn send_to(
+        &self,
+        address: SocketAddr,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        base: Option<u64>,
+        body: Vec<u8>,
+    ) -> Result<Response, Error> {
+        let mut headers = Headers::new();
+        headers.insert("host", address.to_string());
+        if let Some(token) = &self.remote.token {
+            headers.insert("authorization", format!("Bearer {token}"));
+        }
+        if let Some(base) = base {
+            headers.insert("if-match", format!("\"{base}\""));
+        }
+        let req = Request {
+            method,
+            path: path.to_owned(),
+            headers,
+            body,
+        };
+        let deadline = Instant::now() + self.remote.timeout;
+        let response = self
+            .client
+            .send(address, req, deadline)
+            .await
+            .map_err(|err| {
+                let exit = if err.sent == Sent::Nothing || method == Method::Get {
+                    Exit::NotRun
+                } else {
+                    Exit::Unknown
+                };
+                Error::Refused {
+                    step,
+                    peer: address.to_string(),
+                    problem: err.to_string(),
+                    exit,
+                }
+            })?;
+        if response.status < 300 {
+            return Ok(response);
+        }
+        Err(refused(step, address, &response))
+    }
+
+    fn parse<T: serde::de::DeserializeOwned>(
+        &self,
+        step: &'static str,
+        response: &Response,
+    ) -> Result<T, Error> {
+        serde_json::from_slice(&response.body).map_err(|err| Error::Refused {
+            step,
+            peer: self.remote.addresses[0].to_string(),
+            problem: format!("unreadable answer: {err}"),
+            exit: Exit::Failure,
+        })
+    }
+}
+
+/// Checks settings before they are sent, so that the error names the place in the file.
+fn check_settings(team: Option<&Team>, json: &[u8]) -> Result<(), SettingsError> {
+    let Some(team) = team else {
+        return Settings::parse(json).map(|_| ());
+    };
+    let branch: TeamSettings = ragwortreel_model::parse_json(json)?;
+    let mut tree = Settings::default();
+    tree.teams.insert(team.clone(), branch);
+    tree.check()
+}
+
+fn settings_path(team: Option<&Team>) -> String {
+    team.map_or_else(
+        || "/v1/settings".to_owned(),
+        |team| format!("/v1/settings/teams/{team}"),
+    )
+}
+
+fn refused(step: &'static str, address: SocketAddr, response: &Response) -> Error {
+    let outcome = response.headers.get(OUTCOME_HEADER);
+    let exit = match response.status {
+        400 | 413 => Exit::Invalid,
+        404 => Exit::NotFound,
+        409 => Exit::Conflict,
+        _ if outcome == Some("unknown") => Exit::Unknown,
+        _ if outcome == Some("not-run") => Exit::NotRun,
+        _ => Exit::Failure,
+    };
+    let body = String::from_utf8_lossy(&response.body);
+    let problem = serde_json::from_str::<serde_json::Value>(&body)
+        .ok()
+        .and_then(|value| {
+            value
+                .get("problem")
+                .and_then(|text| text.as_str())
+                .map(ToOwned::to_owned)
+        })
+        .unwrap_or_else(|| body.into_owned());
+    Error::Refused {
+        step,
+        peer: address.to_string(),
+        problem: format!("{} {problem}", response.status),
+        exit,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,94 @@
-//! Ragwortreel.
+//! The program behind the binary `ragwortreel`: command line, daemon assembly and reports.
+
+pub mod burn;
+pub mod cli;
+mod client;
+pub mod config;
+//DAEMON
+pub mod error;
+//EV
+pub mod exit_codes;
+pub mod output;
+//QS
+pub mod telemetry;
+
+use {
+    cli::Command,
+    config::Config,
+    error::Error,
+    ragwortreel_runtime::{Stop, block_on, json_logger, start_threads, stop_on_signals},
+    std::path::{Path, PathBuf},
+};
+
+/// Carries out a command line.
+///
+/// # Errors
+///
+/// Returns why the command was not, or perhaps not, carried out.
+pub fn run(args: &[String]) -> Result<(), Error> {
+    match cli::parse(args)? {
+        Command::Print(text) => output::print(&text),
+        Command::Check(files) => check(&files),
+        Command::Serve(file) => serve(&file),
+        Command::Standin(file) => standin(&file),
+        Command::Quickstart(options) => {
+            let _ = options;
+            todo!()
+        }
+        Command::Remote(remote, command) => block_on(client::run(&remote, command)),
+    }
+}
+
+fn serve(file: &Path) -> Result<(), Error> {
+    let config = Config::load(file)?;
+    start_threads(config.threads).map_err(|err| Error::start("starting threads", &err))?;
+    let log = json_logger(config.log_level.level());
+    let stop = Stop::new();
+    stop_on_signals(stop.clone())
+        .map_err(|err| Error::start("installing signal handlers", &err))?;
+    {
+        let _ = (config, log, stop);
+        todo!()
+    }
+}
+
+fn standin(file: &Path) -> Result<(), Error> {
+    let json = config::read(file)?;
+    let config = ragwortreel_model::parse_json(&json).map_err(|source| Error::Settings {
+        path: file.to_owned(),
+        source,
+    })?;
+    let stop = Stop::new();
+    stop_on_signals(stop.clone())
+        .map_err(|err| Error::start("installing signal handlers", &err))?;
+    let log = json_logger(ragwortreel_runtime::Level::Info);
+    {
+        let _: (serde_json::Value,) = (config,);
+        let _ = log;
+        todo!()
+    }
+}
+
+/// Checks each file as a daemon's settings when it has the key `instance`, else as a settings tree.
+fn check(files: &[PathBuf]) -> Result<(), Error> {
+    for file in files {
+        let json = config::read(file)?;
+        let value: serde_json::Value =
+            ragwortreel_model::parse_json(&json).map_err(|source| Error::Settings {
+                path: file.clone(),
+                source,
+            })?;
+        let is_daemon = value.get("instance").is_some();
+        let result = if is_daemon {
+            Config::parse(&json).map(|_| "daemon settings")
+        } else {
+            ragwortreel_model::Settings::parse(&json).map(|_| "settings tree")
+        };
+        let kind = result.map_err(|source| Error::Settings {
+            path: file.clone(),
+            source,
+        })?;
+        output::print(&format!("{}: {kind} is acceptable\n", file.display()))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,214 @@
+//! Metrics of the daemon, exported in the Prometheus text format through OpenTelemetry.
+//!
+//! They cover the five measures of the design page (time to placement, packing, cost of control, service at peak load,
+//! head-of-line blocking), by team and kind. `docs/operators.md` explains each.
+
+use {
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Gauge, Histogram, MeterProvider as _},
+    },
+    opentelemetry_sdk::metrics::SdkMeterProvider,
+    prometheus::{Encoder as _, Registry, TextEncoder},
+    ragwortreel_model::{JobKind, Outcome, Pool, Team, WorkClass},
+    std::{fs, time::Duration},
+};
+
+/// Bucket bounds of request times in s.
+const REQUEST_BOUNDS_S: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
+];
+/// Bucket bounds of times to placement in s; 4.8 is the target of urgent work.
+const PLACEMENT_BOUNDS_S: [f64; 9] = [0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 4.8, 30.0, 300.0];
+/// Clock ticks a second in `/proc/self/stat`; fixed at 100 on Linux.
+const TICKS_PER_S: f64 = 100.0;
+/// Page size that `/proc/self/statm` counts in, in bytes.
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// All metrics of a daemon.
+pub struct Telemetry {
+    registry: Registry,
+    // Dropping the provider would end the export.
+    _provider: SdkMeterProvider,
+    request_seconds: Histogram<f64>,
+    queue_seconds: Histogram<f64>,
+    attempts: Counter<u64>,
+    placement_seconds: Histogram<f64>,
+    packing: Gauge<f64>,
+    queued: Gauge<u64>,
+    in_flight: Gauge<u64>,
+    settings_version: Gauge<u64>,
+    store_calls: Gauge<u64>,
+    cpu_seconds: Gauge<f64>,
+    resident_bytes: Gauge<f64>,
+}
+
+impl Telemetry {
+    /// Makes the metrics and their exporter.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the exporter cannot be registered.
+    pub fn new() -> Result<Self, String> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build();
+        let exporter = exporter.map_err(|err| err.to_string())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("ragwortreel");
+        let seconds = |name: &'static str, about: &'static str, bounds: &[f64]| {
+            meter
+                .f64_histogram(name)
+                .with_description(about)
+                .with_unit("s")
+                .with_boundaries(bounds.to_vec())
+                .build()
+        };
+        Ok(Self {
+            request_seconds: seconds(
+                "request_duration",
+                "time from arrival to answer",
+                &REQUEST_BOUNDS_S,
+            ),
+            queue_seconds: seconds(
+                "request_queue_duration",
+                "time from arrival to a slot",
+                &REQUEST_BOUNDS_S,
+            ),
+            attempts: meter
+                .u64_counter("request_attempts")
+                .with_description("attempts at backend servers")
+                .build(),
+            placement_seconds: seconds(
+                "placement_wait",
+                "time from submission to start",
+                &PLACEMENT_BOUNDS_S,
+            ),
+            packing: meter
+                .f64_gauge("pool_reserved_share")
+                .with_description("reserved share of a pool")
+                .build(),
+            queued: meter
+                .u64_gauge("queue_length")
+                .with_description("requests or tasks that wait")
+                .build(),
+            in_flight: meter
+                .u64_gauge("requests_in_flight")
+                .with_description("requests at backend servers")
+                .build(),
+            settings_version: meter
+                .u64_gauge("settings_version")
+                .with_description("settings in force")
+                .build(),
+            store_calls: meter
+                .u64_gauge("store_calls")
+                .with_description("calls to the platform's services")
+                .build(),
+            cpu_seconds: meter.f64_gauge("process_cpu").with_unit("s").build(),
+            resident_bytes: meter.f64_gauge("process_resident").with_unit("By").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Records a finished request.
+    pub fn request(&self, team: &Team, class: WorkClass, outcome: Outcome, took: Duration) {
+        let attributes = [
+            label("team", team),
+            label("class", &class),
+            label("outcome", &outcome),
+        ];
+        self.request_seconds.record(took.as_secs_f64(), &attributes);
+    }
+
+    /// Records the time that a request waited for a slot.
+    pub fn queued_for(&self, team: &Team, class: WorkClass, waited: Duration) {
+        self.queue_seconds.record(
+            waited.as_secs_f64(),
+            &[label("team", team), label("class", &class)],
+        );
+    }
+
+    /// Records an attempt at a backend server.
+    pub fn attempt(&self, team: &Team, result: &'static str) {
+        self.attempts
+            .add(1, &[label("team", team), KeyValue::new("result", result)]);
+    }
+
+    /// Records the start of a task.
+    pub fn placed(&self, team: &Team, kind: JobKind, waited: Duration) {
+        self.placement_seconds.record(
+            waited.as_secs_f64(),
+            &[label("team", team), label("kind", &kind)],
+        );
+    }
+
+    /// Records how full a pool is and how many tasks wait.
+    pub fn pool(&self, pool: &Pool, reserved_share: f64, queued: u64) {
+        self.packing.record(reserved_share, &[label("pool", pool)]);
+        self.queued.record(queued, &[label("pool", pool)]);
+    }
+
+    /// Records the state of request routing.
+    pub fn routing(&self, class: WorkClass, queued: u64, in_flight: u64) {
+        self.queued.record(queued, &[label("class", &class)]);
+        self.in_flight.record(in_flight, &[label("class", &class)]);
+    }
+
+    /// Records the settings version in force.
+    pub fn settings(&self, version: u64) {
+        self.settings_version.record(version, &[]);
+    }
+
+    /// Records the sum of calls to the platform's services so far.
+    pub fn store(&self, reads: u64, writes: u64) {
+        self.store_calls
+            .record(reads, &[KeyValue::new("kind", "read")]);
+        self.store_calls
+            .record(writes, &[KeyValue::new("kind", "write")]);
+    }
+
+    /// All metrics in the Prometheus text format.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        if let Some(usage) = process_usage() {
+            self.cpu_seconds.record(usage.cpu_seconds, &[]);
+            self.resident_bytes.record(usage.resident_bytes, &[]);
+        }
+        let mut buf = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            Ok(()) => buf,
+            Err(err) => format!("# {err}\n").into_bytes(),
+        }
+    }
+}
+
+fn label(key: &'static str, value: &impl ToString) -> KeyValue {
+    KeyValue::new(key, value.to_string())
+}
+
+/// What this process has used.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessUsage {
+    /// Processor time in s.
+    pub cpu_seconds: f64,
+    /// Resident memory in bytes.
+    pub resident_bytes: f64,
+}
+
+/// Reads what this process has used from `/proc`.
+#[must_use]
+pub fn process_usage() -> Option<ProcessUsage> {
+    let stat = fs::read_to_string("/proc/self/stat").ok()?;
+    // The command's name is in parentheses and may hold spaces; the fields after it are utime and stime at 12 and 13.
+    let (_, rest) = stat.rsplit_once(") ")?;
+    let fields: Vec<&str> = rest.split(' ').collect();
+    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    let statm = fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: f64 = statm.split(' ').nth(1)?.parse().ok()?;
+    Some(ProcessUsage {
+        cpu_seconds: ticks / TICKS_PER_S,
+        resident_bytes: pages * PAGE_BYTES,
+    })
+}
