--- /dev/null
+++ b/tests/burn.rs
@@ -0,0 +1,76 @@
+//! The service-level-burn report.
+
+use {
+    ragwortreel::burn::{BurnCounter, BurnCounts, Minute, ServiceCounts, report, table},
+    ragwortreel_model::{ServiceName, SloSettings, Team},
+};
+
+fn counts(minutes: &[(u64, u64, u64)]) -> BurnCounts {
+    let minutes = minutes.iter().map(|&(minute, total, good)| Minute {
+        minute,
+        total,
+        good,
+    });
+    let service = ServiceCounts {
+        team: Team::new("counter").expect("a name"),
+        service: ServiceName::new("quotes").expect("a name"),
+        slo: SloSettings {
+            answered_percent: 99.0,
+            latency_ms: 200,
+        },
+        minutes: minutes.collect(),
+    };
+    BurnCounts {
+        minute: 1_000,
+        services: vec![service],
+    }
+}
+
+/// Names each case: counts by minute => burn rates over 5, 60 and 360 minutes and whether to act.
+macro_rules! burn_rates {
+    ($($name:ident: $minutes:expr => $rates:expr, $page:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let report = report(&counts(&$minutes));
+            let rates: Vec<String> = report[0].windows.iter().map(|w| format!("{:.0}", w.burn_rate * 100.0)).collect();
+            assert_eq!(rates, $rates.map(|rate: u32| rate.to_string()));
+            assert_eq!(report[0].page, $page);
+        }
+    )*};
+}
+
+burn_rates! {
+    nothing_counted: [] => [0, 0, 0], false;
+    all_good: [(1_000, 100, 100)] => [0, 0, 0], false;
+    exactly_the_budget: [(1_000, 100, 99)] => [100, 100, 100], false;
+    fast_burn: [(1_000, 100, 80)] => [2_000, 2_000, 2_000], true;
+    over_for_five_minutes: [(950, 100, 0), (1_000, 100, 100)] => [0, 5_000, 5_000], false;
+    window_ends_are_exact: [(995, 100, 0), (996, 100, 100), (640, 100, 0)] => [0, 5_000, 5_000], false;
+}
+
+/// Counts of several instances must add up, or the report of one would hide a failing one.
+#[test]
+fn counts_of_instances_add_up() {
+    let mut sum = counts(&[(999, 10, 10), (1_000, 10, 10)]);
+    sum.merge(&counts(&[(998, 5, 0), (1_000, 10, 0)]));
+    let longest = report(&sum)[0].windows[2];
+    assert_eq!((longest.total, longest.good), (35, 20));
+}
+
+/// A request must be counted once, under the objective that is in force.
+#[test]
+fn requests_are_counted() {
+    let counter = BurnCounter::default();
+    let (team, service) = (
+        Team::new("a").expect("a name"),
+        ServiceName::new("s").expect("a name"),
+    );
+    counter.count(&team, &service, &SloSettings::default(), true);
+    counter.count(&team, &service, &SloSettings::default(), false);
+    let report = report(&counter.counts());
+    assert_eq!(
+        (report[0].windows[2].total, report[0].windows[2].good),
+        (2, 1)
+    );
+    assert!(table(&report).contains("99% in 500 ms"));
+}
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,100 @@
+//! The command line of the real binary, run in a temporary directory.
+
+use std::{
+    env, fs,
+    path::PathBuf,
+    process::{Command, Output},
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+/// A temporary directory with files for one test.
+struct TestEnv {
+    dir: PathBuf,
+}
+
+const NONE: [&str; 0] = [];
+static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
+
+impl TestEnv {
+    fn new(files: &[(&str, &str)]) -> Self {
+        let number = NEXT_DIR.fetch_add(1, Ordering::SeqCst);
+        let dir = env::temp_dir().join(format!("ragwortreel-cli-{}-{number}", std::process::id()));
+        fs::create_dir_all(&dir).expect("a temporary directory");
+        for (name, content) in files {
+            fs::write(dir.join(name), content).expect("a file in the temporary directory");
+        }
+        Self { dir }
+    }
+
+    fn run(&self, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_ragwortreel"))
+            .args(args)
+            .current_dir(&self.dir)
+            .env_remove("RAGWORTREEL_TOKEN")
+            .output()
+            .expect("the binary runs")
+    }
+}
+
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Names each case: arguments => exit code and a part of the output.
+macro_rules! commands {
+    ($($name:ident: $args:expr => $code:literal $part:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let env = TestEnv::new(&[
+                ("tree.json", r#"{"teams":{"alpha":{"weight":5}}}"#),
+                ("bad.json", r#"{"teams":{"alpha":{"wait":5}}}"#),
+                ("job.json", r#"{"id":"j","team":"alpha","name":"n","kind":"batch","tasks":0,
+                    "resources":{"milli_cores":1,"memory_mib":1}}"#),
+            ]);
+            let output = env.run(&$args);
+            let text = format!("{}{}", String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
+            assert_eq!(output.status.code(), Some($code), "{text}");
+            assert!(text.contains($part), "{text}");
+        }
+    )*};
+}
+
+commands! {
+    help: ["help"] => 0 "usage: ragwortreel COMMAND";
+    version: ["version"] => 0 "ragwortreel 0.";
+    help_of_a_command: ["settings", "--help"] => 0 "--base";
+    no_command: NONE => 2 "a command is missing";
+    unknown_command: ["sevre"] => 2 "unknown command 'sevre'";
+    unknown_option: ["jobs", "--colour"] => 2 "colour";
+    missing_file: ["serve"] => 2 "--settings is missing";
+    surplus_argument: ["quickstart", "now"] => 2 "unexpected argument 'now'";
+    bad_address: ["jobs", "--address", "localhost"] => 2 "'localhost' is not IP:PORT";
+    bad_name: ["describe", "a/b"] => 2 "a/b";
+    check_accepts: ["check", "tree.json"] => 0 "tree.json: settings tree is acceptable";
+    check_names_the_path: ["check", "tree.json", "bad.json"] => 3 "teams.alpha.wait: unknown field `wait`";
+    check_of_absent_file: ["check", "none.json"] => 1 "reading none.json";
+    set_without_base: ["settings", "set", "tree.json"] => 2 "--base is missing";
+    bad_settings_are_not_sent: ["settings", "set", "bad.json", "--base", "1"] => 3 "teams.alpha.wait";
+    bad_job_is_not_sent: ["submit", "job.json"] => 3 "tasks: expected 1 to 10000";
+    nobody_listens: ["jobs", "--address", "127.0.0.1:1", "--timeout-ms", "2000"] => 5 "127.0.0.1:1";
+}
+
+/// The examples that the documentation names must stay acceptable.
+#[test]
+fn examples_are_acceptable() {
+    let env = TestEnv::new(&[]);
+    let examples = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples");
+    for name in ["dzintars-kods", "khao-phot"] {
+        for kind in ["settings", "daemon"] {
+            let file = examples.join(format!("{name}.{kind}.json"));
+            let output = env.run(&["check", &file.to_string_lossy()]);
+            assert!(
+                output.status.success(),
+                "{}",
+                String::from_utf8_lossy(&output.stderr)
+            );
+        }
+    }
+}
