Move pools_per_zone from the settings tree to the daemon's settings

The division of workers into pools must not change while instances run: two instances with different divisions could both place work on a worker.

--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -58,8 +58,6 @@
     pub retry_budget_percent: u32,
     /// Time without progress after which an open connection counts as silent, in ms.
     pub silent_after_ms: u64,
-    /// Pools that the workers of a zone are divided into.
-    pub pools_per_zone: u32,
 }
 
 impl Default for CellSettings {
@@ -71,7 +69,6 @@
             long_slot_limit: 6,
             retry_budget_percent: 10,
             silent_after_ms: 2_000,
-            pools_per_zone: 1,
         }
     }
 }
@@ -301,8 +298,7 @@
             0,
             100,
         )?;
-        check_range(path, "silent_after_ms", self.silent_after_ms, 100, 60_000)?;
-        check_range(path, "pools_per_zone", self.pools_per_zone.into(), 1, 64)
+        check_range(path, "silent_after_ms", self.silent_after_ms, 100, 60_000)
     }
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -26,6 +26,9 @@
     pub platform: PlatformConfig,
     /// All availability zones of the cell, each with its region.
     pub zones: BTreeMap<Zone, Arc<str>>,
+    /// Pools that the workers of a zone are divided into; the same on all instances of the cell.
+    #[serde(default = "default_pools_per_zone")]
+    pub pools_per_zone: u32,
     /// Executor threads.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -82,9 +85,15 @@
 
 /// Most executor threads; an entry instance is small.
 const MAX_THREADS: usize = 64;
+/// Most pools of a zone; each has an owner loop and a journal.
+const MAX_POOLS_PER_ZONE: u32 = 64;
 /// Longest configurable graceful stop.
 const MAX_STOP_MS: u64 = 3_600_000;
 
+const fn default_pools_per_zone() -> u32 {
+    1
+}
+
 const fn default_threads() -> usize {
     2
 }
@@ -131,6 +140,9 @@
                 "expected another address than caller_address",
             ));
         }
+        if self.pools_per_zone == 0 || self.pools_per_zone > MAX_POOLS_PER_ZONE {
+            return Err(SettingsError::new("pools_per_zone", "expected 1 to 64"));
+        }
         if self.threads == 0 || self.threads > MAX_THREADS {
             return Err(SettingsError::new("threads", "expected 1 to 64"));
         }
