--- /dev/null
+++ b/crates/http/tests/client_guards.rs
@@ -0,0 +1,171 @@
+//! Which responses the client refuses, over real sockets. Each case names the fault of async-h1 or of a server that
+//! it guards against.
+
+mod common;
+
+use {
+    common::{read_head, scripted, soon},
+    ragwortreel_http::{Cause, Client, ClientError, ClientLimits, Request, Response, Sent, Step},
+    ragwortreel_runtime::block_on,
+    std::{
+        io::Write,
+        net::{Ipv4Addr, SocketAddr, TcpListener},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+fn send(client: &Client, addr: SocketAddr) -> Result<Response, ClientError> {
+    block_on(client.send(addr, Request::post("/", "x"), soon()))
+}
+
+/// Tests that a response fails at this step, says that the request may have run, and ends its connection.
+macro_rules! failed {
+    ($($name:ident: $bytes:literal => $step:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            let addr = scripted(vec![($bytes, true)]);
+            let client = Client::new(ClientLimits::default());
+            let err = send(&client, addr).expect_err("no response");
+            assert_eq!((err.step, err.sent, err.peer), (Step::$step, Sent::Maybe, addr));
+            assert_eq!(client.idle_connections(addr), 0);
+        }
+    )*};
+}
+
+failed! {
+    cut_body: b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc" => Body;
+    cut_chunked_body: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n" => Body;
+    neither_length_nor_chunks: b"HTTP/1.1 200 OK\r\n\r\nabc" => Head;
+    differing_lengths: b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 2\r\n\r\nabc" => Head;
+    length_with_plus: b"HTTP/1.1 200 OK\r\ncontent-length: +3\r\n\r\nabc" => Head;
+    length_beside_chunked:
+        b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n" => Head;
+    cut_head: b"HTTP/1.1 200 OK\r\ncontent-le" => Head;
+    no_response: b"" => Wait;
+    not_http: b"SSH-2.0-x\r\n\r\n" => Head;
+    version_1_0: b"HTTP/1.0 200 OK\r\ncontent-length: 0\r\n\r\n" => Head;
+    status_out_of_range: b"HTTP/1.1 999 OK\r\ncontent-length: 0\r\n\r\n" => Head;
+    unasked_upgrade: b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\n" => Head;
+    only_interim: b"HTTP/1.1 100 Continue\r\n\r\n" => Head;
+    line_folding: b"HTTP/1.1 200 OK\r\nx: a\r\n b\r\ncontent-length: 0\r\n\r\n" => Head;
+    bare_line_feeds: b"HTTP/1.1 200 OK\ncontent-length: 0\n\n" => Head;
+}
+
+/// Tests that a response is read as this status and body, and whether its connection is kept.
+macro_rules! answered {
+    ($($name:ident: $bytes:literal => $status:literal, $body:literal, kept $kept:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let addr = scripted(vec![($bytes, false)]);
+            let client = Client::new(ClientLimits::default());
+            let res = send(&client, addr).expect("response");
+            assert_eq!((res.status, res.body.as_slice()), ($status, $body.as_slice()));
+            assert_eq!(client.idle_connections(addr), $kept);
+        }
+    )*};
+}
+
+answered! {
+    interim_is_skipped:
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        => 200, b"ok", kept 1;
+    chunks_are_joined:
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n1\r\n!\r\n0\r\nx: y\r\n\r\n"
+        => 200, b"ok!", kept 1;
+    status_without_body: b"HTTP/1.1 204 None\r\n\r\n" => 204, b"", kept 1;
+    unregistered_status: b"HTTP/1.1 299 Odd\r\ncontent-length: 1\r\n\r\na" => 299, b"a", kept 1;
+    server_closes: b"HTTP/1.1 200 OK\r\nconnection: Close\r\ncontent-length: 1\r\n\r\na" => 200, b"a", kept 0;
+    surplus_bytes: b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n" => 200, b"a", kept 0;
+    surplus_after_no_body: b"HTTP/1.1 204 None\r\ncontent-length: 1\r\n\r\na" => 204, b"", kept 0;
+}
+
+// Guards against a response that arrives after its deadline being matched to the next request.
+#[test]
+fn late_response_is_not_matched_to_another_request() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+    let addr = listener.local_addr().expect("address");
+    thread::spawn(move || {
+        for (delay_ms, body) in [(200, "first"), (0, "other")] {
+            let (mut socket, _) = listener.accept().expect("accept");
+            thread::spawn(move || {
+                while !read_head(&mut socket).is_empty() {
+                    thread::sleep(Duration::from_millis(delay_ms));
+                    let _ = write!(socket, "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n{body}");
+                }
+            });
+        }
+    });
+    let client = Client::new(ClientLimits::default());
+    let deadline = Instant::now() + Duration::from_millis(100);
+    let err = block_on(client.send(addr, Request::get("/"), deadline)).expect_err("too late");
+    assert!(matches!(err.cause, Cause::Deadline), "{err}");
+    assert_eq!((err.step, err.sent), (Step::Wait, Sent::Maybe));
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(send(&client, addr).expect("response").body, b"other");
+}
+
+// Guards against bytes that arrive on an idle connection being taken for the next response.
+#[test]
+fn bytes_on_an_idle_connection_close_it() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+    let addr = listener.local_addr().expect("address");
+    thread::spawn(move || {
+        let reply = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n";
+        let mut kept = Vec::new();
+        for body in [b"a", b"b"] {
+            let (mut socket, _) = listener.accept().expect("accept");
+            read_head(&mut socket);
+            let _ = socket.write_all(&[reply.as_slice(), body].concat());
+            thread::sleep(Duration::from_millis(50));
+            let _ = socket.write_all(&[reply.as_slice(), b"z"].concat());
+            kept.push(socket);
+        }
+    });
+    let client = Client::new(ClientLimits::default());
+    assert_eq!(send(&client, addr).expect("response").body, b"a");
+    assert_eq!(client.idle_connections(addr), 1);
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(send(&client, addr).expect("response").body, b"b");
+}
+
+// Guards against a refused connection being reported as possibly run.
+#[test]
+fn refused_connection_sent_nothing() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+    let addr = listener.local_addr().expect("address");
+    drop(listener);
+    let err = send(&Client::new(ClientLimits::default()), addr).expect_err("refused");
+    assert_eq!((err.step, err.sent), (Step::Connect, Sent::Nothing));
+}
+
+// Guards against an idle connection that the server has closed failing the next request.
+#[test]
+fn closed_idle_connection_is_replaced() {
+    let reply = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na";
+    let addr = scripted(vec![(reply, true), (reply, false)]);
+    let client = Client::new(ClientLimits::default());
+    send(&client, addr).expect("response");
+    thread::sleep(Duration::from_millis(50));
+    send(&client, addr).expect("response");
+}
+
+// Guards against header fields that would be read as a second request.
+#[test]
+fn fields_with_line_ends_are_not_sent() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+    let addr = listener.local_addr().expect("address");
+    let client = Client::new(ClientLimits::default());
+    let bad = [
+        Request::get("/").with_header("x", "a\r\ny: b"),
+        Request::get("/").with_header("x\r\n", "a"),
+        Request::get("/").with_header("x", "\u{e4}"),
+        Request::get("/ HTTP/1.1\r\n"),
+        Request::get("relative"),
+        Request::get("/").with_header("host", "a b"),
+    ];
+    for req in bad {
+        let err = block_on(client.send(addr, req, soon())).expect_err("not sent");
+        assert_eq!((err.step, err.sent), (Step::Encode, Sent::Nothing), "{err}");
+    }
+}
