http: compare the guard with a naive reading of split input

Assembled and arbitrary inputs arrive in pieces of arbitrary sizes; the guard must accept the same requests, responses and JSON bodies as a naive reading of the whole input.

--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -329,3 +329,6 @@
     let digits = std::str::from_utf8(digits).map_err(|_| Malformed("invalid chunk size"))?;
     usize::from_str_radix(digits, 16).map_err(|_| Malformed("invalid chunk size"))
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/http/src/reader/tests.rs
@@ -0,0 +1,305 @@
+//! Differential tests of the guard against a naive strict reading of the whole input.
+//!
+//! The inputs are arbitrary bytes, and messages assembled from valid and invalid parts. They arrive in pieces of
+//! arbitrary sizes.
+
+use {
+    super::{MessageReader, ReadError, ReadLimits},
+    crate::{
+        Method, Request, Response,
+        codec::{decode_request, decode_response, encode_request_head, encode_response_head},
+    },
+    futures_lite::{AsyncRead, future},
+    proptest::{prelude::*, sample::select, test_runner::RngSeed},
+    std::{
+        io,
+        net::{Ipv4Addr, SocketAddr},
+        pin::Pin,
+        task::{Context, Poll},
+    },
+};
+
+const MAX_BODY_BYTES: usize = 64;
+const MAX_HEAD_BYTES: usize = 400;
+
+/// Bytes that arrive in pieces, with a pause before each.
+struct Pieces {
+    bytes: Vec<u8>,
+    at: usize,
+    sizes: Vec<usize>,
+    turn: usize,
+}
+
+impl AsyncRead for Pieces {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        self.turn += 1;
+        if self.turn % 2 == 1 {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let size = self.sizes[self.turn / 2 % self.sizes.len()];
+        let count = size.min(buf.len()).min(self.bytes.len() - self.at);
+        buf[..count].copy_from_slice(&self.bytes[self.at..self.at + count]);
+        self.at += count;
+        Poll::Ready(Ok(count))
+    }
+}
+
+fn reader(bytes: &[u8], sizes: &[usize]) -> MessageReader<Pieces> {
+    let pieces = Pieces {
+        bytes: bytes.to_vec(),
+        at: 0,
+        sizes: sizes.to_vec(),
+        turn: 0,
+    };
+    let limits = ReadLimits {
+        max_head_bytes: MAX_HEAD_BYTES,
+        max_body_bytes: MAX_BODY_BYTES,
+        times: None,
+    };
+    MessageReader::new(pieces, limits)
+}
+
+/// All requests up to the first that is not accepted.
+fn guarded_requests(bytes: &[u8], sizes: &[usize]) -> Vec<Request> {
+    let mut reader = reader(bytes, sizes);
+    let next = async |reader: &mut MessageReader<Pieces>| {
+        let head = reader.request_head().await?;
+        let body = reader.body(head.framing).await?;
+        Ok::<_, ReadError>(decode_request(head, &body).await?)
+    };
+    let mut found = Vec::new();
+    while let Ok(request) = future::block_on(next(&mut reader)) {
+        found.push(request);
+    }
+    found
+}
+
+fn guarded_response(bytes: &[u8], sizes: &[usize]) -> Option<Response> {
+    let mut reader = reader(bytes, sizes);
+    let response = async {
+        let head = reader.response_head(Method::Get).await?;
+        let body = reader.body(head.framing).await?;
+        Ok::<_, ReadError>(decode_response(head, &body).await?)
+    };
+    future::block_on(response).ok()
+}
+
+/// Start line, fields, body and the bytes after the message.
+type Message<'a> = (&'a str, Vec<(String, String)>, Vec<u8>, &'a [u8]);
+
+/// Naive reading of one message; `needs_length` for responses.
+fn naive_message(bytes: &[u8], needs_length: bool) -> Option<Message<'_>> {
+    let end = bytes.windows(4).position(|four| four == b"\r\n\r\n")?;
+    let (head, rest) = (std::str::from_utf8(&bytes[..end]).ok()?, &bytes[end + 4..]);
+    let visible = |c: char| c == '\t' || (' '..='~').contains(&c);
+    let mut lines = head.split("\r\n");
+    let start = lines.next()?;
+    let mut fields = Vec::new();
+    for line in lines {
+        let (name, value) = line.split_once(':')?;
+        let token = |c: char| c.is_ascii_alphanumeric() || "!#$%&'*+-.^_`|~".contains(c);
+        if name.is_empty() || !name.chars().all(token) || !value.chars().all(visible) {
+            return None;
+        }
+        let value = value.trim_matches([' ', '\t']);
+        fields.push((name.to_ascii_lowercase(), value.to_owned()));
+    }
+    if end + 4 > MAX_HEAD_BYTES || !start.chars().all(visible) {
+        return None;
+    }
+    let of = |name: &str| -> Vec<&str> {
+        let found = fields.iter().filter(|(field, _)| field == name);
+        found.map(|(_, value)| value.as_str()).collect()
+    };
+    let (body, rest) = match (&of("content-length")[..], &of("transfer-encoding")[..]) {
+        ([], []) if !needs_length => (Vec::new(), rest),
+        ([length], []) if !length.is_empty() && length.chars().all(|c| c.is_ascii_digit()) => {
+            let length: usize = length.parse().ok()?;
+            let body = rest.get(..length)?;
+            (body.to_vec(), &rest[length..])
+        }
+        ([], [coding]) if coding.eq_ignore_ascii_case("chunked") => naive_chunks(rest)?,
+        _ => return None,
+    };
+    (body.len() <= MAX_BODY_BYTES).then_some((start, fields, body, rest))
+}
+
+fn naive_chunks(mut rest: &[u8]) -> Option<(Vec<u8>, &[u8])> {
+    let mut body = Vec::new();
+    let line = |rest: &mut &'_ [u8]| -> Option<String> {
+        let end = rest.windows(2).position(|two| two == b"\r\n")?;
+        let line = String::from_utf8(rest[..end].to_vec()).ok()?;
+        *rest = &rest[end + 2..];
+        let clean = line.chars().all(|c| c == '\t' || (' '..='~').contains(&c));
+        (clean && line.len() <= 256).then_some(line)
+    };
+    loop {
+        let size = line(&mut rest)?;
+        let digits = size.split(';').next()?;
+        if digits.len() > 8 || !digits.chars().all(|c| c.is_ascii_hexdigit()) {
+            return None;
+        }
+        let size = usize::from_str_radix(digits, 16).ok()?;
+        if size == 0 {
+            break;
+        }
+        body.extend_from_slice(rest.get(..size)?);
+        rest = rest.get(size..)?.strip_prefix(b"\r\n")?;
+    }
+    loop {
+        let trailer = line(&mut rest)?;
+        if trailer.is_empty() {
+            return Some((body, rest));
+        }
+        naive_message(format!("x\r\n{trailer}\r\n\r\n").as_bytes(), false)?;
+    }
+}
+
+/// Method, target and body of all requests up to the first that is not accepted.
+fn naive_requests(mut bytes: &[u8]) -> Vec<(String, String, Vec<u8>)> {
+    let mut found = Vec::new();
+    while let Some((start, fields, body, rest)) = naive_message(bytes, false) {
+        let parts: Vec<&str> = start.split(' ').collect();
+        let [method, target, "HTTP/1.1"] = parts[..] else {
+            break;
+        };
+        let hosts: Vec<_> = fields.iter().filter(|(name, _)| name == "host").collect();
+        let expected = |value: &str| value.eq_ignore_ascii_case("100-continue");
+        let expect = fields.iter().find(|(name, _)| name == "expect");
+        if !["GET", "POST", "HEAD"].contains(&method)
+            || !target.starts_with('/')
+            || !target.chars().all(|c| c.is_ascii_graphic())
+            || hosts.len() != 1
+            || hosts[0].1 != "a"
+            || expect.is_some_and(|(_, value)| !expected(value))
+        {
+            break;
+        }
+        found.push((method.to_owned(), target.to_owned(), body));
+        bytes = rest;
+    }
+    found
+}
+
+/// A part of a message; valid and invalid ones.
+fn part() -> impl Strategy<Value = Vec<u8>> {
+    let parts: &[&str] = &[
+        "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc",
+        "POST /c HTTP/1.1\r\nHost:a\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "GET / HTTP/1.1\r\nhost: a\r\n",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 299 \r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        "content-length: 3\r\n",
+        "content-length: 03\r\n",
+        "content-length: +3\r\n",
+        "content-length: 3, 3\r\n",
+        "content-length: 70\r\n",
+        "transfer-encoding: chunked\r\n",
+        "transfer-encoding: gzip\r\n",
+        "expect: 100-continue\r\n",
+        "connection: close, x\r\n",
+        "x: y\t z \r\n",
+        "x : y\r\n",
+        "\r\n",
+        "\r",
+        "\n",
+        " ",
+        "\0",
+        "abc",
+        "3\r\nabc\r\n",
+        "3;e=f\r\nabc\r\n",
+        "2\r\nabc\r\n",
+        "A\r\n0123456789\r\n",
+        "40\r\n",
+        "000000003\r\nabc\r\n",
+        "0\r\n\r\n",
+        "0\r\nt: u\r\n\r\n",
+        "0\r\nt u\r\n\r\n",
+        "ffffffffffffffffff\r\n",
+    ];
+    prop_oneof![
+        12 => select(parts.to_vec()).prop_map(|part| part.as_bytes().to_vec()),
+        1 => prop::collection::vec(any::<u8>(), 0..4),
+    ]
+}
+
+/// Messages of several parts, and arbitrary bytes.
+fn input() -> impl Strategy<Value = Vec<u8>> {
+    prop_oneof![
+        8 => prop::collection::vec(part(), 0..8).prop_map(|parts| parts.concat()),
+        1 => prop::collection::vec(any::<u8>(), 0..200),
+    ]
+}
+
+fn sizes() -> impl Strategy<Value = Vec<usize>> {
+    prop::collection::vec(1_usize..40, 1..6)
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 4000,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // Guards against a request whose body or place in the stream another strict reader would see differently.
+    #[test]
+    fn requests_match_the_naive_reading(bytes in input(), sizes in sizes()) {
+        let guarded: Vec<_> = guarded_requests(&bytes, &sizes)
+            .into_iter()
+            .map(|request| (request.method.to_string(), request.path, request.body))
+            .collect();
+        prop_assert_eq!(guarded, naive_requests(&bytes));
+    }
+
+    // Guards against a response whose body another strict reader would see differently.
+    #[test]
+    fn responses_match_the_naive_reading(bytes in input(), sizes in sizes()) {
+        let naive = naive_message(&bytes, true).and_then(|(start, _, body, _)| {
+            let status = start.strip_prefix("HTTP/1.1 ")?.split(' ').next()?;
+            Some((status.parse::<u16>().ok()?, body))
+        });
+        let guarded = guarded_response(&bytes, &sizes);
+        prop_assert_eq!(guarded.map(|response| (response.status, response.body)), naive);
+    }
+
+    // Guards against what we send being read differently from what was meant.
+    #[test]
+    fn encoded_messages_are_read_back(
+        path in "/[!-~]{0,20}",
+        value in "([!-~]([ -~]{0,10}[!-~])?)?",
+        body in prop::collection::vec(any::<u8>(), 0..MAX_BODY_BYTES),
+        status in 200_u16..600,
+        sizes in sizes(),
+    ) {
+        let request = Request::post(path, body.clone()).with_header("host", "a").with_header("x", &*value);
+        let peer = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        let mut bytes = future::block_on(encode_request_head(&request, peer)).expect("valid");
+        bytes.extend_from_slice(&body);
+        let mut read = guarded_requests(&bytes, &sizes);
+        prop_assert_eq!(read.len(), 1);
+        let read = read.remove(0);
+        prop_assert_eq!(read.headers.get("x"), Some(&*value));
+        prop_assert_eq!((read.path, read.body), (request.path, request.body));
+
+        let response = Response::new(status).with_header("x", &*value).with_body(body.clone());
+        let mut bytes = future::block_on(encode_response_head(&response, Method::Get, false)).expect("valid");
+        bytes.extend_from_slice(&body);
+        let read = guarded_response(&bytes, &sizes).expect("valid");
+        prop_assert_eq!((read.status, read.headers.get("x")), (status, Some(&*value)));
+        if status != 204 && status != 304 {
+            prop_assert_eq!(read.body, body);
+        }
+    }
+}
