Add slot shares and the ledger that applies epochs

Members learn of epochs at different times, so a share may be used only within the overlap of what all members may still assume. ShareLedger keeps the range of epochs from the oldest release of any member to the newest and uses the smallest share in it.

The ledger counts the gains of removing all members that are dead or may have lost the table.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,16 +3,18 @@
 //! [`Router`] is the handle that the daemon uses. All of its state is behind one mutex, because many tasks share the
 //! queues and a decision must not wait for a scheduler turn; the mutex is never held over an await.
 
+mod ledger;
 mod request;
 mod router;
 mod shares;
 mod state;
 
 pub use {
+    ledger::{InUse, PEER_LEASE_MS, ReleaseReport, SLOT_LEASE_MS, ShareLedger},
     request::{
         BackendId, BackendServer, Refusal, RefusalReason, RequestInfo, RequestResult, RouterConfig,
     },
     router::{Permit, Router},
-    shares::{Share, SlotShares},
+    shares::{Share, SlotLimits, SlotShares, inherits, slot_shares},
     state::{BackendFigures, QueueFigures, RouterFigures, TeamFigures},
 };
