Add the table client with grouping, circuit breaker and rate limit

Callers need their own result at the cost of a share of one write, refusal at once while the service fails, and a return after an outage that stays within the instance's share of the rates. A group that conflicts is divided: members whose rows the service names have failed, the rest is sent again.

--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -54,6 +54,27 @@
     pub writes: Vec<Write>,
 }
 
+impl Txn {
+    /// Rows that count against [`MAX_TXN_ROWS`].
+    #[must_use]
+    pub fn rows(&self) -> usize {
+        self.checks.len().max(self.writes.len())
+    }
+
+    /// Bytes of values that count against [`MAX_TXN_BYTES`].
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let values = (self.writes.iter()).filter_map(|write| write.value.as_ref());
+        values.map(|value| value.len()).sum()
+    }
+
+    /// Whether the service takes it as one transaction.
+    #[must_use]
+    pub fn fits(&self) -> bool {
+        self.rows() <= MAX_TXN_ROWS && self.bytes() <= MAX_TXN_BYTES
+    }
+}
+
 /// Result of a transaction that the service answered.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "result")]
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,8 +1,21 @@
 //! Clients for the platform: transactional table service, object store and list of instances.
+//!
+//! [`ResilientTable`] wraps any table client with grouping, a circuit breaker and a rate limit.
 
 mod api;
+mod breaker;
+pub mod events;
+mod group;
+mod rate;
+mod resilient;
 
-pub use api::{
-    Check, InstanceList, InstanceState, ListedInstance, ListedRole, MAX_TXN_BYTES, MAX_TXN_ROWS,
-    ObjectStore, PlatformError, Row, TableService, Txn, TxnOutcome, Write,
+pub use {
+    api::{
+        Check, InstanceList, InstanceState, ListedInstance, ListedRole, MAX_TXN_BYTES,
+        MAX_TXN_ROWS, ObjectStore, PlatformError, Row, TableService, Txn, TxnOutcome, Write,
+    },
+    breaker::{Breaker, Change},
+    group::{Division, Group},
+    rate::RateLimit,
+    resilient::{MAX_IN_FLIGHT, QUEUE_LIMIT, ResilientConfig, ResilientTable, TableFigures},
 };
--- a/crates/standins/src/platform/memory.rs
+++ b/crates/standins/src/platform/memory.rs
@@ -201,7 +201,7 @@
         }
         self.check_outage(&verdict)?;
         let size = Size::of(&call);
-        if matches!(call, Call::Commit(_)) && !size.fits_one_txn() {
+        if matches!(&call, Call::Commit(txn) if !txn.fits()) {
             return Err(NoAnswer::TooLarge);
         }
         let is_write = size.is_write;
@@ -285,11 +285,8 @@
     fn of(call: &Call) -> Self {
         match call {
             Call::Commit(txn) => Self {
-                rows: txn.checks.len().max(txn.writes.len()),
-                bytes: (txn.writes.iter())
-                    .filter_map(|write| write.value.as_ref())
-                    .map(|value| value.len())
-                    .sum(),
+                rows: txn.rows(),
+                bytes: txn.bytes(),
                 is_write: true,
             },
             Call::PutObject(..) | Call::DeleteObject(_) => Self {
@@ -312,10 +309,6 @@
         }
     }
 
-    fn fits_one_txn(&self) -> bool {
-        self.rows <= MAX_TXN_ROWS && self.bytes <= MAX_TXN_BYTES
-    }
-
     fn charge(&self) -> u32 {
         let units = (self.rows.div_ceil(MAX_TXN_ROWS)).max(self.bytes.div_ceil(MAX_TXN_BYTES));
         u32::try_from(units.max(1)).unwrap_or(u32::MAX)
