--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,11 +1,13 @@
 //! Clients for the platform: transactional table service, object store and list of instances.
 //!
-//! [`ResilientTable`] wraps any table client with grouping, a circuit breaker and a rate limit.
+//! [`ResilientTable`] wraps any table client with grouping, a circuit breaker and a rate limit. [`once`] runs requests
+//! at most once.
 
 mod api;
 mod breaker;
 pub mod events;
 mod group;
+pub mod once;
 mod rate;
 mod resilient;
 
--- /dev/null
+++ b/crates/platform/tests/resilient.rs
@@ -0,0 +1,235 @@
+//! The table client under conflicts, outages and overload.
+
+use {
+    ragwortreel_platform::{
+        Check, PlatformError, QUEUE_LIMIT, RateLimit, ResilientConfig, ResilientTable,
+        TableService, Txn, TxnOutcome, Write,
+    },
+    ragwortreel_runtime::{block_on, discard_logger, sleep_ms, spawn},
+    ragwortreel_standins::{Faults, Limits, MemoryPlatform, Outage},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+fn put(key: &str, version: u64) -> Txn {
+    let key: Arc<str> = Arc::from(key);
+    Txn {
+        checks: vec![Check {
+            key: Arc::clone(&key),
+            version,
+        }],
+        writes: vec![Write {
+            key,
+            value: Some(Arc::from("v")),
+        }],
+    }
+}
+
+fn config() -> ResilientConfig {
+    ResilientConfig {
+        instances: 1,
+        call_timeout_ms: 300,
+        seed: 7,
+        ..ResilientConfig::default()
+    }
+}
+
+fn setup(cfg: ResilientConfig) -> (Arc<MemoryPlatform>, Arc<ResilientTable>) {
+    let platform = MemoryPlatform::new();
+    let table = ResilientTable::new(Arc::clone(&platform) as _, cfg, discard_logger());
+    (platform, Arc::new(table))
+}
+
+async fn commit_all(
+    table: &Arc<ResilientTable>,
+    txns: Vec<Txn>,
+) -> Vec<Result<TxnOutcome, PlatformError>> {
+    let tasks: Vec<_> = (txns.into_iter())
+        .map(|txn| {
+            let table = Arc::clone(table);
+            spawn(async move { table.commit(txn).await })
+        })
+        .collect();
+    let mut outcomes = Vec::new();
+    for task in tasks {
+        outcomes.push(task.await);
+    }
+    outcomes
+}
+
+// Guards against one write for each small transaction, which would exceed the store budget.
+#[test]
+fn small_transactions_share_a_write() {
+    block_on(async {
+        let (platform, table) = setup(config());
+        let txns = (0..200).map(|n| put(&format!("k{n}"), 0)).collect();
+        let outcomes = commit_all(&table, txns).await;
+        let committed = |outcome: &Result<_, _>| matches!(outcome, Ok(TxnOutcome::Committed { versions }) if versions == &[1]);
+        assert!(outcomes.iter().all(committed), "{outcomes:?}");
+        let writes = platform.counts().writes;
+        assert!(writes <= 20, "{writes} writes for 200 transactions");
+        assert_eq!(table.figures().transactions, 200);
+    });
+}
+
+// Guards against callers that are refused because of a stranger's conflict in the same group.
+#[test]
+fn a_conflict_concerns_only_its_own_caller() {
+    block_on(async {
+        let (_, table) = setup(config());
+        table.commit(put("taken", 0)).await.expect("commit");
+        let mut txns: Vec<_> = (0..50).map(|n| put(&format!("k{n}"), 0)).collect();
+        txns.insert(20, put("taken", 0));
+        txns.insert(40, put("absent", 5));
+        let outcomes = commit_all(&table, txns).await;
+        for (index, outcome) in outcomes.iter().enumerate() {
+            let conflict = matches!(outcome, Ok(TxnOutcome::Conflict { .. }));
+            assert_eq!(conflict, index == 20 || index == 40, "{index}: {outcome:?}");
+        }
+        assert!(table.figures().divided > 0);
+    });
+}
+
+// Guards against calls that wait for a store that is down, and against a breaker that never closes.
+#[test]
+fn the_breaker_refuses_at_once_and_closes_after_the_outage() {
+    block_on(async {
+        let (platform, table) = setup(config());
+        platform
+            .faults()
+            .update(|f| f.outage = Some(Outage::Refuse));
+        for n in 0..10 {
+            let refused = table.commit(put(&format!("k{n}"), 0)).await;
+            assert!(matches!(refused, Err(PlatformError::NotDone { .. })));
+        }
+        assert!(table.figures().breaker_open);
+        let before = platform.counts().refused;
+        let started = Instant::now();
+        for n in 0..1_000 {
+            assert!(table.commit(put(&format!("k{n}"), 0)).await.is_err());
+        }
+        assert!(started.elapsed() < Duration::from_millis(200));
+        assert!(
+            platform.counts().refused <= before + 3,
+            "only probes are sent"
+        );
+        platform.faults().clear();
+        // The wait before a probe is at most 5 s.
+        while table.figures().breaker_open {
+            assert!(started.elapsed() < Duration::from_secs(6));
+            sleep_ms(10).await;
+        }
+        assert!(table.commit(put("k", 0)).await.is_ok());
+    });
+}
+
+// Guards against a transaction that is reported as not done although it was sent.
+#[test]
+fn silence_is_unknown_and_a_full_queue_is_not_done() {
+    block_on(async {
+        let (platform, table) = setup(config());
+        platform.faults().set(Faults {
+            latency_ms: 5_000,
+            ..Faults::default()
+        });
+        let silent = table.commit(put("a", 0)).await;
+        assert!(matches!(silent, Err(PlatformError::Unknown { .. })));
+
+        let (platform, table) = setup(ResilientConfig {
+            writes_per_s: 1.0,
+            ..config()
+        });
+        let txns = (0..2_000).map(|_| put("same", 0)).collect();
+        let outcomes = commit_all(&table, txns).await;
+        let refusals = table.figures().queue_refusals;
+        assert!(refusals > 0 && refusals <= 2_000 - QUEUE_LIMIT as u64);
+        let known =
+            |outcome: &&Result<_, _>| !matches!(outcome, Err(PlatformError::NotDone { .. }));
+        let sent = outcomes.iter().filter(known).count() as u64;
+        let counts = platform.counts();
+        assert!(
+            counts.writes <= sent,
+            "{} sent, {sent} reported",
+            counts.writes
+        );
+    });
+}
+
+// Guards against a deadline that passes in the queue and is reported as unknown.
+#[test]
+fn a_deadline_in_the_queue_is_not_done() {
+    block_on(async {
+        let (platform, table) = setup(ResilientConfig {
+            writes_per_s: 0.5,
+            ..config()
+        });
+        table.commit(put("first", 0)).await.expect("commit");
+        let deadline = Instant::now() + Duration::from_millis(50);
+        let late = table.commit_by(put("second", 0), deadline).await;
+        assert!(matches!(late, Err(PlatformError::NotDone { .. })));
+        sleep_ms(2_500).await;
+        assert!(platform.peek("second").is_none());
+    });
+}
+
+// Guards against a herd that exceeds the service's rate when it returns.
+#[test]
+fn the_return_after_an_outage_stays_within_the_rate() {
+    block_on(async {
+        let limits = Limits {
+            writes_per_s: 100,
+            reads_per_s: 400,
+        };
+        let platform = MemoryPlatform::with_limits(limits, 3);
+        let tables: Vec<_> = (0..9)
+            .map(|seed| {
+                let cfg = ResilientConfig {
+                    writes_per_s: 100.0,
+                    reads_per_s: 400.0,
+                    instances: 9,
+                    seed,
+                    ..config()
+                };
+                let table = ResilientTable::new(Arc::clone(&platform) as _, cfg, discard_logger());
+                Arc::new(table)
+            })
+            .collect();
+        platform
+            .faults()
+            .update(|f| f.outage = Some(Outage::Refuse));
+        let until = Instant::now() + Duration::from_secs(4);
+        let callers = (0..90).map(|n| {
+            let table = Arc::clone(&tables[n % 9]);
+            spawn(async move {
+                let mut round = 0;
+                while Instant::now() < until {
+                    round += 1;
+                    let _ = table.commit(put(&format!("{n}/{round}"), 0)).await;
+                    let _ = table.get("k").await;
+                    sleep_ms(5).await;
+                }
+            })
+        });
+        let callers: Vec<_> = callers.collect();
+        sleep_ms(1_000).await;
+        platform.faults().clear();
+        for caller in callers {
+            caller.await;
+        }
+        let counts = platform.counts();
+        assert!(counts.writes > 50, "{counts:?}");
+        assert_eq!((counts.writes_over_limit, counts.reads_over_limit), (0, 0));
+    });
+}
+
+// Guards against a limit that lets all waiting calls go at once.
+#[test]
+fn turns_are_spaced_by_the_rate() {
+    let rate = RateLimit::new(100.0);
+    let far = Instant::now() + Duration::from_mins(1);
+    let waits: Vec<_> = (0..60).map_while(|_| rate.reserve(far)).collect();
+    assert!(waits[59] >= Duration::from_millis(480), "{:?}", waits[59]);
+    assert!(rate.reserve(Instant::now()).is_none());
+}
