--- a/crates/platform/src/once.rs
+++ b/crates/platform/src/once.rs
@@ -40,6 +40,8 @@
 const MAX_POLL: Duration = Duration::from_millis(500);
 /// Reads of a claim's row until its state counts as not readable.
 const READ_TRIES: u32 = 3;
+/// Claim writes without an answer until the call is given up.
+const CLAIM_TRIES: u32 = 3;
 
 /// Result of the attempt to claim a request.
 #[derive(Debug)]
@@ -153,10 +155,10 @@
             key: claim_key(team, key),
             holder: Arc::from(format!("{}.{number}", self.shared.holder)),
             digest: Arc::from(digest),
-            is_unsure: false,
+            unanswered: 0,
         };
         let begin = attempt.run(deadline).await;
-        if attempt.is_unsure && !matches!(begin, Begin::Run(_)) {
+        if attempt.unanswered > 0 && !matches!(begin, Begin::Run(_)) {
             attempt.release_later();
         }
         begin
@@ -169,8 +171,8 @@
     key: Arc<str>,
     holder: Arc<str>,
     digest: Arc<str>,
-    /// Whether a claim write of this call may have taken effect or may still do so.
-    is_unsure: bool,
+    /// Claim writes of this call that may have taken effect or may still do so.
+    unanswered: u32,
 }
 
 impl Attempt<'_> {
@@ -262,9 +264,12 @@
                 Ok(Claimed::Not(ClaimRow::from(row)))
             }
             Err(err @ PlatformError::NotDone { .. }) => Err(err),
-            Err(PlatformError::Unknown { .. }) => {
-                self.is_unsure = true;
-                self.read(deadline).await.map(Claimed::Not)
+            Err(err @ PlatformError::Unknown { .. }) => {
+                self.unanswered += 1;
+                match self.read(deadline).await? {
+                    ClaimRow::Absent if self.unanswered >= CLAIM_TRIES => Err(err),
+                    row => Ok(Claimed::Not(row)),
+                }
             }
         }
     }
