--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,12 @@
+//! Log events of the daemon.
+
+ragwortreel_runtime::events! {
+    STARTED = 1801, Info, "entry instance started";
+    STOPPING = 1802, Info, "graceful stop begins";
+    STOPPED = 1803, Info, "entry instance stopped";
+    STOP_TIMEOUT = 1804, Warning, "requests were still in flight when the time for a graceful stop was over";
+    SETTINGS_IN_FORCE = 1805, Info, "settings are in force";
+    INITIAL_SETTINGS = 1806, Info, "initial settings were written";
+    INITIAL_SETTINGS_FAILED = 1807, Warning, "initial settings could not be written";
+    READY = 1808, Info, "entry instance is ready";
+}
--- /dev/null
+++ b/src/jobs.rs
@@ -0,0 +1,54 @@
+//! Job commands of the HTTP interface, carried out by the control part.
+
+use {
+    async_trait::async_trait,
+    ragwortreel_caller::{JobCalls, Refusal, RefusalKind},
+    ragwortreel_control::{Control, JobError},
+    ragwortreel_model::{JobId, JobSpec, JobStatus, Team},
+};
+
+/// Job commands over a control part.
+pub struct DaemonJobs {
+    control: Control,
+}
+
+impl DaemonJobs {
+    /// Makes the commands.
+    #[must_use]
+    pub fn new(control: Control) -> Self {
+        Self { control }
+    }
+}
+
+#[async_trait]
+impl JobCalls for DaemonJobs {
+    async fn submit(&self, spec: JobSpec) -> Result<JobStatus, Refusal> {
+        self.control.submit_job(spec).await.map_err(refusal)
+    }
+
+    async fn list(&self, team: Option<&Team>) -> Result<Vec<JobStatus>, Refusal> {
+        self.control.describe_jobs(team, None).await.map_err(refusal)
+    }
+
+    async fn describe(&self, job: &JobId) -> Result<JobStatus, Refusal> {
+        let found = self.control.describe_jobs(None, Some(job)).await.map_err(refusal)?;
+        found.into_iter().next().ok_or_else(|| Refusal::new(RefusalKind::NotFound, format!("no job {job}")))
+    }
+
+    async fn cancel(&self, job: &JobId) -> Result<JobStatus, Refusal> {
+        self.control.cancel_job(job, None).await.map_err(refusal)
+    }
+}
+
+/// What a caller is told about a failed job command.
+#[must_use]
+pub fn refusal(err: JobError) -> Refusal {
+    let kind = match &err {
+        JobError::Invalid(_) => RefusalKind::Invalid,
+        JobError::Conflict { .. } | JobError::Ended { .. } => RefusalKind::Conflict,
+        JobError::NotFound { .. } => RefusalKind::NotFound,
+        JobError::Refused { .. } => RefusalKind::Unavailable,
+        JobError::Unknown { .. } => RefusalKind::Unknown,
+    };
+    Refusal::new(kind, err.to_string())
+}
--- /dev/null
+++ b/src/transport.rs
@@ -0,0 +1,37 @@
+//! Sending a request to a backend server.
+
+use {
+    async_trait::async_trait,
+    ragwortreel_http::{Request, Response},
+    ragwortreel_model::WorkClass,
+    std::{net::SocketAddr, sync::Arc, time::Instant},
+};
+
+/// Where and within which limits a request is sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Target {
+    /// Address of the backend server.
+    pub address: SocketAddr,
+    /// Most open connections that this instance may have to it.
+    pub connections: u32,
+    /// Class of the request; short and long requests do not share idle connections.
+    pub class: WorkClass,
+}
+
+/// What became of a request, with the evidence that the caller's outcome rests on.
+#[derive(Debug)]
+pub enum Reply {
+    /// The whole response to this request.
+    Answered(Response),
+    /// No byte of the request was taken.
+    NotRun(Arc<str>),
+    /// The request may or may not have run.
+    Unknown(Arc<str>),
+}
+
+/// Sends requests to backend servers.
+#[async_trait]
+pub trait Transport: Send + Sync {
+    /// Sends one request and waits for its whole response until the deadline.
+    async fn send(&self, target: Target, req: Request, deadline: Instant) -> Reply;
+}
