--- /dev/null
+++ b/crates/control/src/backends.rs
@@ -0,0 +1,64 @@
+//! Backend servers from the platform's list.
+//!
+//! The list lags and different readings may come from different replicas. A backend server that was once seen as
+//! leaving or terminated is never taken for live again under the same name and address.
+
+use {
+    crate::{
+        api::Backend,
+        shared::{Shared, lock},
+    },
+    ragwortreel_model::InstanceId,
+    ragwortreel_platform::{InstanceState, ListedInstance, ListedRole},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+pub(crate) fn merge(shared: &Shared, listed: &[ListedInstance]) {
+    let mut backends = lock(&shared.backends);
+    let earlier: BTreeMap<&InstanceId, &Backend> = backends
+        .iter()
+        .map(|backend| (&backend.id, backend))
+        .collect();
+    let merged: Vec<Backend> = listed
+        .iter()
+        .filter_map(|entry| {
+            let ListedRole::Backend { team, service } = &entry.role else {
+                return None;
+            };
+            let before = earlier
+                .get(&entry.id)
+                .filter(|before| before.address == entry.address);
+            Some(Backend {
+                id: entry.id.clone(),
+                zone: entry.zone.clone(),
+                address: entry.address,
+                team: team.clone(),
+                service: service.clone(),
+                state: before.map_or(entry.state, |before| later(before.state, entry.state)),
+            })
+        })
+        .collect();
+    if **backends != merged {
+        *backends = Arc::new(merged);
+    }
+}
+
+/// Marks a backend server as leaving before the list says so.
+pub(crate) fn mark_leaving(shared: &Shared, id: &InstanceId) {
+    let mut backends = lock(&shared.backends);
+    let mut changed = Vec::clone(&backends);
+    if let Some(backend) = changed.iter_mut().find(|backend| backend.id == *id) {
+        backend.state = later(backend.state, InstanceState::Leaving);
+        *backends = Arc::new(changed);
+    }
+}
+
+const fn later(first: InstanceState, second: InstanceState) -> InstanceState {
+    match (first, second) {
+        (InstanceState::Terminated, _) | (_, InstanceState::Terminated) => {
+            InstanceState::Terminated
+        }
+        (InstanceState::Leaving, _) | (_, InstanceState::Leaving) => InstanceState::Leaving,
+        _ => InstanceState::Live,
+    }
+}
--- /dev/null
+++ b/crates/control/src/config.rs
@@ -0,0 +1,188 @@
+//! What an instance's control part is told at its start.
+
+use {
+    ragwortreel_model::{Incarnation, InstanceId, Pool, WorkerId, Zone},
+    ragwortreel_placement::PoolScheduler,
+    ragwortreel_worker::TASK_LEASE_MS,
+    std::{net::SocketAddr, sync::Arc},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Makes the scheduler of a pool.
+pub type SchedulerFactory = Arc<dyn Fn(&Pool) -> Box<dyn PoolScheduler> + Send + Sync>;
+
+/// Configuration of an instance's control part.
+#[derive(Debug, Clone)]
+pub struct ControlConfig {
+    /// Name of the instance; no two processes run under one name at a time.
+    pub instance: InstanceId,
+    /// Zone of the instance.
+    pub zone: Zone,
+    /// Region of the instance.
+    pub region: Arc<str>,
+    /// Address at which other entry instances reach it.
+    pub address: SocketAddr,
+    /// Differs from the incarnation of every earlier process of the same name.
+    pub incarnation: Incarnation,
+    /// All zones with their regions.
+    pub zones: Vec<ZoneConfig>,
+    /// All pools.
+    pub pools: Vec<PoolConfig>,
+    /// Intervals and time limits.
+    pub timings: Timings,
+    /// Bounds of queues.
+    pub limits: Limits,
+}
+
+/// A zone and its region.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneConfig {
+    /// The zone.
+    pub zone: Zone,
+    /// Its region.
+    pub region: Arc<str>,
+}
+
+/// A pool: the workers of a zone, or a part of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PoolConfig {
+    /// The pool.
+    pub pool: Pool,
+    /// Zone of its workers.
+    pub zone: Zone,
+    /// Number of this part, from 0.
+    pub part: u32,
+    /// Number of parts that the zone's workers are divided into.
+    pub parts: u32,
+}
+
+impl PoolConfig {
+    /// Whether a worker of the zone belongs to this pool.
+    #[must_use]
+    pub fn holds(&self, worker: &WorkerId) -> bool {
+        let worker = worker.as_str();
+        xxh3_64(worker.as_bytes()) % u64::from(self.parts.max(1)) == u64::from(self.part)
+    }
+}
+
+/// Makes the pools of a cell: one a zone, or `pools_per_zone` with numbered names.
+///
+/// # Panics
+///
+/// Panics when a zone's name is too long to take the number.
+#[must_use]
+pub fn pools_of(zones: &[ZoneConfig], pools_per_zone: u32) -> Vec<PoolConfig> {
+    let name = |zone: &Zone, part: u32| match pools_per_zone {
+        0 | 1 => zone.to_string(),
+        _ => format!("{zone}-{part}"),
+    };
+    let parts = pools_per_zone.max(1);
+    let pool = |zone: &Zone, part| PoolConfig {
+        pool: Pool::new(&name(zone, part)).expect("a zone's name is short enough for a number"),
+        zone: zone.clone(),
+        part,
+        parts,
+    };
+    zones
+        .iter()
+        .flat_map(|zone| (0..parts).map(|part| pool(&zone.zone, part)))
+        .collect()
+}
+
+/// Intervals and time limits, all in ms.
+#[derive(Debug, Clone, Copy)]
+pub struct Timings {
+    /// Between two renewals of the instance's row.
+    pub renewal_ms: u64,
+    /// Between two scans of the control rows.
+    pub scan_ms: u64,
+    /// Between two heartbeats to each peer.
+    pub heartbeat_ms: u64,
+    /// Without a change of its row after which an instance counts as dead.
+    pub lease_ms: u64,
+    /// That the next rank of candidates waits longer before it takes over a pool.
+    pub rank_wait_ms: u64,
+    /// That an owner renews running tasks after its last successful renewal.
+    pub autonomy_ms: u64,
+    /// Between two heartbeats to each worker.
+    pub worker_heartbeat_ms: u64,
+    /// Without an answer after which a worker gets no new tasks.
+    pub worker_silent_ms: u64,
+    /// That a worker runs tasks without a renewal.
+    pub task_lease_ms: u64,
+    /// Between two writes of a pool's journal.
+    pub journal_flush_ms: u64,
+    /// Between two snapshots of a pool.
+    pub snapshot_ms: u64,
+    /// Between two readings of the platform's list.
+    pub list_ms: u64,
+    /// Without demand after which a pool returns a part of a quota.
+    pub quota_idle_ms: u64,
+    /// For a call whose caller waits, such as a submission.
+    pub call_ms: u64,
+}
+
+impl Default for Timings {
+    fn default() -> Self {
+        Self {
+            renewal_ms: 1_000,
+            scan_ms: 500,
+            heartbeat_ms: 500,
+            lease_ms: 3_000,
+            rank_wait_ms: 1_500,
+            autonomy_ms: 75 * 60 * 1_000,
+            worker_heartbeat_ms: 1_000,
+            worker_silent_ms: 3_500,
+            task_lease_ms: TASK_LEASE_MS,
+            journal_flush_ms: 100,
+            snapshot_ms: 60_000,
+            list_ms: 1_000,
+            quota_idle_ms: 5_000,
+            call_ms: 4_000,
+        }
+    }
+}
+
+impl Timings {
+    /// Time that the holder of a lease counts on: 5% less than others wait, for the drift between clocks.
+    #[must_use]
+    pub const fn held_lease_ms(&self) -> u64 {
+        self.lease_ms - self.lease_ms / 20
+    }
+
+    /// Time after which a worker's tasks have certainly ended without a renewal, with 5% for the drift of its clock.
+    #[must_use]
+    pub const fn expired_task_ms(&self) -> u64 {
+        self.task_lease_ms + self.task_lease_ms / 20
+    }
+}
+
+/// Bounds of queues and records.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Journal records after which a snapshot is written.
+    pub snapshot_records: usize,
+    /// Decisions taken in one turn.
+    pub decisions: usize,
+    /// Submissions and cancellations of a pool whose rows are being written.
+    pub open_writes: usize,
+    /// Ended jobs that a pool's owner keeps to describe; older ones are read from their rows.
+    pub ended_jobs: usize,
+    /// Failed runs after which a job fails.
+    pub job_failures: u32,
+    /// Messages that wait for a pool's owner.
+    pub owner_queue: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            snapshot_records: 1_000,
+            decisions: 256,
+            open_writes: 256,
+            ended_jobs: 2_000,
+            job_failures: 100,
+            owner_queue: 4_096,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/owner/shares.rs
@@ -0,0 +1,213 @@
+//! The parts of the teams' quotas that this pool may use.
+//!
+//! With one pool in the cell the whole quota is the pool's. Otherwise pools take and return parts by compare-and-set
+//! on the team's row, so the sum of all parts stays within the quota.
+
+use {
+    crate::{
+        events::QUOTA_FAILED,
+        owner::{Message, pool::PoolOwner},
+        rows::{self, QuotaRow},
+        shared::Shared,
+        store::limited,
+    },
+    ragwortreel_model::{Pool, Resources, Team},
+    ragwortreel_placement::TeamShare,
+    ragwortreel_platform::{PlatformError, Txn, TxnOutcome},
+    ragwortreel_runtime::{log_event, spawn},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Wait between two attempts to get more of a quota that is in use elsewhere, in ms.
+const RETRY_MS: u64 = 1_000;
+
+#[derive(Default)]
+pub(crate) struct Shares {
+    version: Option<u64>,
+    teams: BTreeMap<Team, Share>,
+}
+
+#[derive(Default)]
+struct Share {
+    /// Part that the team's row grants to this pool.
+    granted: Resources,
+    /// What the scheduler was told last.
+    told: Option<TeamShare>,
+    asking: bool,
+    asked_ms: Option<u64>,
+    idle_since_ms: Option<u64>,
+    /// The row was read since the takeover.
+    known: bool,
+}
+
+impl PoolOwner {
+    fn is_only_pool(&self) -> bool {
+        self.shared.cfg.pools.len() <= 1
+    }
+
+    /// Tells the scheduler the teams' weights and quotas when the settings have changed.
+    pub fn refresh_teams(&mut self) {
+        let settings = self.shared.settings.current();
+        if self.shares.version == Some(settings.version) {
+            return;
+        }
+        self.shares.version = Some(settings.version);
+        for team in settings.settings.teams.keys() {
+            self.shares.teams.entry(team.clone()).or_default();
+            self.tell_share(team);
+        }
+    }
+
+    fn tell_share(&mut self, team: &Team) {
+        let settings = self.shared.settings.current();
+        let Some(branch) = settings.settings.teams.get(team) else {
+            return;
+        };
+        let only = self.is_only_pool();
+        let Some(share) = self.shares.teams.get_mut(team) else {
+            return;
+        };
+        let told = TeamShare {
+            team: team.clone(),
+            weight: branch.weight,
+            quota: if only { branch.quota } else { share.granted },
+        };
+        if share.told.as_ref() != Some(&told) {
+            share.told = Some(told.clone());
+            self.scheduler.upsert_team(told);
+        }
+    }
+
+    /// Asks for more of the quotas that jobs wait for, and returns what has had no use for a time.
+    pub fn ask_for_shares(&mut self, now_ms: u64) {
+        if self.is_only_pool() || self.shares.teams.is_empty() {
+            return;
+        }
+        let settings = self.shared.settings.current();
+        let mut demand = self.demand();
+        for (team, branch) in &settings.settings.teams {
+            let wanted = least(demand.remove(team).unwrap_or_default(), branch.quota);
+            let idle_ms = self.shared.cfg.timings.quota_idle_ms;
+            let Some(share) = self.shares.teams.get_mut(team) else {
+                continue;
+            };
+            let rises = !wanted.fits_in(&share.granted);
+            let falls = share.known && !rises && share.granted != wanted;
+            if !falls {
+                share.idle_since_ms = None;
+            }
+            let since_ms = *share.idle_since_ms.get_or_insert(now_ms);
+            let due = if rises {
+                share
+                    .asked_ms
+                    .is_none_or(|asked_ms| now_ms >= asked_ms + RETRY_MS)
+            } else {
+                falls && now_ms >= since_ms + idle_ms
+            };
+            if share.asking || !due {
+                continue;
+            }
+            share.asking = true;
+            share.asked_ms = Some(now_ms);
+            if falls {
+                // The scheduler uses no more than is kept before the rest is offered to others.
+                share.granted = wanted;
+                self.tell_share(team);
+            }
+            self.ask(team.clone(), wanted, branch.quota);
+        }
+    }
+
+    /// What the teams' unfinished tasks need in all.
+    fn demand(&self) -> BTreeMap<Team, Resources> {
+        let mut demand: BTreeMap<Team, Resources> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let open = if job.state.is_final() {
+                job.running.len()
+            } else {
+                (job.spec.tasks as usize).saturating_sub(job.succeeded.len())
+            };
+            let need = job
+                .spec
+                .resources
+                .checked_mul(open as u64)
+                .unwrap_or(Resources::ZERO);
+            *demand.entry(job.spec.team.clone()).or_default() += need;
+        }
+        demand
+    }
+
+    fn ask(&self, team: Team, wanted: Resources, quota: Resources) {
+        let (shared, handle) = (Arc::clone(&self.shared), Arc::clone(&self.handle));
+        spawn(async move {
+            let row = match change_grant(&shared, &team, &handle.pool, wanted, quota).await {
+                Ok(row) => row,
+                Err(err) => {
+                    log_event!(shared.log, QUOTA_FAILED; "team" => team.as_str(),
+                        "error" => err.to_string());
+                    None
+                }
+            };
+            let _ = handle.sender().send(Message::Granted { team, row }).await;
+        })
+        .detach();
+    }
+
+    pub fn granted(&mut self, team: &Team, row: Option<QuotaRow>) {
+        let pool = self.cfg.pool.clone();
+        let Some(share) = self.shares.teams.get_mut(team) else {
+            return;
+        };
+        share.asking = false;
+        share.idle_since_ms = None;
+        if let Some(row) = row {
+            share.known = true;
+            share.granted = row.grants.get(&pool).copied().unwrap_or_default();
+            self.tell_share(team);
+        }
+    }
+}
+
+/// Sets this pool's part to `wanted`, or as near as the other pools' parts allow.
+///
+/// Each attempt begins with a reading, so a lost answer shows in the next one. Returns the row as it is now.
+async fn change_grant(
+    shared: &Shared,
+    team: &Team,
+    pool: &Pool,
+    wanted: Resources,
+    quota: Resources,
+) -> Result<Option<QuotaRow>, PlatformError> {
+    let key = rows::quota_key(team);
+    let found = limited("read quota", shared.table.get(&key)).await?;
+    let version = found.as_ref().map_or(0, |row| row.version);
+    let decoded = found
+        .as_ref()
+        .and_then(|row| rows::decode::<QuotaRow>(row).ok());
+    let mut row = decoded.unwrap_or_default();
+    let others = (row.grants.iter())
+        .filter(|(other, _)| *other != pool)
+        .fold(Resources::ZERO, |sum, (_, grant)| sum + *grant);
+    let granted = least(wanted, quota.saturating_sub(&others));
+    if row.grants.get(pool).copied().unwrap_or_default() == granted {
+        return Ok(Some(row));
+    }
+    row.grants.insert(pool.clone(), granted);
+    let txn = Txn {
+        checks: vec![rows::check(&key, version)],
+        writes: vec![rows::put(&key, &row)],
+    };
+    match limited("change quota", shared.table.commit(txn)).await? {
+        TxnOutcome::Committed { .. } => Ok(Some(row)),
+        TxnOutcome::Conflict { .. } => Ok(None),
+    }
+}
+
+/// The smaller of each part.
+fn least(first: Resources, second: Resources) -> Resources {
+    Resources::new(
+        first.milli_cores.min(second.milli_cores),
+        first.memory_mib.min(second.memory_mib),
+        first.accelerators.min(second.accelerators),
+    )
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,267 @@
+//! Links to the other entry instances: one heartbeat task for each.
+
+use {
+    crate::{
+        api::{LinkState, Load},
+        rows::InstanceRow,
+        shared::{Shared, lock},
+    },
+    prost::Message,
+    ragwortreel_entry::{
+        EntryError, EntryPeer, MAX_HEARTBEAT_BYTES,
+        generated::{HeartbeatReply, HeartbeatRequest, PoolSummary, SettingsVersion},
+    },
+    ragwortreel_model::{Incarnation, InstanceId, Pool},
+    ragwortreel_runtime::{sleep_ms, spawn},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+    },
+};
+
+/// Most entries of free slots in a heartbeat; further ones are left out to keep it small.
+const MAX_FREE_SLOTS: usize = 48;
+
+#[derive(Default)]
+pub(crate) struct Peers {
+    known: Mutex<BTreeMap<InstanceId, Peer>>,
+}
+
+struct Peer {
+    address: SocketAddr,
+    client: Arc<dyn EntryPeer>,
+    answered_ms: Option<u64>,
+    heard_ms: Option<u64>,
+    refused_ms: Option<u64>,
+    heartbeat: Heartbeat,
+    pulling: bool,
+}
+
+/// The last heartbeat or answer to one.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Heartbeat {
+    pub incarnation: Incarnation,
+    pub settings_version: u64,
+    pub pools: Vec<PoolSummary>,
+    pub in_flight: u64,
+    pub queued: u64,
+    pub free_slots: BTreeMap<String, u32>,
+}
+
+impl Peers {
+    pub fn client(&self, id: &InstanceId) -> Option<Arc<dyn EntryPeer>> {
+        lock(&self.known)
+            .get(id)
+            .map(|peer| Arc::clone(&peer.client))
+    }
+
+    pub fn clients(&self) -> Vec<(InstanceId, Arc<dyn EntryPeer>)> {
+        let known = lock(&self.known);
+        let pair = |(id, peer): (&InstanceId, &Peer)| (id.clone(), Arc::clone(&peer.client));
+        known.iter().map(pair).collect()
+    }
+
+    pub fn link(&self, id: &InstanceId, now_ms: u64, lease_ms: u64) -> LinkState {
+        let known = lock(&self.known);
+        let Some(peer) = known.get(id) else {
+            return LinkState::default();
+        };
+        let recent =
+            |time: Option<u64>| time.is_some_and(|ms| now_ms.saturating_sub(ms) < lease_ms);
+        LinkState {
+            answers: recent(peer.answered_ms),
+            calls_us: recent(peer.heard_ms),
+            refused: recent(peer.refused_ms) && peer.refused_ms > peer.answered_ms,
+            incarnation: peer.heartbeat.incarnation,
+            settings_version: peer.heartbeat.settings_version,
+            in_flight: peer.heartbeat.in_flight,
+            queued: peer.heartbeat.queued,
+        }
+    }
+
+    /// Whether the peer's port refused our last connection.
+    pub fn was_refused(&self, id: &InstanceId) -> bool {
+        let known = lock(&self.known);
+        known
+            .get(id)
+            .is_some_and(|peer| peer.refused_ms > peer.answered_ms)
+    }
+
+    /// The newest summary of a pool that any peer sent.
+    pub fn summary(&self, pool: &Pool) -> Option<(InstanceId, PoolSummary)> {
+        let known = lock(&self.known);
+        let summaries = known.iter().flat_map(|(id, peer)| {
+            let of_pool = peer
+                .heartbeat
+                .pools
+                .iter()
+                .filter(|summary| summary.pool == pool.as_str());
+            of_pool.map(move |summary| (id.clone(), summary.clone()))
+        });
+        summaries.max_by_key(|(_, summary)| summary.epoch)
+    }
+
+    /// Free slots by `team/service` of a peer, by its last heartbeat.
+    pub fn free_slots(&self, id: &InstanceId) -> BTreeMap<String, u32> {
+        let known = lock(&self.known);
+        known
+            .get(id)
+            .map(|peer| peer.heartbeat.free_slots.clone())
+            .unwrap_or_default()
+    }
+
+    fn update(&self, id: &InstanceId, change: impl FnOnce(&mut Peer)) {
+        if let Some(peer) = lock(&self.known).get_mut(id) {
+            change(peer);
+        }
+    }
+
+    fn begin_pull(&self, id: &InstanceId) -> Option<Arc<dyn EntryPeer>> {
+        let mut known = lock(&self.known);
+        let peer = known.get_mut(id).filter(|peer| !peer.pulling)?;
+        peer.pulling = true;
+        Some(Arc::clone(&peer.client))
+    }
+}
+
+/// Starts a heartbeat task for each instance that is new or has another address.
+pub(crate) fn follow(shared: &Arc<Shared>, rows: &BTreeMap<InstanceId, InstanceRow>) {
+    let mut known = lock(&shared.peers.known);
+    known.retain(|id, peer| rows.get(id).is_some_and(|row| row.address == peer.address));
+    for (id, row) in rows {
+        if *id == shared.cfg.instance || known.contains_key(id) {
+            continue;
+        }
+        let client = shared.connector.connect(row.address);
+        let peer = Peer {
+            address: row.address,
+            client: Arc::clone(&client),
+            answered_ms: None,
+            heard_ms: None,
+            refused_ms: None,
+            heartbeat: Heartbeat::default(),
+            pulling: false,
+        };
+        known.insert(id.clone(), peer);
+        spawn(beat(Arc::clone(shared), id.clone(), client)).detach();
+    }
+}
+
+async fn beat(shared: Arc<Shared>, id: InstanceId, client: Arc<dyn EntryPeer>) {
+    // Ends when the peer was removed or got another client.
+    let is_current = || {
+        let current = shared.peers.client(&id);
+        current.is_some_and(|current| Arc::ptr_eq(&current, &client))
+    };
+    while !shared.stop.is_requested() && is_current() {
+        let result = client.heartbeat(request(&shared)).await;
+        let now_ms = shared.now_ms();
+        match result {
+            Ok(reply) => take_reply(&shared, &id, reply, now_ms),
+            Err(EntryError::Refused { .. }) => {
+                shared
+                    .peers
+                    .update(&id, |peer| peer.refused_ms = Some(now_ms));
+            }
+            Err(_) => {}
+        }
+        sleep_ms(shared.cfg.timings.heartbeat_ms).await;
+    }
+}
+
+fn take_reply(shared: &Arc<Shared>, id: &InstanceId, reply: HeartbeatReply, now_ms: u64) {
+    if reply.instance != id.as_str() {
+        // Another instance listens at the address; its own row tells where it belongs.
+        return;
+    }
+    let version = reply.settings_version;
+    shared.peers.update(id, |peer| {
+        peer.answered_ms = Some(now_ms);
+        peer.heartbeat = Heartbeat {
+            incarnation: Incarnation(reply.incarnation),
+            settings_version: version,
+            pools: reply.pools,
+            in_flight: reply.in_flight,
+            queued: reply.queued,
+            free_slots: reply.free_slots,
+        };
+    });
+    pull_if_newer(shared, id, version);
+}
+
+/// Takes a heartbeat of another instance and answers it.
+pub(crate) fn answer(shared: &Arc<Shared>, req: HeartbeatRequest) -> HeartbeatReply {
+    let now_ms = shared.now_ms();
+    let version = req.settings_version;
+    if let Ok(id) = InstanceId::new(&req.instance) {
+        shared.peers.update(&id, |peer| {
+            peer.heard_ms = Some(now_ms);
+            peer.heartbeat = Heartbeat {
+                incarnation: Incarnation(req.incarnation),
+                settings_version: version,
+                pools: req.pools,
+                in_flight: req.in_flight,
+                queued: req.queued,
+                free_slots: req.free_slots,
+            };
+        });
+        pull_if_newer(shared, &id, version);
+    }
+    let own = request(shared);
+    HeartbeatReply {
+        instance: own.instance,
+        incarnation: own.incarnation,
+        settings_version: own.settings_version,
+        slot_epoch: own.slot_epoch,
+        leaving: own.leaving,
+        in_flight: own.in_flight,
+        queued: own.queued,
+        free_slots: own.free_slots,
+        pools: own.pools,
+    }
+}
+
+/// Fetches the settings of a peer that has a newer version.
+fn pull_if_newer(shared: &Arc<Shared>, id: &InstanceId, version: u64) {
+    let own = shared.settings.current().version;
+    if version <= own {
+        return;
+    }
+    let Some(client) = shared.peers.begin_pull(id) else {
+        return;
+    };
+    let (shared, id) = (Arc::clone(shared), id.clone());
+    spawn(async move {
+        if let Ok(tree) = client.pull_settings(SettingsVersion { version: own }).await {
+            crate::settings::adopt_tree(&shared, &tree);
+        }
+        shared.peers.update(&id, |peer| peer.pulling = false);
+    })
+    .detach();
+}
+
+fn request(shared: &Shared) -> HeartbeatRequest {
+    let load = shared
+        .local()
+        .map_or_else(Load::default, |local| local.load());
+    let owners: Vec<_> = lock(&shared.owners).values().cloned().collect();
+    let mut req = HeartbeatRequest {
+        instance: shared.cfg.instance.to_string(),
+        incarnation: shared.cfg.incarnation.0,
+        zone: shared.cfg.zone.to_string(),
+        settings_version: shared.settings.current().version,
+        slot_epoch: lock(&shared.slots).epoch(),
+        leaving: shared.is_leaving(),
+        pools: owners.iter().map(|owner| owner.summary()).collect(),
+        in_flight: load.in_flight,
+        queued: load.queued,
+        free_slots: load.free_slots.into_iter().take(MAX_FREE_SLOTS).collect(),
+    };
+    while req.encoded_len() > MAX_HEARTBEAT_BYTES {
+        if req.free_slots.pop_last().is_none() && req.pools.pop().is_none() {
+            break;
+        }
+    }
+    req
+}
--- /dev/null
+++ b/crates/control/src/routing.rs
@@ -0,0 +1,353 @@
+//! Calls about jobs, handed to the owner of the pool.
+
+use {
+    crate::{
+        api::JobError,
+        owner::{Message, OwnerHandle, Reply, refused, row_status},
+        rows::{self, JobRow},
+        shared::{Shared, lock},
+        store::limited,
+    },
+    ragwortreel_entry::{
+        EntryError,
+        generated::{JobMessage, JobReference, JobReply, PoolSummary, job_reply},
+    },
+    ragwortreel_model::{InstanceId, JobId, JobSpec, JobStatus, Pool, Resources, Team},
+    ragwortreel_runtime::timeout_ms,
+    std::{cmp::Reverse, collections::BTreeMap, sync::Arc},
+};
+
+/// Pools that are tried for one submission.
+const MAX_POOLS_TRIED: usize = 4;
+
+/// Sends a message to an owner in this process and waits for the answer.
+async fn ask<T>(
+    shared: &Shared,
+    handle: &OwnerHandle,
+    message: impl FnOnce(Reply<T>) -> Message,
+) -> Result<T, JobError> {
+    let (tx, rx) = async_channel::bounded(1);
+    if handle.sender().try_send(message(tx)).is_err() {
+        return Err(refused("the pool's owner is busy or has changed"));
+    }
+    match timeout_ms(shared.cfg.timings.call_ms, rx.recv()).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) => Err(unknown("the pool's owner has changed")),
+        Err(_) => Err(unknown("timeout")),
+    }
+}
+
+fn unknown(problem: &str) -> JobError {
+    JobError::Unknown {
+        problem: problem.into(),
+    }
+}
+
+pub(crate) async fn submit_here(
+    shared: &Shared,
+    handle: &OwnerHandle,
+    spec: JobSpec,
+) -> Result<JobStatus, JobError> {
+    ask(shared, handle, |reply| Message::Submit { spec, reply }).await
+}
+
+pub(crate) async fn cancel_here(
+    shared: &Shared,
+    handle: &OwnerHandle,
+    job: JobId,
+    team: Option<Team>,
+) -> Result<JobStatus, JobError> {
+    ask(shared, handle, |reply| Message::Cancel { job, team, reply }).await
+}
+
+pub(crate) async fn describe_here(
+    shared: &Shared,
+    handle: &OwnerHandle,
+    team: Option<Team>,
+    job: Option<JobId>,
+) -> Result<Vec<JobStatus>, JobError> {
+    ask(shared, handle, |reply| Message::Describe {
+        team,
+        job,
+        reply,
+    })
+    .await
+}
+
+/// Submits a job to the pool with the most room.
+pub(crate) async fn submit(shared: &Arc<Shared>, spec: JobSpec) -> Result<JobStatus, JobError> {
+    spec.check().map_err(JobError::Invalid)?;
+    // A repeated submission must find the job where it is; its row also settles it when the owner is silent.
+    if let Some(row) = read_row(shared, &spec.id).await? {
+        if row.spec != spec {
+            return Err(JobError::Conflict { job: spec.id });
+        }
+        return Ok(row_status(row));
+    }
+    let mut last = refused("no pool in the job's zone has an owner");
+    for pool in pools_by_room(shared, &spec)
+        .into_iter()
+        .take(MAX_POOLS_TRIED)
+    {
+        match submit_to(shared, &pool, &spec).await {
+            Err(JobError::Refused {
+                problem,
+                retry_after_ms,
+            }) => {
+                last = JobError::Refused {
+                    problem,
+                    retry_after_ms,
+                };
+            }
+            Err(JobError::Unknown { problem }) => return read_back(shared, &spec, problem).await,
+            answer => return answer,
+        }
+    }
+    Err(last)
+}
+
+async fn submit_to(shared: &Shared, pool: &Pool, spec: &JobSpec) -> Result<JobStatus, JobError> {
+    if let Some(handle) = shared.owner_handle(pool) {
+        return submit_here(shared, &handle, spec.clone()).await;
+    }
+    let owner = shared
+        .owner_of(pool)
+        .ok_or_else(|| refused("the pool has no owner"))?;
+    let client = shared.peers.client(&owner);
+    let client = client.ok_or_else(|| refused("the pool's owner is not known"))?;
+    let message = JobMessage {
+        spec_json: rows::encode(spec).as_bytes().to_vec(),
+        pool: pool.to_string(),
+    };
+    let statuses = from_reply(&spec.id, client.submit_job(message).await)?;
+    statuses
+        .into_iter()
+        .next()
+        .ok_or_else(|| unknown("the owner's answer is empty"))
+}
+
+/// Settles a submission without an answer by the job's row.
+async fn read_back(
+    shared: &Shared,
+    spec: &JobSpec,
+    problem: Arc<str>,
+) -> Result<JobStatus, JobError> {
+    match read_row(shared, &spec.id).await {
+        Ok(Some(row)) if row.spec == *spec => Ok(row_status(row)),
+        _ => Err(JobError::Unknown { problem }),
+    }
+}
+
+async fn read_row(shared: &Shared, job: &JobId) -> Result<Option<JobRow>, JobError> {
+    let row = limited("read job", shared.table.get(&rows::job_key(job))).await;
+    let row = row.map_err(|err| refused(&err.to_string()))?;
+    let decode = |row| rows::decode(&row).map_err(|err| refused(&err.to_string()));
+    row.map(decode).transpose()
+}
+
+/// Pools of the job's zone, those where a task fits now first, then those with the shortest queue.
+fn pools_by_room(shared: &Shared, spec: &JobSpec) -> Vec<Pool> {
+    let allowed = |zone| spec.zone.as_ref().is_none_or(|wanted| wanted == zone);
+    let mut pools: Vec<_> = (shared.cfg.pools.iter())
+        .filter(|cfg| allowed(&cfg.zone))
+        .map(|cfg| {
+            (
+                rank(spec, summary(shared, &cfg.pool).as_ref()),
+                cfg.pool.clone(),
+            )
+        })
+        .collect();
+    pools.sort();
+    pools.into_iter().map(|(_, pool)| pool).collect()
+}
+
+fn summary(shared: &Shared, pool: &Pool) -> Option<PoolSummary> {
+    let own = shared.owner_handle(pool).map(|handle| handle.summary());
+    own.or_else(|| shared.peers.summary(pool).map(|(_, summary)| summary))
+}
+
+fn rank(spec: &JobSpec, summary: Option<&PoolSummary>) -> (bool, u64, Reverse<u64>) {
+    let Some(summary) = summary else {
+        return (true, u64::MAX, Reverse(0));
+    };
+    let free = Resources::new(
+        summary.free_milli_cores,
+        summary.free_memory_mib,
+        summary.free_accelerators,
+    );
+    let fits = spec.resources.fits_in(&free);
+    (
+        !fits,
+        summary.queued_tasks,
+        Reverse(summary.free_milli_cores),
+    )
+}
+
+/// Cancels a job at the owner of its pool.
+pub(crate) async fn cancel(
+    shared: &Arc<Shared>,
+    job: &JobId,
+    team: Option<&Team>,
+) -> Result<JobStatus, JobError> {
+    let not_found = || JobError::NotFound { job: job.clone() };
+    let row = read_row(shared, job).await?.ok_or_else(not_found)?;
+    if team.is_some_and(|team| row.spec.team != *team) {
+        return Err(not_found());
+    }
+    if row.state.is_final() {
+        return Err(JobError::Ended {
+            job: job.clone(),
+            state: row.state,
+        });
+    }
+    if let Some(handle) = shared.owner_handle(&row.pool) {
+        return cancel_here(shared, &handle, job.clone(), team.cloned()).await;
+    }
+    let owner = shared
+        .owner_of(&row.pool)
+        .ok_or_else(|| refused("the pool has no owner"))?;
+    let client = shared.peers.client(&owner);
+    let client = client.ok_or_else(|| refused("the pool's owner is not known"))?;
+    let answer = client.cancel_job(reference(Some(job), team)).await;
+    let statuses = from_reply(job, answer)?;
+    statuses
+        .into_iter()
+        .next()
+        .ok_or_else(|| unknown("the owner's answer is empty"))
+}
+
+fn reference(job: Option<&JobId>, team: Option<&Team>) -> JobReference {
+    JobReference {
+        job: job.map(ToString::to_string).unwrap_or_default(),
+        team: team.map(ToString::to_string).unwrap_or_default(),
+    }
+}
+
+/// Describes a job, or all recent jobs of a team.
+pub(crate) async fn describe(
+    shared: &Arc<Shared>,
+    team: Option<&Team>,
+    job: Option<&JobId>,
+) -> Result<Vec<JobStatus>, JobError> {
+    let mut found = BTreeMap::new();
+    let own: Vec<_> = lock(&shared.owners).values().cloned().collect();
+    for handle in own {
+        for status in describe_here(shared, &handle, team.cloned(), job.cloned()).await? {
+            found.insert(status.spec.id.clone(), status);
+        }
+    }
+    let id = job
+        .cloned()
+        .unwrap_or_else(|| JobId::new("all").unwrap_or_else(|_| unreachable!("a valid name")));
+    for owner in other_owners(shared) {
+        let Some(client) = shared.peers.client(&owner) else {
+            continue;
+        };
+        let answer = client.describe_job(reference(job, team)).await;
+        match from_reply(&id, answer) {
+            Ok(statuses) => found.extend(
+                statuses
+                    .into_iter()
+                    .map(|status| (status.spec.id.clone(), status)),
+            ),
+            Err(JobError::NotFound { .. }) => {}
+            Err(err) if job.is_none() => return Err(err),
+            Err(_) => {}
+        }
+    }
+    if let Some(job) = job.filter(|_| found.is_empty()) {
+        let row = read_row(shared, job).await?;
+        let row = row.filter(|row| team.is_none_or(|team| row.spec.team == *team));
+        let row = row.ok_or_else(|| JobError::NotFound { job: job.clone() })?;
+        return Ok(vec![row_status(row)]);
+    }
+    Ok(found.into_values().collect())
+}
+
+fn other_owners(shared: &Shared) -> Vec<InstanceId> {
+    let mut owners: Vec<_> = (shared.cfg.pools.iter())
+        .filter_map(|cfg| shared.owner_of(&cfg.pool))
+        .filter(|owner| *owner != shared.cfg.instance)
+        .collect();
+    owners.sort();
+    owners.dedup();
+    owners
+}
+
+fn from_reply(
+    job: &JobId,
+    reply: Result<JobReply, EntryError>,
+) -> Result<Vec<JobStatus>, JobError> {
+    let reply = reply.map_err(|err| {
+        if err.is_not_run() {
+            refused(&err.to_string())
+        } else {
+            unknown(&err.to_string())
+        }
+    })?;
+    match reply.result() {
+        job_reply::Result::Ok => {
+            serde_json::from_slice(&reply.jobs_json).map_err(|err| unknown(&err.to_string()))
+        }
+        job_reply::Result::NotFound => Err(JobError::NotFound { job: job.clone() }),
+        job_reply::Result::Unspecified | job_reply::Result::Unknown => Err(unknown(&reply.problem)),
+        _ => serde_json::from_slice(&reply.jobs_json).map_or_else(
+            |_| Err(refused(&reply.problem)),
+            |error: WireError| Err(error.into_error(job)),
+        ),
+    }
+}
+
+/// Refusals that a caller must tell apart, as JSON in the reply's content.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum WireError {
+    Conflict,
+    Ended(ragwortreel_model::JobState),
+    Invalid(String),
+}
+
+impl WireError {
+    fn of(err: &JobError) -> Option<Self> {
+        match err {
+            JobError::Conflict { .. } => Some(Self::Conflict),
+            JobError::Ended { state, .. } => Some(Self::Ended(*state)),
+            JobError::Invalid(err) => Some(Self::Invalid(err.to_string())),
+            _ => None,
+        }
+    }
+
+    fn into_error(self, job: &JobId) -> JobError {
+        match self {
+            Self::Conflict => JobError::Conflict { job: job.clone() },
+            Self::Ended(state) => JobError::Ended {
+                job: job.clone(),
+                state,
+            },
+            Self::Invalid(problem) => refused(&problem),
+        }
+    }
+}
+
+/// An answer as a message to another instance.
+pub(crate) fn to_reply(answer: Result<Vec<JobStatus>, JobError>) -> JobReply {
+    match answer {
+        Ok(jobs) => JobReply {
+            result: job_reply::Result::Ok.into(),
+            problem: String::new(),
+            jobs_json: rows::encode(&jobs).as_bytes().to_vec(),
+        },
+        Err(err) => JobReply {
+            result: match &err {
+                JobError::NotFound { .. } => job_reply::Result::NotFound,
+                JobError::Unknown { .. } => job_reply::Result::Unknown,
+                _ => job_reply::Result::Refused,
+            }
+            .into(),
+            jobs_json: WireError::of(&err)
+                .map(|err| rows::encode(&err).as_bytes().to_vec())
+                .unwrap_or_default(),
+            problem: err.to_string(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/control/src/service.rs
@@ -0,0 +1,140 @@
+//! Answers to the calls of other entry instances.
+
+use {
+    crate::{
+        peers, routing, settings,
+        shared::{Shared, lock},
+        slots,
+    },
+    async_trait::async_trait,
+    ragwortreel_entry::{
+        EntryService,
+        generated::{
+            ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
+            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
+            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion, job_reply,
+        },
+    },
+    ragwortreel_model::{JobId, JobSpec, Pool, Team},
+    std::sync::Arc,
+};
+
+/// Time after which a forwarded request may be tried again when this instance serves none, in ms.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+pub(crate) struct Service(pub Arc<Shared>);
+
+#[async_trait]
+impl EntryService for Service {
+    async fn heartbeat(&self, req: HeartbeatRequest) -> HeartbeatReply {
+        peers::answer(&self.0, req)
+    }
+
+    async fn push_settings(&self, tree: SettingsTree) -> SettingsVersion {
+        settings::adopt_tree(&self.0, &tree);
+        SettingsVersion {
+            version: self.0.settings.current().version,
+        }
+    }
+
+    async fn pull_settings(&self, asked: SettingsVersion) -> SettingsTree {
+        let current = self.0.settings.current();
+        if current.version <= asked.version {
+            return SettingsTree {
+                version: current.version,
+                ..SettingsTree::default()
+            };
+        }
+        settings::tree_message(&current)
+    }
+
+    async fn confirm_slot_epoch(&self, req: ConfirmSlotEpochRequest) -> ConfirmSlotEpochReply {
+        slots::confirm(&self.0, &req)
+    }
+
+    async fn release_slots(&self, req: ReleaseSlotsRequest) -> ReleaseSlotsReply {
+        slots::release(&self.0, &req)
+    }
+
+    async fn forward_request(&self, req: ForwardedRequest) -> ForwardedResponse {
+        match self.0.local() {
+            Some(local) => local.forward(req).await,
+            None => ForwardedResponse {
+                outcome: "not-run".to_owned(),
+                status: 503,
+                retry_after_ms: RETRY_AFTER_MS,
+                reason: "the instance does not serve requests yet".to_owned(),
+                ..ForwardedResponse::default()
+            },
+        }
+    }
+
+    async fn submit_job(&self, message: JobMessage) -> JobReply {
+        let spec = serde_json::from_slice::<JobSpec>(&message.spec_json);
+        let (Ok(spec), Ok(pool)) = (spec, Pool::new(&message.pool)) else {
+            return refusal("the message is malformed");
+        };
+        let Some(handle) = self.0.owner_handle(&pool) else {
+            return not_owner();
+        };
+        let answer = routing::submit_here(&self.0, &handle, spec).await;
+        routing::to_reply(answer.map(|status| vec![status]))
+    }
+
+    async fn cancel_job(&self, message: JobReference) -> JobReply {
+        let (Ok(job), Ok(team)) = (JobId::new(&message.job), parse_team(&message.team)) else {
+            return refusal("the message is malformed");
+        };
+        let handles: Vec<_> = lock(&self.0.owners).values().cloned().collect();
+        let mut answer = None;
+        for handle in handles {
+            let result = routing::cancel_here(&self.0, &handle, job.clone(), team.clone()).await;
+            let is_elsewhere = matches!(result, Err(crate::JobError::NotFound { .. }));
+            answer = Some(result);
+            if !is_elsewhere {
+                break;
+            }
+        }
+        answer.map_or_else(not_owner, |answer| {
+            routing::to_reply(answer.map(|status| vec![status]))
+        })
+    }
+
+    async fn describe_job(&self, message: JobReference) -> JobReply {
+        let job = (!message.job.is_empty())
+            .then(|| JobId::new(&message.job))
+            .transpose();
+        let (Ok(job), Ok(team)) = (job, parse_team(&message.team)) else {
+            return refusal("the message is malformed");
+        };
+        let handles: Vec<_> = lock(&self.0.owners).values().cloned().collect();
+        let mut found = Vec::new();
+        for handle in handles {
+            match routing::describe_here(&self.0, &handle, team.clone(), job.clone()).await {
+                Ok(statuses) => found.extend(statuses),
+                Err(err) => return routing::to_reply(Err(err)),
+            }
+        }
+        routing::to_reply(Ok(found))
+    }
+}
+
+fn parse_team(text: &str) -> Result<Option<Team>, ragwortreel_model::NameError> {
+    (!text.is_empty()).then(|| Team::new(text)).transpose()
+}
+
+fn refusal(problem: &str) -> JobReply {
+    JobReply {
+        result: job_reply::Result::Refused.into(),
+        problem: problem.to_owned(),
+        ..JobReply::default()
+    }
+}
+
+fn not_owner() -> JobReply {
+    JobReply {
+        result: job_reply::Result::NotOwner.into(),
+        problem: "this instance does not own the pool".to_owned(),
+        ..JobReply::default()
+    }
+}
