--- a/src/admin.rs
+++ b/src/admin.rs
@@ -29,7 +29,13 @@
         burn: Arc<BurnCounter>,
         stop: Stop,
     ) -> Self {
-        Self { instance, control, telemetry, burn, stop }
+        Self {
+            instance,
+            control,
+            telemetry,
+            burn,
+            stop,
+        }
     }
 }
 
@@ -37,13 +43,20 @@
 impl Admin for DaemonAdmin {
     async fn drain(&self, target: DrainTarget) -> Result<(), Refusal> {
         match target {
-            DrainTarget::Worker(worker) => self.control.drain_worker(&worker, true).await.map_err(jobs::refusal),
+            DrainTarget::Worker(worker) => self
+                .control
+                .drain_worker(&worker, true)
+                .await
+                .map_err(|err| jobs::refusal(&err)),
             DrainTarget::Instance(instance) if instance == self.instance => {
                 self.stop.request();
                 Ok(())
             }
             DrainTarget::Instance(instance) => {
-                let problem = format!("this is instance {}, send the command to {instance}", self.instance);
+                let problem = format!(
+                    "this is instance {}, send the command to {instance}",
+                    self.instance
+                );
                 Err(Refusal::new(RefusalKind::NotFound, problem))
             }
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         admin::DaemonAdmin,
-        burn::BurnCounter,
+        burn::{BurnCounter, BurnCounts},
         config::Config,
         error::Error,
         events,
@@ -16,7 +16,7 @@
         pooled::PooledTransport,
         service_call::{Parts, ServiceRouter},
         settings_api::DaemonSettings,
-        shares::follow_shares,
+        shares::{Place, follow_shares},
         telemetry::Telemetry,
     },
     ragwortreel_caller::{ApiHandler, Authenticator},
@@ -27,10 +27,13 @@
     ragwortreel_http::{Server, ServerLimits},
     ragwortreel_model::{Clock, Incarnation, Settings, SystemClock},
     ragwortreel_placement::Scheduler,
-    ragwortreel_platform::{HttpPlatform, OnceClaims, ResilientConfig, ResilientTable, TableService, run_sweeps},
+    ragwortreel_platform::{
+        HttpPlatform, ResilientConfig, ResilientTable, TableService,
+        once::{OnceClaims, run_sweeps},
+    },
     ragwortreel_routing::{Router, RouterConfig},
     ragwortreel_runtime::{Logger, Stop, Task, log_event, sleep_ms, spawn, timeout_ms},
-    ragwortreel_worker::HttpWorkerConnector,
+    ragwortreel_worker::{HttpWorkerConnector, WorkerTimeouts},
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -39,7 +42,7 @@
 };
 
 /// Time limit of one call to a service of the platform.
-const PLATFORM_CALL: Duration = Duration::from_millis(1_000);
+const PLATFORM_CALL: Duration = Duration::from_secs(1);
 /// Writes a second that claims and control of all instances may each send; together half of the service's rate.
 const WRITES_PER_S: f64 = 125.0;
 /// Reads a second that claims and control of all instances may each send; together half of the service's rate.
@@ -57,19 +60,8 @@
     pub caller_address: SocketAddr,
     /// Address for other entry instances.
     pub entry_address: SocketAddr,
-    /// The control part.
-    pub control: Control,
-    /// Counts for the burn report.
-    pub burn: Arc<BurnCounter>,
-    router: Router,
-    log: Logger,
     stop_ms: u64,
-    /// Requested by a signal or an operator.
-    stop: Stop,
-    /// Ends listening for callers.
-    serving: Stop,
-    /// Ends the entry link and control.
-    linked: Stop,
+    core: Core,
     servers: Vec<Task<()>>,
 }
 
@@ -79,8 +71,7 @@
 ///
 /// Returns an error when a part cannot start.
 pub async fn run(config: Config, log: Logger, stop: Stop) -> Result<(), Error> {
-    let daemon = start(config, log, stop).await?;
-    daemon.finish().await;
+    start(&config, log, stop)?.finish().await;
     Ok(())
 }
 
@@ -89,110 +80,227 @@
 /// # Errors
 ///
 /// Returns an error when an address cannot be bound or the metrics cannot be set up.
-pub async fn start(config: Config, log: Logger, stop: Stop) -> Result<Daemon, Error> {
+pub fn start(config: &Config, log: Logger, stop: Stop) -> Result<Daemon, Error> {
     let telemetry = Telemetry::new().map_err(|err| Error::start("setting up metrics", &err))?;
-    let telemetry = Arc::new(telemetry);
+    let bind_failed = |err| Error::start("binding entry_address", &err);
+    let entry_server = EntryServer::bind(config.entry_address).map_err(bind_failed)?;
+    let entry_address = entry_server.local_addr().map_err(bind_failed)?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
-    let (serving, linked) = (Stop::new(), Stop::new());
-    let platform = Platform::connect(&config, &log);
-
-    let forwarder = Arc::new(PeerForwarder::default());
-    let router = Router::new(
-        RouterConfig::new(config.instance.clone(), config.zone.clone(), fastrand::u64(..)),
-        Arc::clone(&clock),
-    );
-    let burn = Arc::new(BurnCounter::default());
-    let entry_server = EntryServer::bind(config.entry_address).map_err(|err| Error::start("binding entry_address", &err))?;
-    let entry_address = entry_server.local_addr();
-    let control = start_control(&config, entry_address, &platform, &clock, &log, &linked);
-    forwarder.connect(control.clone());
-
-    let parts = Parts {
-        router: router.clone(),
-        transport: Arc::new(PooledTransport::new(log.clone())),
-        once: OnceClaims::new(Arc::clone(&platform.claims), config.instance.as_str(), log.clone()),
-        forwarder,
-        clock: Arc::clone(&clock),
-        telemetry: Arc::clone(&telemetry),
-        burn: Arc::clone(&burn),
-        stop: serving.clone(),
+    let linked = Stop::new();
+    let platform = Platform::connect(config, &log);
+    let core = Core {
+        telemetry: Arc::new(telemetry),
+        burn: Arc::new(BurnCounter::default()),
+        router: Router::new(
+            RouterConfig::new(
+                config.instance.clone(),
+                config.zone.clone(),
+                fastrand::u64(..),
+            ),
+            Arc::clone(&clock),
+        ),
+        control: start_control(config, entry_address, &platform, &clock, &log, &linked),
+        clock,
+        log,
+        stop,
+        serving: Stop::new(),
+        linked,
     };
-    let services = Arc::new(ServiceRouter::new(parts, control.settings()));
-    control.set_local_requests(Arc::new(LocalService::new(Arc::clone(&services), router.clone(), control.clone())));
-
+    let services = core.services(config, &platform);
     let auth = Arc::new(Authenticator::new());
-    let admin = DaemonAdmin::new(
-        config.instance.clone(),
-        control.clone(),
-        Arc::clone(&telemetry),
-        Arc::clone(&burn),
-        stop.clone(),
-    );
-    let handler = ApiHandler::new(
-        Arc::clone(&auth),
-        Arc::clone(&services) as Arc<_>,
-        Arc::new(DaemonJobs::new(control.clone())),
-        Arc::new(DaemonSettings::new(control.clone())),
-        Arc::new(admin),
-    );
-    let caller_server = Server::bind(config.caller_address, Arc::new(handler), ServerLimits::default(), log.clone());
-    let caller_server = caller_server.map_err(|err| Error::start("binding caller_address", &err))?;
+    let caller_server = core.caller_server(config, &auth, &services)?;
     let caller_address = caller_server.local_addr();
-
-    spawn(follow_settings(control.clone(), auth, services, log.clone())).detach();
-    spawn(follow_shares(control.clone(), router.clone(), linked.clone())).detach();
-    spawn(tick(router.clone(), linked.clone())).detach();
-    spawn(sample(control.clone(), router.clone(), telemetry, platform.figures, linked.clone())).detach();
-    spawn(run_sweeps(Arc::clone(&platform.claims), log.clone(), linked.clone())).detach();
-    if let Some(tree) = config.initial_settings.clone() {
-        spawn(write_initial(control.clone(), tree, log.clone(), linked.clone())).detach();
-    }
-    let servers = vec![
-        spawn(caller_server.run(serving.clone())),
-        spawn(entry_server.run(control.entry_service(), linked.clone(), log.clone())),
-    ];
-    log_event!(log, events::STARTED;
+    core.spawn_followers(config, platform, auth, services);
+    let link = entry_server.serve(
+        core.control.entry_service(),
+        core.log.clone(),
+        core.linked.clone(),
+    );
+    let servers = vec![spawn(caller_server.run(core.serving.clone())), spawn(link)];
+    log_event!(core.log, events::STARTED;
         "instance" => config.instance.as_str(), "zone" => config.zone.as_str(),
         "caller_address" => caller_address.to_string(), "entry_address" => entry_address.to_string());
     Ok(Daemon {
         caller_address,
         entry_address,
-        control,
-        burn,
-        router,
-        log,
         stop_ms: config.stop_ms,
-        stop,
-        serving,
-        linked,
+        core,
         servers,
     })
 }
 
+/// Parts that most others use.
+struct Core {
+    telemetry: Arc<Telemetry>,
+    burn: Arc<BurnCounter>,
+    router: Router,
+    control: Control,
+    clock: Arc<dyn Clock>,
+    log: Logger,
+    /// Requested by a signal or an operator.
+    stop: Stop,
+    /// Ends listening for callers.
+    serving: Stop,
+    /// Ends the entry link and control.
+    linked: Stop,
+}
+
+impl Core {
+    /// Makes the routing of requests and lets other instances use it.
+    fn services(&self, config: &Config, platform: &Platform) -> Arc<ServiceRouter> {
+        let forwarder = Arc::new(PeerForwarder::default());
+        forwarder.connect(self.control.clone());
+        let parts = Parts {
+            router: self.router.clone(),
+            transport: Arc::new(PooledTransport::new()),
+            once: OnceClaims::new(
+                Arc::clone(&platform.claims),
+                config.instance.as_str(),
+                self.log.clone(),
+            ),
+            forwarder,
+            clock: Arc::clone(&self.clock),
+            telemetry: Arc::clone(&self.telemetry),
+            burn: Arc::clone(&self.burn),
+            stop: self.serving.clone(),
+        };
+        let services = Arc::new(ServiceRouter::new(parts, self.control.settings()));
+        let local = LocalService::new(
+            config.instance.clone(),
+            Arc::clone(&services),
+            self.router.clone(),
+            self.control.clone(),
+        );
+        self.control.set_local_requests(Arc::new(local));
+        services
+    }
+
+    /// Binds the HTTP interface for callers and operators.
+    fn caller_server(
+        &self,
+        config: &Config,
+        auth: &Arc<Authenticator>,
+        services: &Arc<ServiceRouter>,
+    ) -> Result<Server, Error> {
+        let admin = DaemonAdmin::new(
+            config.instance.clone(),
+            self.control.clone(),
+            Arc::clone(&self.telemetry),
+            Arc::clone(&self.burn),
+            self.stop.clone(),
+        );
+        let handler = ApiHandler::new(
+            Arc::clone(auth),
+            Arc::clone(services) as Arc<_>,
+            Arc::new(DaemonJobs::new(self.control.clone())),
+            Arc::new(DaemonSettings::new(self.control.clone())),
+            Arc::new(admin),
+        );
+        let limits = ServerLimits::default();
+        Server::bind(
+            config.caller_address,
+            Arc::new(handler),
+            limits,
+            self.log.clone(),
+        )
+        .map_err(|err| Error::start("binding caller_address", &err))
+    }
+
+    /// Starts the tasks that keep the parts up to date.
+    fn spawn_followers(
+        &self,
+        config: &Config,
+        platform: Platform,
+        auth: Arc<Authenticator>,
+        services: Arc<ServiceRouter>,
+    ) {
+        let (control, router, linked) = (&self.control, &self.router, &self.linked);
+        let place = Place {
+            instance: config.instance.clone(),
+            zone: config.zone.clone(),
+        };
+        spawn(follow_settings(
+            control.clone(),
+            auth,
+            services,
+            self.log.clone(),
+        ))
+        .detach();
+        spawn(follow_shares(
+            place,
+            control.clone(),
+            router.clone(),
+            linked.clone(),
+        ))
+        .detach();
+        spawn(tick(router.clone(), linked.clone())).detach();
+        let telemetry = Arc::clone(&self.telemetry);
+        spawn(sample(
+            control.clone(),
+            router.clone(),
+            telemetry,
+            platform.figures,
+            linked.clone(),
+        ))
+        .detach();
+        spawn(run_sweeps(
+            platform.claims,
+            self.log.clone(),
+            linked.clone(),
+        ))
+        .detach();
+        if let Some(tree) = config.initial_settings.clone() {
+            spawn(write_initial(
+                control.clone(),
+                tree,
+                self.log.clone(),
+                linked.clone(),
+            ))
+            .detach();
+        }
+    }
+}
+
 impl Daemon {
+    /// Counts for the burn report.
+    #[must_use]
+    pub fn burn(&self) -> BurnCounts {
+        self.core.burn.counts()
+    }
+
+    /// The control part.
+    #[must_use]
+    pub fn control(&self) -> &Control {
+        &self.core.control
+    }
+
     /// Waits for the stop and carries it out: readiness ends, pools and slots are handed over, requests in flight end.
     pub async fn finish(self) {
-        self.stop.requested().await;
-        log_event!(self.log, events::STOPPING);
-        // Pools go first, because their hand-over does not disturb requests. Slots are released while requests still
-        // run, each when its request has ended.
-        let leave = spawn({
-            let control = self.control.clone();
-            async move { control.leave().await }
-        });
+        let Core {
+            control,
+            router,
+            log,
+            stop,
+            serving,
+            linked,
+            ..
+        } = self.core;
+        stop.requested().await;
+        log_event!(log, events::STOPPING);
+        // Pools are handed over while requests still run; slots are released one by one as their requests end.
+        let leave = spawn(async move { control.leave().await });
         sleep_ms(UNREADY_MS).await;
-        self.serving.request();
-        let drained = timeout_ms(self.stop_ms, self.serving.drained()).await;
-        if drained.is_err() {
-            log_event!(self.log, events::STOP_TIMEOUT; "in_flight" => self.serving.guards());
+        serving.request();
+        if timeout_ms(self.stop_ms, serving.drained()).await.is_err() {
+            log_event!(log, events::STOP_TIMEOUT; "in_flight" => serving.guards());
         }
         leave.await;
-        self.router.stop();
-        self.linked.request();
+        router.stop();
+        linked.request();
         for server in self.servers {
             let _ = timeout_ms(self.stop_ms, server).await;
         }
-        log_event!(self.log, events::STOPPED);
+        log_event!(log, events::STOPPED);
     }
 }
 
@@ -202,22 +310,36 @@
     claims: Arc<dyn TableService>,
     objects: Arc<HttpPlatform>,
     instances: Arc<HttpPlatform>,
-    figures: [ResilientTable; 2],
+    figures: [Arc<ResilientTable>; 2],
 }
 
 impl Platform {
     fn connect(config: &Config, log: &Logger) -> Self {
-        let client = |address| Arc::new(HttpPlatform::new(address, config.zone.clone(), PLATFORM_CALL));
+        let client = |address| {
+            Arc::new(HttpPlatform::new(
+                address,
+                config.zone.clone(),
+                PLATFORM_CALL,
+            ))
+        };
         // Control and claims have queues of their own, so that a burst of claims never delays a lease renewal.
         let resilient = || {
-            let cfg = ResilientConfig { writes_per_s: WRITES_PER_S, reads_per_s: READS_PER_S, ..ResilientConfig::default() };
-            ResilientTable::new(client(config.platform.table), cfg, log.clone())
+            let cfg = ResilientConfig {
+                writes_per_s: WRITES_PER_S,
+                reads_per_s: READS_PER_S,
+                ..ResilientConfig::default()
+            };
+            Arc::new(ResilientTable::new(
+                client(config.platform.table),
+                cfg,
+                log.clone(),
+            ))
         };
         let (control, claims) = (resilient(), resilient());
         Self {
-            figures: [control.clone(), claims.clone()],
-            control: Arc::new(control),
-            claims: Arc::new(claims),
+            figures: [Arc::clone(&control), Arc::clone(&claims)],
+            control,
+            claims,
             objects: client(config.platform.objects),
             instances: client(config.platform.instances),
         }
@@ -232,13 +354,22 @@
     log: &Logger,
     linked: &Stop,
 ) -> Control {
-    let zone = |(zone, region): (&_, &Arc<str>)| ZoneConfig { zone: Clone::clone(zone), region: Arc::clone(region) };
+    let zone = |(zone, region): (&_, &Arc<str>)| ZoneConfig {
+        zone: Clone::clone(zone),
+        region: Arc::clone(region),
+    };
     let zones: Vec<ZoneConfig> = config.zones.iter().map(zone).collect();
-    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let cfg = ControlConfig {
         instance: config.instance.clone(),
         zone: config.zone.clone(),
-        region: config.zones.get(&config.zone).cloned().unwrap_or_else(|| Arc::from("")),
+        region: config
+            .zones
+            .get(&config.zone)
+            .cloned()
+            .unwrap_or_else(|| Arc::from("")),
         address,
         incarnation: Incarnation(u64::try_from(started.as_nanos()).unwrap_or(u64::MAX)),
         pools: pools_of(&zones, config.pools_per_zone),
@@ -250,14 +381,36 @@
         table: Arc::clone(&platform.control),
         objects: Arc::clone(&platform.objects) as Arc<_>,
         list: Arc::clone(&platform.instances) as Arc<_>,
-        workers: Arc::new(HttpWorkerConnector::new(config.zone.clone())),
-        peers: Arc::new(TonicConnector::new(ClientLimits::default(), log.clone())),
-        schedulers: Arc::new(|pool| Box::new(Scheduler::new(pool.clone(), ragwortreel_placement::Config::default()))),
+        workers: Arc::new(HttpWorkerConnector::new(
+            config.zone.clone(),
+            WorkerTimeouts::default(),
+            log.clone(),
+        )),
+        peers: Arc::new(TonicConnector {
+            limits: ClientLimits::default(),
+        }),
+        schedulers: Arc::new(|pool| {
+            Box::new(Scheduler::new(
+                pool.clone(),
+                ragwortreel_placement::Config::default(),
+            ))
+        }),
     };
-    Control::start(cfg, connections, Arc::clone(clock), log.clone(), linked.clone())
+    Control::start(
+        cfg,
+        connections,
+        Arc::clone(clock),
+        log.clone(),
+        linked.clone(),
+    )
 }
 
-async fn follow_settings(control: Control, auth: Arc<Authenticator>, services: Arc<ServiceRouter>, log: Logger) {
+async fn follow_settings(
+    control: Control,
+    auth: Arc<Authenticator>,
+    services: Arc<ServiceRouter>,
+    log: Logger,
+) {
     let changes = control.subscribe_settings();
     while let Ok(settings) = changes.recv().await {
         auth.update(&settings.settings);
@@ -274,7 +427,13 @@
     }
 }
 
-async fn sample(control: Control, router: Router, telemetry: Arc<Telemetry>, tables: [ResilientTable; 2], stop: Stop) {
+async fn sample(
+    control: Control,
+    router: Router,
+    telemetry: Arc<Telemetry>,
+    tables: [Arc<ResilientTable>; 2],
+    stop: Stop,
+) {
     while !stop.is_requested() {
         let figures = control.figures();
         telemetry.settings(figures.settings_version);
@@ -283,8 +442,10 @@
             telemetry.pool(&pool.pool, share, pool.stats.queued);
         }
         telemetry.routing(&router.figures());
-        let sums = tables.iter().map(ResilientTable::figures);
-        let (reads, writes) = sums.fold((0, 0), |(r, w), figures| (r + figures.reads, w + figures.writes));
+        let sums = tables.iter().map(|table| table.figures());
+        let (reads, writes) = sums.fold((0, 0), |(r, w), figures| {
+            (r + figures.reads, w + figures.writes)
+        });
         telemetry.store(reads, writes);
         sleep_ms(SAMPLE_MS).await;
     }
@@ -297,9 +458,16 @@
             if control.settings().version > 0 {
                 return;
             }
-            match control.change_settings(0, SettingsChange::Whole(tree.clone())).await {
-                Ok(version) => return log_event!(log, events::INITIAL_SETTINGS; "version" => version),
-                Err(err) => log_event!(log, events::INITIAL_SETTINGS_FAILED; "problem" => err.to_string()),
+            match control
+                .change_settings(0, SettingsChange::Whole(tree.clone()))
+                .await
+            {
+                Ok(version) => {
+                    return log_event!(log, events::INITIAL_SETTINGS; "version" => version);
+                }
+                Err(err) => {
+                    log_event!(log, events::INITIAL_SETTINGS_FAILED; "problem" => err.to_string());
+                }
             }
         }
         sleep_ms(INITIAL_RETRY_MS).await;
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -3,8 +3,11 @@
 use {
     async_trait::async_trait,
     ragwortreel_caller::{CallReply, ServiceCall},
-    ragwortreel_control::Control,
-    ragwortreel_entry::generated::{ForwardedRequest, ForwardedResponse, Header},
+    ragwortreel_control::{Control, Member},
+    ragwortreel_entry::{
+        EntryPeer,
+        generated::{ForwardedRequest, ForwardedResponse, Header},
+    },
     ragwortreel_http::{Headers, Method, Response},
     ragwortreel_model::{Outcome, ServiceName, Team},
     std::{
@@ -42,9 +45,11 @@
 impl Forwarder for PeerForwarder {
     async fn forward(&self, call: &ServiceCall, deadline: Instant) -> Option<CallReply> {
         let control = self.control.get()?;
-        let left = deadline.checked_duration_since(Instant::now()).filter(|left| *left >= MIN_LEFT)?;
+        let left = deadline
+            .checked_duration_since(Instant::now())
+            .filter(|left| *left >= MIN_LEFT)?;
         let service = format!("{}/{}", call.team, call.service);
-        let peer = control.peer_with_free_slots(&service)?;
+        let peer = choose_peer(control, &service)?;
         let req = encode(call, left);
         match peer.forward_request(req).await {
             Ok(res) => decode(res),
@@ -59,8 +64,35 @@
     }
 }
 
+/// The live member with the most free slots for a service; members of the own zone share its backend servers.
+fn choose_peer(control: &Control, service: &str) -> Option<Arc<dyn EntryPeer>> {
+    let members = control.members();
+    let own_zone = members.iter().find(|member| member.is_self)?.zone.clone();
+    let usable = |member: &&Member| {
+        member.zone != own_zone && member.link.answers && !member.is_leaving && !member.link.refused
+    };
+    let free = |member: &Member| {
+        control
+            .free_slots_of(&member.instance)
+            .get(service)
+            .copied()
+            .unwrap_or(0)
+    };
+    let ranked = members
+        .iter()
+        .filter(usable)
+        .map(|member| (free(member), member));
+    let (_, best) = ranked
+        .filter(|(free, _)| *free > 0)
+        .max_by_key(|(free, _)| *free)?;
+    control.peer(&best.instance)
+}
+
 fn encode(call: &ServiceCall, left: Duration) -> ForwardedRequest {
-    let headers = call.headers.iter().map(|(name, value)| Header { name: name.to_owned(), value: value.to_owned() });
+    let headers = call.headers.iter().map(|(name, value)| Header {
+        name: name.to_owned(),
+        value: value.to_owned(),
+    });
     ForwardedRequest {
         team: call.team.to_string(),
         service: call.service.to_string(),
@@ -71,7 +103,11 @@
         body: call.body.clone(),
         deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         class: String::new(),
-        idempotency_key: call.idempotency_key.as_deref().unwrap_or_default().to_owned(),
+        idempotency_key: call
+            .idempotency_key
+            .as_deref()
+            .unwrap_or_default()
+            .to_owned(),
     }
 }
 
@@ -82,11 +118,26 @@
         "not-run" => return None,
         _ => Outcome::Unknown,
     };
-    let status = u16::try_from(res.status).ok().filter(|status| (200..600).contains(status));
-    let response = status.map(|status| Response { status, headers: decode_headers(&res.headers), body: res.body });
+    let status = u16::try_from(res.status)
+        .ok()
+        .filter(|status| (200..600).contains(status));
+    let response = status.map(|status| Response {
+        status,
+        headers: decode_headers(&res.headers),
+        body: res.body,
+    });
     // An answer with an impossible status is not a whole answer.
-    let outcome = if response.is_some() { outcome } else { Outcome::Unknown };
-    Some(CallReply { outcome, response, reason: Arc::from(res.reason), retry_after_ms: None })
+    let outcome = if response.is_some() {
+        outcome
+    } else {
+        Outcome::Unknown
+    };
+    Some(CallReply {
+        outcome,
+        response,
+        reason: Arc::from(res.reason),
+        retry_after_ms: None,
+    })
 }
 
 fn decode_headers(fields: &[Header]) -> Headers {
@@ -104,7 +155,11 @@
 /// Returns what is wrong with it.
 pub fn decode_request(req: ForwardedRequest) -> Result<ServiceCall, String> {
     let team = Team::new(&req.team).map_err(|err| err.to_string())?;
-    let caller = if req.caller.is_empty() { Ok(team.clone()) } else { Team::new(&req.caller) };
+    let caller = if req.caller.is_empty() {
+        Ok(team.clone())
+    } else {
+        Team::new(&req.caller)
+    };
     Ok(ServiceCall {
         team,
         service: ServiceName::new(&req.service).map_err(|err| err.to_string())?,
@@ -115,7 +170,8 @@
         body: req.body,
         deadline_ms: Some(req.deadline_ms),
         arrived: Instant::now(),
-        idempotency_key: Some(Arc::from(req.idempotency_key)).filter(|key: &Arc<str>| !key.is_empty()),
+        idempotency_key: Some(Arc::from(req.idempotency_key))
+            .filter(|key: &Arc<str>| !key.is_empty()),
     })
 }
 
@@ -126,7 +182,10 @@
         Some(response) => (u32::from(response.status), response.headers, response.body),
         None => (0, Headers::new(), Vec::new()),
     };
-    let headers = headers.iter().map(|(name, value)| Header { name: name.to_owned(), value: value.to_owned() });
+    let headers = headers.iter().map(|(name, value)| Header {
+        name: name.to_owned(),
+        value: value.to_owned(),
+    });
     ForwardedResponse {
         outcome: reply.outcome.to_string(),
         status,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -23,27 +23,43 @@
 #[async_trait]
 impl JobCalls for DaemonJobs {
     async fn submit(&self, spec: JobSpec) -> Result<JobStatus, Refusal> {
-        self.control.submit_job(spec).await.map_err(refusal)
+        self.control
+            .submit_job(spec)
+            .await
+            .map_err(|err| refusal(&err))
     }
 
     async fn list(&self, team: Option<&Team>) -> Result<Vec<JobStatus>, Refusal> {
-        self.control.describe_jobs(team, None).await.map_err(refusal)
+        self.control
+            .describe_jobs(team, None)
+            .await
+            .map_err(|err| refusal(&err))
     }
 
     async fn describe(&self, job: &JobId) -> Result<JobStatus, Refusal> {
-        let found = self.control.describe_jobs(None, Some(job)).await.map_err(refusal)?;
-        found.into_iter().next().ok_or_else(|| Refusal::new(RefusalKind::NotFound, format!("no job {job}")))
+        let found = self
+            .control
+            .describe_jobs(None, Some(job))
+            .await
+            .map_err(|err| refusal(&err))?;
+        found
+            .into_iter()
+            .next()
+            .ok_or_else(|| Refusal::new(RefusalKind::NotFound, format!("no job {job}")))
     }
 
     async fn cancel(&self, job: &JobId) -> Result<JobStatus, Refusal> {
-        self.control.cancel_job(job, None).await.map_err(refusal)
+        self.control
+            .cancel_job(job, None)
+            .await
+            .map_err(|err| refusal(&err))
     }
 }
 
 /// What a caller is told about a failed job command.
 #[must_use]
-pub fn refusal(err: JobError) -> Refusal {
-    let kind = match &err {
+pub fn refusal(err: &JobError) -> Refusal {
+    let kind = match err {
         JobError::Invalid(_) => RefusalKind::Invalid,
         JobError::Conflict { .. } | JobError::Ended { .. } => RefusalKind::Conflict,
         JobError::NotFound { .. } => RefusalKind::NotFound,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,14 +1,23 @@
 //! The program behind the binary `ragwortreel`: command line, daemon assembly and reports.
 
+mod admin;
 pub mod burn;
 pub mod cli;
 mod client;
 pub mod config;
-//DAEMON
+pub mod daemon;
 pub mod error;
-//EV
+pub mod events;
 pub mod exit_codes;
+mod forward;
+mod jobs;
+mod local;
 pub mod output;
+mod pooled;
+mod service_call;
+mod settings_api;
+mod shares;
+mod transport;
 //QS
 pub mod telemetry;
 
@@ -46,10 +55,7 @@
     let stop = Stop::new();
     stop_on_signals(stop.clone())
         .map_err(|err| Error::start("installing signal handlers", &err))?;
-    {
-        let _ = (config, log, stop);
-        todo!()
-    }
+    block_on(daemon::run(config, log, stop))
 }
 
 fn standin(file: &Path) -> Result<(), Error> {
--- a/src/local.rs
+++ b/src/local.rs
@@ -6,13 +6,14 @@
     ragwortreel_caller::CallReply,
     ragwortreel_control::{Control, Load, LocalRequests},
     ragwortreel_entry::generated::{ForwardedRequest, ForwardedResponse},
-    ragwortreel_model::Outcome,
-    ragwortreel_routing::{Router, SlotLimits, slot_shares},
+    ragwortreel_model::{InstanceId, Outcome},
+    ragwortreel_routing::{Router, RouterFigures, SlotLimits, slot_shares},
     std::{collections::BTreeMap, sync::Arc},
 };
 
 /// Request routing as seen by other entry instances.
 pub struct LocalService {
+    instance: InstanceId,
     services: Arc<ServiceRouter>,
     router: Router,
     control: Control,
@@ -21,8 +22,37 @@
 impl LocalService {
     /// Makes the view.
     #[must_use]
-    pub fn new(services: Arc<ServiceRouter>, router: Router, control: Control) -> Self {
-        Self { services, router, control }
+    pub fn new(
+        instance: InstanceId,
+        services: Arc<ServiceRouter>,
+        router: Router,
+        control: Control,
+    ) -> Self {
+        Self {
+            instance,
+            services,
+            router,
+            control,
+        }
+    }
+}
+
+impl LocalService {
+    /// Slots of this zone's backend servers that this instance could use now, by service.
+    fn free_slots(&self, figures: &RouterFigures) -> BTreeMap<String, u32> {
+        let mut free = BTreeMap::new();
+        for backend in self.control.backends().iter() {
+            let Some(figures) = figures
+                .backends
+                .get(backend.id.as_str())
+                .filter(|figures| !figures.ejected)
+            else {
+                continue;
+            };
+            let service = format!("{}/{}", backend.team, backend.service);
+            *free.entry(service).or_default() += figures.limit.saturating_sub(figures.in_use);
+        }
+        free
     }
 }
 
@@ -44,16 +74,26 @@
     fn still_held(&self, _epoch: u64) -> BTreeMap<String, u32> {
         let limits = SlotLimits::of(&self.control.settings().settings.cell);
         let members = self.control.slot_shares_input().members;
-        let me = self.control.instance();
         let excess = |(backend, used): (&Arc<str>, &u32)| {
-            let share = slot_shares(&members, backend, limits).get(me).copied().unwrap_or_default();
+            let share = slot_shares(&members, backend, limits)
+                .get(&self.instance)
+                .copied()
+                .unwrap_or_default();
             (*used > share.slots).then(|| (backend.to_string(), used - share.slots))
         };
-        self.router.slots_in_use().iter().filter_map(excess).collect()
+        self.router
+            .slots_in_use()
+            .iter()
+            .filter_map(excess)
+            .collect()
     }
 
     fn load(&self) -> Load {
         let figures = self.router.figures();
-        Load { in_flight: figures.in_flight(), queued: figures.queued(), free_slots: figures.free_slots() }
+        Load {
+            in_flight: figures.in_flight,
+            queued: figures.queued,
+            free_slots: self.free_slots(&figures),
+        }
     }
 }
--- a/src/service_call.rs
+++ b/src/service_call.rs
@@ -12,8 +12,10 @@
     ragwortreel_control::VersionedSettings,
     ragwortreel_http::{Method, Request, Response},
     ragwortreel_model::{Clock, Outcome, ServiceSettings, WorkClass},
-    ragwortreel_platform::{Begin, OnceClaims, StoredAnswer, request_digest},
-    ragwortreel_routing::{BackendId, Permit, Refusal, RefusalReason, RequestInfo, RequestResult, Router},
+    ragwortreel_platform::once::{Begin, OnceClaims, StoredAnswer, request_digest},
+    ragwortreel_routing::{
+        BackendId, Permit, Refusal, RefusalReason, RequestInfo, RequestResult, Router,
+    },
     ragwortreel_runtime::{Stop, timeout_at},
     std::{
         sync::{Arc, PoisonError, RwLock},
@@ -76,17 +78,24 @@
     /// Makes a router with the settings in force.
     #[must_use]
     pub fn new(parts: Parts, settings: Arc<VersionedSettings>) -> Self {
-        Self { parts, settings: RwLock::new(settings) }
+        Self {
+            parts,
+            settings: RwLock::new(settings),
+        }
     }
 
     /// Takes over newer settings.
     pub fn update_settings(&self, settings: Arc<VersionedSettings>) {
         self.parts.router.update_settings(&settings.settings);
-        *self.settings.write().unwrap_or_else(PoisonError::into_inner) = settings;
+        *self
+            .settings
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = settings;
     }
 
     /// Carries out a request that another zone forwarded; it is not forwarded again.
     pub async fn call_here(&self, call: ServiceCall) -> CallReply {
+        let _in_flight = self.parts.stop.guard();
         match self.plan(call) {
             Ok(planned) => self.attempt(&planned, false).await,
             Err(reply) => reply,
@@ -96,14 +105,21 @@
     fn plan(&self, call: ServiceCall) -> Result<Planned, CallReply> {
         let settings = Arc::clone(&self.settings.read().unwrap_or_else(PoisonError::into_inner));
         let team = settings.settings.teams.get(&call.team);
-        let service = team.and_then(|team| team.services.get(&call.service)).cloned();
+        let service = team
+            .and_then(|team| team.services.get(&call.service))
+            .cloned();
         let Some(service) = service else {
             let reason = format!("no service {} of team {}", call.service, call.team);
             return Err(not_run(reason, None));
         };
-        let deadline_ms = call.deadline_ms.unwrap_or(service.deadline_ms).min(service.deadline_ms);
+        let deadline_ms = call
+            .deadline_ms
+            .unwrap_or(service.deadline_ms)
+            .min(service.deadline_ms);
         let deadline = call.arrived + Duration::from_millis(deadline_ms);
-        let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis();
+        let left_ms = deadline
+            .saturating_duration_since(Instant::now())
+            .as_millis();
         let left_ms = u64::try_from(left_ms).unwrap_or(u64::MAX);
         let is_safe = matches!(call.method, Method::Get | Method::Head | Method::Options);
         let info = RequestInfo {
@@ -116,7 +132,12 @@
             deadline_ms: self.parts.clock.now_ms() + left_ms,
             idempotent: service.idempotent || is_safe,
         };
-        Ok(Planned { call, service, info, deadline })
+        Ok(Planned {
+            call,
+            service,
+            info,
+            deadline,
+        })
     }
 
     /// Runs a non-idempotent request with a key at most once, over all instances and repeats.
@@ -124,12 +145,18 @@
         let call = &planned.call;
         let path = format!("{}/{}{}", call.team, call.service, call.path);
         let digest = request_digest(call.method.as_ref(), &path, &call.body);
-        let begin = self.parts.once.begin(&call.caller, key, &digest, planned.deadline).await;
+        let begin = self
+            .parts
+            .once
+            .begin(&call.caller, key, &digest, planned.deadline)
+            .await;
         let claim = match begin {
             Begin::Run(claim) => claim,
             Begin::Replay(answer) => return replayed(answer),
             Begin::Unknown => return unknown("an earlier request with this key may have run"),
-            Begin::Mismatch => return not_run("the idempotency key was used for another request", None),
+            Begin::Mismatch => {
+                return not_run("the idempotency key was used for another request", None);
+            }
             Begin::Unavailable { problem } => return not_run(&*problem, None),
         };
         let reply = self.attempt(planned, true).await;
@@ -153,11 +180,16 @@
             let admitted = if attempts.count == 0 {
                 self.parts.router.admit(planned.info.clone()).await
             } else {
-                self.parts.router.readmit(planned.info.clone(), &attempts.avoid).await
+                self.parts
+                    .router
+                    .readmit(planned.info.clone(), &attempts.avoid)
+                    .await
             };
             let permit = match admitted {
                 Ok(permit) => permit,
-                Err(refusal) => return self.refused(planned, attempts, &refusal, may_forward).await,
+                Err(refusal) => {
+                    return self.refused(planned, attempts, &refusal, may_forward).await;
+                }
             };
             if let Some(reply) = self.attempt_at(planned, permit, &mut attempts).await {
                 return reply;
@@ -166,13 +198,35 @@
     }
 
     /// One attempt at one backend server; `None` asks for a further one.
-    async fn attempt_at(&self, planned: &Planned, permit: Permit, attempts: &mut Attempts) -> Option<CallReply> {
-        let Planned { call, info, deadline, .. } = planned;
+    async fn attempt_at(
+        &self,
+        planned: &Planned,
+        permit: Permit,
+        attempts: &mut Attempts,
+    ) -> Option<CallReply> {
+        let Planned {
+            call,
+            info,
+            deadline,
+            ..
+        } = planned;
         let class = permit.class();
-        self.parts.telemetry.queued_for(&call.caller, class, Duration::from_millis(permit.waited_ms()));
-        let target = Target { address: permit.address(), connections: permit.connection_limit(), class };
+        self.parts.telemetry.queued_for(
+            &call.caller,
+            class,
+            Duration::from_millis(permit.waited_ms()),
+        );
+        let target = Target {
+            address: permit.address(),
+            connections: permit.connection_limit(),
+            class,
+        };
         let backend = permit.backend().clone();
-        let reply = self.parts.transport.send(target, request_of(call), *deadline).await;
+        let reply = self
+            .parts
+            .transport
+            .send(target, request_of(call), *deadline)
+            .await;
         attempts.count += 1;
         let (result, label, proven_not_run) = match reply {
             Reply::Answered(response) if response.status < 500 => {
@@ -192,7 +246,15 @@
                 attempts.reason = reason;
                 attempts.may_have_run = true;
                 let is_late = Instant::now() >= *deadline;
-                (if is_late { RequestResult::TimedOut } else { RequestResult::ConnectionFailed }, "unknown", false)
+                (
+                    if is_late {
+                        RequestResult::TimedOut
+                    } else {
+                        RequestResult::ConnectionFailed
+                    },
+                    "unknown",
+                    false,
+                )
             }
         };
         permit.finish(result);
@@ -200,8 +262,15 @@
         attempts.avoid.push(backend);
         let may_retry = attempts.count < planned.service.max_attempts
             && Instant::now() < *deadline
-            && self.parts.router.retry_allowed(info, attempts.count, proven_not_run);
-        if may_retry { None } else { Some(attempts.take_reply(None)) }
+            && self
+                .parts
+                .router
+                .retry_allowed(info, attempts.count, proven_not_run);
+        if may_retry {
+            None
+        } else {
+            Some(attempts.take_reply(None))
+        }
     }
 
     async fn refused(
@@ -211,11 +280,17 @@
         refusal: &Refusal,
         may_forward: bool,
     ) -> CallReply {
-        let other_zone_may_help =
-            matches!(refusal.reason, RefusalReason::NoBackend | RefusalReason::NoLease | RefusalReason::Deadline);
+        let other_zone_may_help = matches!(
+            refusal.reason,
+            RefusalReason::NoBackend | RefusalReason::NoLease | RefusalReason::Deadline
+        );
         let is_open = !attempts.may_have_run && attempts.last_answer.is_none();
         if may_forward && other_zone_may_help && is_open {
-            let forwarded = self.parts.forwarder.forward(&planned.call, planned.deadline).await;
+            let forwarded = self
+                .parts
+                .forwarder
+                .forward(&planned.call, planned.deadline)
+                .await;
             if let Some(reply) = forwarded {
                 return reply;
             }
@@ -229,10 +304,15 @@
     fn record(&self, planned: Option<&Planned>, call: &ServiceCall, reply: &CallReply) {
         let took = call.arrived.elapsed();
         let class = planned.map_or(WorkClass::Short, |planned| planned.service.class);
-        self.parts.telemetry.request(&call.caller, class, reply.outcome, took);
+        self.parts
+            .telemetry
+            .request(&call.caller, class, reply.outcome, took);
         let Some(planned) = planned else { return };
         let slo = &planned.service.slo;
-        let is_ok = reply.response.as_ref().is_some_and(|response| response.status < 500);
+        let is_ok = reply
+            .response
+            .as_ref()
+            .is_some_and(|response| response.status < 500);
         let good = is_ok && took <= Duration::from_millis(slo.latency_ms);
         self.parts.burn.count(&call.team, &call.service, slo, good);
     }
@@ -249,7 +329,11 @@
                 return reply;
             }
         };
-        let key = planned.call.idempotency_key.clone().filter(|_| !planned.info.idempotent);
+        let key = planned
+            .call
+            .idempotency_key
+            .clone()
+            .filter(|_| !planned.info.idempotent);
         let reply = match key {
             Some(key) => self.attempt_once(&planned, &key).await,
             None => self.attempt(&planned, true).await,
@@ -273,12 +357,28 @@
 
 /// Method and first path segments; run times are learned by it.
 fn route_of(call: &ServiceCall) -> Arc<str> {
-    let path = call.path.split_once('?').map_or(&*call.path, |(path, _query)| path);
-    let segments = path.split('/').filter(|segment| !segment.is_empty()).take(ROUTE_SEGMENTS);
+    let path = call
+        .path
+        .split_once('?')
+        .map_or(&*call.path, |(path, _query)| path);
+    let segments = path
+        .split('/')
+        .filter(|segment| !segment.is_empty())
+        .take(ROUTE_SEGMENTS);
     // Numbers are mostly identifiers; one route for each would learn nothing.
-    let segments = segments.map(|segment| if segment.contains(|c: char| c.is_ascii_digit()) { "*" } else { segment });
+    let segments = segments.map(|segment| {
+        if segment.contains(|c: char| c.is_ascii_digit()) {
+            "*"
+        } else {
+            segment
+        }
+    });
     let route = format!("{} {}", call.method, segments.collect::<Vec<_>>().join("/"));
-    route.chars().take(MAX_ROUTE_BYTES).collect::<String>().into()
+    route
+        .chars()
+        .take(MAX_ROUTE_BYTES)
+        .collect::<String>()
+        .into()
 }
 
 fn request_of(call: &ServiceCall) -> Request {
@@ -291,21 +391,43 @@
 }
 
 fn answered(response: Response) -> CallReply {
-    CallReply { outcome: Outcome::Answered, response: Some(response), reason: Arc::from(""), retry_after_ms: None }
+    CallReply {
+        outcome: Outcome::Answered,
+        response: Some(response),
+        reason: Arc::from(""),
+        retry_after_ms: None,
+    }
 }
 
 fn not_run(reason: impl AsRef<str>, retry_after_ms: Option<u64>) -> CallReply {
-    CallReply { outcome: Outcome::NotRun, response: None, reason: Arc::from(reason.as_ref()), retry_after_ms }
+    CallReply {
+        outcome: Outcome::NotRun,
+        response: None,
+        reason: Arc::from(reason.as_ref()),
+        retry_after_ms,
+    }
 }
 
 fn unknown(reason: impl AsRef<str>) -> CallReply {
     let reason = Arc::from(reason.as_ref());
-    CallReply { outcome: Outcome::Unknown, response: None, reason, retry_after_ms: None }
+    CallReply {
+        outcome: Outcome::Unknown,
+        response: None,
+        reason,
+        retry_after_ms: None,
+    }
 }
 
 fn stored(response: &Response) -> StoredAnswer {
-    let headers = response.headers.iter().map(|(name, value)| (Arc::from(name), Arc::from(value)));
-    StoredAnswer { status: response.status, headers: headers.collect(), body: response.body.clone() }
+    let headers = response
+        .headers
+        .iter()
+        .map(|(name, value)| (Arc::from(name), Arc::from(value)));
+    StoredAnswer {
+        status: response.status,
+        headers: headers.collect(),
+        body: response.body.clone(),
+    }
 }
 
 fn replayed(answer: StoredAnswer) -> CallReply {
--- a/src/settings_api.rs
+++ b/src/settings_api.rs
@@ -40,7 +40,11 @@
         let branch: TeamSettings = parse_json(&change.json).map_err(|err| invalid(&err))?;
         if !change.by_operator {
             let current = self.control.settings();
-            let current = current.settings.teams.get(team).ok_or_else(|| no_team(team))?;
+            let current = current
+                .settings
+                .teams
+                .get(team)
+                .ok_or_else(|| no_team(team))?;
             check_fixed(team, current, &branch).map_err(|err| invalid(&err))?;
         }
         Ok(Change::Team(team.clone(), Some(branch)))
@@ -53,10 +57,19 @@
         let settings = self.control.settings();
         let json = match team {
             None => serde_json::to_vec(&settings.settings),
-            Some(team) => serde_json::to_vec(settings.settings.teams.get(team).ok_or_else(|| no_team(team))?),
+            Some(team) => serde_json::to_vec(
+                settings
+                    .settings
+                    .teams
+                    .get(team)
+                    .ok_or_else(|| no_team(team))?,
+            ),
         };
         let json = json.map_err(|err| Refusal::new(RefusalKind::Unavailable, err.to_string()))?;
-        Ok(SettingsReply { version: settings.version, json })
+        Ok(SettingsReply {
+            version: settings.version,
+            json,
+        })
     }
 
     async fn change(&self, change: SettingsChange) -> Result<u64, Refusal> {
@@ -64,7 +77,10 @@
             None => Change::Whole(Settings::parse(&change.json).map_err(|err| invalid(&err))?),
             Some(team) => self.parse_branch(team, &change)?,
         };
-        let result = self.control.change_settings(change.base_version, wanted).await;
+        let result = self
+            .control
+            .change_settings(change.base_version, wanted)
+            .await;
         result.map_err(|err| refusal(&err, change.team.as_ref()))
     }
 }
@@ -78,7 +94,11 @@
 }
 
 /// A team must not raise its own quota, weight or job limit, or change its token.
-fn check_fixed(team: &Team, current: &TeamSettings, wanted: &TeamSettings) -> Result<(), SettingsError> {
+fn check_fixed(
+    team: &Team,
+    current: &TeamSettings,
+    wanted: &TeamSettings,
+) -> Result<(), SettingsError> {
     let fixed = [
         ("token_sha256", current.token_sha256 == wanted.token_sha256),
         ("weight", current.weight == wanted.weight),
@@ -87,9 +107,10 @@
     ];
     match fixed.iter().find(|(_, same)| !same) {
         None => Ok(()),
-        Some((key, _)) => {
-            Err(SettingsError::new(&format!("teams.{team}.{key}"), "only an operator may change this"))
-        }
+        Some((key, _)) => Err(SettingsError::new(
+            &format!("teams.{team}.{key}"),
+            "only an operator may change this",
+        )),
     }
 }
 
@@ -105,8 +126,16 @@
     };
     let (problem, version, tree) = (err.to_string(), current.version, &current.settings);
     let body = match team {
-        None => serde_json::to_string(&Conflict { problem, version, current: tree }),
-        Some(team) => serde_json::to_string(&TeamConflict { problem, version, current: tree.teams.get(team) }),
+        None => serde_json::to_string(&Conflict {
+            problem,
+            version,
+            current: tree,
+        }),
+        Some(team) => serde_json::to_string(&TeamConflict {
+            problem,
+            version,
+            current: tree.teams.get(team),
+        }),
     };
     Refusal::new(kind, body.unwrap_or_else(|_| err.to_string()))
 }
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -4,7 +4,9 @@
     ragwortreel_control::{Backend, Control, SlotShares as Epochs},
     ragwortreel_model::{InstanceId, Zone},
     ragwortreel_platform::InstanceState,
-    ragwortreel_routing::{BackendId, BackendServer, Router, Share, SlotLimits, SlotShares, inherits, slot_shares},
+    ragwortreel_routing::{
+        BackendId, BackendServer, Router, Share, SlotLimits, SlotShares, inherits, slot_shares,
+    },
     ragwortreel_runtime::{Stop, future, sleep_ms},
     std::sync::Arc,
 };
@@ -12,8 +14,17 @@
 /// Time between two looks at the lease and the list of backend servers, in ms; a lease lasts 3000 ms.
 const REFRESH_MS: u64 = 250;
 
+/// Where this instance stands.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Its zone.
+    pub zone: Zone,
+}
+
 /// Keeps the router's shares and backend servers up to date until the stop is requested.
-pub async fn follow_shares(control: Control, router: Router, stop: Stop) {
+pub async fn follow_shares(place: Place, control: Control, router: Router, stop: Stop) {
     let changes = control.subscribe_slot_shares();
     let mut known: Arc<Vec<Backend>> = Arc::default();
     while !stop.is_requested() {
@@ -22,24 +33,22 @@
             router.update_backends(backends.iter().map(backend_server).collect());
             known = backends;
         }
-        router.update_shares(usable(&control, &known));
-        let changed = async {
+        router.update_shares(usable(&place, &control, &known));
+        let next_change = async {
             let _ = changes.recv().await;
         };
-        future::or(changed, sleep_ms(REFRESH_MS)).await;
+        future::or(next_change, sleep_ms(REFRESH_MS)).await;
     }
 }
 
 /// What this instance may use now.
-#[must_use]
-pub fn usable(control: &Control, backends: &[Backend]) -> SlotShares {
+fn usable(place: &Place, control: &Control, backends: &[Backend]) -> SlotShares {
     let limits = SlotLimits::of(&control.settings().settings.cell);
     let epochs = control.slot_shares_input();
-    let (me, zone) = (control.instance(), control.zone());
-    let own = backends.iter().filter(|backend| in_zone(backend, zone));
+    let own = backends.iter().filter(|backend| backend.zone == place.zone);
     let share = |backend: &Backend| {
         let id: BackendId = Arc::from(backend.id.as_str());
-        let share = share_of(&epochs, me, &id, limits);
+        let share = share_of(&epochs, &place.instance, &id, limits);
         (id, share)
     };
     SlotShares {
@@ -49,20 +58,29 @@
     }
 }
 
-fn in_zone(backend: &Backend, zone: &Zone) -> bool {
-    backend.zone == *zone
-}
-
 /// The smallest share over all epochs whose holders may still use theirs, without what silent members could take.
 fn share_of(epochs: &Epochs, me: &InstanceId, backend: &BackendId, limits: SlotLimits) -> Share {
-    let share_in = |members: &[InstanceId]| slot_shares(members, backend, limits).get(me).copied().unwrap_or_default();
-    let earlier = epochs.earlier.iter().filter(|earlier| !earlier.unreleased.is_empty());
-    let share = earlier.fold(share_in(&epochs.members), |share, earlier| share.min(share_in(&earlier.members)));
+    let share_in = |members: &[InstanceId]| {
+        slot_shares(members, backend, limits)
+            .get(me)
+            .copied()
+            .unwrap_or_default()
+    };
+    let earlier = epochs
+        .earlier
+        .iter()
+        .filter(|earlier| !earlier.unreleased.is_empty());
+    let share = earlier.fold(share_in(&epochs.members), |share, earlier| {
+        share.min(share_in(&earlier.members))
+    });
     if epochs.withheld_for.is_empty() {
         return share;
     }
     let gains = inherits(&epochs.members, std::slice::from_ref(me), backend, limits);
-    let of_silent = epochs.withheld_for.iter().filter_map(|member| gains.get(member));
+    let of_silent = epochs
+        .withheld_for
+        .iter()
+        .filter_map(|member| gains.get(member));
     share.less(of_silent.fold(Share::default(), |sum, gain| sum.plus(*gain)))
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -11,7 +11,8 @@
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Encoder as _, Registry, TextEncoder},
     ragwortreel_model::{JobKind, Outcome, Pool, Team, WorkClass},
-    std::{fs, time::Duration},
+    ragwortreel_routing::RouterFigures,
+    std::{collections::BTreeMap, fs, time::Duration},
 };
 
 /// Bucket bounds of request times in s.
@@ -145,15 +146,27 @@
     }
 
     /// Records how full a pool is and how many tasks wait.
-    pub fn pool(&self, pool: &Pool, reserved_share: f64, queued: u64) {
-        self.packing.record(reserved_share, &[label("pool", pool)]);
+    pub fn pool(&self, pool: &Pool, reserved_ppm: u64, queued: u64) {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "a share in millionths is far below 2^52"
+        )]
+        let share = reserved_ppm as f64 / 1e6;
+        self.packing.record(share, &[label("pool", pool)]);
         self.queued.record(queued, &[label("pool", pool)]);
     }
 
     /// Records the state of request routing.
-    pub fn routing(&self, class: WorkClass, queued: u64, in_flight: u64) {
-        self.queued.record(queued, &[label("class", &class)]);
-        self.in_flight.record(in_flight, &[label("class", &class)]);
+    pub fn routing(&self, figures: &RouterFigures) {
+        let mut sums: BTreeMap<WorkClass, (u64, u64)> = BTreeMap::new();
+        for (class, queue) in figures.teams.values().flat_map(|team| &team.classes) {
+            let sum = sums.entry(*class).or_default();
+            *sum = (sum.0 + queue.queued, sum.1 + queue.in_flight);
+        }
+        for (class, (queued, in_flight)) in sums {
+            self.queued.record(queued, &[label("class", &class)]);
+            self.in_flight.record(in_flight, &[label("class", &class)]);
+        }
     }
 
     /// Records the settings version in force.
