Add HTTP clients for platform and workers, and the stand-ins as servers

The clients map failures to what is known: nothing done, unknown, or fenced by a higher epoch. Idle connections are given up after a time limit, because open connections can go silent while new ones work. The heartbeat's reply has hand-written visitors, compared with the derived parser on valid and damaged reports (512 cases each).

--- /dev/null
+++ b/crates/platform/src/http_client.rs
@@ -0,0 +1,225 @@
+//! HTTP clients for the platform's services.
+//!
+//! A response of status 400 to 429 or 503 says that the service did nothing. Any other failure after a byte was sent
+//! leaves the outcome unknown. After a time limit all idle connections are given up, because open connections can go
+//! silent while new ones work.
+
+use {
+    crate::api::{
+        InstanceList, ListedInstance, ObjectStore, PlatformError, Row, TableService, Txn,
+        TxnOutcome,
+    },
+    async_trait::async_trait,
+    percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
+    ragwortreel_http::{
+        Cause, Client, ClientError, ClientLimits, Method, Request, Response, Sent, parse_json,
+    },
+    ragwortreel_model::Zone,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
+};
+
+/// Header that names the caller's availability zone.
+pub const ZONE_HEADER: &str = "ragwortreel-zone";
+/// Largest response: a scan or a snapshot object.
+const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Characters that stand for themselves in keys within URLs.
+const KEY_CHARACTERS: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.')
+    .remove(b'/');
+
+/// Body of the answer to `GET /table/get`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RowAnswer {
+    /// The row, if it exists.
+    pub row: Option<Row>,
+}
+
+/// Body of the answer to `GET /table/scan`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RowsAnswer {
+    /// Rows in the order of their keys.
+    pub rows: Vec<Row>,
+}
+
+/// Body of the answer to `GET /instances`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct InstancesAnswer {
+    /// All listed instances.
+    pub instances: Vec<ListedInstance>,
+}
+
+/// Client for table service, object store and instance list at one address.
+#[derive(Debug)]
+pub struct HttpPlatform {
+    addr: SocketAddr,
+    zone: Zone,
+    time_limit: Duration,
+    /// Replaced by a client without connections after a time limit.
+    client: Mutex<Arc<Client>>,
+}
+
+fn new_client() -> Arc<Client> {
+    Arc::new(Client::new(ClientLimits {
+        max_body_bytes: MAX_RESPONSE_BYTES,
+        ..ClientLimits::default()
+    }))
+}
+
+impl HttpPlatform {
+    /// Makes a client of an instance in a zone; connections are opened on use.
+    #[must_use]
+    pub fn new(addr: SocketAddr, zone: Zone, time_limit: Duration) -> Self {
+        Self {
+            addr,
+            zone,
+            time_limit,
+            client: Mutex::new(new_client()),
+        }
+    }
+
+    fn client(&self) -> Arc<Client> {
+        let client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&client)
+    }
+
+    // Gives up the idle connections, unless another call has done so already.
+    fn drop_connections(&self, used: &Arc<Client>) {
+        let mut client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
+        if Arc::ptr_eq(&client, used) {
+            *client = new_client();
+        }
+    }
+
+    async fn send(&self, step: &'static str, req: Request) -> Result<Response, PlatformError> {
+        let client = self.client();
+        let req = req.with_header(ZONE_HEADER, self.zone.as_str());
+        let deadline = Instant::now() + self.time_limit;
+        let response = client.send(self.addr, req, deadline).await.map_err(|err| {
+            if matches!(err.cause, Cause::Deadline) {
+                self.drop_connections(&client);
+            }
+            self.client_error(step, &err)
+        })?;
+        match response.status {
+            200..=299 | 404 => Ok(response),
+            400..=429 | 503 => Err(self.not_done(step, &status_problem(&response))),
+            _ => Err(self.unknown(step, &status_problem(&response))),
+        }
+    }
+
+    fn client_error(&self, step: &'static str, err: &ClientError) -> PlatformError {
+        let problem = format!("{}: {}", err.step, err.cause);
+        match err.sent {
+            Sent::Nothing => self.not_done(step, &problem),
+            Sent::Maybe => self.unknown(step, &problem),
+        }
+    }
+
+    fn not_done(&self, step: &'static str, problem: &str) -> PlatformError {
+        PlatformError::NotDone {
+            step,
+            peer: Arc::from(self.addr.to_string()),
+            problem: Arc::from(problem),
+        }
+    }
+
+    fn unknown(&self, step: &'static str, problem: &str) -> PlatformError {
+        PlatformError::Unknown {
+            step,
+            peer: Arc::from(self.addr.to_string()),
+            problem: Arc::from(problem),
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        req: Request,
+    ) -> Result<T, PlatformError> {
+        let response = self.send(step, req).await?;
+        if !response.is_success() {
+            return Err(self.not_done(step, &status_problem(&response)));
+        }
+        parse_json(&response.body, MAX_RESPONSE_BYTES)
+            .map_err(|err| self.unknown(step, &err.to_string()))
+    }
+}
+
+fn status_problem(response: &Response) -> String {
+    format!("status {}", response.status)
+}
+
+fn encode(key: &str) -> String {
+    utf8_percent_encode(key, KEY_CHARACTERS).to_string()
+}
+
+#[async_trait]
+impl TableService for HttpPlatform {
+    async fn commit(&self, txn: Txn) -> Result<TxnOutcome, PlatformError> {
+        let step = "commit";
+        let body = serde_json::to_vec(&txn).map_err(|err| self.not_done(step, &err.to_string()))?;
+        let req = Request::post("/table/txn", body).with_header("content-type", "application/json");
+        self.read(step, req).await
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        let req = Request::get(format!("/table/get?key={}", encode(key)));
+        let answer: RowAnswer = self.read("get row", req).await?;
+        Ok(answer.row)
+    }
+
+    async fn scan(&self, prefixes: &[&str]) -> Result<Vec<Row>, PlatformError> {
+        let query: Vec<_> = (prefixes.iter())
+            .map(|prefix| format!("prefix={}", encode(prefix)))
+            .collect();
+        let req = Request::get(format!("/table/scan?{}", query.join("&")));
+        let answer: RowsAnswer = self.read("scan", req).await?;
+        Ok(answer.rows)
+    }
+}
+
+fn object_path(key: &str) -> String {
+    format!("/objects/{}", encode(key))
+}
+
+#[async_trait]
+impl ObjectStore for HttpPlatform {
+    async fn put(&self, key: &str, value: Vec<u8>) -> Result<(), PlatformError> {
+        let step = "put object";
+        let req = Request::new(Method::Put, object_path(key)).with_body(value);
+        let response = self.send(step, req).await?;
+        if !response.is_success() {
+            return Err(self.not_done(step, &status_problem(&response)));
+        }
+        Ok(())
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        let response = self
+            .send("get object", Request::get(object_path(key)))
+            .await?;
+        Ok(response.is_success().then_some(response.body))
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), PlatformError> {
+        let req = Request::new(Method::Delete, object_path(key));
+        self.send("delete object", req).await.map(drop)
+    }
+}
+
+#[async_trait]
+impl InstanceList for HttpPlatform {
+    async fn list(&self) -> Result<Vec<ListedInstance>, PlatformError> {
+        let answer: InstancesAnswer = self
+            .read("list instances", Request::get("/instances"))
+            .await?;
+        Ok(answer.instances)
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod breaker;
 pub mod events;
 mod group;
+mod http_client;
 pub mod once;
 mod rate;
 mod resilient;
@@ -18,6 +19,7 @@
     },
     breaker::{Breaker, Change},
     group::{Division, Group},
+    http_client::{HttpPlatform, InstancesAnswer, RowAnswer, RowsAnswer, ZONE_HEADER},
     rate::RateLimit,
     resilient::{MAX_IN_FLIGHT, QUEUE_LIMIT, ResilientConfig, ResilientTable, TableFigures},
 };
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -80,8 +80,6 @@
     pub lose_answer: bool,
     /// Time after which a write takes effect when it is late, in ms.
     pub late_by_ms: Option<u64>,
-    /// Whether the response is cut.
-    pub truncate: bool,
     /// Whether the request fails.
     pub fail: bool,
 }
@@ -142,6 +140,14 @@
         self.lock().silence_epoch
     }
 
+    /// Decides whether the next response is cut in the middle of its body.
+    #[must_use]
+    pub fn cuts_response(&self) -> bool {
+        let mut state = self.lock();
+        let State { faults, rng, .. } = &mut *state;
+        faults.truncated_ppm > 0 && rng.u32(0..PPM) < faults.truncated_ppm
+    }
+
     /// Decides the faults of one call from a zone.
     #[must_use]
     pub fn decide(&self, zone: Option<&Zone>) -> Verdict {
@@ -150,7 +156,6 @@
         let mut hit = |ppm: u32| ppm > 0 && rng.u32(0..PPM) < ppm;
         let lose_answer = hit(faults.lost_answers_ppm);
         let late = hit(faults.late_writes_ppm);
-        let truncate = hit(faults.truncated_ppm);
         let fail = hit(faults.failed_requests_ppm);
         let cut = zone.is_some_and(|zone| faults.cut_zones.contains(zone));
         Verdict {
@@ -158,7 +163,6 @@
             outage: faults.outage.or(cut.then_some(Outage::Silent)),
             lose_answer,
             late_by_ms: late.then(|| rng.u64(0..=faults.late_write_ms)),
-            truncate,
             fail,
         }
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,12 +3,18 @@
 //! Each stand-in works in process for fast tests and behind a real socket. Both forms share one implementation and
 //! the same fault switches.
 
+pub mod backend;
+mod cell;
 mod faults;
+mod listener;
 pub mod platform;
 pub mod worker;
 
 pub use {
+    backend::{Backend, BackendCounts, BackendSpec, RequestRecord, ServiceTime},
+    cell::{BackendConfig, PlatformConfig, Running, StandinConfig, Standins, WorkerConfig, serve},
     faults::{FaultSwitch, Faults, Outage, Verdict},
+    listener::{FAULTS_PATH, Listening, Reply, Role, listen},
     platform::{Counts, Limits, MemoryPlatform, MemoryTable},
     worker::{FakeFleet, FakeWorker, RunHistory, Violation, WorkerSpec},
 };
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -3,11 +3,14 @@
 mod listing;
 mod memory;
 mod meter;
+mod server;
 mod tables;
 
+pub(crate) use server::{parameters, zone_of};
 pub use {
     listing::LaggingList,
     memory::{Answer, Call, MemoryPlatform, NoAnswer},
     meter::{Counts, Limits},
+    server::serve_platform,
     tables::MemoryTable,
 };
--- a/crates/standins/src/platform/memory.rs
+++ b/crates/standins/src/platform/memory.rs
@@ -49,7 +49,9 @@
 pub enum Answer {
     /// Result of a transaction.
     Txn(TxnOutcome),
-    /// Rows that were read, at most one for [`Call::Get`].
+    /// Row that was read.
+    Row(Option<Row>),
+    /// Rows that were read.
     Rows(Vec<Row>),
     /// Object that was read.
     Object(Option<Vec<u8>>),
@@ -257,7 +259,7 @@
                 }
                 Answer::Txn(outcome)
             }
-            Call::Get(key) => Answer::Rows(state.table.get(&key).into_iter().collect()),
+            Call::Get(key) => Answer::Row(state.table.get(&key)),
             Call::Scan(prefixes) => Answer::Rows(state.table.scan(&prefixes)),
             Call::PutObject(key, value) => {
                 state.objects.insert(key, value);
@@ -363,7 +365,7 @@
 
     async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
         match self.ask("get row", Call::Get(Arc::from(key))).await? {
-            Answer::Rows(rows) => Ok(rows.into_iter().next()),
+            Answer::Row(row) => Ok(row),
             _ => Err(unexpected("get row")),
         }
     }
--- a/crates/standins/src/worker/fleet.rs
+++ b/crates/standins/src/worker/fleet.rs
@@ -304,16 +304,26 @@
         (self.shared.workers.lock()).unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Makes a worker that shares the fleet's clock and history, without an address yet.
+    #[must_use]
+    pub fn make(&self, spec: WorkerSpec) -> Arc<FakeWorker> {
+        let clock = Arc::clone(&self.shared.clock);
+        FakeWorker::new(spec, clock, Arc::clone(&self.shared.history))
+    }
+
+    /// Gives a worker an address.
+    pub fn insert(&self, address: SocketAddr, worker: Arc<FakeWorker>) {
+        self.lock().insert(address, worker);
+    }
+
     /// Adds a worker; the address only names it.
     #[allow(
         clippy::must_use_candidate,
         reason = "the worker can be found by its address"
     )]
     pub fn add(&self, address: SocketAddr, spec: WorkerSpec) -> Arc<FakeWorker> {
-        let clock = Arc::clone(&self.shared.clock);
-        let history = Arc::clone(&self.shared.history);
-        let worker = FakeWorker::new(spec, clock, history);
-        self.lock().insert(address, Arc::clone(&worker));
+        let worker = self.make(spec);
+        self.insert(address, Arc::clone(&worker));
         worker
     }
 
--- /dev/null
+++ b/crates/standins/src/worker/server.rs
@@ -0,0 +1,79 @@
+//! HTTP form of a worker.
+
+use {
+    crate::{
+        faults::FaultSwitch,
+        listener::{Listening, Reply, Role, listen},
+        platform::zone_of,
+        worker::{
+            fleet::{FakeWorker, NoWorkerAnswer, WorkerAnswer, WorkerCall},
+            machine::CommandKind,
+        },
+    },
+    async_trait::async_trait,
+    ragwortreel_http::{MAX_JSON_BYTES, Method, Request, Response, json_response, parse_json},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{io, net::SocketAddr, sync::Arc},
+};
+
+/// Largest start: payloads of 64 KiB for many runs.
+const MAX_START_BYTES: usize = 16 * MAX_JSON_BYTES;
+
+struct WorkerRole(Arc<FakeWorker>);
+
+/// Serves a worker at an address.
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be bound.
+pub fn serve_worker(addr: SocketAddr, worker: Arc<FakeWorker>) -> io::Result<Listening> {
+    listen(addr, Arc::new(WorkerRole(worker)))
+}
+
+#[async_trait]
+impl Role for WorkerRole {
+    async fn answer(&self, req: Request) -> Reply {
+        if req.path_only() == "/standin/counts" {
+            return Reply::Respond(json(200, &self.0.counts()));
+        }
+        let call = match to_call(&req) {
+            Ok(call) => call,
+            Err(status) => return Reply::Respond(Response::new(status)),
+        };
+        match self.0.call_from(zone_of(&req).as_ref(), call).await {
+            Ok(WorkerAnswer::Report(report)) => Reply::Respond(json(200, &report)),
+            Ok(WorkerAnswer::Started(started)) => Reply::Respond(json(200, &started)),
+            Ok(WorkerAnswer::Done) => Reply::Respond(Response::new(204)),
+            Err(NoWorkerAnswer::Fenced(fenced)) => Reply::Respond(json(409, &fenced)),
+            Err(NoWorkerAnswer::Down) => Reply::Respond(Response::new(503)),
+            Err(NoWorkerAnswer::Silent | NoWorkerAnswer::Lost) => Reply::Silent,
+        }
+    }
+
+    fn faults(&self) -> &FaultSwitch {
+        self.0.faults()
+    }
+}
+
+fn json<T: Serialize>(status: u16, value: &T) -> Response {
+    json_response(status, value).unwrap_or_else(|_| Response::new(500))
+}
+
+fn body<T: DeserializeOwned>(req: &Request) -> Result<T, u16> {
+    parse_json(&req.body, MAX_START_BYTES).map_err(|_| 400)
+}
+
+fn to_call(req: &Request) -> Result<WorkerCall, u16> {
+    if req.method != Method::Post {
+        return Err(405);
+    }
+    let command = |kind| Ok(WorkerCall::Task(kind, body(req)?));
+    match req.path_only() {
+        "/v1/heartbeat" => body(req).map(WorkerCall::Heartbeat),
+        "/v1/start" => body(req).map(WorkerCall::Start),
+        "/v1/stop" => command(CommandKind::Stop),
+        "/v1/checkpoint" => command(CommandKind::Checkpoint),
+        "/v1/throttle" => command(CommandKind::Throttle),
+        _ => Err(404),
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/servers.rs
@@ -0,0 +1,183 @@
+//! The stand-ins as servers: backend server, control endpoint and configuration.
+
+use {
+    ragwortreel_http::{Client, ClientError, ClientLimits, Request, Response, parse_json},
+    ragwortreel_model::{InstanceId, ServiceName, Team, Zone},
+    ragwortreel_platform::{InstanceList, ListedRole},
+    ragwortreel_runtime::{block_on, sleep_ms, spawn},
+    ragwortreel_standins::{
+        Backend, BackendCounts, BackendSpec, FAULTS_PATH, Faults, Listening, StandinConfig,
+        Standins, backend::serve_backend,
+    },
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+struct Setup {
+    backend: Arc<Backend>,
+    listening: Listening,
+    client: Arc<Client>,
+}
+
+fn setup() -> Setup {
+    let spec = BackendSpec {
+        id: InstanceId::new("b1").expect("valid name"),
+        zone: Zone::new("riga-a").expect("valid name"),
+        team: Team::new("alpha").expect("valid name"),
+        service: ServiceName::new("quotes").expect("valid name"),
+        slots: 2,
+        connections: 3,
+        classes: BTreeMap::new(),
+    };
+    let backend = Backend::new(spec, 1);
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listening = serve_backend(any, Arc::clone(&backend)).expect("listen");
+    Setup {
+        backend,
+        listening,
+        client: Arc::new(Client::new(ClientLimits::default())),
+    }
+}
+
+impl Setup {
+    async fn send(&self, req: Request) -> Result<Response, ClientError> {
+        let deadline = Instant::now() + Duration::from_millis(500);
+        self.client.send(self.listening.addr(), req, deadline).await
+    }
+}
+
+// Guards against responses that cannot be told apart, and records that miss a request.
+#[test]
+fn a_backend_server_repeats_the_nonce_and_records_the_request() {
+    block_on(async {
+        let setup = setup();
+        let req = Request::post("/long/x?work_ms=30&bytes=100", "body")
+            .with_header("idempotency-key", "k1")
+            .with_header("x-nonce", "n1");
+        let response = setup.send(req).await.expect("response");
+        assert_eq!(response.headers.get("x-nonce"), Some("n1"));
+        assert!(response.body.len() > 100);
+        let records = setup.backend.records();
+        let record = &records[0];
+        assert_eq!(record.idempotency_key.as_deref(), Some("k1"));
+        assert_eq!(&*record.class, "long");
+        assert!(record.ended_ms.expect("ended") >= record.started_ms + 30);
+    });
+}
+
+// Guards against load beyond the limits that nobody counts.
+#[test]
+fn slots_and_connections_beyond_the_limits_are_counted() {
+    block_on(async {
+        let setup = setup();
+        let addr = setup.listening.addr();
+        let tasks: Vec<_> = (0..4)
+            .map(|_| {
+                let client = Arc::clone(&setup.client);
+                let deadline = Instant::now() + Duration::from_secs(2);
+                let req = Request::get("/short?work_ms=100");
+                spawn(async move { client.send(addr, req, deadline).await })
+            })
+            .collect();
+        for task in tasks {
+            task.await.expect("response");
+        }
+        let counts = setup.backend.counts();
+        assert_eq!((counts.max_slots, counts.slots_over_limit), (4, 2));
+        assert_eq!(
+            (counts.max_connections, counts.connections_over_limit),
+            (4, 1)
+        );
+        assert_eq!(counts.slots, 0);
+    });
+}
+
+// Guards against requests after a drain that nobody notices.
+#[test]
+fn requests_after_the_drain_are_counted() {
+    block_on(async {
+        let setup = setup();
+        setup.send(Request::get("/short")).await.expect("response");
+        let drained = setup.send(Request::post("/standin/drain", "")).await;
+        assert_eq!(drained.expect("response").status, 200);
+        sleep_ms(20).await;
+        setup.send(Request::get("/short")).await.expect("response");
+        let counts = setup.send(Request::get("/standin/counts")).await;
+        let counts = counts.expect("response").body;
+        let counts: BackendCounts = parse_json(&counts, 10_000).expect("json");
+        assert_eq!(counts.requests_after_drain, 1);
+        assert!(counts.last_request_after_drain_ms >= Some(20));
+    });
+}
+
+// Guards against switches that the control endpoint does not reach, and faults that outlive their switch.
+#[test]
+fn the_control_endpoint_sets_the_faults() {
+    block_on(async {
+        let setup = setup();
+        let set = |json: &'static str| setup.send(Request::post(FAULTS_PATH, json));
+        assert_eq!(set(r#"{"unknown":1}"#).await.expect("response").status, 400);
+        set(r#"{"failed_requests_ppm":1000000}"#)
+            .await
+            .expect("response");
+        let failed = setup.send(Request::get("/short")).await;
+        assert_eq!(failed.expect("response").status, 500);
+        set(r#"{"truncated_ppm":1000000}"#).await.expect("response");
+        assert!(setup.send(Request::get("/short")).await.is_err());
+        set(r#"{"outage":"refuse"}"#).await.expect("response");
+        assert!(setup.send(Request::get("/short")).await.is_err());
+        set(r#"{"lost_answers_ppm":1000000}"#)
+            .await
+            .expect("response");
+        let before = setup.backend.counts().requests;
+        assert!(setup.send(Request::get("/short")).await.is_err());
+        assert_eq!(setup.backend.counts().requests, before + 1);
+        set("{}").await.expect("response");
+        assert_eq!(setup.backend.fault_switch().current(), Faults::default());
+        assert!(setup.send(Request::get("/short")).await.is_ok());
+    });
+}
+
+// Guards against silent connections that answer after all, or new ones that stay silent too.
+#[test]
+fn open_connections_fall_silent_and_new_ones_work() {
+    block_on(async {
+        let setup = setup();
+        setup.send(Request::get("/short")).await.expect("response");
+        let silence = r#"{"silence_open_connections":true}"#;
+        // The response comes on the connection that falls silent next.
+        setup
+            .send(Request::post(FAULTS_PATH, silence))
+            .await
+            .expect("response");
+        assert!(setup.send(Request::get("/short")).await.is_err());
+        assert!(setup.send(Request::get("/short")).await.is_ok());
+    });
+}
+
+// Guards against a configuration whose instances are missing from the platform's list.
+#[test]
+fn a_cell_of_stand_ins_lists_its_workers_and_backend_servers() {
+    let json = r#"{
+        "platform": {"listen": "127.0.0.1:0"},
+        "workers": [{"listen": "127.0.0.1:0", "zone": "riga-a", "rack": "r1",
+            "worker": {"id": "w1", "capacity": {"milli_cores": 32000, "memory_mib": 131072}}}],
+        "backends": [{"listen": "127.0.0.1:0", "backend": {"id": "b1", "zone": "riga-a",
+            "team": "alpha", "service": "quotes", "classes": {"short": {"ms": 5}}}}]
+    }"#;
+    let cfg: StandinConfig = serde_json::from_str(json).expect("configuration");
+    block_on(async {
+        let standins = Standins::start(&cfg).expect("start");
+        let platform = standins.platform.as_ref().expect("platform");
+        let list = platform.state.list().await.expect("list");
+        assert_eq!(list.len(), 2);
+        let worker = list.iter().find(|listed| listed.id.as_str() == "w1");
+        let worker = worker.expect("listed worker");
+        assert!(matches!(worker.role, ListedRole::Worker { .. }));
+        assert_eq!(worker.address, standins.workers[0].listening.addr());
+    });
+}
--- a/crates/worker/src/api.rs
+++ b/crates/worker/src/api.rs
@@ -31,7 +31,7 @@
 }
 
 /// What a task does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "phase")]
 pub enum TaskPhase {
     /// Runs.
@@ -44,7 +44,7 @@
 }
 
 /// A task in a worker's report.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct ReportedTask {
     /// The task.
     pub task: TaskId,
@@ -59,7 +59,7 @@
 }
 
 /// A worker's report.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct HeartbeatReply {
     /// Name of the worker.
     pub worker: WorkerId,
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -1,8 +1,14 @@
 //! Client for workers.
 
 mod api;
+pub mod events;
+mod http_client;
+mod visitors;
 
-pub use api::{
-    HeartbeatReply, HeartbeatRequest, ReportedTask, StartReply, StartRequest, TASK_LEASE_MS,
-    TaskCommand, TaskPhase, WorkerClient, WorkerConnector, WorkerError,
+pub use {
+    api::{
+        HeartbeatReply, HeartbeatRequest, ReportedTask, StartReply, StartRequest, TASK_LEASE_MS,
+        TaskCommand, TaskPhase, WorkerClient, WorkerConnector, WorkerError,
+    },
+    http_client::{HttpWorkerConnector, WorkerTimeouts},
 };
--- /dev/null
+++ b/crates/worker/tests/http_client.rs
@@ -0,0 +1,166 @@
+//! The HTTP client against the worker stand-in on a real socket.
+
+use {
+    ragwortreel_model::{
+        Assignment, Attempt, Epoch, JobId, Pool, Resources, TaskId, WorkerId, Zone,
+    },
+    ragwortreel_runtime::{block_on, discard_logger},
+    ragwortreel_standins::{
+        FakeFleet, FakeWorker, Faults, Listening, Outage, WorkerSpec, worker::serve_worker,
+    },
+    ragwortreel_worker::{
+        HeartbeatRequest, HttpWorkerConnector, StartRequest, TaskCommand, WorkerClient,
+        WorkerConnector, WorkerError, WorkerTimeouts,
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+struct Setup {
+    worker: Arc<FakeWorker>,
+    fleet: FakeFleet,
+    client: Arc<dyn WorkerClient>,
+    listening: Listening,
+}
+
+fn setup() -> Setup {
+    let fleet = FakeFleet::default();
+    let worker = fleet.make(WorkerSpec {
+        id: WorkerId::new("w").expect("valid name"),
+        capacity: Resources::new(4_000, 4_096, 0),
+        usage_lag_ms: 0,
+    });
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listening = serve_worker(any, Arc::clone(&worker)).expect("listen");
+    fleet.insert(listening.addr(), Arc::clone(&worker));
+    let timeouts = WorkerTimeouts {
+        heartbeat: Duration::from_millis(200),
+        command: Duration::from_millis(200),
+    };
+    let zone = Zone::new("riga-a").expect("valid name");
+    let connector = HttpWorkerConnector::new(zone, timeouts, discard_logger());
+    let client = connector.connect(listening.addr());
+    Setup {
+        worker,
+        fleet,
+        client,
+        listening,
+    }
+}
+
+fn heartbeat(epoch: u64) -> HeartbeatRequest {
+    HeartbeatRequest {
+        pool: Pool::new("p").expect("valid name"),
+        epoch: Epoch(epoch),
+        echo_ms: None,
+        acknowledged: vec![],
+    }
+}
+
+fn command() -> TaskCommand {
+    let HeartbeatRequest { pool, epoch, .. } = heartbeat(1);
+    TaskCommand {
+        pool,
+        epoch,
+        task: TaskId {
+            job: JobId::new("j").expect("valid name"),
+            index: 0,
+        },
+        attempt: Attempt(1),
+    }
+}
+
+fn start(echo_ms: u64) -> StartRequest {
+    let TaskCommand {
+        pool,
+        epoch,
+        task,
+        attempt,
+    } = command();
+    let run = Assignment {
+        task,
+        attempt,
+        worker: WorkerId::new("w").expect("valid name"),
+        resources: Resources::new(1_000, 1_024, 0),
+    };
+    StartRequest {
+        pool,
+        epoch,
+        echo_ms,
+        runs: vec![(run, Arc::from("{}"))],
+    }
+}
+
+// Guards against messages that the two ends understand differently.
+#[test]
+fn commands_and_reports_survive_the_way() {
+    block_on(async {
+        let Setup {
+            client,
+            worker,
+            listening: _listening,
+            ..
+        } = setup();
+        let report = client.heartbeat(&heartbeat(1)).await.expect("report");
+        let started = client.start(&start(report.clock_ms)).await.expect("start");
+        assert_eq!(started.taken, [true]);
+        let report = client.heartbeat(&heartbeat(1)).await.expect("report");
+        assert_eq!((report.tasks.len(), worker.running()), (1, 1));
+        client.throttle(&command()).await.expect("throttle");
+        client.checkpoint(&command()).await.expect("checkpoint");
+        client.stop(&command()).await.expect("stop");
+        assert_eq!(worker.running(), 0);
+    });
+}
+
+// Guards against a command that is reported as not done although it took effect, and the reverse.
+#[test]
+fn failures_say_what_is_known() {
+    block_on(async {
+        let Setup {
+            client,
+            worker,
+            fleet,
+            listening,
+        } = setup();
+        let report = client.heartbeat(&heartbeat(1)).await.expect("report");
+
+        worker.faults().update(|f| f.outage = Some(Outage::Refuse));
+        let refused = client.start(&start(report.clock_ms)).await;
+        assert!(
+            matches!(refused, Err(WorkerError::NotDone { .. })),
+            "{refused:?}"
+        );
+
+        worker.faults().set(Faults {
+            lost_answers_ppm: 1_000_000,
+            ..Faults::default()
+        });
+        let lost = client.start(&start(report.clock_ms)).await;
+        assert!(matches!(lost, Err(WorkerError::Unknown { .. })), "{lost:?}");
+        assert_eq!(fleet.history().runs().len(), 1);
+
+        worker.faults().set(Faults {
+            truncated_ppm: 1_000_000,
+            ..Faults::default()
+        });
+        let cut = client.heartbeat(&heartbeat(1)).await;
+        assert!(matches!(cut, Err(WorkerError::Unknown { .. })), "{cut:?}");
+
+        worker.faults().clear();
+        client.heartbeat(&heartbeat(5)).await.expect("report");
+        let fenced = client.stop(&command()).await;
+        let seen = Epoch(5);
+        assert!(
+            matches!(fenced, Err(WorkerError::Fenced { seen: s, epoch: Epoch(1), .. }) if s == seen)
+        );
+
+        listening.stop();
+        loop {
+            // The listening socket closes a moment after the stop.
+            let gone = client.heartbeat(&heartbeat(5)).await;
+            if matches!(gone, Err(WorkerError::NotDone { .. })) {
+                break;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/worker/tests/visitors.rs
@@ -0,0 +1,169 @@
+//! The hand-written parser of reports judges objects as the derived one does.
+
+use {
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngSeed},
+    },
+    ragwortreel_model::{Attempt, JobId, Resources, TaskId, TaskResult, WorkerId},
+    ragwortreel_worker::{HeartbeatReply, ReportedTask, TaskPhase},
+    serde::Deserialize,
+};
+
+#[derive(Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "phase")]
+enum DerivedPhase {
+    Running,
+    Ended { result: TaskResult },
+}
+
+#[derive(Debug, PartialEq, Deserialize)]
+struct DerivedTask {
+    task: TaskId,
+    attempt: Attempt,
+    reserved: Resources,
+    used: Resources,
+    phase: DerivedPhase,
+}
+
+#[derive(Debug, PartialEq, Deserialize)]
+struct DerivedReply {
+    worker: WorkerId,
+    incarnation: u64,
+    clock_ms: u64,
+    tasks: Vec<DerivedTask>,
+}
+
+impl From<HeartbeatReply> for DerivedReply {
+    fn from(reply: HeartbeatReply) -> Self {
+        let phase = |phase| match phase {
+            TaskPhase::Running => DerivedPhase::Running,
+            TaskPhase::Ended { result } => DerivedPhase::Ended { result },
+        };
+        let tasks = reply.tasks.into_iter().map(|task| DerivedTask {
+            task: task.task,
+            attempt: task.attempt,
+            reserved: task.reserved,
+            used: task.used,
+            phase: phase(task.phase),
+        });
+        Self {
+            worker: reply.worker,
+            incarnation: reply.incarnation,
+            clock_ms: reply.clock_ms,
+            tasks: tasks.collect(),
+        }
+    }
+}
+
+fn phases() -> impl Strategy<Value = TaskPhase> {
+    prop_oneof![
+        Just(TaskPhase::Running),
+        Just(TaskPhase::Ended {
+            result: TaskResult::Failed
+        }),
+        Just(TaskPhase::Ended {
+            result: TaskResult::NotStarted
+        }),
+    ]
+}
+
+fn replies() -> impl Strategy<Value = HeartbeatReply> {
+    let task = (
+        "[a-z0-9.-]{1,8}",
+        any::<u32>(),
+        any::<u32>(),
+        any::<u64>(),
+        phases(),
+    );
+    let task = task.prop_map(|(job, index, attempt, cores, phase)| ReportedTask {
+        task: TaskId {
+            job: JobId::new(&job).expect("valid name"),
+            index,
+        },
+        attempt: Attempt(attempt),
+        reserved: Resources::new(cores, 1, 2),
+        used: Resources::ZERO,
+        phase,
+    });
+    let parts = (
+        "[a-z]{1,8}",
+        any::<u64>(),
+        any::<u64>(),
+        prop::collection::vec(task, 0..4),
+    );
+    parts.prop_map(|(worker, incarnation, clock_ms, tasks)| HeartbeatReply {
+        worker: WorkerId::new(&worker).expect("valid name"),
+        incarnation,
+        clock_ms,
+        tasks,
+    })
+}
+
+fn config() -> Config {
+    Config {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        ..Config::default()
+    }
+}
+
+fn agree(json: &str) -> Result<(), TestCaseError> {
+    let written = serde_json::from_str::<HeartbeatReply>(json).ok();
+    let derived = serde_json::from_str::<DerivedReply>(json).ok();
+    prop_assert_eq!(written.map(DerivedReply::from), derived, "{}", json);
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // Guards against a report that is read otherwise than it was written.
+    #[test]
+    fn reports_are_read_as_written(reply in replies()) {
+        let json = serde_json::to_string(&reply).expect("json");
+        prop_assert_eq!(serde_json::from_str::<HeartbeatReply>(&json).ok(), Some(reply));
+        agree(&json)?;
+    }
+
+    // Guards against damaged reports that one of the two parsers lets pass.
+    #[test]
+    fn damaged_reports_are_judged_as_by_the_derived_parser(
+        reply in replies(), at in any::<prop::sample::Index>(), cut in 0_usize..12, with in "[a-z\",:{}0-9]{0,3}",
+    ) {
+        let json = serde_json::to_string(&reply).expect("json");
+        let from = at.index(json.len());
+        let to = (from + cut).min(json.len());
+        agree(&format!("{}{with}{}", &json[..from], &json[to..]))?;
+    }
+}
+
+/// Declares a test of one JSON text that both parsers judge alike.
+macro_rules! judged_alike {
+    ($($name:ident: $json:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            agree($json).expect("the parsers agree");
+        }
+    )*};
+}
+
+// Guards against a difference in unknown, repeated and missing fields.
+judged_alike! {
+    unknown_fields: r#"{"worker":"w","incarnation":1,"clock_ms":2,"tasks":[],"new":{"a":[1]}}"#;
+    repeated_field: r#"{"worker":"w","incarnation":1,"incarnation":1,"clock_ms":2,"tasks":[]}"#;
+    missing_field: r#"{"worker":"w","incarnation":1,"tasks":[]}"#;
+    escaped_field: r#"{"w\u006frker":"w","incarnation":1,"clock_ms":2,"tasks":[]}"#;
+    ended_without_result: r#"{"worker":"w","incarnation":1,"clock_ms":2,"tasks":[{"task":{"job":"j","index":0},"attempt":1,"reserved":{"milli_cores":1,"memory_mib":1},"used":{"milli_cores":1,"memory_mib":1},"phase":{"phase":"ended"}}]}"#;
+    result_before_phase: r#"{"worker":"w","incarnation":1,"clock_ms":2,"tasks":[{"task":{"job":"j","index":0},"attempt":1,"reserved":{"milli_cores":1,"memory_mib":1},"used":{"milli_cores":1,"memory_mib":1},"phase":{"result":"lost","phase":"ended"}}]}"#;
+    running_with_result: r#"{"worker":"w","incarnation":1,"clock_ms":2,"tasks":[{"task":{"job":"j","index":0},"attempt":1,"reserved":{"milli_cores":1,"memory_mib":1},"used":{"milli_cores":1,"memory_mib":1},"phase":{"result":"lost","phase":"running"}}]}"#;
+}
+
+// Guards against a report without field names, which the derived parser takes by position.
+#[test]
+fn an_array_is_not_a_report() {
+    let json = r#"["w",1,2,[]]"#;
+    assert!(serde_json::from_str::<DerivedReply>(json).is_ok());
+    assert!(serde_json::from_str::<HeartbeatReply>(json).is_err());
+}
