control: test ownership with killed, paused and cut-off owners and lost answers

A cell in one process with the platform and workers in memory; everything an instance sends passes a gate that can hold it back, swallow it or lose its answer. The workers' history is checked for overlaps, double starts and starts beyond capacity.

--- /dev/null
+++ b/crates/control/tests/ownership.rs
@@ -0,0 +1,222 @@
+//! Pool ownership, journal and recovery when instances, workers and the store fail.
+
+mod support;
+
+use {
+    ragwortreel_model::JobState,
+    ragwortreel_runtime::{block_on, sleep_ms},
+    ragwortreel_standins::Outage,
+    support::{Cell, job},
+};
+
+async fn cell_of_three() -> Cell {
+    let mut cell = Cell::new(&["riga-a"], 3);
+    for id in ["e1", "e2", "e3"] {
+        cell.start(id, "riga-a");
+    }
+    cell.ready().await;
+    cell
+}
+
+#[test]
+fn jobs_run_to_their_end() {
+    block_on(async {
+        let cell = cell_of_three().await;
+        for (index, via) in ["e1", "e2", "e3"].iter().enumerate() {
+            cell.submit(via, job(&format!("j{index}"), 6, Some(300)))
+                .await;
+        }
+        for index in 0..3 {
+            cell.until_succeeded(&format!("j{index}")).await;
+        }
+        assert_eq!(cell.fleet.history().runs().len(), 18);
+        cell.assert_sound();
+    });
+}
+
+/// Tasks must neither stop nor run twice when their pool's owner dies, and waiting ones must start.
+#[test]
+fn killed_owner_is_replaced() {
+    block_on(async {
+        let mut cell = cell_of_three().await;
+        cell.submit("e1", job("long", 6, Some(20_000))).await;
+        cell.until("six run", |cell| cell.running() == 6).await;
+        let owner = cell.owner("riga-a").expect("an owner");
+        cell.kill(&owner);
+        let via = cell.instances.keys().next().expect("an instance").clone();
+        cell.submit(&via, job("next", 6, Some(300))).await;
+        cell.until_succeeded("next").await;
+        cell.until_succeeded("long").await;
+        assert_eq!(cell.fleet.history().runs().len(), 12);
+        cell.assert_sound();
+    });
+}
+
+/// An owner that was paused past its lease must not act on it when it resumes: its late commands are refused.
+#[test]
+fn paused_owner_is_fenced() {
+    block_on(async {
+        let cell = cell_of_three().await;
+        let owner = cell.owner("riga-a").expect("an owner");
+        cell.submit(&owner, job("before", 6, Some(20_000))).await;
+        cell.until("six run", |cell| cell.running() == 6).await;
+        cell.instances[&owner].gate.pause();
+        let others = |cell: &Cell| {
+            let mut others = cell.instances.iter().filter(|(id, _)| **id != owner);
+            others.any(|(_, instance)| !instance.control.figures().pools.is_empty())
+        };
+        cell.until("another owner", others).await;
+        let via = cell
+            .instances
+            .keys()
+            .find(|id| **id != owner)
+            .expect("another");
+        cell.submit(via, job("after", 6, Some(300))).await;
+        cell.until_succeeded("after").await;
+        cell.instances[&owner].gate.resume();
+        cell.until("the paused owner gives up", |cell| {
+            let figures = cell.control(&owner).figures();
+            figures.fences >= 1 && figures.pools.is_empty()
+        })
+        .await;
+        cell.until_succeeded("before").await;
+        assert_eq!(cell.fleet.history().runs().len(), 12);
+        cell.assert_sound();
+    });
+}
+
+/// While the store is down running tasks go on, no task starts, and submissions are refused as not run.
+#[test]
+fn store_outage_starts_nothing_and_stops_nothing() {
+    block_on(async {
+        let cell = cell_of_three().await;
+        cell.submit("e1", job("running", 6, Some(30_000))).await;
+        cell.until("six run", |cell| cell.running() == 6).await;
+        cell.platform
+            .faults()
+            .update(|faults| faults.outage = Some(Outage::Refuse));
+        let refused = cell
+            .control("e1")
+            .submit_job(job("refused", 1, Some(100)))
+            .await;
+        assert!(
+            matches!(refused, Err(ragwortreel_control::JobError::Refused { .. })),
+            "{refused:?}"
+        );
+        // Longer than the lease of the owner and of the tasks.
+        sleep_ms(15_000 / support::SPEED).await;
+        assert_eq!(cell.running(), 6);
+        assert_eq!(cell.fleet.history().runs().len(), 6);
+        cell.platform.faults().clear();
+        cell.submit("e2", job("next", 2, Some(100))).await;
+        cell.until_succeeded("next").await;
+        cell.until_succeeded("running").await;
+        assert_eq!(cell.job_state("refused"), None);
+        cell.assert_sound();
+    });
+}
+
+/// An answer lost at any one commit must not lose or double a task.
+#[test]
+fn lost_answers_of_the_store_do_no_harm() {
+    block_on(async {
+        let cell = cell_of_three().await;
+        for round in 0..20 {
+            let id = format!("j{round}");
+            for instance in cell.instances.values() {
+                instance.gate.lose_commits(round % 5);
+            }
+            let owner = cell.owner("riga-a").expect("an owner");
+            cell.submit(&owner, job(&id, 3, Some(50))).await;
+            cell.until_succeeded(&id).await;
+        }
+        assert_eq!(cell.fleet.history().runs().len(), 60);
+        cell.assert_sound();
+    });
+}
+
+/// A start whose answer is lost must be neither doubled nor forgotten.
+#[test]
+fn lost_answer_of_a_start_is_settled_by_the_worker() {
+    block_on(async {
+        let cell = cell_of_three().await;
+        let owner = cell.owner("riga-a").expect("an owner");
+        cell.instances[&owner].gate.lose_starts(4);
+        cell.submit(&owner, job("j", 12, Some(500))).await;
+        cell.until_succeeded("j").await;
+        assert_eq!(cell.fleet.history().runs().len(), 12);
+        cell.assert_sound();
+    });
+}
+
+/// Tasks of a dead worker are started elsewhere only after its lease has certainly expired.
+#[test]
+fn lost_worker_with_its_owner() {
+    block_on(async {
+        let mut cell = cell_of_three().await;
+        cell.submit("e1", job("j", 6, Some(30_000))).await;
+        cell.until("six run", |cell| cell.running() == 6).await;
+        let owner = cell.owner("riga-a").expect("an owner");
+        let worker = cell
+            .workers
+            .iter()
+            .find(|worker| worker.running() > 0)
+            .expect("a busy worker");
+        worker
+            .faults()
+            .update(|faults| faults.outage = Some(Outage::Silent));
+        cell.platform.set_instance_state(
+            &support::name(ragwortreel_model::InstanceId::new, &owner),
+            ragwortreel_platform::InstanceState::Terminated,
+        );
+        cell.platform
+            .put_instance(ragwortreel_platform::ListedInstance {
+                id: support::name(ragwortreel_model::InstanceId::new, &owner),
+                zone: cell.zones[0].clone(),
+                address: cell.instances[&owner].address,
+                state: ragwortreel_platform::InstanceState::Terminated,
+                role: ragwortreel_platform::ListedRole::Entry,
+            });
+        cell.kill(&owner);
+        let lost = worker_runs(&cell);
+        cell.until_succeeded("j").await;
+        assert!(
+            cell.fleet.history().runs().len() > 6,
+            "{lost} runs were lost"
+        );
+        cell.assert_sound();
+    });
+}
+
+fn worker_runs(cell: &Cell) -> usize {
+    cell.fleet.history().runs().len()
+}
+
+/// A cancelled job's runs must stop, also when the cancellation meets a change of owner.
+#[test]
+fn cancelled_runs_are_stopped() {
+    block_on(async {
+        let mut cell = cell_of_three().await;
+        cell.submit("e1", job("j", 6, None)).await;
+        cell.until("six run", |cell| cell.running() == 6).await;
+        let owner = cell.owner("riga-a").expect("an owner");
+        // The stops are lost; the next owner finds runs of a job whose row is final.
+        for worker in &cell.workers {
+            worker
+                .faults()
+                .update(|faults| faults.outage = Some(Outage::Silent));
+        }
+        let id = job("j", 6, None).id;
+        cell.control(&owner)
+            .cancel_job(&id, None)
+            .await
+            .expect("cancelled");
+        assert_eq!(cell.job_state("j"), Some(JobState::Cancelled));
+        cell.kill(&owner);
+        for worker in &cell.workers {
+            worker.faults().clear();
+        }
+        cell.until("all stopped", |cell| cell.running() == 0).await;
+        cell.assert_sound();
+    });
+}
--- /dev/null
+++ b/crates/control/tests/support/mod.rs
@@ -0,0 +1,325 @@
+//! A cell in one process: entry instances, the platform in memory and workers in memory, with cuts and pauses.
+//!
+//! All clocks run [`SPEED`] times as fast as real time, and the intervals between calls are shortened to match, so
+//! that leases of seconds pass in fractions of a second.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+mod gate;
+mod network;
+
+pub use {
+    gate::{Gate, Gated},
+    network::Network,
+};
+
+use {
+    ragwortreel_control::{
+        Connections, Control, ControlConfig, Limits, SettingsChange, Timings, ZoneConfig, pools_of,
+    },
+    ragwortreel_model::{
+        Clock, Incarnation, InstanceId, JobId, JobKind, JobSpec, JobState, Pool, Priority, Rack,
+        Resources, Settings, Team, TeamSettings, WorkerId, Zone,
+    },
+    ragwortreel_placement::{Config, PoolScheduler, Scheduler},
+    ragwortreel_platform::{InstanceState, ListedInstance, ListedRole},
+    ragwortreel_runtime::{Stop, discard_logger, sleep_ms},
+    ragwortreel_standins::{FakeFleet, FakeWorker, MemoryPlatform, Violation, WorkerSpec},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+};
+
+/// How many times as fast as real time all clocks run.
+pub const SPEED: u64 = 5;
+
+/// Real time times [`SPEED`].
+pub struct FastClock {
+    origin: Instant,
+}
+
+impl Clock for FastClock {
+    fn now_ms(&self) -> u64 {
+        let real_ms = u64::try_from(self.origin.elapsed().as_millis()).expect("a short test");
+        real_ms * SPEED
+    }
+}
+
+pub fn timings() -> Timings {
+    let real = |ms: u64| ms / SPEED;
+    let timings = Timings::default();
+    Timings {
+        renewal_ms: real(timings.renewal_ms),
+        scan_ms: real(timings.scan_ms),
+        heartbeat_ms: real(timings.heartbeat_ms),
+        worker_heartbeat_ms: real(timings.worker_heartbeat_ms),
+        list_ms: real(timings.list_ms),
+        ..timings
+    }
+}
+
+pub struct Instance {
+    pub id: InstanceId,
+    pub control: Control,
+    pub gate: Arc<Gate>,
+    pub stop: Stop,
+    pub address: SocketAddr,
+}
+
+pub struct Cell {
+    pub platform: Arc<MemoryPlatform>,
+    pub fleet: FakeFleet,
+    pub clock: Arc<FastClock>,
+    pub network: Arc<Network>,
+    pub zones: Vec<Zone>,
+    pub instances: BTreeMap<String, Instance>,
+    pub workers: Vec<Arc<FakeWorker>>,
+    pub timings: Timings,
+    pub limits: Limits,
+    incarnations: AtomicU64,
+}
+
+pub fn name<T>(make: fn(&str) -> Result<T, ragwortreel_model::NameError>, text: &str) -> T {
+    make(text).expect("a valid name")
+}
+
+pub fn team() -> Team {
+    name(Team::new, "alpha")
+}
+
+/// A job whose tasks run for a time of the fast clock, or until stopped.
+pub fn job(id: &str, tasks: u32, run_ms: Option<u64>) -> JobSpec {
+    let payload = run_ms.map_or_else(|| "{}".to_owned(), |ms| format!("{{\"run_ms\":{ms}}}"));
+    JobSpec {
+        id: name(JobId::new, id),
+        team: team(),
+        name: "test".into(),
+        kind: JobKind::Batch,
+        priority: Priority::Normal,
+        tasks,
+        resources: Resources::new(1_000, 1_024, 0),
+        run_time_ms: run_ms,
+        zone: None,
+        payload: payload.into(),
+    }
+}
+
+impl Cell {
+    /// A cell with workers of four tasks each in every zone, and one team.
+    pub fn new(zones: &[&str], workers_per_zone: u16) -> Self {
+        let clock = Arc::new(FastClock {
+            origin: Instant::now(),
+        });
+        let mut cell = Self {
+            platform: MemoryPlatform::new(),
+            fleet: FakeFleet::new(Arc::clone(&clock) as _),
+            clock,
+            network: Arc::default(),
+            zones: zones.iter().map(|zone| name(Zone::new, zone)).collect(),
+            instances: BTreeMap::new(),
+            workers: Vec::new(),
+            timings: timings(),
+            limits: Limits::default(),
+            incarnations: AtomicU64::new(1),
+        };
+        for zone in cell.zones.clone() {
+            for _ in 0..workers_per_zone {
+                cell.add_worker(&zone);
+            }
+        }
+        cell
+    }
+
+    fn add_worker(&mut self, zone: &Zone) {
+        let number = u16::try_from(self.workers.len()).expect("few workers");
+        let address = SocketAddr::from(([127, 0, 1, 1], 1_000 + number));
+        let capacity = Resources::new(4_000, 8_192, 0);
+        let id = format!("w{number}");
+        let spec = WorkerSpec {
+            id: name(WorkerId::new, &id),
+            capacity,
+            usage_lag_ms: 0,
+        };
+        self.workers.push(self.fleet.add(address, spec));
+        self.platform.put_instance(ListedInstance {
+            id: name(InstanceId::new, &id),
+            zone: zone.clone(),
+            address,
+            state: InstanceState::Live,
+            role: ListedRole::Worker {
+                rack: name(Rack::new, "r0"),
+                capacity,
+            },
+        });
+    }
+
+    /// Starts an instance; a second start under the same name is a new process at the same address.
+    pub fn start(&mut self, id: &str, zone: &str) {
+        let zone = name(Zone::new, zone);
+        let port = 100 + u16::from(id.as_bytes()[id.len() - 1]);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let zones: Vec<_> = (self.zones.iter())
+            .map(|zone| ZoneConfig {
+                zone: zone.clone(),
+                region: "north".into(),
+            })
+            .collect();
+        let gate = Gate::new();
+        let platform = self.platform.in_zone(zone.clone());
+        let gated = Gated::new(&gate, platform);
+        let connections = Connections {
+            table: gated.clone(),
+            objects: gated.clone(),
+            list: gated.clone(),
+            workers: Arc::new(gate.workers(self.fleet.in_zone(zone.clone()))),
+            peers: Arc::new(self.network.connector(address, &gate)),
+            schedulers: Arc::new(|pool: &Pool| {
+                Box::new(Scheduler::new(pool.clone(), Config::default())) as Box<dyn PoolScheduler>
+            }),
+        };
+        let stop = Stop::new();
+        let cfg = ControlConfig {
+            instance: name(InstanceId::new, id),
+            zone,
+            region: "north".into(),
+            address,
+            incarnation: Incarnation(self.incarnations.fetch_add(1, Ordering::SeqCst)),
+            pools: pools_of(&zones, 1),
+            zones,
+            timings: self.timings,
+            limits: self.limits,
+        };
+        let clock = Arc::clone(&self.clock) as _;
+        let control = Control::start(cfg, connections, clock, discard_logger(), stop.clone());
+        self.network.listen(address, &gate, control.entry_service());
+        let instance = Instance {
+            id: name(InstanceId::new, id),
+            control,
+            gate,
+            stop,
+            address,
+        };
+        self.instances.insert(id.to_owned(), instance);
+    }
+
+    /// Ends an instance's process: nothing that it sends later arrives, and its port refuses connections.
+    pub fn kill(&mut self, id: &str) {
+        let instance = self.instances.remove(id).expect("runs");
+        instance.gate.kill();
+        instance.stop.request();
+        self.network.close(instance.address);
+    }
+
+    pub fn control(&self, id: &str) -> &Control {
+        &self.instances[id].control
+    }
+
+    pub fn any(&self) -> &Control {
+        &self.instances.values().next().expect("an instance").control
+    }
+
+    /// Waits until a condition holds; the limit only ends a test that hangs.
+    pub async fn until(&self, what: &str, mut holds: impl FnMut(&Self) -> bool) {
+        let since = Instant::now();
+        while !holds(self) {
+            assert!(
+                since.elapsed() < Duration::from_secs(20),
+                "not reached: {what}"
+            );
+            sleep_ms(5).await;
+        }
+    }
+
+    /// Waits until all instances are ready and all pools have owners, and declares the team.
+    pub async fn ready(&self) {
+        self.until("all ready", |cell| {
+            cell.instances
+                .values()
+                .all(|instance| instance.control.is_ready())
+        })
+        .await;
+        let mut settings = Settings::default();
+        settings.teams.insert(team(), TeamSettings::default());
+        let change = SettingsChange::Whole(settings);
+        self.any()
+            .change_settings(0, change)
+            .await
+            .expect("the first change is accepted");
+        self.until("the team is known", |cell| {
+            cell.instances
+                .values()
+                .all(|instance| instance.control.settings().version >= 1)
+        })
+        .await;
+        self.until("all pools owned", |cell| {
+            cell.zones
+                .iter()
+                .all(|zone| cell.owner(zone.as_str()).is_some())
+        })
+        .await;
+    }
+
+    /// The running instance that owns a pool with reports from all its workers.
+    pub fn owner(&self, pool: &str) -> Option<String> {
+        let owns = |instance: &Instance| {
+            let pools = instance.control.figures().pools;
+            pools.iter().any(|found| found.pool.as_str() == pool)
+        };
+        let found = self.instances.iter().find(|(_, instance)| owns(instance));
+        found.map(|(id, _)| id.clone())
+    }
+
+    /// Submits until accepted.
+    pub async fn submit(&self, via: &str, spec: JobSpec) {
+        let since = Instant::now();
+        while let Err(err) = self.control(via).submit_job(spec.clone()).await {
+            assert!(
+                since.elapsed() < Duration::from_secs(20),
+                "not accepted: {err}"
+            );
+            sleep_ms(10).await;
+        }
+    }
+
+    pub fn running(&self) -> usize {
+        self.workers.iter().map(|worker| worker.running()).sum()
+    }
+
+    pub fn job_state(&self, id: &str) -> Option<JobState> {
+        let row = self.platform.peek(&format!("job/{id}"))?;
+        let row: serde_json::Value = serde_json::from_str(&row.value).expect("a job row");
+        serde_json::from_value(row["state"].clone()).ok()
+    }
+
+    pub async fn until_succeeded(&self, id: &str) {
+        self.until(&format!("job {id} succeeded"), |cell| {
+            cell.job_state(id) == Some(JobState::Succeeded)
+        })
+        .await;
+    }
+
+    /// What the history of all runs shows against the invariants: overlaps, double starts and overshoots.
+    pub fn violations(&self) -> Vec<String> {
+        let found = self
+            .fleet
+            .violations()
+            .into_iter()
+            .map(|found: Violation| found.to_string());
+        let overshoot = |worker: &Arc<FakeWorker>| {
+            let refused = worker.counts().over_capacity;
+            (refused > 0).then(|| format!("{refused} starts beyond a worker's capacity"))
+        };
+        found
+            .chain(self.workers.iter().filter_map(overshoot))
+            .collect()
+    }
+
+    pub fn assert_sound(&self) {
+        assert_eq!(self.violations(), Vec::<String>::new());
+    }
+}
