--- /dev/null
+++ b/crates/routing/src/group.rs
@@ -0,0 +1,211 @@
+//! The backend servers of one service and the requests that wait for them.
+
+use {
+    crate::{
+        BackendId, BackendServer, Share,
+        health::Health,
+        queue::{ClassQueue, WaitId},
+    },
+    ragwortreel_model::{Team, WorkClass},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Classes in the order in which they get slots.
+pub const CLASSES: [WorkClass; 3] = [WorkClass::Urgent, WorkClass::Short, WorkClass::Long];
+/// Time over which the slots in use by short work are averaged, in ms.
+const SHORT_LOAD_MS: f64 = 1_000.0;
+
+/// A backend server as this instance uses it.
+#[derive(Debug)]
+pub struct Backend {
+    pub server: BackendServer,
+    pub share: Share,
+    pub health: Health,
+    pub in_use: u32,
+    pub long_in_use: u32,
+    pub last_used: WaitId,
+    /// Slots allowed when it was last indexed.
+    pub allowed: u32,
+}
+
+/// Backend servers with a free slot, least loaded and longest unused first.
+type LoadIndex = BTreeSet<(u32, WaitId, BackendId)>;
+
+/// State of one service.
+#[derive(Debug, Default)]
+pub struct Group {
+    pub queues: BTreeMap<WorkClass, ClassQueue>,
+    pub backends: BTreeMap<BackendId, Backend>,
+    index: LoadIndex,
+    /// Sum of the allowed slots.
+    pub slots: u32,
+    pub long_in_use: u32,
+    pub short_in_use: u32,
+    /// Average number of short and urgent requests in flight or waiting.
+    short_load: f64,
+    averaged_ms: u64,
+    /// Mean time that a request holds a slot, in ms.
+    pub hold_ms: f64,
+}
+
+impl Backend {
+    pub fn new(server: BackendServer, share: Share) -> Self {
+        Self {
+            server,
+            share,
+            health: Health::new(),
+            in_use: 0,
+            long_in_use: 0,
+            last_used: 0,
+            allowed: 0,
+        }
+    }
+
+    fn has_long_room(&self) -> bool {
+        self.long_in_use < self.share.long_slots
+    }
+
+    fn key(&self) -> (u32, WaitId, BackendId) {
+        let load = (self.in_use + 1) * 1_000 / self.allowed.max(1);
+        (load, self.last_used, self.server.id.clone())
+    }
+}
+
+impl Group {
+    /// Changes a backend server and keeps the index and sums in step.
+    pub fn change(&mut self, now_ms: u64, id: &BackendId, change: impl FnOnce(&mut Backend)) {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return;
+        };
+        self.index.remove(&backend.key());
+        self.slots -= backend.allowed;
+        change(backend);
+        backend.health.settle(backend.share.slots);
+        backend.allowed = if backend.server.leaving {
+            0
+        } else {
+            backend.health.allowed(now_ms, backend.share.slots)
+        };
+        self.slots += backend.allowed;
+        if backend.in_use < backend.allowed {
+            self.index.insert(backend.key());
+        }
+    }
+
+    pub fn insert(&mut self, now_ms: u64, backend: Backend) {
+        let id = backend.server.id.clone();
+        self.backends.insert(id.clone(), backend);
+        self.change(now_ms, &id, |_| {});
+    }
+
+    pub fn remove(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backends.remove(id) {
+            self.index.remove(&backend.key());
+            self.slots -= backend.allowed;
+        }
+    }
+
+    /// The least loaded backend server with a free slot for a request.
+    pub fn choose(&self, on_long_slot: bool, avoid: &[BackendId]) -> Option<&BackendId> {
+        if on_long_slot && !self.long_may_start() {
+            return None;
+        }
+        let fits = |id: &&BackendId| {
+            let has_room = !on_long_slot || self.backends[*id].has_long_room();
+            has_room && !avoid.contains(*id)
+        };
+        self.index.iter().map(|(_, _, id)| id).find(fits)
+    }
+
+    /// Whether any backend server could take such a request now or once a slot is free.
+    pub fn is_served(&self, avoid: &[BackendId]) -> bool {
+        let mut backends = self.backends.iter();
+        backends.any(|(id, backend)| backend.allowed > 0 && !avoid.contains(id))
+    }
+
+    /// Time of the first probe of an ejected backend server, in ms.
+    pub fn next_probe_ms(&self) -> Option<u64> {
+        let probes = self.backends.values();
+        probes.filter_map(|b| b.health.probe_at_ms()).min()
+    }
+
+    /// Slots kept for short work: its average use and twice the standard deviation of independent arrivals.
+    fn short_reserve(&self) -> f64 {
+        self.short_load + 2.0 * self.short_load.sqrt()
+    }
+
+    fn long_may_start(&self) -> bool {
+        f64::from(self.long_in_use + 1) + self.short_reserve() <= f64::from(self.slots)
+    }
+
+    /// Slots that requests of a class can count on.
+    fn slots_for(&self, class: WorkClass) -> f64 {
+        if class != WorkClass::Long {
+            return f64::from(self.slots);
+        }
+        let usable = self.backends.values().filter(|b| b.allowed > 0);
+        let for_long: u32 = usable.map(|b| b.share.long_slots.min(b.allowed)).sum();
+        f64::from(for_long).min(f64::from(self.slots) - self.short_reserve())
+    }
+
+    /// Estimated wait of a new request, in ms; `None` when no slot is in sight.
+    pub fn wait_ms(&self, class: WorkClass, team: &Team, weight: u32) -> Option<f64> {
+        let slots = self.slots_for(class);
+        if slots < 0.5 {
+            return None;
+        }
+        let higher = CLASSES.iter().take_while(|other| **other != class);
+        let higher_ms: u64 = higher
+            .filter_map(|class| self.queues.get(class))
+            .map(ClassQueue::backlog_ms)
+            .sum();
+        let queue = self.queues.get(&class);
+        let ahead_ms = higher_ms + queue.map_or(0, |queue| queue.ahead_ms(team, weight));
+        let is_busy = self.index.is_empty() || class == WorkClass::Long && !self.long_may_start();
+        let first_free_ms = if is_busy { self.hold_ms / slots } else { 0.0 };
+        #[allow(clippy::cast_precision_loss, reason = "backlogs are below 2^52 ms")]
+        let ahead_ms = ahead_ms as f64;
+        Some(ahead_ms / slots + first_free_ms)
+    }
+
+    pub fn queued(&self) -> usize {
+        self.queues.values().map(ClassQueue::len).sum()
+    }
+
+    /// Free slots now.
+    pub fn free_slots(&self) -> u32 {
+        let free = |b: &Backend| b.allowed.saturating_sub(b.in_use);
+        self.backends.values().map(free).sum()
+    }
+
+    /// Brings the average use of short work up to date.
+    pub fn average(&mut self, now_ms: u64) {
+        let waiting: usize = [WorkClass::Urgent, WorkClass::Short]
+            .iter()
+            .filter_map(|class| self.queues.get(class))
+            .map(ClassQueue::len)
+            .sum();
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let load = f64::from(self.short_in_use.saturating_add(waiting));
+        #[allow(clippy::cast_precision_loss, reason = "times are below 2^52 ms")]
+        let passed_ms = now_ms.saturating_sub(self.averaged_ms) as f64;
+        self.short_load += (load - self.short_load) * (1.0 - (-passed_ms / SHORT_LOAD_MS).exp());
+        self.averaged_ms = now_ms;
+        self.refresh(now_ms, passed_ms);
+    }
+
+    /// Brings limits that change with time up to date: those shrunk by latency, and ejections whose probe is due.
+    fn refresh(&mut self, now_ms: u64, passed_ms: f64) {
+        let mut changed = Vec::new();
+        for (id, backend) in &mut self.backends {
+            // The index key depends on `allowed`, which only `change` sets.
+            let is_limited = backend.health.relax(passed_ms);
+            if is_limited || backend.health.is_ejected() {
+                changed.push(id.clone());
+            }
+        }
+        for id in changed {
+            self.change(now_ms, &id, |_| {});
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/health.rs
@@ -0,0 +1,190 @@
+//! What each backend server can take: ejection after failures, gradual return, and a limit that follows latency.
+
+use rand::Rng;
+
+/// Failures in a row that eject a backend server.
+pub const EJECT_AFTER_FAILURES: u32 = 3;
+/// Time of the first ejection, in ms; doubles with each failed probe.
+const EJECT_MS: u64 = 1_000;
+/// Longest ejection, in ms.
+const MAX_EJECT_MS: u64 = 15_000;
+/// Time within which ejected backend servers are probed once another one of the service has recovered, in ms.
+const REPROBE_MS: u64 = 500;
+/// Slots that a returning backend server may use at most before it counts as healthy again.
+const RETURNED_SLOTS: u32 = 1_024;
+
+/// Latency relative to the route's mean above which the limit shrinks.
+const TOLERATED_RATIO: f64 = 1.5;
+/// Cut of a single sample, so that one straggler among quick requests doesn't shrink the limit.
+const MAX_RATIO: f64 = 4.0;
+/// Weight of one sample in the latency ratio.
+const RATIO_WEIGHT: f64 = 0.1;
+/// Growth of the limit with each good sample, as part of the share.
+const GROWTH: f64 = 0.02;
+/// Growth of the limit with time, as part of the share in each ms. A backend server that gets no requests because its
+/// limit is small would otherwise never show that it is quick again.
+const RELAX_PER_MS: f64 = 0.000_05;
+/// Least part of the share that latency leaves.
+const MIN_PART: f64 = 0.1;
+
+/// Whether a backend server takes requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Healthy {
+        failures: u32,
+    },
+    /// No requests until the time, then one at a time as a probe.
+    Ejected {
+        until_ms: u64,
+        rounds: u32,
+    },
+    /// Allowed slots grow by one with each `slots` good answers.
+    Returning {
+        slots: u32,
+        answers: u32,
+        rounds: u32,
+    },
+}
+
+/// Health and adaptive limit of a backend server.
+#[derive(Debug)]
+pub struct Health {
+    phase: Phase,
+    ratio: f64,
+    part: f64,
+}
+
+impl Health {
+    pub fn new() -> Self {
+        Self {
+            phase: Phase::Healthy { failures: 0 },
+            ratio: 1.0,
+            part: 1.0,
+        }
+    }
+
+    /// Slots that may be in use now, out of a share.
+    pub fn allowed(&self, now_ms: u64, share: u32) -> u32 {
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the part is between 0 and 1"
+        )]
+        let adapted = ((f64::from(share) * self.part).round() as u32).max(1);
+        let by_phase = match self.phase {
+            Phase::Healthy { .. } => share,
+            Phase::Ejected { until_ms, .. } => u32::from(now_ms >= until_ms),
+            Phase::Returning { slots, .. } => slots,
+        };
+        share.min(adapted).min(by_phase)
+    }
+
+    pub fn is_ejected(&self) -> bool {
+        matches!(self.phase, Phase::Ejected { .. })
+    }
+
+    /// Time of the next probe, in ms, while ejected.
+    pub fn probe_at_ms(&self) -> Option<u64> {
+        match self.phase {
+            Phase::Ejected { until_ms, .. } => Some(until_ms),
+            _ => None,
+        }
+    }
+
+    /// A good answer, with its latency relative to the route's mean. Returns whether it ended an ejection.
+    pub fn answered(&mut self, now_ms: u64, ratio: f64) -> bool {
+        self.ratio += (ratio.min(MAX_RATIO) - self.ratio) * RATIO_WEIGHT;
+        if self.ratio > TOLERATED_RATIO {
+            let gradient = (TOLERATED_RATIO / self.ratio).max(0.5);
+            self.part = (self.part * (0.8 + 0.2 * gradient)).max(MIN_PART);
+        } else {
+            self.part = (self.part + GROWTH).min(1.0);
+        }
+        let is_probe = matches!(self.phase, Phase::Ejected { until_ms, .. } if now_ms >= until_ms);
+        self.phase = match self.phase {
+            Phase::Healthy { .. } => Phase::Healthy { failures: 0 },
+            // The answer of a request sent before the ejection proves nothing about now.
+            ejected @ Phase::Ejected { .. } if !is_probe => ejected,
+            Phase::Ejected { rounds, .. } => Phase::Returning {
+                slots: 1,
+                answers: 0,
+                rounds,
+            },
+            Phase::Returning { slots, .. } if slots >= RETURNED_SLOTS => {
+                Phase::Healthy { failures: 0 }
+            }
+            Phase::Returning {
+                slots,
+                answers,
+                rounds,
+            } if answers + 1 < slots => Phase::Returning {
+                slots,
+                answers: answers + 1,
+                rounds,
+            },
+            Phase::Returning { slots, rounds, .. } => Phase::Returning {
+                slots: slots + 1,
+                answers: 0,
+                rounds,
+            },
+        };
+        is_probe
+    }
+
+    /// Lets the limit grow with time; true when there was anything to grow.
+    pub fn relax(&mut self, passed_ms: f64) -> bool {
+        let was_limited = self.part < 1.0;
+        self.part = (self.part + passed_ms * RELAX_PER_MS).min(1.0);
+        was_limited
+    }
+
+    /// Ends the gradual return once all of the share is in reach.
+    pub fn settle(&mut self, share: u32) {
+        if matches!(self.phase, Phase::Returning { slots, .. } if slots > share) {
+            self.phase = Phase::Healthy { failures: 0 };
+        }
+    }
+
+    /// A failure. Returns whether it ejected the backend server.
+    pub fn failed(&mut self, now_ms: u64, rng: &mut impl Rng) -> bool {
+        match self.phase {
+            Phase::Healthy { failures } if failures + 1 < EJECT_AFTER_FAILURES => {
+                self.phase = Phase::Healthy {
+                    failures: failures + 1,
+                };
+                false
+            }
+            Phase::Healthy { .. } => {
+                self.eject(now_ms, 0, rng);
+                true
+            }
+            Phase::Returning { rounds, .. } => {
+                self.eject(now_ms, rounds + 1, rng);
+                true
+            }
+            // Requests sent before the ejection fail late; only a probe counts.
+            Phase::Ejected { until_ms, rounds } if now_ms >= until_ms => {
+                self.eject(now_ms, rounds + 1, rng);
+                false
+            }
+            Phase::Ejected { .. } => false,
+        }
+    }
+
+    /// Half to one and a half times the nominal time, so that instances do not probe together.
+    fn eject(&mut self, now_ms: u64, rounds: u32, rng: &mut impl Rng) {
+        let nominal_ms = (EJECT_MS << rounds.min(10)).min(MAX_EJECT_MS);
+        let wait_ms = rng.random_range(nominal_ms / 2..=nominal_ms * 3 / 2);
+        self.phase = Phase::Ejected {
+            until_ms: now_ms + wait_ms,
+            rounds,
+        };
+    }
+
+    /// Another backend server of the service has recovered: probes this one soon.
+    pub fn probe_soon(&mut self, now_ms: u64, rng: &mut impl Rng) {
+        if let Phase::Ejected { until_ms, .. } = &mut self.phase {
+            *until_ms = (*until_ms).min(now_ms + rng.random_range(0..=REPROBE_MS));
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/learn.rs
@@ -0,0 +1,160 @@
+//! Run times learned by team, service and route, and the class that follows from them.
+
+use {
+    hdrhistogram::Histogram,
+    ragwortreel_model::{ServiceName, Team, WorkClass},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Most routes with run times of their own; further ones share those of their service.
+const MAX_ROUTES: usize = 4_096;
+/// Samples from which learned run times replace declared ones.
+const MIN_SAMPLES: u64 = 8;
+/// Samples after which the older half is forgotten.
+const WINDOW_SAMPLES: u64 = 256;
+/// Longest recorded run time, in ms.
+const MAX_RUN_MS: u64 = 24 * 3_600_000;
+/// Weight of one sample in the mean.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// What run times are learned for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouteKey {
+    pub team: Team,
+    pub service: ServiceName,
+    pub route: Arc<str>,
+}
+
+/// Run times of one route: the current and the previous window.
+#[derive(Debug)]
+struct RunTimes {
+    current: Histogram<u32>,
+    previous: Option<Histogram<u32>>,
+    mean_ms: f64,
+    p90_ms: u64,
+    samples: u64,
+}
+
+/// Estimate for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Estimate {
+    /// Mean run time, in ms.
+    pub mean_ms: f64,
+    /// Run time that nine of ten requests stay within, in ms.
+    pub p90_ms: u64,
+    /// Whether it comes from measured run times.
+    pub is_learned: bool,
+}
+
+/// Learned run times of all routes.
+#[derive(Debug, Default)]
+pub struct Learned {
+    routes: BTreeMap<RouteKey, RunTimes>,
+}
+
+impl RunTimes {
+    fn new() -> Self {
+        let histogram = || Histogram::new_with_bounds(1, MAX_RUN_MS, 1);
+        Self {
+            current: histogram().expect("the bounds are constants"),
+            previous: None,
+            mean_ms: 0.0,
+            p90_ms: 0,
+            samples: 0,
+        }
+    }
+
+    fn record(&mut self, run_ms: u64) {
+        self.current.saturating_record(run_ms.max(1));
+        self.samples += 1;
+        #[allow(clippy::cast_precision_loss, reason = "run times are below 2^52 ms")]
+        let run = run_ms as f64;
+        // Until the window is long enough, the plain mean is better than the weighted one.
+        #[allow(clippy::cast_precision_loss, reason = "sample counts are below 2^52")]
+        let weight = MEAN_WEIGHT.max(1.0 / self.samples as f64);
+        self.mean_ms += (run - self.mean_ms) * weight;
+        if self.samples <= MIN_SAMPLES || self.samples.is_multiple_of(MIN_SAMPLES) {
+            self.p90_ms = self.window().value_at_quantile(0.9);
+        }
+        if self.current.len() >= WINDOW_SAMPLES {
+            let fresh = Histogram::new_from(&self.current);
+            self.previous = Some(std::mem::replace(&mut self.current, fresh));
+        }
+    }
+
+    /// The previous window until the current one is half full.
+    fn window(&self) -> &Histogram<u32> {
+        match &self.previous {
+            Some(previous) if self.current.len() < WINDOW_SAMPLES / 2 => previous,
+            _ => &self.current,
+        }
+    }
+}
+
+impl Learned {
+    /// Records a run time in ms.
+    pub fn record(&mut self, key: &RouteKey, run_ms: u64) {
+        if !self.routes.contains_key(key) {
+            let is_full = self.routes.len() >= MAX_ROUTES;
+            let key = if is_full {
+                key.of_service()
+            } else {
+                key.clone()
+            };
+            self.routes.entry(key).or_insert_with(RunTimes::new);
+        }
+        let times = match self.routes.get_mut(key) {
+            Some(times) => Some(times),
+            None => self.routes.get_mut(&key.of_service()),
+        };
+        if let Some(times) = times {
+            times.record(run_ms);
+        }
+    }
+
+    /// Estimates a request's run time; `hint_ms` stands in until enough was measured.
+    pub fn estimate(&self, key: &RouteKey, hint_ms: Option<u64>) -> Estimate {
+        let known = self.routes.get(key);
+        let known = known.or_else(|| self.routes.get(&key.of_service()));
+        match known.filter(|times| times.samples >= MIN_SAMPLES) {
+            Some(times) => Estimate {
+                mean_ms: times.mean_ms,
+                p90_ms: times.p90_ms,
+                is_learned: true,
+            },
+            None => Estimate {
+                #[allow(clippy::cast_precision_loss, reason = "run times are below 2^52 ms")]
+                mean_ms: hint_ms.unwrap_or(1) as f64,
+                p90_ms: hint_ms.unwrap_or(1),
+                is_learned: false,
+            },
+        }
+    }
+}
+
+impl RouteKey {
+    /// Key of all routes of the service that have none of their own.
+    fn of_service(&self) -> Self {
+        Self {
+            route: Arc::from(""),
+            ..self.clone()
+        }
+    }
+}
+
+/// Class of a request, and whether it counts as long work on the slots.
+///
+/// Short and long follow the estimate once it is learned. Urgent work stays first in the queue whatever it takes, but
+/// counts as long on the slots when it is.
+pub fn classify(declared: WorkClass, estimate: Estimate, long_run_ms: u64) -> (WorkClass, bool) {
+    let runs_long = estimate.p90_ms >= long_run_ms;
+    // The gap between both bounds keeps a route near the bound from changing class with each sample.
+    let runs_short = estimate.is_learned && estimate.p90_ms < long_run_ms / 2;
+    match declared {
+        WorkClass::Urgent => (WorkClass::Urgent, runs_long),
+        WorkClass::Short if runs_long => (WorkClass::Long, true),
+        WorkClass::Short => (WorkClass::Short, false),
+        WorkClass::Long if runs_short => (WorkClass::Short, false),
+        WorkClass::Long => (WorkClass::Long, true),
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,18 +3,27 @@
 //! [`Router`] is the handle that the daemon uses. All of its state is behind one mutex, because many tasks share the
 //! queues and a decision must not wait for a scheduler turn; the mutex is never held over an await.
 
+mod budget;
+mod figures;
+mod group;
+mod health;
+mod learn;
 mod ledger;
+pub mod naive;
+mod queue;
 mod request;
 mod router;
 mod shares;
 mod state;
 
 pub use {
+    figures::{BackendFigures, QueueFigures, RouterFigures, TeamFigures},
     ledger::{InUse, PEER_LEASE_MS, ReleaseReport, SLOT_LEASE_MS, ShareLedger},
     request::{
         BackendId, BackendServer, Refusal, RefusalReason, RequestInfo, RequestResult, RouterConfig,
+        ZoneLoad,
     },
     router::{Permit, Router},
     shares::{Share, SlotLimits, SlotShares, inherits, slot_shares},
-    state::{BackendFigures, QueueFigures, RouterFigures, TeamFigures},
+    state::GrantId,
 };
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -3,7 +3,7 @@
 use {
     derive_more::{Display, Error},
     ragwortreel_model::{InstanceId, ServiceName, Team, WorkClass, Zone},
-    std::{net::SocketAddr, sync::Arc},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
 
 /// Name of a backend server, unique in the cell.
@@ -20,12 +20,17 @@
     pub max_queued: usize,
     /// Seed of the jitter in retry and probe times.
     pub seed: u64,
+    /// Run time from which work counts as long, in ms.
+    pub long_run_ms: u64,
 }
 
 impl RouterConfig {
     /// Most requests that may wait at an instance, if the daemon sets no other bound.
     pub const MAX_QUEUED: usize = 4_096;
 
+    /// Run time from which work counts as long, if the daemon sets no other bound, in ms.
+    pub const LONG_RUN_MS: u64 = 1_000;
+
     /// Defaults for an instance in a zone.
     #[must_use]
     pub fn new(instance: InstanceId, zone: Zone, seed: u64) -> Self {
@@ -34,6 +39,7 @@
             zone,
             max_queued: Self::MAX_QUEUED,
             seed,
+            long_run_ms: Self::LONG_RUN_MS,
         }
     }
 }
@@ -55,6 +61,19 @@
     pub leaving: bool,
 }
 
+/// Load of an entry instance of another zone, as its heartbeat tells.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ZoneLoad {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Its zone.
+    pub zone: Zone,
+    /// Round trip to it, in ms.
+    pub round_trip_ms: f64,
+    /// Its free slots by team and service.
+    pub free_slots: BTreeMap<(Team, ServiceName), u32>,
+}
+
 /// A request that asks for a slot.
 #[derive(Debug, Clone)]
 pub struct RequestInfo {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -3,12 +3,14 @@
 use {
     crate::{
         BackendId, BackendServer, Refusal, RequestInfo, RequestResult, RouterConfig, RouterFigures,
-        SlotShares,
-        state::{Delivery, Grant, GrantId, State, Verdict, WaitId},
+        SlotShares, ZoneLoad,
+        queue::WaitId,
+        state::{Delivery, Grant, GrantId, State, Verdict},
     },
     async_channel::Receiver,
-    ragwortreel_model::{Clock, Settings},
+    ragwortreel_model::{Clock, InstanceId, ServiceName, Settings, Team, WorkClass},
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
@@ -53,6 +55,23 @@
             .change(|state, now| state.update_shares(now, shares));
     }
 
+    /// Takes over the number of live entry instances, over which the teams' rate limits are divided.
+    pub fn update_instances(&self, instances: u32) {
+        self.shared
+            .change(|state, _| state.update_instances(instances));
+    }
+
+    /// Takes over the load of entry instances in other zones.
+    pub fn update_zones(&self, zones: Vec<ZoneLoad>) {
+        self.shared.change(|state, _| state.update_zones(zones));
+    }
+
+    /// Suggests an instance of another zone when it answers sooner than a slot here would be free.
+    #[must_use]
+    pub fn spill(&self, request: &RequestInfo) -> Option<InstanceId> {
+        self.shared.lock().spill(request)
+    }
+
     /// Refuses all waiting requests and every later one; requests in flight go on.
     pub fn stop(&self) {
         self.shared.change(State::stop);
@@ -110,15 +129,20 @@
 
     /// Slots in use of each backend server, for the release of slots to other members.
     #[must_use]
-    pub fn slots_in_use(&self) -> std::collections::BTreeMap<BackendId, u32> {
+    pub fn slots_in_use(&self) -> BTreeMap<BackendId, u32> {
         self.shared.lock().slots_in_use()
     }
 
+    /// Free slots by team and service, for the heartbeat to other instances.
+    #[must_use]
+    pub fn free_slots(&self) -> BTreeMap<(Team, ServiceName), u32> {
+        self.shared.lock().free_slots()
+    }
+
     /// Figures for metrics.
     #[must_use]
     pub fn figures(&self) -> RouterFigures {
-        let now = self.shared.clock.now_ms();
-        self.shared.lock().figures(now)
+        self.shared.lock().figures()
     }
 
     async fn enter(&self, request: RequestInfo, avoid: &[BackendId]) -> Result<Permit, Refusal> {
@@ -216,7 +240,7 @@
 
     /// Class that the request was given.
     #[must_use]
-    pub fn class(&self) -> ragwortreel_model::WorkClass {
+    pub fn class(&self) -> WorkClass {
         self.grant.class
     }
 
@@ -226,6 +250,13 @@
         self.grant.waited_ms
     }
 
+    /// Waits until this instance has lost the slot: its lease has expired or its share has shrunk for good.
+    ///
+    /// The request must then be cut off, because another instance will use the slot.
+    pub async fn revoked(&self) {
+        let _ = self.grant.revoked.recv().await;
+    }
+
     /// Frees the slot and records how the request ended.
     pub fn finish(mut self, result: RequestResult) {
         self.result = result;
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -2,23 +2,42 @@
 
 use {
     crate::{
-        BackendId, BackendServer, Permit, Refusal, RefusalReason, RequestInfo, RequestResult,
-        RouterConfig, Share, SlotShares,
+        BackendFigures, BackendId, BackendServer, Permit, QueueFigures, Refusal, RefusalReason,
+        RequestInfo, RequestResult, RouterConfig, RouterFigures, SlotShares, ZoneLoad,
+        budget::{RateLimit, RetryBudget},
+        group::{Backend, CLASSES, Group},
+        learn::{Learned, RouteKey, classify},
+        queue::{ClassQueue, Place, WaitId},
     },
     async_channel::Sender,
-    ragwortreel_model::{Settings, Team, WorkClass},
-    std::{
-        collections::{BTreeMap, VecDeque},
-        net::SocketAddr,
-    },
+    ragwortreel_model::{InstanceId, ServiceName, ServiceSettings, Settings, Team, WorkClass},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
-/// Identifier of a waiting request.
-pub type WaitId = u64;
 /// Identifier of a granted slot.
 pub type GrantId = u64;
 /// What a waiting request is told.
 pub type Verdict = Result<Permit, Refusal>;
+/// A service and the team that offers it.
+type GroupKey = (Team, ServiceName);
+
+/// Time until the next tick while requests wait, in ms.
+const BUSY_TICK_MS: u64 = 5;
+/// Time until the next tick while none waits, in ms.
+const IDLE_TICK_MS: u64 = 50;
+/// Allowance for errors of the estimated wait: requests are refused a fifth early.
+const WAIT_MARGIN: f64 = 1.2;
+/// Shortest and longest `retry-after`, in ms.
+const MIN_RETRY_MS: u64 = 50;
+const MAX_RETRY_MS: u64 = 30_000;
+/// Advice when the instance has no lease or is stopping; another instance can serve sooner than this.
+const ELSEWHERE_RETRY_MS: u64 = 500;
+/// Weight of one sample in the mean time on a slot.
+const HOLD_WEIGHT: f64 = 0.05;
+/// Wait at which another zone is considered, beyond the round trip to it, in ms.
+const SPILL_MARGIN_MS: f64 = 10.0;
 
 /// A slot given to a request.
 #[derive(Debug, Clone)]
@@ -29,6 +48,7 @@
     pub connections: u32,
     pub class: WorkClass,
     pub waited_ms: u64,
+    pub revoked: async_channel::Receiver<()>,
 }
 
 /// A decision on its way to the waiting task.
@@ -37,111 +57,79 @@
     pub verdict: Result<Grant, Refusal>,
 }
 
-/// Figures of one class of a caller's requests.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct QueueFigures {
-    /// Requests that wait now.
-    pub queued: u64,
-    /// Requests in flight now.
-    pub in_flight: u64,
-    /// Permits given so far.
-    pub admitted: u64,
-    /// Refusals so far.
-    pub refused: u64,
-    /// Sum of the waits of all admitted requests, in ms.
-    pub waited_ms: u64,
-}
-
-/// Figures of one team.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct TeamFigures {
-    /// By class.
-    pub classes: BTreeMap<WorkClass, QueueFigures>,
-    /// Refusals so far by reason.
-    pub refusals: BTreeMap<RefusalReason, u64>,
-}
-
-/// Figures of one backend server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct BackendFigures {
-    /// Slots that this instance may use.
-    pub share: Share,
-    /// Slots in use.
-    pub in_use: u32,
-    /// Of these, slots with long work.
-    pub long_in_use: u32,
-    /// Slots that the adaptive limit allows.
-    pub limit: u32,
-    /// Whether the backend server is ejected.
-    pub ejected: bool,
-}
-
-/// Snapshot of the router's figures.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct RouterFigures {
-    /// By calling team.
-    pub teams: BTreeMap<Team, TeamFigures>,
-    /// By backend server.
-    pub backends: BTreeMap<BackendId, BackendFigures>,
-    /// Requests that wait now.
-    pub queued: u64,
-    /// Requests in flight now.
-    pub in_flight: u64,
-    /// Ejections so far.
-    pub ejections: u64,
-    /// Retries permitted so far.
-    pub retries: u64,
-    /// Retries denied so far.
-    pub retries_denied: u64,
-}
-
 struct Waiting {
-    request: RequestInfo,
+    key: RouteKey,
+    caller: Team,
     class: WorkClass,
+    on_long_slot: bool,
+    place: Place,
     avoid: Vec<BackendId>,
     since_ms: u64,
     tx: Sender<Verdict>,
 }
 
 struct InFlight {
-    backend: BackendId,
-    class: WorkClass,
+    key: RouteKey,
     caller: Team,
+    class: WorkClass,
+    on_long_slot: bool,
+    backend: BackendId,
+    since_ms: u64,
+    revoke: Sender<()>,
 }
 
-struct Backend {
-    server: BackendServer,
-    share: Share,
-    in_use: u32,
-    long_in_use: u32,
-    last_used: u64,
+/// Limits of one calling team.
+#[derive(Default)]
+struct TeamLimits {
+    rate: Option<RateLimit>,
+    retries: RetryBudget,
 }
 
 /// All state of a router.
 pub struct State {
     config: RouterConfig,
     settings: Settings,
+    instances: u32,
     shares: SlotShares,
-    backends: BTreeMap<BackendId, Backend>,
+    groups: BTreeMap<GroupKey, Group>,
+    zones: Vec<ZoneLoad>,
     waiting: BTreeMap<WaitId, Waiting>,
-    queues: BTreeMap<WorkClass, VecDeque<WaitId>>,
     in_flight: BTreeMap<GrantId, InFlight>,
+    teams: BTreeMap<Team, TeamLimits>,
+    learned: Learned,
     deliveries: Vec<Delivery>,
     figures: RouterFigures,
-    next_id: u64,
+    rng: ChaCha8Rng,
+    next_id: WaitId,
     stopping: bool,
 }
 
+impl RouteKey {
+    fn group(&self) -> GroupKey {
+        (self.team.clone(), self.service.clone())
+    }
+}
+
+/// A refusal of a request that has not been queued.
+struct Refused {
+    reason: RefusalReason,
+    retry_after_ms: u64,
+}
+
 impl State {
     pub fn new(config: RouterConfig) -> Self {
         Self {
+            rng: ChaCha8Rng::seed_from_u64(config.seed),
             config,
             settings: Settings::default(),
+            instances: 1,
             shares: SlotShares::default(),
-            backends: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            zones: Vec::new(),
             waiting: BTreeMap::new(),
-            queues: BTreeMap::new(),
             in_flight: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            learned: Learned::default(),
             deliveries: Vec::new(),
             figures: RouterFigures::default(),
             next_id: 1,
@@ -153,63 +141,83 @@
         std::mem::take(&mut self.deliveries)
     }
 
-    pub fn update_settings(&mut self, now: u64, settings: &Settings) {
+    pub fn update_settings(&mut self, _now: u64, settings: &Settings) {
         self.settings = settings.clone();
-        self.dispatch(now);
+        self.teams
+            .retain(|team, _| settings.teams.contains_key(team));
+    }
+
+    pub fn update_instances(&mut self, instances: u32) {
+        self.instances = instances.max(1);
+    }
+
+    pub fn update_zones(&mut self, zones: Vec<ZoneLoad>) {
+        self.zones = zones;
     }
 
     pub fn update_backends(&mut self, now: u64, servers: Vec<BackendServer>) {
-        let mut old = std::mem::take(&mut self.backends);
+        let mut gone: BTreeMap<BackendId, GroupKey> = BTreeMap::new();
+        for (key, group) in &self.groups {
+            gone.extend(group.backends.keys().map(|id| (id.clone(), key.clone())));
+        }
         for server in servers {
             if server.zone != self.config.zone {
                 continue;
             }
-            let share = self.shares.by_backend.get(&server.id).copied();
-            let known = old.remove(&server.id);
-            let mut backend = known.unwrap_or_else(|| Backend::new(server.clone()));
-            backend.server = server;
-            backend.share = share.unwrap_or_default();
-            self.backends.insert(backend.server.id.clone(), backend);
-        }
-        for (id, mut backend) in old {
-            if backend.in_use > 0 {
-                backend.server.leaving = true;
-                self.backends.insert(id, backend);
+            let key = (server.team.clone(), server.service.clone());
+            let share = self.share_of(&server.id);
+            let group = self.groups.entry(key.clone()).or_default();
+            if gone.get(&server.id) == Some(&key) {
+                gone.remove(&server.id);
+                let id = server.id.clone();
+                group.change(now, &id, |backend| backend.server = server);
+            } else {
+                group.insert(now, Backend::new(server, share));
             }
         }
-        self.dispatch(now);
+        for (id, key) in gone {
+            if let Some(group) = self.groups.get_mut(&key) {
+                group.change(now, &id, |backend| backend.server.leaving = true);
+                forget_unused(group, &id);
+            }
+        }
+        self.serve_all(now);
     }
 
     pub fn update_shares(&mut self, now: u64, shares: SlotShares) {
         self.shares = shares;
-        for (id, backend) in &mut self.backends {
-            backend.share = self.shares.by_backend.get(id).copied().unwrap_or_default();
+        for group in self.groups.values_mut() {
+            let ids: Vec<BackendId> = group.backends.keys().cloned().collect();
+            for id in ids {
+                let share = self.shares.by_backend.get(&id).copied().unwrap_or_default();
+                group.change(now, &id, |backend| backend.share = share);
+            }
         }
-        self.dispatch(now);
+        self.revoke_excess(now);
+        self.serve_all(now);
     }
 
     pub fn stop(&mut self, _now: u64) {
         self.stopping = true;
-        for (_, waiting) in std::mem::take(&mut self.waiting) {
-            self.refuse(waiting, RefusalReason::Stopping, 1_000);
-        }
-        self.queues.clear();
+        self.refuse_all(RefusalReason::Stopping);
     }
 
     pub fn tick(&mut self, now: u64) -> u64 {
-        let late: Vec<WaitId> = self
-            .waiting
-            .iter()
-            .filter(|(_, waiting)| waiting.request.deadline_ms <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in late {
-            if let Some(waiting) = self.waiting.remove(&id) {
-                self.refuse(waiting, RefusalReason::Deadline, 100);
+        self.revoke_excess(now);
+        self.count_stragglers(now);
+        let keys: Vec<GroupKey> = self.groups.keys().cloned().collect();
+        for key in keys {
+            self.refuse_late(now, &key);
+            if let Some(group) = self.groups.get_mut(&key) {
+                group.average(now);
             }
+            self.serve(now, &key);
+        }
+        if self.waiting.is_empty() {
+            IDLE_TICK_MS
+        } else {
+            BUSY_TICK_MS
         }
-        self.dispatch(now);
-        10
     }
 
     pub fn enqueue(
@@ -219,51 +227,206 @@
         avoid: &[BackendId],
         tx: Sender<Verdict>,
     ) -> Result<WaitId, Refusal> {
-        let reason = if self.stopping {
-            Some(RefusalReason::Stopping)
-        } else if self.waiting.len() >= self.config.max_queued {
-            Some(RefusalReason::QueueFull)
-        } else if request.deadline_ms <= now {
-            Some(RefusalReason::Deadline)
-        } else {
-            None
+        let class = request.class.unwrap_or(self.declared(&request).class);
+        let key = RouteKey {
+            team: request.team,
+            service: request.service,
+            route: request.route,
         };
-        if let Some(reason) = reason {
-            return Err(Refusal {
-                reason,
-                retry_after_ms: 100,
-            });
-        }
-        let class = request.class.unwrap_or(WorkClass::Short);
+        let estimate = self.learned.estimate(&key, request.cost_hint_ms);
+        let (class, on_long_slot) = classify(class, estimate, self.config.long_run_ms);
         let id = self.next_id;
         self.next_id += 1;
-        self.queues.entry(class).or_default().push_back(id);
+        let latest_ms = request.deadline_ms.saturating_sub(estimate.p90_ms);
         let waiting = Waiting {
-            request,
+            key,
+            caller: request.caller,
             class,
+            on_long_slot,
+            place: Place {
+                start_by_ms: latest_ms.max(now),
+                id,
+            },
             avoid: avoid.to_vec(),
             since_ms: now,
             tx,
         };
-        self.waiting.insert(id, waiting);
-        self.dispatch(now);
+        let late_ms = now.saturating_sub(latest_ms);
+        let check = if now >= request.deadline_ms {
+            Err(self.refused(RefusalReason::Deadline, 0))
+        } else {
+            self.check(now, &waiting, late_ms)
+        };
+        if let Err(refused) = check {
+            self.count_refusal(&waiting.caller, class, refused.reason);
+            return Err(Refusal {
+                reason: refused.reason,
+                retry_after_ms: refused.retry_after_ms,
+            });
+        }
+        self.push(now, waiting, estimate.mean_ms);
         Ok(id)
     }
 
-    pub fn cancel(&mut self, _now: u64, id: WaitId) {
-        self.waiting.remove(&id);
+    /// Queues a request that has passed all checks, and serves its group.
+    fn push(&mut self, now: u64, waiting: Waiting, mean_ms: f64) {
+        let weight = self.weight(&waiting.caller);
+        let key = waiting.key.group();
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "mean run times are positive and below 2^52 ms"
+        )]
+        let cost_ms = (mean_ms as u64).max(1);
+        let group = self.groups.entry(key.clone()).or_default();
+        let queue = group.queues.entry(waiting.class).or_default();
+        queue.push(&waiting.caller, weight, waiting.place, cost_ms);
+        self.waiting.insert(waiting.place.id, waiting);
+        self.serve(now, &key);
+    }
+
+    /// Checks a new request against every reason for a refusal. `late_ms` is the time by which it is late already.
+    fn check(&mut self, now: u64, waiting: &Waiting, late_ms: u64) -> Result<(), Refused> {
+        if self.stopping {
+            return Err(self.refused(RefusalReason::Stopping, ELSEWHERE_RETRY_MS));
+        }
+        if now >= self.shares.valid_until_ms {
+            return Err(self.refused(RefusalReason::NoLease, ELSEWHERE_RETRY_MS));
+        }
+        let weight = self.weight(&waiting.caller);
+        let (is_served, is_free, wait, probe, queued) = match self.groups.get(&waiting.key.group())
+        {
+            None => (false, false, None, None, 0),
+            Some(group) => (
+                group.is_served(&waiting.avoid),
+                group.choose(waiting.on_long_slot, &waiting.avoid).is_some()
+                    && group
+                        .queues
+                        .get(&waiting.class)
+                        .is_none_or(ClassQueue::is_empty),
+                group.wait_ms(waiting.class, &waiting.caller, weight),
+                group.next_probe_ms(),
+                CLASSES
+                    .iter()
+                    .filter_map(|class| group.queues.get(class))
+                    .map(|queue| queue.len_of(&waiting.caller))
+                    .sum(),
+            ),
+        };
+        if !is_served {
+            let probe_ms = probe.map_or(ELSEWHERE_RETRY_MS, |at| at.saturating_sub(now));
+            return Err(self.refused(RefusalReason::NoBackend, probe_ms));
+        }
+        let team = self.settings.teams.get(&waiting.caller);
+        let max_queued = team.map_or(256, |team| team.max_queued_requests) as usize;
+        let is_full = queued >= max_queued || self.waiting.len() >= self.config.max_queued;
+        let wait_ms = to_ms(wait.unwrap_or(0.0) * WAIT_MARGIN);
+        if is_full && !is_free {
+            return Err(self.refused(RefusalReason::QueueFull, wait_ms));
+        }
+        // A free slot is never denied because of run times, so that changed ones can be learned.
+        let slack_ms = waiting.place.start_by_ms - now;
+        if !is_free && (late_ms > 0 || wait_ms > slack_ms) {
+            let excess_ms = wait_ms.saturating_sub(slack_ms);
+            return Err(self.refused(RefusalReason::Deadline, excess_ms));
+        }
+        if waiting.avoid.is_empty() {
+            self.check_rate(now, &waiting.caller)?;
+        }
+        Ok(())
+    }
+
+    /// The team's limit, divided over the entry instances.
+    fn check_rate(&mut self, now: u64, caller: &Team) -> Result<(), Refused> {
+        let per_s = self
+            .settings
+            .teams
+            .get(caller)
+            .map_or(0, |t| t.requests_per_s);
+        if per_s == 0 {
+            return Ok(());
+        }
+        let per_s = u64::from(per_s.div_ceil(self.instances));
+        let limits = self.teams.entry(caller.clone()).or_default();
+        let rate = limits
+            .rate
+            .get_or_insert_with(|| RateLimit::new(now, per_s));
+        let taken = rate.take(now, per_s);
+        taken.map_err(|wait_ms| self.refused(RefusalReason::RateLimit, wait_ms))
+    }
+
+    /// A refusal whose advice is spread over half of its length, so that callers do not return together.
+    fn refused(&mut self, reason: RefusalReason, wait_ms: u64) -> Refused {
+        let base_ms = wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS);
+        Refused {
+            reason,
+            retry_after_ms: base_ms + self.rng.random_range(0..=base_ms / 2),
+        }
+    }
+
+    pub fn cancel(&mut self, now: u64, id: WaitId) {
+        if let Some(waiting) = self.waiting.remove(&id) {
+            let key = waiting.key.group();
+            if let Some(queue) = self.queue_of(&waiting) {
+                queue.remove(&waiting.caller, waiting.place);
+            }
+            self.serve(now, &key);
+        }
     }
 
-    pub fn finish(&mut self, now: u64, id: GrantId, _result: RequestResult) {
+    pub fn finish(&mut self, now: u64, id: GrantId, result: RequestResult) {
         let Some(done) = self.in_flight.remove(&id) else {
             return;
         };
-        if let Some(backend) = self.backends.get_mut(&done.backend) {
-            backend.in_use -= 1;
-            backend.long_in_use -= u32::from(done.class == WorkClass::Long);
-        }
         self.counts(&done.caller, done.class).in_flight -= 1;
-        self.dispatch(now);
+        let ran_ms = now - done.since_ms;
+        if matches!(result, RequestResult::Answered | RequestResult::TimedOut) {
+            // A request cut at its deadline ran at least this long.
+            self.learned.record(&done.key, ran_ms);
+        }
+        let ratio = self.latency_ratio(&done.key, ran_ms);
+        let key = done.key.group();
+        if let Some(group) = self.groups.get_mut(&key) {
+            let held = if done.on_long_slot {
+                &mut group.long_in_use
+            } else {
+                &mut group.short_in_use
+            };
+            *held -= 1;
+            #[allow(clippy::cast_precision_loss, reason = "run times are below 2^52 ms")]
+            let sample_ms = ran_ms as f64;
+            group.hold_ms += (sample_ms - group.hold_ms) * HOLD_WEIGHT;
+            let (rng, mut ejected, mut recovered) = (&mut self.rng, false, false);
+            group.change(now, &done.backend, |backend| {
+                backend.in_use -= 1;
+                backend.long_in_use -= u32::from(done.on_long_slot);
+                if result == RequestResult::Answered {
+                    recovered = backend.health.answered(now, ratio);
+                } else if result.is_failure() {
+                    ejected = backend.health.failed(now, rng);
+                }
+            });
+            self.figures.ejections += u64::from(ejected);
+            if recovered {
+                let ids: Vec<BackendId> = group.backends.keys().cloned().collect();
+                for id in ids {
+                    group.change(now, &id, |backend| backend.health.probe_soon(now, rng));
+                }
+            }
+            forget_unused(group, &done.backend);
+        }
+        self.serve(now, &key);
+    }
+
+    fn latency_ratio(&self, key: &RouteKey, ran_ms: u64) -> f64 {
+        let estimate = self.learned.estimate(key, None);
+        if !estimate.is_learned {
+            return 1.0;
+        }
+        #[allow(clippy::cast_precision_loss, reason = "run times are below 2^52 ms")]
+        let ran_ms = ran_ms as f64;
+        // One ms is the clock's resolution.
+        (ran_ms / estimate.mean_ms.max(1.0)).max(0.0)
     }
 
     pub fn retry_allowed(
@@ -273,87 +436,225 @@
         attempts: u32,
         proven_not_run: bool,
     ) -> bool {
-        attempts < 3
-            && !self.stopping
-            && (request.idempotent || proven_not_run)
-            && now < request.deadline_ms
+        let may_run_again = request.idempotent || proven_not_run;
+        let in_time = now < request.deadline_ms && !self.stopping;
+        let allowed = attempts < self.declared(request).max_attempts;
+        let limits = self.teams.entry(request.caller.clone()).or_default();
+        let is_allowed = may_run_again && in_time && allowed && limits.retries.spend();
+        self.figures.retries += u64::from(is_allowed);
+        self.figures.retries_denied += u64::from(!is_allowed);
+        is_allowed
+    }
+
+    /// Another instance that can answer sooner although the way to it is longer.
+    pub fn spill(&mut self, request: &RequestInfo) -> Option<InstanceId> {
+        let key = (request.team.clone(), request.service.clone());
+        let weight = self.weight(&request.caller);
+        let class = request.class.unwrap_or(self.declared(request).class);
+        let group = self.groups.get(&key).filter(|g| g.is_served(&[]));
+        let wait_ms = group
+            .and_then(|group| group.wait_ms(class, &request.caller, weight))
+            .unwrap_or(f64::INFINITY);
+        let own_zone = &self.config.zone;
+        let pays = |load: &&mut ZoneLoad| {
+            let detour_ms = load.round_trip_ms + SPILL_MARGIN_MS;
+            let free = load.free_slots.get(&key).copied().unwrap_or(0);
+            load.zone != *own_zone && free > 0 && wait_ms > detour_ms
+        };
+        let best = self
+            .zones
+            .iter_mut()
+            .filter(pays)
+            .max_by_key(|load| load.free_slots.get(&key).copied())?;
+        // Counts the suggestion until the instance reports again, so that not all requests go to it at once.
+        if let Some(free) = best.free_slots.get_mut(&key) {
+            *free -= 1;
+        }
+        Some(best.instance.clone())
     }
 
     pub fn slots_in_use(&self) -> BTreeMap<BackendId, u32> {
-        self.backends
-            .iter()
-            .map(|(id, backend)| (id.clone(), backend.in_use))
-            .collect()
+        let backends = self.groups.values().flat_map(|group| &group.backends);
+        backends.map(|(id, b)| (id.clone(), b.in_use)).collect()
     }
 
-    pub fn figures(&self, _now: u64) -> RouterFigures {
+    pub fn free_slots(&self) -> BTreeMap<GroupKey, u32> {
+        let free = |(key, group): (&GroupKey, &Group)| (key.clone(), group.free_slots());
+        self.groups.iter().map(free).collect()
+    }
+
+    pub fn figures(&self) -> RouterFigures {
         let mut figures = self.figures.clone();
         figures.queued = self.waiting.len() as u64;
         figures.in_flight = self.in_flight.len() as u64;
         for waiting in self.waiting.values() {
-            let team = figures
-                .teams
-                .entry(waiting.request.caller.clone())
-                .or_default();
+            let team = figures.teams.entry(waiting.caller.clone()).or_default();
             team.classes.entry(waiting.class).or_default().queued += 1;
         }
-        for (id, backend) in &self.backends {
+        for (id, backend) in self.groups.values().flat_map(|group| &group.backends) {
             let of_backend = BackendFigures {
                 share: backend.share,
                 in_use: backend.in_use,
                 long_in_use: backend.long_in_use,
-                limit: backend.share.slots,
-                ejected: false,
+                limit: backend.allowed,
+                ejected: backend.health.is_ejected(),
             };
             figures.backends.insert(id.clone(), of_backend);
         }
         figures
     }
 
+    fn declared(&self, request: &RequestInfo) -> ServiceSettings {
+        let team = self.settings.teams.get(&request.team);
+        let service = team.and_then(|team| team.services.get(&request.service));
+        service.cloned().unwrap_or_default()
+    }
+
+    fn weight(&self, team: &Team) -> u32 {
+        self.settings
+            .teams
+            .get(team)
+            .map_or(100, |team| team.weight)
+    }
+
+    fn share_of(&self, id: &BackendId) -> crate::Share {
+        self.shares.by_backend.get(id).copied().unwrap_or_default()
+    }
+
     fn counts(&mut self, caller: &Team, class: WorkClass) -> &mut QueueFigures {
         let team = self.figures.teams.entry(caller.clone()).or_default();
         team.classes.entry(class).or_default()
     }
 
-    fn refuse(&mut self, waiting: Waiting, reason: RefusalReason, retry_after_ms: u64) {
-        self.counts(&waiting.request.caller, waiting.class).refused += 1;
+    fn count_refusal(&mut self, caller: &Team, class: WorkClass, reason: RefusalReason) {
+        self.counts(caller, class).refused += 1;
+        let team = self.figures.teams.entry(caller.clone()).or_default();
+        *team.refusals.entry(reason).or_default() += 1;
+    }
+
+    fn queue_of(&mut self, waiting: &Waiting) -> Option<&mut ClassQueue> {
+        let group = self.groups.get_mut(&waiting.key.group())?;
+        group.queues.get_mut(&waiting.class)
+    }
+
+    /// Gives a request that is no longer in its queue its final answer.
+    fn refuse(&mut self, id: WaitId, reason: RefusalReason, wait_ms: u64) {
+        let Some(waiting) = self.waiting.remove(&id) else {
+            return;
+        };
+        self.count_refusal(&waiting.caller, waiting.class, reason);
+        let refused = self.refused(reason, wait_ms);
         self.deliveries.push(Delivery {
             tx: waiting.tx,
             verdict: Err(Refusal {
-                reason,
-                retry_after_ms,
+                reason: refused.reason,
+                retry_after_ms: refused.retry_after_ms,
             }),
         });
     }
 
-    fn dispatch(&mut self, now: u64) {
+    fn refuse_all(&mut self, reason: RefusalReason) {
+        for group in self.groups.values_mut() {
+            group.queues.clear();
+        }
+        let ids: Vec<WaitId> = self.waiting.keys().copied().collect();
+        for id in ids {
+            self.refuse(id, reason, ELSEWHERE_RETRY_MS);
+        }
+    }
+
+    /// Refuses requests that cannot start in time any more.
+    fn refuse_late(&mut self, now: u64, key: &GroupKey) {
+        for class in CLASSES {
+            let pop = |group: &mut Group| group.queues.get_mut(&class)?.pop_late(now);
+            while let Some(id) = self.groups.get_mut(key).and_then(pop) {
+                let group = self.groups.get(key);
+                let wait_ms = group.map_or(0.0, |group| group.hold_ms);
+                self.refuse(id, RefusalReason::Deadline, to_ms(wait_ms));
+            }
+        }
+    }
+
+    /// Refuses what waits for a service none of whose backend servers takes requests.
+    fn refuse_unserved(&mut self, now: u64, key: &GroupKey) {
+        let Some(group) = self.groups.get_mut(key) else {
+            return;
+        };
+        if group.queued() == 0 || group.is_served(&[]) {
+            return;
+        }
+        group.queues.clear();
+        let probe_ms = group.next_probe_ms().map(|at| at.saturating_sub(now));
+        let probe_ms = probe_ms.unwrap_or(ELSEWHERE_RETRY_MS);
+        let of_group = |w: &&Waiting| (&w.key.team, &w.key.service) == (&key.0, &key.1);
+        let waiting = self.waiting.values().filter(of_group);
+        let ids: Vec<WaitId> = waiting.map(|w| w.place.id).collect();
+        for id in ids {
+            self.refuse(id, RefusalReason::NoBackend, probe_ms);
+        }
+    }
+
+    fn serve_all(&mut self, now: u64) {
+        let keys: Vec<GroupKey> = self.groups.keys().cloned().collect();
+        for key in keys {
+            self.serve(now, &key);
+        }
+    }
+
+    /// Gives free slots to waiting requests of a service.
+    fn serve(&mut self, now: u64, key: &GroupKey) {
         if now >= self.shares.valid_until_ms {
+            self.refuse_all(RefusalReason::NoLease);
             return;
         }
-        for class in [WorkClass::Urgent, WorkClass::Short, WorkClass::Long] {
-            let mut queue = self.queues.remove(&class).unwrap_or_default();
-            queue.retain(|id| !self.grant(now, *id));
-            self.queues.insert(class, queue);
+        self.refuse_late(now, key);
+        while let Some((id, backend)) = self.next(key) {
+            self.grant(now, id, &backend);
         }
+        self.refuse_unserved(now, key);
     }
 
-    /// Gives a waiting request a slot if one is free; true when the request no longer waits.
-    fn grant(&mut self, now: u64, id: WaitId) -> bool {
-        let Some(waiting) = self.waiting.get(&id) else {
-            return true;
-        };
-        let Some(backend_id) = self.choose(waiting) else {
-            return false;
-        };
+    /// The next request to get a slot, taken from its queue, and the backend server for it.
+    fn next(&mut self, key: &GroupKey) -> Option<(WaitId, BackendId)> {
+        let (groups, waiting) = (&mut self.groups, &self.waiting);
+        let group = groups.get_mut(key)?;
+        for class in CLASSES {
+            let Some(mut queue) = group.queues.remove(&class) else {
+                continue;
+            };
+            let choose = |id: WaitId| {
+                let waiting = waiting.get(&id)?;
+                group.choose(waiting.on_long_slot, &waiting.avoid)
+            };
+            let popped = queue.pop(|id| choose(id).is_some());
+            let chosen = popped.and_then(|id| Some((id, choose(id)?.clone())));
+            group.queues.insert(class, queue);
+            if chosen.is_some() {
+                return chosen;
+            }
+        }
+        None
+    }
+
+    fn grant(&mut self, now: u64, id: WaitId, backend_id: &BackendId) {
         let Some(waiting) = self.waiting.remove(&id) else {
-            return true;
+            return;
         };
-        let Some(backend) = self.backends.get_mut(&backend_id) else {
-            return true;
+        let Some(group) = self.groups.get_mut(&waiting.key.group()) else {
+            return;
         };
-        backend.in_use += 1;
-        backend.long_in_use += u32::from(waiting.class == WorkClass::Long);
-        backend.last_used = id;
+        if waiting.on_long_slot {
+            group.long_in_use += 1;
+        } else {
+            group.short_in_use += 1;
+        }
+        group.change(now, backend_id, |backend| {
+            backend.in_use += 1;
+            backend.long_in_use += u32::from(waiting.on_long_slot);
+            backend.last_used = id;
+        });
+        let backend = &group.backends[backend_id];
+        let (revoke, revoked) = async_channel::bounded(1);
         let grant = Grant {
             id,
             backend: backend_id.clone(),
@@ -361,51 +662,87 @@
             connections: backend.share.connections,
             class: waiting.class,
             waited_ms: now - waiting.since_ms,
+            revoked,
         };
-        let counts = self.counts(&waiting.request.caller, waiting.class);
+        if waiting.avoid.is_empty() {
+            let percent = self.settings.cell.retry_budget_percent;
+            let limits = self.teams.entry(waiting.caller.clone()).or_default();
+            limits.retries.earn(percent);
+        }
+        let counts = self.counts(&waiting.caller, waiting.class);
         counts.admitted += 1;
         counts.in_flight += 1;
         counts.waited_ms += grant.waited_ms;
         let in_flight = InFlight {
-            backend: backend_id,
+            key: waiting.key,
+            caller: waiting.caller,
             class: waiting.class,
-            caller: waiting.request.caller,
+            on_long_slot: waiting.on_long_slot,
+            backend: backend_id.clone(),
+            since_ms: now,
+            revoke,
         };
         self.in_flight.insert(id, in_flight);
         self.deliveries.push(Delivery {
             tx: waiting.tx,
             verdict: Ok(grant),
         });
-        true
     }
 
-    fn choose(&self, waiting: &Waiting) -> Option<BackendId> {
-        let (request, class) = (&waiting.request, waiting.class);
-        self.backends
-            .iter()
-            .filter(|(id, backend)| {
-                let server = &backend.server;
-                let matches = server.team == request.team && server.service == request.service;
-                matches && !server.leaving && !waiting.avoid.contains(id) && backend.has_free(class)
-            })
-            .min_by_key(|(_, backend)| (backend.in_use, backend.last_used))
-            .map(|(id, _)| id.clone())
+    /// Tells requests to leave slots that this instance no longer has, newest first.
+    fn revoke_excess(&mut self, now: u64) {
+        let is_expired = now >= self.shares.valid_until_ms;
+        let is_excess = self
+            .shares
+            .excess_until_ms
+            .is_some_and(|until| now >= until);
+        if !is_expired && !is_excess {
+            return;
+        }
+        let mut kept: BTreeMap<&BackendId, u32> = BTreeMap::new();
+        for in_flight in self.in_flight.values() {
+            let share = self.shares.by_backend.get(&in_flight.backend);
+            let slots = share.map_or(0, |share| share.slots);
+            let kept = kept.entry(&in_flight.backend).or_default();
+            if is_expired || *kept >= slots {
+                in_flight.revoke.close();
+            } else {
+                *kept += 1;
+            }
+        }
     }
-}
 
-impl Backend {
-    fn new(server: BackendServer) -> Self {
-        Self {
-            server,
-            share: Share::default(),
-            in_use: 0,
-            long_in_use: 0,
-            last_used: 0,
+    /// Counts short work that runs long as long work, so that no further long work joins it.
+    fn count_stragglers(&mut self, now: u64) {
+        for in_flight in self.in_flight.values_mut() {
+            let runs_long = now >= in_flight.since_ms + self.config.long_run_ms;
+            if in_flight.on_long_slot || !runs_long {
+                continue;
+            }
+            in_flight.on_long_slot = true;
+            if let Some(group) = self.groups.get_mut(&in_flight.key.group()) {
+                group.short_in_use -= 1;
+                group.long_in_use += 1;
+                let count = |backend: &mut Backend| backend.long_in_use += 1;
+                group.change(now, &in_flight.backend, count);
+            }
         }
     }
+}
 
-    fn has_free(&self, class: WorkClass) -> bool {
-        let long_fits = class != WorkClass::Long || self.long_in_use < self.share.long_slots;
-        self.in_use < self.share.slots && long_fits
+/// Removes a backend server that is gone from the list once nothing is in flight to it.
+fn forget_unused(group: &mut Group, id: &BackendId) {
+    let unused = |b: &Backend| b.server.leaving && b.in_use == 0;
+    if group.backends.get(id).is_some_and(unused) {
+        group.remove(id);
     }
 }
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "waits are positive and below 2^52 ms"
+)]
+fn to_ms(wait_ms: f64) -> u64 {
+    wait_ms as u64
+}
