--- a/crates/entry/src/generated.rs
+++ b/crates/entry/src/generated.rs
@@ -22,10 +22,7 @@
     pub queued: u64,
     /// Slots that are free now, by service (team/service).
     #[prost(btree_map = "string, uint32", tag = "10")]
-    pub free_slots: ::prost::alloc::collections::BTreeMap<
-        ::prost::alloc::string::String,
-        u32,
-    >,
+    pub free_slots: ::prost::alloc::collections::BTreeMap<::prost::alloc::string::String, u32>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HeartbeatReply {
@@ -44,10 +41,7 @@
     #[prost(uint64, tag = "7")]
     pub queued: u64,
     #[prost(btree_map = "string, uint32", tag = "8")]
-    pub free_slots: ::prost::alloc::collections::BTreeMap<
-        ::prost::alloc::string::String,
-        u32,
-    >,
+    pub free_slots: ::prost::alloc::collections::BTreeMap<::prost::alloc::string::String, u32>,
     #[prost(message, repeated, tag = "9")]
     pub pools: ::prost::alloc::vec::Vec<PoolSummary>,
 }
@@ -113,10 +107,7 @@
 pub struct ReleaseSlotsReply {
     /// Backend servers on which the receiver still uses slots beyond its share of the epoch.
     #[prost(btree_map = "string, uint32", tag = "1")]
-    pub still_held: ::prost::alloc::collections::BTreeMap<
-        ::prost::alloc::string::String,
-        u32,
-    >,
+    pub still_held: ::prost::alloc::collections::BTreeMap<::prost::alloc::string::String, u32>,
     #[prost(bool, tag = "2")]
     pub epoch_known: bool,
 }
@@ -196,17 +187,7 @@
 }
 /// Nested message and enum types in `JobReply`.
 pub mod job_reply {
-    #[derive(
-        Clone,
-        Copy,
-        Debug,
-        PartialEq,
-        Eq,
-        Hash,
-        PartialOrd,
-        Ord,
-        ::prost::Enumeration
-    )]
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
     #[repr(i32)]
     pub enum Result {
         Unspecified = 0,
@@ -255,10 +236,10 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value,
+        clippy::let_unit_value
     )]
-    use tonic::codegen::*;
     use tonic::codegen::http::Uri;
+    use tonic::codegen::*;
     /// Calls between entry instances.
     #[derive(Debug, Clone)]
     pub struct EntryClient<T> {
@@ -287,14 +268,13 @@
             F: tonic::service::Interceptor,
             T::ResponseBody: Default,
             T: tonic::codegen::Service<
-                http::Request<tonic::body::Body>,
-                Response = http::Response<
-                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    http::Request<tonic::body::Body>,
+                    Response = http::Response<
+                        <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    >,
                 >,
-            >,
-            <T as tonic::codegen::Service<
-                http::Request<tonic::body::Body>,
-            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+            <T as tonic::codegen::Service<http::Request<tonic::body::Body>>>::Error:
+                Into<StdError> + std::marker::Send + std::marker::Sync,
         {
             EntryClient::new(InterceptedService::new(inner, interceptor))
         }
@@ -334,18 +314,12 @@
             &mut self,
             request: impl tonic::IntoRequest<super::HeartbeatRequest>,
         ) -> std::result::Result<tonic::Response<super::HeartbeatReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/ragwortreel.entry.v1.Entry/Heartbeat",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/Heartbeat");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "Heartbeat"));
@@ -355,25 +329,18 @@
         pub async fn push_settings(
             &mut self,
             request: impl tonic::IntoRequest<super::SettingsTree>,
-        ) -> std::result::Result<
-            tonic::Response<super::SettingsVersion>,
-            tonic::Status,
-        > {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+        ) -> std::result::Result<tonic::Response<super::SettingsVersion>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/ragwortreel.entry.v1.Entry/PushSettings",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/PushSettings");
             let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "PushSettings"));
+            req.extensions_mut().insert(GrpcMethod::new(
+                "ragwortreel.entry.v1.Entry",
+                "PushSettings",
+            ));
             self.inner.unary(req, path, codec).await
         }
         /// Returns the newest settings tree that the receiver has.
@@ -381,98 +348,73 @@
             &mut self,
             request: impl tonic::IntoRequest<super::SettingsVersion>,
         ) -> std::result::Result<tonic::Response<super::SettingsTree>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/ragwortreel.entry.v1.Entry/PullSettings",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/PullSettings");
             let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "PullSettings"));
+            req.extensions_mut().insert(GrpcMethod::new(
+                "ragwortreel.entry.v1.Entry",
+                "PullSettings",
+            ));
             self.inner.unary(req, path, codec).await
         }
         /// Confirms a slot epoch and promises not to change it for the lease time.
         pub async fn confirm_slot_epoch(
             &mut self,
             request: impl tonic::IntoRequest<super::ConfirmSlotEpochRequest>,
-        ) -> std::result::Result<
-            tonic::Response<super::ConfirmSlotEpochReply>,
-            tonic::Status,
-        > {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+        ) -> std::result::Result<tonic::Response<super::ConfirmSlotEpochReply>, tonic::Status>
+        {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static(
                 "/ragwortreel.entry.v1.Entry/ConfirmSlotEpoch",
             );
             let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(
-                    GrpcMethod::new("ragwortreel.entry.v1.Entry", "ConfirmSlotEpoch"),
-                );
+            req.extensions_mut().insert(GrpcMethod::new(
+                "ragwortreel.entry.v1.Entry",
+                "ConfirmSlotEpoch",
+            ));
             self.inner.unary(req, path, codec).await
         }
         /// Asks a previous holder whether its requests in flight on gained slots have ended.
         pub async fn release_slots(
             &mut self,
             request: impl tonic::IntoRequest<super::ReleaseSlotsRequest>,
-        ) -> std::result::Result<
-            tonic::Response<super::ReleaseSlotsReply>,
-            tonic::Status,
-        > {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+        ) -> std::result::Result<tonic::Response<super::ReleaseSlotsReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/ragwortreel.entry.v1.Entry/ReleaseSlots",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/ReleaseSlots");
             let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "ReleaseSlots"));
+            req.extensions_mut().insert(GrpcMethod::new(
+                "ragwortreel.entry.v1.Entry",
+                "ReleaseSlots",
+            ));
             self.inner.unary(req, path, codec).await
         }
         /// Carries a caller's request to an instance in another zone.
         pub async fn forward_request(
             &mut self,
             request: impl tonic::IntoRequest<super::ForwardedRequest>,
-        ) -> std::result::Result<
-            tonic::Response<super::ForwardedResponse>,
-            tonic::Status,
-        > {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+        ) -> std::result::Result<tonic::Response<super::ForwardedResponse>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/ragwortreel.entry.v1.Entry/ForwardRequest",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/ForwardRequest");
             let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "ForwardRequest"));
+            req.extensions_mut().insert(GrpcMethod::new(
+                "ragwortreel.entry.v1.Entry",
+                "ForwardRequest",
+            ));
             self.inner.unary(req, path, codec).await
         }
         /// Hands a job to the owner of its pool.
@@ -480,18 +422,12 @@
             &mut self,
             request: impl tonic::IntoRequest<super::JobMessage>,
         ) -> std::result::Result<tonic::Response<super::JobReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/ragwortreel.entry.v1.Entry/SubmitJob",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/SubmitJob");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "SubmitJob"));
@@ -502,18 +438,12 @@
             &mut self,
             request: impl tonic::IntoRequest<super::JobReference>,
         ) -> std::result::Result<tonic::Response<super::JobReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/ragwortreel.entry.v1.Entry/CancelJob",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/CancelJob");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "CancelJob"));
@@ -524,18 +454,12 @@
             &mut self,
             request: impl tonic::IntoRequest<super::JobReference>,
         ) -> std::result::Result<tonic::Response<super::JobReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/ragwortreel.entry.v1.Entry/DescribeJob",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/DescribeJob");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "DescribeJob"));
@@ -550,7 +474,7 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value,
+        clippy::let_unit_value
     )]
     use tonic::codegen::*;
     /// Generated trait containing gRPC methods that should be implemented for use with EntryServer.
@@ -575,26 +499,17 @@
         async fn confirm_slot_epoch(
             &self,
             request: tonic::Request<super::ConfirmSlotEpochRequest>,
-        ) -> std::result::Result<
-            tonic::Response<super::ConfirmSlotEpochReply>,
-            tonic::Status,
-        >;
+        ) -> std::result::Result<tonic::Response<super::ConfirmSlotEpochReply>, tonic::Status>;
         /// Asks a previous holder whether its requests in flight on gained slots have ended.
         async fn release_slots(
             &self,
             request: tonic::Request<super::ReleaseSlotsRequest>,
-        ) -> std::result::Result<
-            tonic::Response<super::ReleaseSlotsReply>,
-            tonic::Status,
-        >;
+        ) -> std::result::Result<tonic::Response<super::ReleaseSlotsReply>, tonic::Status>;
         /// Carries a caller's request to an instance in another zone.
         async fn forward_request(
             &self,
             request: tonic::Request<super::ForwardedRequest>,
-        ) -> std::result::Result<
-            tonic::Response<super::ForwardedResponse>,
-            tonic::Status,
-        >;
+        ) -> std::result::Result<tonic::Response<super::ForwardedResponse>, tonic::Status>;
         /// Hands a job to the owner of its pool.
         async fn submit_job(
             &self,
@@ -633,10 +548,7 @@
                 max_encoding_message_size: None,
             }
         }
-        pub fn with_interceptor<F>(
-            inner: T,
-            interceptor: F,
-        ) -> InterceptedService<Self, F>
+        pub fn with_interceptor<F>(inner: T, interceptor: F) -> InterceptedService<Self, F>
         where
             F: tonic::service::Interceptor,
         {
@@ -691,21 +603,15 @@
                 "/ragwortreel.entry.v1.Entry/Heartbeat" => {
                     #[allow(non_camel_case_types)]
                     struct HeartbeatSvc<T: Entry>(pub Arc<T>);
-                    impl<T: Entry> tonic::server::UnaryService<super::HeartbeatRequest>
-                    for HeartbeatSvc<T> {
+                    impl<T: Entry> tonic::server::UnaryService<super::HeartbeatRequest> for HeartbeatSvc<T> {
                         type Response = super::HeartbeatReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::HeartbeatRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Entry>::heartbeat(&inner, request).await
-                            };
+                            let fut = async move { <T as Entry>::heartbeat(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -734,21 +640,16 @@
                 "/ragwortreel.entry.v1.Entry/PushSettings" => {
                     #[allow(non_camel_case_types)]
                     struct PushSettingsSvc<T: Entry>(pub Arc<T>);
-                    impl<T: Entry> tonic::server::UnaryService<super::SettingsTree>
-                    for PushSettingsSvc<T> {
+                    impl<T: Entry> tonic::server::UnaryService<super::SettingsTree> for PushSettingsSvc<T> {
                         type Response = super::SettingsVersion;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::SettingsTree>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Entry>::push_settings(&inner, request).await
-                            };
+                            let fut =
+                                async move { <T as Entry>::push_settings(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -777,21 +678,16 @@
                 "/ragwortreel.entry.v1.Entry/PullSettings" => {
                     #[allow(non_camel_case_types)]
                     struct PullSettingsSvc<T: Entry>(pub Arc<T>);
-                    impl<T: Entry> tonic::server::UnaryService<super::SettingsVersion>
-                    for PullSettingsSvc<T> {
+                    impl<T: Entry> tonic::server::UnaryService<super::SettingsVersion> for PullSettingsSvc<T> {
                         type Response = super::SettingsTree;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::SettingsVersion>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Entry>::pull_settings(&inner, request).await
-                            };
+                            let fut =
+                                async move { <T as Entry>::pull_settings(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -820,15 +716,11 @@
                 "/ragwortreel.entry.v1.Entry/ConfirmSlotEpoch" => {
                     #[allow(non_camel_case_types)]
                     struct ConfirmSlotEpochSvc<T: Entry>(pub Arc<T>);
-                    impl<
-                        T: Entry,
-                    > tonic::server::UnaryService<super::ConfirmSlotEpochRequest>
-                    for ConfirmSlotEpochSvc<T> {
+                    impl<T: Entry> tonic::server::UnaryService<super::ConfirmSlotEpochRequest>
+                        for ConfirmSlotEpochSvc<T>
+                    {
                         type Response = super::ConfirmSlotEpochReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::ConfirmSlotEpochRequest>,
@@ -865,23 +757,16 @@
                 "/ragwortreel.entry.v1.Entry/ReleaseSlots" => {
                     #[allow(non_camel_case_types)]
                     struct ReleaseSlotsSvc<T: Entry>(pub Arc<T>);
-                    impl<
-                        T: Entry,
-                    > tonic::server::UnaryService<super::ReleaseSlotsRequest>
-                    for ReleaseSlotsSvc<T> {
+                    impl<T: Entry> tonic::server::UnaryService<super::ReleaseSlotsRequest> for ReleaseSlotsSvc<T> {
                         type Response = super::ReleaseSlotsReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::ReleaseSlotsRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Entry>::release_slots(&inner, request).await
-                            };
+                            let fut =
+                                async move { <T as Entry>::release_slots(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -910,21 +795,16 @@
                 "/ragwortreel.entry.v1.Entry/ForwardRequest" => {
                     #[allow(non_camel_case_types)]
                     struct ForwardRequestSvc<T: Entry>(pub Arc<T>);
-                    impl<T: Entry> tonic::server::UnaryService<super::ForwardedRequest>
-                    for ForwardRequestSvc<T> {
+                    impl<T: Entry> tonic::server::UnaryService<super::ForwardedRequest> for ForwardRequestSvc<T> {
                         type Response = super::ForwardedResponse;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::ForwardedRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Entry>::forward_request(&inner, request).await
-                            };
+                            let fut =
+                                async move { <T as Entry>::forward_request(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -953,21 +833,16 @@
                 "/ragwortreel.entry.v1.Entry/SubmitJob" => {
                     #[allow(non_camel_case_types)]
                     struct SubmitJobSvc<T: Entry>(pub Arc<T>);
-                    impl<T: Entry> tonic::server::UnaryService<super::JobMessage>
-                    for SubmitJobSvc<T> {
+                    impl<T: Entry> tonic::server::UnaryService<super::JobMessage> for SubmitJobSvc<T> {
                         type Response = super::JobReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::JobMessage>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Entry>::submit_job(&inner, request).await
-                            };
+                            let fut =
+                                async move { <T as Entry>::submit_job(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -996,21 +871,16 @@
                 "/ragwortreel.entry.v1.Entry/CancelJob" => {
                     #[allow(non_camel_case_types)]
                     struct CancelJobSvc<T: Entry>(pub Arc<T>);
-                    impl<T: Entry> tonic::server::UnaryService<super::JobReference>
-                    for CancelJobSvc<T> {
+                    impl<T: Entry> tonic::server::UnaryService<super::JobReference> for CancelJobSvc<T> {
                         type Response = super::JobReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::JobReference>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Entry>::cancel_job(&inner, request).await
-                            };
+                            let fut =
+                                async move { <T as Entry>::cancel_job(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -1039,21 +909,16 @@
                 "/ragwortreel.entry.v1.Entry/DescribeJob" => {
                     #[allow(non_camel_case_types)]
                     struct DescribeJobSvc<T: Entry>(pub Arc<T>);
-                    impl<T: Entry> tonic::server::UnaryService<super::JobReference>
-                    for DescribeJobSvc<T> {
+                    impl<T: Entry> tonic::server::UnaryService<super::JobReference> for DescribeJobSvc<T> {
                         type Response = super::JobReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::JobReference>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Entry>::describe_job(&inner, request).await
-                            };
+                            let fut =
+                                async move { <T as Entry>::describe_job(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -1079,25 +944,19 @@
                     };
                     Box::pin(fut)
                 }
-                _ => {
-                    Box::pin(async move {
-                        let mut response = http::Response::new(
-                            tonic::body::Body::default(),
-                        );
-                        let headers = response.headers_mut();
-                        headers
-                            .insert(
-                                tonic::Status::GRPC_STATUS,
-                                (tonic::Code::Unimplemented as i32).into(),
-                            );
-                        headers
-                            .insert(
-                                http::header::CONTENT_TYPE,
-                                tonic::metadata::GRPC_CONTENT_TYPE,
-                            );
-                        Ok(response)
-                    })
-                }
+                _ => Box::pin(async move {
+                    let mut response = http::Response::new(tonic::body::Body::default());
+                    let headers = response.headers_mut();
+                    headers.insert(
+                        tonic::Status::GRPC_STATUS,
+                        (tonic::Code::Unimplemented as i32).into(),
+                    );
+                    headers.insert(
+                        http::header::CONTENT_TYPE,
+                        tonic::metadata::GRPC_CONTENT_TYPE,
+                    );
+                    Ok(response)
+                }),
             }
         }
     }
