--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,12 +67,8 @@
     let stop = Stop::new();
     stop_on_signals(stop.clone())
         .map_err(|err| Error::start("installing signal handlers", &err))?;
-    let log = json_logger(ragwortreel_runtime::Level::Info);
-    {
-        let _: (serde_json::Value,) = (config,);
-        let _ = log;
-        todo!()
-    }
+    block_on(ragwortreel_standins::serve(&config, &stop))
+        .map_err(|err| Error::start("serving stand-ins", &err))
 }
 
 /// Checks each file as a daemon's settings when it has the key `instance`, else as a settings tree.
