--- /dev/null
+++ b/src/checks.rs
@@ -0,0 +1,161 @@
+//! Checks of the system's promises over what callers, backend servers and workers have seen.
+
+use {
+    crate::load::{CallRecord, Seen},
+    ragwortreel_standins::{BackendCounts, RequestRecord, Standins},
+    serde::Serialize,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// Result of one check.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct CheckResult {
+    /// The promise.
+    pub promise: &'static str,
+    /// Operations that were checked.
+    pub checked: u64,
+    /// Violations found.
+    pub violations: u64,
+    /// The first violation.
+    pub example: Option<String>,
+}
+
+impl CheckResult {
+    fn new(promise: &'static str, checked: usize, violations: Vec<String>) -> Self {
+        Self {
+            promise,
+            checked: checked as u64,
+            violations: violations.len() as u64,
+            example: violations.into_iter().next(),
+        }
+    }
+}
+
+/// Checks all promises that callers, backend servers and workers can witness.
+#[must_use]
+pub fn check_all(calls: &[CallRecord], standins: &Standins) -> Vec<CheckResult> {
+    let served: Vec<RequestRecord> = standins
+        .backends
+        .iter()
+        .flat_map(|backend| backend.state.records())
+        .collect();
+    let counts: Vec<(String, BackendCounts)> = standins
+        .backends
+        .iter()
+        .map(|backend| (backend.state.spec().id.to_string(), backend.state.counts()))
+        .collect();
+    vec![
+        whole_answers(calls),
+        not_run(calls, &served),
+        at_most_once(&served),
+        slot_limits(&counts),
+        single_runs(standins),
+        capacity(standins),
+    ]
+}
+
+/// Each answer belongs to the request that it was given to, and is whole.
+#[must_use]
+pub fn whole_answers(calls: &[CallRecord]) -> CheckResult {
+    let answered = calls
+        .iter()
+        .filter(|call| matches!(call.seen, Seen::Answered(_)));
+    let wrong = calls
+        .iter()
+        .filter(|call| !call.is_own_answer)
+        .map(|call| format!("answer to {}", call.nonce));
+    CheckResult::new(
+        "whole answers to own requests",
+        answered.count(),
+        wrong.collect(),
+    )
+}
+
+/// A request that was told "not run" has not reached a backend server.
+#[must_use]
+pub fn not_run(calls: &[CallRecord], served: &[RequestRecord]) -> CheckResult {
+    let ran: BTreeSet<&Arc<str>> = served
+        .iter()
+        .filter_map(|record| record.nonce.as_ref())
+        .collect();
+    let told: Vec<&CallRecord> = calls
+        .iter()
+        .filter(|call| matches!(call.seen, Seen::NotRun | Seen::NotSent))
+        .collect();
+    let wrong = told.iter().filter(|call| ran.contains(&call.nonce));
+    let wrong = wrong
+        .map(|call| format!("{} was told not run and ran", call.nonce))
+        .collect();
+    CheckResult::new("told not run, did not run", told.len(), wrong)
+}
+
+/// A request with a key reaches backend servers at most once, over all instances and repeats.
+#[must_use]
+pub fn at_most_once(served: &[RequestRecord]) -> CheckResult {
+    let mut runs: BTreeMap<&Arc<str>, u32> = BTreeMap::new();
+    for key in served
+        .iter()
+        .filter_map(|record| record.idempotency_key.as_ref())
+    {
+        *runs.entry(key).or_default() += 1;
+    }
+    let wrong = runs
+        .iter()
+        .filter(|(_, runs)| **runs > 1)
+        .map(|(key, runs)| format!("{key} ran {runs} times"));
+    CheckResult::new("at most once", runs.len(), wrong.collect())
+}
+
+/// No backend server has more requests or connections than its limits.
+#[must_use]
+pub fn slot_limits(counts: &[(String, BackendCounts)]) -> CheckResult {
+    let over = |(id, counts): &(String, BackendCounts)| {
+        let excess = counts.slots_over_limit + counts.connections_over_limit;
+        let text = format!(
+            "{id}: up to {} requests and {} connections at once",
+            counts.max_slots, counts.max_connections
+        );
+        (excess > 0).then_some(text)
+    };
+    let checked = counts
+        .iter()
+        .map(|(_, counts)| counts.requests)
+        .sum::<u64>();
+    CheckResult {
+        checked,
+        ..CheckResult::new(
+            "slots and connections within limits",
+            0,
+            counts.iter().filter_map(over).collect(),
+        )
+    }
+}
+
+/// No task runs in two places at once.
+#[must_use]
+pub fn single_runs(standins: &Standins) -> CheckResult {
+    let history = standins.fleet.history();
+    let violations = history
+        .violations()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    CheckResult::new("a task runs in one place", history.runs().len(), violations)
+}
+
+/// No worker was asked to start more than it can hold.
+#[must_use]
+pub fn capacity(standins: &Standins) -> CheckResult {
+    let over = standins.workers.iter().filter_map(|worker| {
+        let refused = worker.state.counts().over_capacity;
+        (refused > 0).then(|| format!("a worker refused {refused} starts that did not fit"))
+    });
+    CheckResult::new(
+        "workers within capacity",
+        standins.workers.len(),
+        over.collect(),
+    )
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod admin;
 pub mod burn;
+pub mod cell;
+pub mod checks;
 pub mod cli;
 mod client;
 pub mod config;
@@ -11,15 +13,16 @@
 pub mod exit_codes;
 mod forward;
 mod jobs;
+pub mod load;
 mod local;
 pub mod output;
 mod pooled;
+mod quickstart;
 mod service_call;
 mod settings_api;
 mod shares;
-mod transport;
-//QS
 pub mod telemetry;
+mod transport;
 
 use {
     cli::Command,
@@ -40,10 +43,7 @@
         Command::Check(files) => check(&files),
         Command::Serve(file) => serve(&file),
         Command::Standin(file) => standin(&file),
-        Command::Quickstart(options) => {
-            let _ = options;
-            todo!()
-        }
+        Command::Quickstart(options) => quickstart::run(options),
         Command::Remote(remote, command) => block_on(client::run(&remote, command)),
     }
 }
--- /dev/null
+++ b/src/quickstart.rs
@@ -0,0 +1,474 @@
+//! A whole small cell for each of two example users in one process.
+//!
+//! Stand-ins take the place of the platform, workers and backend servers; three entry instances in three zones serve
+//! the users' mixes on loopback. At the end the promises are checked and the burn report is printed.
+
+use {
+    crate::{
+        burn::{self, BurnCounts},
+        cell::{CellPlan, EntryAddresses, any_port},
+        checks::{self, CheckResult},
+        cli::QuickstartOptions,
+        daemon::{self, Daemon},
+        error::Error,
+        load::{Balancer, CallRecord, Load, Mix, Seen},
+        output::{self, Table},
+    },
+    ragwortreel_caller::token_digest,
+    ragwortreel_model::{
+        JobId, JobKind, JobSpec, JobState, Priority, Resources, ServiceName, Team,
+    },
+    ragwortreel_runtime::{
+        Logger, Stop, block_on, discard_logger, future, sleep, sleep_ms, spawn, start_threads,
+    },
+    ragwortreel_standins::Standins,
+    serde::Serialize,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Executor threads of the whole demonstration.
+const THREADS: usize = 4;
+/// Longest time until all entry instances are ready.
+const READY_LIMIT: Duration = Duration::from_secs(15);
+/// Longest time that jobs may take after the load.
+const JOBS_LIMIT: Duration = Duration::from_secs(15);
+/// Time between two lines of progress.
+const PROGRESS: Duration = Duration::from_secs(2);
+/// Prefix of the tokens in the example settings, before the team's name.
+const TOKEN_PREFIX: &str = "change-me-";
+
+/// What the demonstration has found for one user.
+#[derive(Debug, Serialize)]
+struct Report {
+    user: &'static str,
+    services: Vec<ServiceFigures>,
+    jobs: Vec<JobFigures>,
+    checks: Vec<CheckResult>,
+    burn: Vec<burn::ServiceBurn>,
+}
+
+#[derive(Debug, Serialize)]
+struct ServiceFigures {
+    service: String,
+    requests: usize,
+    answered: usize,
+    not_run: usize,
+    unknown: usize,
+    p50_ms: u128,
+    p99_ms: u128,
+}
+
+#[derive(Debug, Serialize)]
+struct JobFigures {
+    job: String,
+    kind: JobKind,
+    state: Option<JobState>,
+    running: u32,
+    succeeded: u32,
+}
+
+/// Runs the demonstration.
+///
+/// # Errors
+///
+/// Returns an error when a part cannot start, a job does not get as far as it must, or a promise is broken.
+pub fn run(options: QuickstartOptions) -> Result<(), Error> {
+    start_threads(THREADS).map_err(|err| Error::start("starting threads", &err))?;
+    block_on(run_all(options))
+}
+
+async fn run_all(options: QuickstartOptions) -> Result<(), Error> {
+    let built_in = |err| Error::start("reading the built-in settings", &err);
+    let duration = Duration::from_secs(options.seconds);
+    let patterns = CellPlan::patterns().map_err(built_in)?;
+    let vendors = CellPlan::vendors().map_err(built_in)?;
+    let first = run_user(
+        "pattern service",
+        patterns,
+        PATTERN_MIXES,
+        duration,
+        options.json,
+    );
+    let second = run_user(
+        "cart dispatch service",
+        vendors,
+        VENDOR_MIXES,
+        duration,
+        options.json,
+    );
+    let (first, second) = future::zip(first, second).await;
+    let reports = [first?, second?];
+    if options.json {
+        let json = serde_json::to_string(&reports)
+            .map_err(|err| Error::start("writing the report", &err))?;
+        output::print(&format!("{json}\n"))?;
+    } else {
+        for report in &reports {
+            print(report)?;
+        }
+    }
+    let checks = reports.iter().flat_map(|report| &report.checks);
+    match checks.map(|check| check.violations).sum() {
+        0 => Ok(()),
+        violations => Err(Error::Violations { violations }),
+    }
+}
+
+/// Team, service, path, requests a second, deadline in ms, whether keyed.
+type MixRow = (&'static str, &'static str, &'static str, f64, u64, bool);
+
+const PATTERN_MIXES: &[MixRow] = &[
+    ("counter", "quotes", "/quotes/price", 150.0, 800, false),
+    ("patterns", "batches", "/batches/season", 8.0, 20_000, true),
+    ("dyes", "matching", "/matching/shade", 10.0, 10_000, false),
+];
+const VENDOR_MIXES: &[MixRow] = &[
+    (
+        "allocations",
+        "settle",
+        "/settle/morning",
+        120.0,
+        1_500,
+        false,
+    ),
+    ("charcoal", "top-ups", "/top-ups/small", 15.0, 2_000, true),
+    (
+        "takings",
+        "reconcile",
+        "/reconcile/evening",
+        6.0,
+        20_000,
+        false,
+    ),
+];
+
+async fn run_user(
+    user: &'static str,
+    plan: CellPlan,
+    mixes: &[MixRow],
+    duration: Duration,
+    quiet: bool,
+) -> Result<Report, Error> {
+    let stop = Stop::new();
+    let standins = Standins::start(&plan.standins())
+        .map_err(|err| Error::start("starting stand-ins", &err))?;
+    let daemons = start_daemons(&plan, &standins, &stop)?;
+    wait_ready(&daemons).await?;
+    progress(
+        quiet,
+        user,
+        &format!(
+            "{} entry instances in {} zones are ready",
+            daemons.len(),
+            plan.zones.len()
+        ),
+    );
+    let jobs = submit_jobs(&daemons[0], &plan).await?;
+    let balancer = Balancer::new(daemons.iter().map(|daemon| daemon.caller_address).collect());
+    let load = Load::start(
+        mixes.iter().filter_map(mix).collect(),
+        balancer,
+        duration,
+        plan.seed,
+        user.get(..4).unwrap_or(user),
+    );
+    let begun = Instant::now();
+    while begun.elapsed() < duration {
+        sleep(PROGRESS.min(duration.saturating_sub(begun.elapsed()))).await;
+        progress(quiet, user, &format!("{} requests ended", load.ended()));
+    }
+    let calls = load.finish().await;
+    let jobs = wait_jobs(&daemons[0], &jobs).await;
+    let mut burn = BurnCounts::default();
+    for daemon in &daemons {
+        burn.merge(&daemon.burn());
+    }
+    stop.request();
+    let finished: Vec<_> = daemons
+        .into_iter()
+        .map(|daemon| spawn(daemon.finish()))
+        .collect();
+    for task in finished {
+        task.await;
+    }
+    let mut checks = checks::check_all(&calls, &standins);
+    checks.push(jobs_done(&jobs));
+    Ok(Report {
+        user,
+        services: figures(mixes, &calls),
+        jobs,
+        checks,
+        burn: burn::report(&burn),
+    })
+}
+
+fn progress(quiet: bool, user: &str, text: &str) {
+    if !quiet {
+        eprintln!("{user}: {text}");
+    }
+}
+
+fn start_daemons(plan: &CellPlan, standins: &Standins, stop: &Stop) -> Result<Vec<Daemon>, Error> {
+    let platform = standins
+        .platform
+        .as_ref()
+        .map_or_else(any_port, |platform| platform.listening.addr());
+    let log: Logger = discard_logger();
+    let addresses = EntryAddresses {
+        caller: any_port(),
+        entry: any_port(),
+    };
+    let configs = (0..plan.entries()).filter_map(|number| plan.daemon(number, addresses, platform));
+    configs
+        .map(|config| daemon::start(&config, log.clone(), stop.clone()))
+        .collect()
+}
+
+async fn wait_ready(daemons: &[Daemon]) -> Result<(), Error> {
+    let limit = Instant::now() + READY_LIMIT;
+    let is_ready =
+        |daemon: &Daemon| daemon.control().is_ready() && daemon.control().settings().version > 0;
+    while !daemons.iter().all(is_ready) {
+        if Instant::now() >= limit {
+            return Err(Error::start(
+                "waiting for entry instances",
+                &"not ready in time",
+            ));
+        }
+        sleep_ms(50).await;
+    }
+    // Slots and the list of backend servers follow with the next scan.
+    sleep_ms(1_500).await;
+    Ok(())
+}
+
+fn mix(row: &MixRow) -> Option<Mix> {
+    let &(team, service, path, rate_per_s, deadline_ms, keyed) = row;
+    Some(Mix {
+        team: Team::new(team).ok()?,
+        service: ServiceName::new(service).ok()?,
+        token: Arc::from(format!("{TOKEN_PREFIX}{team}")),
+        path: Arc::from(path),
+        rate_per_s,
+        deadline_ms,
+        keyed,
+    })
+}
+
+/// One job of each kind, for the teams whose tokens the example settings hold.
+fn job_specs(plan: &CellPlan) -> Vec<JobSpec> {
+    let is_known = |team: &str| {
+        let digest = token_digest(&format!("{TOKEN_PREFIX}{team}"));
+        plan.settings
+            .teams
+            .values()
+            .any(|branch| branch.token_sha256 == digest)
+    };
+    let rows = [
+        (
+            "demo-service",
+            "counter",
+            JobKind::Service,
+            Priority::Urgent,
+            3,
+            600_000,
+        ),
+        (
+            "demo-batch",
+            "patterns",
+            JobKind::Batch,
+            Priority::Patient,
+            12,
+            2_000,
+        ),
+        (
+            "demo-gang",
+            "patterns",
+            JobKind::Gang,
+            Priority::Normal,
+            4,
+            1_500,
+        ),
+        (
+            "demo-service",
+            "allocations",
+            JobKind::Service,
+            Priority::Urgent,
+            3,
+            600_000,
+        ),
+        (
+            "demo-batch",
+            "takings",
+            JobKind::Batch,
+            Priority::Patient,
+            12,
+            2_000,
+        ),
+        (
+            "demo-gang",
+            "takings",
+            JobKind::Gang,
+            Priority::Normal,
+            4,
+            1_500,
+        ),
+    ];
+    let known = rows.into_iter().filter(|(_, team, ..)| is_known(team));
+    known
+        .filter_map(|(id, team, kind, priority, tasks, run_ms)| {
+            spec(id, team, kind, priority, tasks, run_ms)
+        })
+        .collect()
+}
+
+fn spec(
+    id: &str,
+    team: &str,
+    kind: JobKind,
+    priority: Priority,
+    tasks: u32,
+    run_ms: u64,
+) -> Option<JobSpec> {
+    Some(JobSpec {
+        id: JobId::new(id).ok()?,
+        team: Team::new(team).ok()?,
+        name: Arc::from(id),
+        kind,
+        priority,
+        tasks,
+        resources: Resources::new(2_000, 2_048, 0),
+        run_time_ms: (kind != JobKind::Service).then_some(run_ms),
+        zone: None,
+        payload: Arc::from(format!("{{\"run_ms\":{run_ms}}}")),
+    })
+}
+
+async fn submit_jobs(daemon: &Daemon, plan: &CellPlan) -> Result<Vec<JobSpec>, Error> {
+    let specs = job_specs(plan);
+    for spec in &specs {
+        let submitted = daemon.control().submit_job(spec.clone()).await;
+        submitted.map_err(|err| Error::start("submitting a job", &err))?;
+    }
+    Ok(specs)
+}
+
+/// Waits until batch work and gangs have succeeded and services run.
+async fn wait_jobs(daemon: &Daemon, specs: &[JobSpec]) -> Vec<JobFigures> {
+    let limit = Instant::now() + JOBS_LIMIT;
+    loop {
+        let mut jobs = Vec::new();
+        for spec in specs {
+            jobs.push(describe(daemon, spec).await);
+        }
+        if jobs.iter().all(is_done) || Instant::now() >= limit {
+            return jobs;
+        }
+        sleep_ms(200).await;
+    }
+}
+
+async fn describe(daemon: &Daemon, spec: &JobSpec) -> JobFigures {
+    let found = daemon
+        .control()
+        .describe_jobs(None, Some(&spec.id))
+        .await
+        .unwrap_or_default();
+    let status = found.first();
+    JobFigures {
+        job: spec.id.to_string(),
+        kind: spec.kind,
+        state: status.map(|status| status.state),
+        running: status.map_or(0, |status| status.running),
+        succeeded: status.map_or(0, |status| status.succeeded),
+    }
+}
+
+fn is_done(job: &JobFigures) -> bool {
+    match job.kind {
+        JobKind::Service => job.state == Some(JobState::Running) && job.running > 0,
+        JobKind::Batch | JobKind::Gang => job.state == Some(JobState::Succeeded),
+    }
+}
+
+fn jobs_done(jobs: &[JobFigures]) -> CheckResult {
+    let open: Vec<&JobFigures> = jobs.iter().filter(|job| !is_done(job)).collect();
+    CheckResult {
+        promise: "jobs finish",
+        checked: jobs.len() as u64,
+        violations: open.len() as u64,
+        example: open
+            .first()
+            .map(|job| format!("{} is {:?}", job.job, job.state)),
+    }
+}
+
+fn figures(mixes: &[MixRow], calls: &[CallRecord]) -> Vec<ServiceFigures> {
+    let of_mix = |(index, row): (usize, &MixRow)| {
+        let own: Vec<&CallRecord> = calls.iter().filter(|call| call.mix == index).collect();
+        let count =
+            |wanted: fn(&Seen) -> bool| own.iter().filter(|call| wanted(&call.seen)).count();
+        let mut times: Vec<u128> = own.iter().map(|call| call.took.as_millis()).collect();
+        times.sort_unstable();
+        let quantile = |percent: usize| {
+            times.get((times.len() * percent / 100).min(times.len().saturating_sub(1)))
+        };
+        ServiceFigures {
+            service: format!("{}/{}", row.0, row.1),
+            requests: own.len(),
+            answered: count(|seen| matches!(seen, Seen::Answered(_))),
+            not_run: count(|seen| matches!(seen, Seen::NotRun | Seen::NotSent)),
+            unknown: count(|seen| matches!(seen, Seen::Unknown | Seen::Broken)),
+            p50_ms: quantile(50).copied().unwrap_or(0),
+            p99_ms: quantile(99).copied().unwrap_or(0),
+        }
+    };
+    mixes.iter().enumerate().map(of_mix).collect()
+}
+
+fn print(report: &Report) -> Result<(), Error> {
+    let mut services = Table::new(&[
+        "SERVICE", "REQUESTS", "ANSWERED", "NOT RUN", "UNKNOWN", "P50 ms", "P99 ms",
+    ]);
+    for row in &report.services {
+        let numbers =
+            [row.requests, row.answered, row.not_run, row.unknown].map(|number| number.to_string());
+        let times = [row.p50_ms, row.p99_ms].map(|time| time.to_string());
+        services.row(
+            [row.service.clone()]
+                .into_iter()
+                .chain(numbers)
+                .chain(times)
+                .collect(),
+        );
+    }
+    let mut jobs = Table::new(&["JOB", "KIND", "STATE", "RUNNING", "SUCCEEDED"]);
+    for job in &report.jobs {
+        let state = job
+            .state
+            .map_or_else(|| "unknown".to_owned(), |state| state.to_string());
+        let numbers = [job.running, job.succeeded].map(|number| number.to_string());
+        let texts = [job.job.clone(), job.kind.to_string(), state];
+        jobs.row(texts.into_iter().chain(numbers).collect());
+    }
+    let mut checks = Table::new(&["PROMISE", "CHECKED", "VIOLATIONS", "EXAMPLE"]);
+    for check in &report.checks {
+        let example = check.example.clone().unwrap_or_else(|| "-".to_owned());
+        checks.row(vec![
+            check.promise.to_owned(),
+            check.checked.to_string(),
+            check.violations.to_string(),
+            example,
+        ]);
+    }
+    let parts = [
+        services.text(),
+        jobs.text(),
+        checks.text(),
+        burn::table(&report.burn),
+    ];
+    output::print(&format!("\n== {} ==\n{}\n", report.user, parts.join("\n")))
+}
