backend: add the connection pool of one backend server

Each connection has a task and carries one request at a time; the cap is this instance's share of the 64. Results tell what is known: answered, proof that no byte was taken, or unknown. A connection without progress for longer than its class can explain is silent; idle connections are then replaced before their next request. Long work counts as silent only beside another silent connection, because stragglers take many times longer than anything learned.

--- /dev/null
+++ b/crates/backend/src/limits.rs
@@ -0,0 +1,53 @@
+//! Limits of a pool.
+
+use {ragwortreel_http::ClientLimits, std::time::Duration};
+
+/// Limits of the connections to one backend server.
+#[derive(Debug, Clone)]
+pub struct PoolLimits {
+    /// Most connections: this instance's share of the backend server's 64.
+    pub max_connections: usize,
+    /// Limits of each exchange.
+    pub http: ClientLimits,
+    /// Time after its last sign of life for which an idle connection may be reused unchecked.
+    pub reuse_time: Duration,
+    /// Request that keeps idle connections proven; without one they close after `reuse_time`.
+    pub probe: Option<Probe>,
+    /// Time without progress after which a connection counts as silent, unless the learned latency of the request's
+    /// class explains it; `None` turns the detection off.
+    pub silence_time: Option<Duration>,
+    /// Time without progress that long work is always allowed. Where only the network is silent, `user_timeout` ends
+    /// the connection earlier.
+    pub long_silence_time: Duration,
+    /// Upper bound of the time without progress that learned latency can explain for urgent and short work.
+    pub max_short_silence: Duration,
+    /// Time for which sent bytes may stay unacknowledged, and keepalive probes unanswered, before the operating
+    /// system breaks the connection.
+    pub user_timeout: Duration,
+}
+
+impl Default for PoolLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 8,
+            http: ClientLimits::default(),
+            reuse_time: Duration::from_secs(2),
+            probe: None,
+            silence_time: Some(Duration::from_secs(2)),
+            long_silence_time: Duration::from_secs(30),
+            max_short_silence: Duration::from_secs(10),
+            user_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Request that checks an idle connection.
+#[derive(Debug, Clone)]
+pub struct Probe {
+    /// Target of a GET request that costs the backend server little; any complete response is a sign of life.
+    pub path: String,
+    /// Time between two probes of a connection.
+    pub every: Duration,
+    /// Time for a probe's response.
+    pub time: Duration,
+}
--- /dev/null
+++ b/crates/backend/src/outcome.rs
@@ -0,0 +1,87 @@
+//! What is known about a request after it was sent.
+
+use {
+    derive_more::{Display, Error},
+    ragwortreel_http::{ClientError, Response},
+    ragwortreel_model::Outcome,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Result of a request.
+#[derive(Debug)]
+pub enum SendResult {
+    /// The whole response to this request.
+    Answered(Response),
+    /// The request certainly did not run.
+    NotRun(NotRun),
+    /// The request may have run.
+    Unknown(Unknown),
+}
+
+impl SendResult {
+    /// The outcome to tell the caller.
+    #[must_use]
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Answered(_) => Outcome::Answered,
+            Self::NotRun(_) => Outcome::NotRun,
+            Self::Unknown(_) => Outcome::Unknown,
+        }
+    }
+}
+
+/// Why a request certainly did not run: no byte of it was handed to the operating system for sending.
+#[derive(Debug, Display, Error)]
+pub enum NotRun {
+    /// The pool is being drained.
+    #[display("{peer}: pool is draining")]
+    Draining {
+        /// Address of the backend server.
+        peer: SocketAddr,
+    },
+    /// All allowed connections are in use.
+    #[display("{peer}: all {connections} connections are in use")]
+    Busy {
+        /// Address of the backend server.
+        peer: SocketAddr,
+        /// Connections in use.
+        connections: usize,
+    },
+    /// The deadline passed before a connection was ready.
+    #[display("{peer}: deadline passed before the request was sent")]
+    Expired {
+        /// Address of the backend server.
+        peer: SocketAddr,
+    },
+    /// No connection could be opened.
+    #[display("{_0}")]
+    Connect(ClientError),
+    /// The request failed before its first byte.
+    #[display("{_0}")]
+    NothingSent(ClientError),
+}
+
+/// Why it is not known whether a request ran.
+#[derive(Debug, Display, Error)]
+pub enum Unknown {
+    /// The connection went silent.
+    #[display("{peer}: no progress for {} ms", waited.as_millis())]
+    Silent {
+        /// Address of the backend server.
+        peer: SocketAddr,
+        /// Time without progress.
+        waited: Duration,
+    },
+    /// The deadline passed after the first byte was sent.
+    #[display("{_0}")]
+    Deadline(ClientError),
+    /// The connection broke, or the response was not acceptable.
+    #[display("{_0}")]
+    Broken(ClientError),
+    /// The connection's task ended without a result.
+    #[display("{peer}: task of the connection ended")]
+    TaskEnded {
+        /// Address of the backend server.
+        peer: SocketAddr,
+    },
+}
--- /dev/null
+++ b/crates/backend/src/pool.rs
@@ -0,0 +1,99 @@
+//! The pool of connections to one backend server.
+
+use {
+    crate::{
+        NotRun, PoolLimits, PoolStats, SendResult, Unknown,
+        state::{Job, Place, Shared},
+        task::ConnectionTask,
+    },
+    ragwortreel_http::Request,
+    ragwortreel_model::WorkClass,
+    ragwortreel_runtime::{Logger, sleep_ms, spawn},
+    std::{net::SocketAddr, sync::Arc, time::Instant},
+};
+
+/// Pause while a connection is being closed; closing takes microseconds.
+const CLOSING_MS: u64 = 1;
+
+/// Connections to one backend server; shared by reference.
+pub struct BackendPool {
+    shared: Arc<Shared>,
+}
+
+impl BackendPool {
+    /// Makes a pool without connections.
+    #[must_use]
+    pub fn new(peer: SocketAddr, limits: PoolLimits, log: Logger) -> Self {
+        Self {
+            shared: Arc::new(Shared::new(peer, limits, log)),
+        }
+    }
+
+    /// Address of the backend server.
+    #[must_use]
+    pub fn peer(&self) -> SocketAddr {
+        self.shared.peer
+    }
+
+    /// Counts of the pool.
+    #[must_use]
+    pub fn stats(&self) -> PoolStats {
+        self.shared.stats()
+    }
+
+    /// Sends a request and waits for its whole response until the deadline.
+    ///
+    /// The request is sent at most once: another connection is used only when no byte was sent on the first. It is
+    /// not queued here; when all connections are in use it ends at once. Dropping the future does not end the
+    /// exchange.
+    pub async fn send(&self, request: Request, class: WorkClass, deadline: Instant) -> SendResult {
+        let peer = self.shared.peer;
+        let (reply, reply_rx) = async_channel::bounded(1);
+        let job = Job {
+            request,
+            class,
+            deadline,
+            reply,
+        };
+        loop {
+            if self.shared.stop.is_requested() {
+                return SendResult::NotRun(NotRun::Draining { peer });
+            }
+            if Instant::now() >= deadline {
+                return SendResult::NotRun(NotRun::Expired { peer });
+            }
+            match self.shared.place(class) {
+                Place::Idle(job_tx) => {
+                    // There is room, because an idle connection is taken for one request at a time.
+                    if job_tx.try_send(job).is_err() {
+                        return SendResult::NotRun(NotRun::Draining { peer });
+                    }
+                    break;
+                }
+                Place::New(permit) => {
+                    let task = ConnectionTask::new(Arc::clone(&self.shared), permit);
+                    spawn(task.run(job)).detach();
+                    break;
+                }
+                Place::Soon => sleep_ms(CLOSING_MS).await,
+                Place::Busy(connections) => {
+                    return SendResult::NotRun(NotRun::Busy { peer, connections });
+                }
+            }
+        }
+        let result = reply_rx.recv().await;
+        result.unwrap_or(SendResult::Unknown(Unknown::TaskEnded { peer }))
+    }
+
+    /// Refuses new requests, ends idle connections and waits until all requests in flight have their results.
+    pub async fn drain(&self) {
+        self.shared.stop.request();
+        self.shared.stop.drained().await;
+    }
+}
+
+impl Drop for BackendPool {
+    fn drop(&mut self) {
+        self.shared.stop.request();
+    }
+}
--- /dev/null
+++ b/crates/backend/src/task.rs
@@ -0,0 +1,250 @@
+//! Task of one connection.
+
+use {
+    crate::{
+        NotRun, SendResult, Unknown,
+        events::{
+            CONNECT_FAILED, CONNECTION_BROKE, CONNECTION_SILENT, PROBE_FAILED,
+            SOCKET_OPTIONS_FAILED,
+        },
+        socket::set_timeouts,
+        state::{Job, Permit, Shared},
+    },
+    async_channel::{Receiver, Sender},
+    futures_lite::future,
+    ragwortreel_http::{Cause, ClientError, Connection, Progress, Request, Response, Sent},
+    ragwortreel_model::WorkClass,
+    ragwortreel_runtime::{log_event, sleep},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Checks of the progress within the time after which a connection counts as silent.
+const CHECKS_PER_SILENCE: u32 = 8;
+
+/// Opens a connection and carries requests on it, one at a time.
+pub struct ConnectionTask {
+    shared: Arc<Shared>,
+    permit: Permit,
+    job_tx: Sender<Job>,
+    job_rx: Receiver<Job>,
+}
+
+/// An open connection and its last sign of life.
+struct Open {
+    connection: Connection,
+    last_sign: Instant,
+}
+
+/// How an exchange ended.
+enum End {
+    Done(Result<Response, ClientError>),
+    Silent(Duration),
+}
+
+/// What an idle connection does next.
+enum Next {
+    Job(Job),
+    Probe,
+    Close,
+}
+
+impl ConnectionTask {
+    pub fn new(shared: Arc<Shared>, permit: Permit) -> Self {
+        let (job_tx, job_rx) = async_channel::bounded(1);
+        Self {
+            shared,
+            permit,
+            job_tx,
+            job_rx,
+        }
+    }
+
+    /// Runs until the connection is not fit for another request.
+    pub async fn run(mut self, first: Job) {
+        let (mut job, mut kept) = (first, None);
+        loop {
+            let (class, reply) = (job.class, job.reply.clone());
+            let (result, open) = self.serve(kept, job).await;
+            let open = open.filter(|open| open.connection.is_usable());
+            let offered = open.is_some() && self.permit.put_idle(class, self.job_tx.clone());
+            // The connection is offered, or no longer counted, before the caller can send its next request.
+            let Some(open) = open.filter(|_| offered) else {
+                drop(self);
+                let _ = reply.try_send(result);
+                return;
+            };
+            let _ = reply.try_send(result);
+            match self.idle(open, class).await {
+                Some((next, open)) => (job, kept) = (next, Some(open)),
+                None => return,
+            }
+        }
+    }
+
+    /// Carries one request on the kept connection, or on a new one if that is not fit.
+    async fn serve(&self, kept: Option<Open>, job: Job) -> (SendResult, Option<Open>) {
+        let fit =
+            |open: &Open| self.shared.is_trusted(open.last_sign) && open.connection.is_quiet();
+        if let Some(mut open) = kept.filter(fit) {
+            match self.exchange(&mut open, &job, true).await {
+                // The connection broke before the first byte, so the request can go over a new one.
+                SendResult::NotRun(NotRun::NothingSent(err)) if is_broken(&err) => {}
+                result => return (result, Some(open)),
+            }
+        }
+        match self.connect(job.deadline).await {
+            Ok(mut open) => (self.exchange(&mut open, &job, false).await, Some(open)),
+            Err(err) => {
+                log_event!(self.shared.log, CONNECT_FAILED; "error" => err.to_string());
+                (SendResult::NotRun(NotRun::Connect(err)), None)
+            }
+        }
+    }
+
+    async fn connect(&self, deadline: Instant) -> Result<Open, ClientError> {
+        let limits = &self.shared.limits;
+        let connection = Connection::connect(self.shared.peer, &limits.http, deadline).await?;
+        self.shared.count_opened();
+        if let Err(err) = set_timeouts(connection.socket(), limits.user_timeout) {
+            log_event!(self.shared.log, SOCKET_OPTIONS_FAILED; "error" => err.to_string());
+        }
+        Ok(Open {
+            connection,
+            last_sign: Instant::now(),
+        })
+    }
+
+    /// Waits for the next request; `None` when the connection is to be closed.
+    async fn idle(&mut self, mut open: Open, class: WorkClass) -> Option<(Job, Open)> {
+        loop {
+            let next = self.next(&open.connection).await;
+            let to_close = matches!(next, Next::Close);
+            if let Next::Job(job) = next {
+                return Some((job, open));
+            }
+            if !self.permit.withdraw(class, to_close) {
+                // The connection has been taken, so a request is on its way.
+                return Some((self.job_rx.recv().await.ok()?, open));
+            }
+            if to_close || !self.probe(&mut open).await {
+                return None;
+            }
+            if !self.permit.put_idle(class, self.job_tx.clone()) {
+                return None;
+            }
+        }
+    }
+
+    async fn next(&self, connection: &Connection) -> Next {
+        let job = async { self.job_rx.recv().await.map_or(Next::Close, Next::Job) };
+        let disturbed = async {
+            connection.disturbed().await;
+            Next::Close
+        };
+        let stopped = async {
+            self.shared.stop.requested().await;
+            Next::Close
+        };
+        let timer = async {
+            if let Some(probe) = &self.shared.limits.probe {
+                sleep(probe.every).await;
+                return Next::Probe;
+            }
+            sleep(self.shared.limits.reuse_time).await;
+            Next::Close
+        };
+        future::or(job, future::or(future::or(disturbed, stopped), timer)).await
+    }
+
+    /// Sends a probe; false when it was not answered.
+    async fn probe(&self, open: &mut Open) -> bool {
+        let Some(probe) = &self.shared.limits.probe else {
+            return false;
+        };
+        let request = Request::get(probe.path.as_str());
+        let deadline = Instant::now() + probe.time;
+        match open.connection.exchange(&request, deadline).await {
+            Ok(_) => open.last_sign = Instant::now(),
+            Err(err) => {
+                log_event!(self.shared.log, PROBE_FAILED; "error" => err.to_string());
+                if matches!(err.cause, Cause::Deadline) {
+                    self.shared.found_silent();
+                }
+            }
+        }
+        open.connection.is_usable()
+    }
+
+    async fn exchange(&self, open: &mut Open, job: &Job, reused: bool) -> SendResult {
+        let started = Instant::now();
+        let progress = open.connection.progress();
+        let read_before = progress.read();
+        let exchange =
+            async { End::Done(open.connection.exchange(&job.request, job.deadline).await) };
+        let watch = async { End::Silent(self.watch(&progress, job.class, started).await) };
+        match future::or(exchange, watch).await {
+            End::Done(Ok(response)) => {
+                open.last_sign = Instant::now();
+                self.shared
+                    .record_answered(job.class, open.last_sign - started);
+                SendResult::Answered(response)
+            }
+            End::Done(Err(err)) => self.failed(err, reused && progress.read() == read_before),
+            End::Silent(waited) => {
+                let peer = self.shared.peer;
+                log_event!(self.shared.log, CONNECTION_SILENT; "peer" => peer.to_string(),
+                    "waited_ms" => u64::try_from(waited.as_millis()).unwrap_or(u64::MAX));
+                self.shared.record_silent(job.class, waited);
+                self.shared.found_silent();
+                SendResult::Unknown(Unknown::Silent { peer, waited })
+            }
+        }
+    }
+
+    fn failed(&self, err: ClientError, no_sign_of_life: bool) -> SendResult {
+        if err.sent == Sent::Nothing {
+            return SendResult::NotRun(NotRun::NothingSent(err));
+        }
+        log_event!(self.shared.log, CONNECTION_BROKE; "error" => err.to_string());
+        if !matches!(err.cause, Cause::Deadline) {
+            return SendResult::Unknown(Unknown::Broken(err));
+        }
+        // A deadline shorter than the silence time hides a silent connection. Replacing the idle ones costs little,
+        // and the next requests could not afford to find out one by one.
+        if no_sign_of_life && self.shared.limits.silence_time.is_some() {
+            self.shared.distrust_idle();
+        }
+        SendResult::Unknown(Unknown::Deadline(err))
+    }
+
+    /// Returns the time without progress once it is longer than the request's class can explain.
+    ///
+    /// A straggler of long work takes many times longer than anything seen before, so long work counts as silent only
+    /// when another connection of the pool was found silent since it began.
+    async fn watch(&self, progress: &Progress, class: WorkClass, started: Instant) -> Duration {
+        let Some(patience) = self.shared.patience(class) else {
+            return future::pending().await;
+        };
+        let (mut last, mut since) = ((progress.written(), progress.read()), started);
+        loop {
+            sleep(patience / CHECKS_PER_SILENCE).await;
+            let now = (progress.written(), progress.read());
+            if now != last {
+                (last, since) = (now, Instant::now());
+            }
+            let waited = since.elapsed();
+            if waited >= patience && (class != WorkClass::Long || self.shared.silent_since(started))
+            {
+                return waited;
+            }
+        }
+    }
+}
+
+/// Whether the connection, not the request or its deadline, was the cause.
+fn is_broken(err: &ClientError) -> bool {
+    matches!(err.cause, Cause::Io(_) | Cause::Closed)
+}
--- /dev/null
+++ b/crates/backend/tests/pool.rs
@@ -0,0 +1,314 @@
+//! Behaviour of a pool towards a backend server that fails, over real sockets.
+
+mod common;
+
+use {
+    common::{Backend, within},
+    ragwortreel_backend::{BackendPool, NotRun, PoolLimits, Probe, SendResult, Unknown},
+    ragwortreel_http::{Request, Sent},
+    ragwortreel_model::{Outcome, WorkClass},
+    ragwortreel_runtime::{block_on, discard_logger, sleep_ms, spawn},
+    std::{
+        net::{Ipv4Addr, TcpListener},
+        sync::{Arc, atomic::Ordering},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Limits with a short time to detect silence, so that tests are quick.
+fn quick() -> PoolLimits {
+    PoolLimits {
+        silence_time: Some(Duration::from_millis(200)),
+        ..PoolLimits::default()
+    }
+}
+
+fn send_as(pool: &BackendPool, target: &str, class: WorkClass, limit_ms: u64) -> SendResult {
+    block_on(pool.send(Request::get(target), class, within(limit_ms)))
+}
+
+fn send(pool: &BackendPool, target: &str) -> SendResult {
+    send_as(pool, target, WorkClass::Short, 5000)
+}
+
+fn assert_answered(result: &SendResult, target: &str) {
+    match result {
+        SendResult::Answered(res) => assert_eq!(res.body, target.as_bytes()),
+        other => panic!("{target}: {other:?}"),
+    }
+}
+
+// Guards against a connection for each request.
+#[test]
+fn connection_is_reused() {
+    let backend = Backend::start();
+    let pool = backend.pool(quick());
+    for _ in 0..5 {
+        assert_answered(&send(&pool, "/ok"), "/ok");
+    }
+    assert_eq!(backend.accepted(), 1);
+}
+
+// Guards against long work and short work waiting for each other's connections.
+#[test]
+fn classes_have_separate_idle_connections() {
+    let backend = Backend::start();
+    let pool = backend.pool(quick());
+    for class in [WorkClass::Long, WorkClass::Short, WorkClass::Urgent] {
+        assert_answered(&send_as(&pool, "/ok", class, 5000), "/ok");
+    }
+    let stats = pool.stats();
+    assert_eq!((stats.idle_short, stats.idle_long, stats.open), (1, 1, 2));
+}
+
+// Guards against more connections than this instance's share, and against waiting for one until the deadline.
+#[test]
+fn connections_are_limited() {
+    let backend = Backend::start();
+    let limits = PoolLimits {
+        max_connections: 2,
+        ..PoolLimits::default()
+    };
+    let pool = Arc::new(backend.pool(limits));
+    let slow: Vec<_> = (0..2)
+        .map(|number| {
+            let pool = Arc::clone(&pool);
+            thread::spawn(move || send(&pool, &format!("/delay/300/{number}")))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(100));
+    let started = Instant::now();
+    let refused = send(&pool, "/ok");
+    assert!(matches!(
+        refused,
+        SendResult::NotRun(NotRun::Busy { connections: 2, .. })
+    ));
+    assert!(started.elapsed() < Duration::from_millis(150));
+    for slow in slow {
+        let result = slow.join().expect("thread");
+        assert_eq!(result.outcome(), Outcome::Answered);
+    }
+    // At the limit the idle connection of the other class is used.
+    assert_answered(&send_as(&pool, "/ok", WorkClass::Long, 5000), "/ok");
+    assert_eq!(backend.seen.most_open.load(Ordering::SeqCst), 2);
+}
+
+// Guards against a failed connect being reported as possibly run.
+#[test]
+fn refused_connection_did_not_run() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+    let addr = listener.local_addr().expect("address");
+    drop(listener);
+    let pool = BackendPool::new(addr, quick(), discard_logger());
+    let result = send(&pool, "/ok");
+    assert!(matches!(result, SendResult::NotRun(NotRun::Connect(_))));
+    assert_eq!(pool.stats().open, 0);
+}
+
+// Guards against work that starts after its deadline.
+#[test]
+fn expired_request_is_not_sent() {
+    let backend = Backend::start();
+    let pool = backend.pool(quick());
+    let result = send_as(&pool, "/ok", WorkClass::Short, 0);
+    assert!(matches!(result, SendResult::NotRun(NotRun::Expired { .. })));
+    assert_eq!(backend.runs("/ok"), 0);
+}
+
+// Guards against an idle connection that the backend server closed failing the next request.
+#[test]
+fn closed_idle_connection_is_replaced() {
+    let backend = Backend::start();
+    let pool = backend.pool(quick());
+    for round in 0..3 {
+        let target = format!("/last/{round}");
+        assert_answered(&send(&pool, &target), &target);
+    }
+    assert_eq!(backend.accepted(), 3);
+}
+
+// Guards against a request that may have run being sent again or reported as not run.
+#[test]
+fn reused_connection_that_breaks_is_unknown() {
+    let backend = Backend::start();
+    let pool = backend.pool(quick());
+    for target in ["/close", "/cut"] {
+        assert_answered(&send(&pool, "/ok"), "/ok");
+        let result = send(&pool, target);
+        let SendResult::Unknown(Unknown::Broken(err)) = result else {
+            panic!("{target}: {result:?}");
+        };
+        assert_eq!((err.sent, err.peer), (Sent::Maybe, backend.addr));
+        assert_eq!(backend.runs(target), 1);
+    }
+    assert_eq!(pool.stats().open, 0);
+}
+
+// Guards against a response that arrives after its deadline being matched to the next request.
+#[test]
+fn late_response_is_not_matched_to_another_request() {
+    let backend = Backend::start();
+    let pool = backend.pool(quick());
+    let late = send_as(&pool, "/delay/100", WorkClass::Short, 50);
+    assert!(matches!(late, SendResult::Unknown(Unknown::Deadline(_))));
+    thread::sleep(Duration::from_millis(100));
+    assert_answered(&send(&pool, "/ok"), "/ok");
+}
+
+// Guards against requests that wait on silent connections while new ones work.
+#[test]
+fn silent_connections_are_found_and_replaced() {
+    let backend = Backend::start();
+    let pool = Arc::new(backend.pool(quick()));
+    let busy: Vec<_> = (0..3)
+        .map(|_| {
+            let pool = Arc::clone(&pool);
+            thread::spawn(move || send(&pool, "/delay/50"))
+        })
+        .collect();
+    for busy in busy {
+        assert_answered(&busy.join().expect("thread"), "/delay/50");
+    }
+    assert_eq!(pool.stats().idle_short, 3);
+    backend.silence();
+    let started = Instant::now();
+    let result = send(&pool, "/ok/1");
+    assert!(matches!(
+        result,
+        SendResult::Unknown(Unknown::Silent { .. })
+    ));
+    assert!(started.elapsed() < Duration::from_millis(400));
+    for _ in 0..3 {
+        let started = Instant::now();
+        assert_answered(&send(&pool, "/ok/2"), "/ok/2");
+        assert!(started.elapsed() < Duration::from_millis(100));
+    }
+    assert_eq!(pool.stats().silent, 1);
+}
+
+// Guards against deadlines shorter than the silence time hiding silent connections from all later requests.
+#[test]
+fn deadline_without_a_sign_of_life_replaces_idle_connections() {
+    let backend = Backend::start();
+    let pool = Arc::new(backend.pool(quick()));
+    let other = Arc::clone(&pool);
+    let busy = thread::spawn(move || send(&other, "/delay/50"));
+    assert_answered(&send(&pool, "/delay/50"), "/delay/50");
+    assert_answered(&busy.join().expect("thread"), "/delay/50");
+    backend.silence();
+    let missed = send_as(&pool, "/ok/1", WorkClass::Short, 50);
+    assert!(matches!(missed, SendResult::Unknown(Unknown::Deadline(_))));
+    assert_answered(&send_as(&pool, "/ok/2", WorkClass::Short, 50), "/ok/2");
+}
+
+// Guards against long work being taken for a silent connection, also beside a really silent one.
+#[test]
+fn long_work_is_not_mistaken_for_silence() {
+    let backend = Backend::start();
+    let pool = Arc::new(backend.pool(quick()));
+    let other = Arc::clone(&pool);
+    let long = thread::spawn(move || send_as(&other, "/delay/900", WorkClass::Long, 5000));
+    let silent = send(&pool, "/silent");
+    assert!(matches!(
+        silent,
+        SendResult::Unknown(Unknown::Silent { .. })
+    ));
+    assert_answered(&long.join().expect("thread"), "/delay/900");
+}
+
+// Guards against long work that waits on a silent connection until its deadline.
+#[test]
+fn silent_long_work_ends_when_another_connection_is_silent() {
+    let backend = Backend::start();
+    let limits = PoolLimits {
+        long_silence_time: Duration::from_millis(400),
+        ..quick()
+    };
+    let pool = Arc::new(backend.pool(limits));
+    let other = Arc::clone(&pool);
+    let long = thread::spawn(move || send_as(&other, "/silent/1", WorkClass::Long, 5000));
+    thread::sleep(Duration::from_millis(50));
+    let short = send(&pool, "/silent/2");
+    assert!(matches!(short, SendResult::Unknown(Unknown::Silent { .. })));
+    let long = long.join().expect("thread");
+    assert!(matches!(long, SendResult::Unknown(Unknown::Silent { .. })));
+}
+
+// Guards against a class that has become slower than the silence time never being answered again.
+#[test]
+fn slower_class_is_learned() {
+    let backend = Backend::start();
+    let limits = PoolLimits {
+        silence_time: Some(Duration::from_millis(40)),
+        ..PoolLimits::default()
+    };
+    let pool = backend.pool(limits);
+    let answered = (0..12).any(|_| send(&pool, "/delay/70").outcome() == Outcome::Answered);
+    assert!(answered);
+    assert_answered(&send(&pool, "/delay/70"), "/delay/70");
+}
+
+// Guards against silent connections that are found only by the next request.
+#[test]
+fn probes_find_silent_idle_connections() {
+    let backend = Backend::start();
+    let probe = Probe {
+        path: "/ok/probe".to_owned(),
+        every: Duration::from_millis(50),
+        time: Duration::from_millis(100),
+    };
+    let limits = PoolLimits {
+        probe: Some(probe),
+        reuse_time: Duration::from_millis(200),
+        ..quick()
+    };
+    let pool = backend.pool(limits);
+    assert_answered(&send(&pool, "/ok"), "/ok");
+    thread::sleep(Duration::from_millis(300));
+    // Proven by probes, the connection outlives the reuse time.
+    assert_answered(&send(&pool, "/ok"), "/ok");
+    assert_eq!(backend.accepted(), 1);
+    backend.silence();
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!((pool.stats().silent, pool.stats().open), (1, 0));
+    assert_answered(&send(&pool, "/ok"), "/ok");
+}
+
+// Guards against idle connections that stay open unproven.
+#[test]
+fn idle_connection_closes_after_its_reuse_time() {
+    let backend = Backend::start();
+    let limits = PoolLimits {
+        reuse_time: Duration::from_millis(50),
+        ..quick()
+    };
+    let pool = backend.pool(limits);
+    assert_answered(&send(&pool, "/ok"), "/ok");
+    thread::sleep(Duration::from_millis(150));
+    assert_eq!(pool.stats().open, 0);
+    assert_answered(&send(&pool, "/ok"), "/ok");
+}
+
+// Guards against a drain that cuts requests in flight, waits for idle connections or lets new requests in.
+#[test]
+fn drain_is_graceful() {
+    let backend = Backend::start();
+    let pool = Arc::new(backend.pool(quick()));
+    assert_answered(&send_as(&pool, "/ok", WorkClass::Long, 5000), "/ok");
+    let other = Arc::clone(&pool);
+    let busy = spawn(async move {
+        let request = Request::get("/delay/150");
+        other.send(request, WorkClass::Short, within(5000)).await
+    });
+    block_on(sleep_ms(50));
+    block_on(pool.drain());
+    assert_eq!(pool.stats().open, 0);
+    assert_answered(&block_on(busy), "/delay/150");
+    let refused = send(&pool, "/ok/late");
+    assert!(matches!(
+        refused,
+        SendResult::NotRun(NotRun::Draining { .. })
+    ));
+    assert_eq!(backend.runs("/ok/late"), 0);
+}
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -105,6 +105,12 @@
         self.usable && quiet && !self.reader.has_buffered()
     }
 
+    /// Waits on an idle connection until the server sends something or closes it.
+    pub async fn disturbed(&self) {
+        // An error is a disturbance as well.
+        let _ = self.reader.io().readable().await;
+    }
+
     /// Sends a request and reads its whole response.
     ///
     /// # Errors
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -56,6 +56,11 @@
         self.io.get_ref()
     }
 
+    /// Waits until bytes have arrived or the peer has closed the connection.
+    pub async fn readable(&self) -> io::Result<()> {
+        self.io.readable().await
+    }
+
     /// Count of the bytes that moved.
     pub fn progress(&self) -> &Arc<Progress> {
         &self.progress
