backend: tell the sender of a resendable request early about silence

Cause: with the default deadline of 2 s and the silence time of 2 s, a request on a silent connection missed its deadline although another connection could have served it. Change: a request that may be sent again waits a third of the time left, but at least eight times the longest learned latency and 100 ms, and never longer than the silence time.

--- a/crates/backend/src/latency.rs
+++ b/crates/backend/src/latency.rs
@@ -6,6 +6,12 @@
 const WINDOW: usize = 64;
 /// Last exchanges that are looked at to find that a class has become slower.
 const RECENT: usize = 16;
+/// Part of the time left that a request which may be sent again waits on one connection.
+const RESEND_SHARE: u32 = 3;
+/// How many times longer than the longest answered exchange such a request waits at least.
+const RESEND_FACTOR: u32 = 8;
+/// Shortest time after which such a request is given up; shorter pauses of a healthy backend server are common.
+const MIN_RESEND_PATIENCE: Duration = Duration::from_millis(100);
 
 /// Latencies of the last exchanges of one class.
 #[derive(Debug, Default)]
@@ -37,11 +43,7 @@
     /// class itself has become slower, and the time doubles so that the next ones can show it. A single event in
     /// which a share's 8 connections go silent together is not enough for that.
     pub fn patience(&self, floor: Duration) -> Duration {
-        let answered = self.samples.iter().filter_map(|sample| match sample {
-            Sample::Answered(elapsed) => Some(*elapsed),
-            Sample::Silent(_) => None,
-        });
-        let learned = answered.max().unwrap_or_default() * 3 / 2;
+        let learned = self.longest_answered().unwrap_or_default() * 3 / 2;
         let recent = self.samples.iter().rev().take(RECENT);
         let given_up: Vec<Duration> = recent
             .filter_map(|sample| match sample {
@@ -57,6 +59,29 @@
         floor.max(learned).max(doubled)
     }
 
+    /// Like [`Self::patience`] for a request that may be sent again, with this time left until its deadline.
+    ///
+    /// It is short enough for two more attempts, but far longer than anything seen; without enough samples it is not
+    /// shortened.
+    pub fn resend_patience(&self, floor: Duration, left: Duration) -> Duration {
+        let longest = self
+            .longest_answered()
+            .filter(|_| self.samples.len() >= RECENT);
+        let shortened = match longest {
+            Some(longest) => (left / RESEND_SHARE).max(longest * RESEND_FACTOR),
+            None => floor,
+        };
+        self.patience(shortened.max(MIN_RESEND_PATIENCE).min(floor))
+    }
+
+    fn longest_answered(&self) -> Option<Duration> {
+        let answered = self.samples.iter().filter_map(|sample| match sample {
+            Sample::Answered(elapsed) => Some(*elapsed),
+            Sample::Silent(_) => None,
+        });
+        answered.max()
+    }
+
     fn record(&mut self, sample: Sample) {
         if self.samples.len() == WINDOW {
             self.samples.pop_front();
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -18,7 +18,7 @@
 mod state;
 mod task;
 
-pub use limits::{PoolLimits, Probe};
+pub use limits::{PoolLimits, Probe, Terms};
 pub use outcome::{NotRun, SendResult, Unknown};
 pub use pool::BackendPool;
 pub use state::PoolStats;
--- a/crates/backend/src/limits.rs
+++ b/crates/backend/src/limits.rs
@@ -1,6 +1,22 @@
 //! Limits of a pool.
 
-use {ragwortreel_http::ClientLimits, std::time::Duration};
+use {
+    ragwortreel_http::ClientLimits,
+    ragwortreel_model::WorkClass,
+    std::time::{Duration, Instant},
+};
+
+/// How a request is to be sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// Class of the work.
+    pub class: WorkClass,
+    /// Instant at which the exchange ends at the latest.
+    pub deadline: Instant,
+    /// Whether the sender can send the request again after an unknown outcome; it is then told earlier that a
+    /// connection is silent, so that time for another attempt is left.
+    pub resendable: bool,
+}
 
 /// Limits of the connections to one backend server.
 #[derive(Debug, Clone)]
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -2,12 +2,11 @@
 
 use {
     crate::{
-        NotRun, PoolLimits, PoolStats, SendResult, Unknown,
+        NotRun, PoolLimits, PoolStats, SendResult, Terms, Unknown,
         state::{Job, Place, Shared},
         task::ConnectionTask,
     },
     ragwortreel_http::Request,
-    ragwortreel_model::WorkClass,
     ragwortreel_runtime::{Logger, sleep_ms, spawn},
     std::{net::SocketAddr, sync::Arc, time::Instant},
 };
@@ -46,23 +45,22 @@
     /// The request is sent at most once: another connection is used only when no byte was sent on the first. It is
     /// not queued here; when all connections are in use it ends at once. Dropping the future does not end the
     /// exchange.
-    pub async fn send(&self, request: Request, class: WorkClass, deadline: Instant) -> SendResult {
+    pub async fn send(&self, request: Request, terms: Terms) -> SendResult {
         let peer = self.shared.peer;
         let (reply, reply_rx) = async_channel::bounded(1);
         let job = Job {
             request,
-            class,
-            deadline,
+            terms,
             reply,
         };
         loop {
             if self.shared.stop.is_requested() {
                 return SendResult::NotRun(NotRun::Draining { peer });
             }
-            if Instant::now() >= deadline {
+            if Instant::now() >= terms.deadline {
                 return SendResult::NotRun(NotRun::Expired { peer });
             }
-            match self.shared.place(class) {
+            match self.shared.place(terms.class) {
                 Place::Idle(job_tx) => {
                     // There is room, because an idle connection is taken for one request at a time.
                     if job_tx.try_send(job).is_err() {
--- a/crates/backend/src/state.rs
+++ b/crates/backend/src/state.rs
@@ -1,7 +1,7 @@
 //! State that a pool shares with the tasks of its connections.
 
 use {
-    crate::{PoolLimits, SendResult, latency::Latency},
+    crate::{PoolLimits, SendResult, Terms, latency::Latency},
     async_channel::Sender,
     ragwortreel_http::Request,
     ragwortreel_model::WorkClass,
@@ -16,8 +16,7 @@
 /// A request on its way to a connection's task.
 pub struct Job {
     pub request: Request,
-    pub class: WorkClass,
-    pub deadline: Instant,
+    pub terms: Terms,
     pub reply: Sender<SendResult>,
 }
 
@@ -233,19 +232,27 @@
         self.lock().latency(class).record_silent(waited);
     }
 
-    /// Time without progress that this class can explain; `None` when the detection is off.
-    pub fn patience(&self, class: WorkClass) -> Option<Duration> {
+    /// Time without progress that the request's class can explain; `None` when the detection is off.
+    pub fn patience(&self, terms: Terms) -> Option<Duration> {
         let floor = self.limits.silence_time?;
+        let left = terms.deadline.saturating_duration_since(Instant::now());
         let state = self.lock();
-        Some(match class {
+        let learned = |latency: &Latency, floor| {
+            if terms.resendable {
+                latency.resend_patience(floor, left)
+            } else {
+                latency.patience(floor)
+            }
+        };
+        Some(match terms.class {
             WorkClass::Urgent | WorkClass::Short => {
                 let most = self.limits.max_short_silence.max(floor);
-                state.short_latency.patience(floor).min(most)
-            }
-            WorkClass::Long => {
-                let floor = self.limits.long_silence_time.max(floor);
-                state.long_latency.patience(floor)
+                learned(&state.short_latency, floor).min(most)
             }
+            WorkClass::Long => learned(
+                &state.long_latency,
+                self.limits.long_silence_time.max(floor),
+            ),
         })
     }
 }
--- a/crates/backend/src/task.rs
+++ b/crates/backend/src/task.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        NotRun, SendResult, Unknown,
+        NotRun, SendResult, Terms, Unknown,
         events::{
             CONNECT_FAILED, CONNECTION_BROKE, CONNECTION_SILENT, PROBE_FAILED,
             SOCKET_OPTIONS_FAILED,
@@ -66,7 +66,7 @@
     pub async fn run(mut self, first: Job) {
         let (mut job, mut kept) = (first, None);
         loop {
-            let (class, reply) = (job.class, job.reply.clone());
+            let (class, reply) = (job.terms.class, job.reply.clone());
             let (result, open) = self.serve(kept, job).await;
             let open = open.filter(|open| open.connection.is_usable());
             let offered = open.is_some() && self.permit.put_idle(class, self.job_tx.clone());
@@ -95,7 +95,7 @@
                 result => return (result, Some(open)),
             }
         }
-        match self.connect(job.deadline).await {
+        match self.connect(job.terms.deadline).await {
             Ok(mut open) => (self.exchange(&mut open, &job, false).await, Some(open)),
             Err(err) => {
                 log_event!(self.shared.log, CONNECT_FAILED; "error" => err.to_string());
@@ -182,14 +182,19 @@
         let started = Instant::now();
         let progress = open.connection.progress();
         let read_before = progress.read();
-        let exchange =
-            async { End::Done(open.connection.exchange(&job.request, job.deadline).await) };
-        let watch = async { End::Silent(self.watch(&progress, job.class, started).await) };
+        let exchange = async {
+            End::Done(
+                open.connection
+                    .exchange(&job.request, job.terms.deadline)
+                    .await,
+            )
+        };
+        let watch = async { End::Silent(self.watch(&progress, job.terms, started).await) };
         match future::or(exchange, watch).await {
             End::Done(Ok(response)) => {
                 open.last_sign = Instant::now();
                 self.shared
-                    .record_answered(job.class, open.last_sign - started);
+                    .record_answered(job.terms.class, open.last_sign - started);
                 SendResult::Answered(response)
             }
             End::Done(Err(err)) => self.failed(err, reused && progress.read() == read_before),
@@ -197,7 +202,7 @@
                 let peer = self.shared.peer;
                 log_event!(self.shared.log, CONNECTION_SILENT; "peer" => peer.to_string(),
                     "waited_ms" => u64::try_from(waited.as_millis()).unwrap_or(u64::MAX));
-                self.shared.record_silent(job.class, waited);
+                self.shared.record_silent(job.terms.class, waited);
                 self.shared.found_silent();
                 SendResult::Unknown(Unknown::Silent { peer, waited })
             }
@@ -224,8 +229,8 @@
     ///
     /// A straggler of long work takes many times longer than anything seen before, so long work counts as silent only
     /// when another connection of the pool was found silent since it began.
-    async fn watch(&self, progress: &Progress, class: WorkClass, started: Instant) -> Duration {
-        let Some(patience) = self.shared.patience(class) else {
+    async fn watch(&self, progress: &Progress, terms: Terms, started: Instant) -> Duration {
+        let Some(patience) = self.shared.patience(terms) else {
             return future::pending().await;
         };
         let (mut last, mut since) = ((progress.written(), progress.read()), started);
@@ -236,7 +241,8 @@
                 (last, since) = (now, Instant::now());
             }
             let waited = since.elapsed();
-            if waited >= patience && (class != WorkClass::Long || self.shared.silent_since(started))
+            if waited >= patience
+                && (terms.class != WorkClass::Long || self.shared.silent_since(started))
             {
                 return waited;
             }
--- a/crates/backend/tests/common/mod.rs
+++ b/crates/backend/tests/common/mod.rs
@@ -3,7 +3,8 @@
 #![allow(dead_code, reason = "the test files use different subsets")]
 
 use {
-    ragwortreel_backend::{BackendPool, PoolLimits},
+    ragwortreel_backend::{BackendPool, PoolLimits, Terms},
+    ragwortreel_model::WorkClass,
     ragwortreel_runtime::discard_logger,
     std::{
         collections::BTreeMap,
@@ -126,6 +127,11 @@
     }
 }
 
-pub fn within(limit_ms: u64) -> Instant {
-    Instant::now() + Duration::from_millis(limit_ms)
+/// Terms of a request that must not be sent again.
+pub fn terms(class: WorkClass, limit_ms: u64) -> Terms {
+    Terms {
+        class,
+        deadline: Instant::now() + Duration::from_millis(limit_ms),
+        resendable: false,
+    }
 }
--- a/crates/backend/tests/history.rs
+++ b/crates/backend/tests/history.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Backend, within},
+    common::{Backend, terms},
     ragwortreel_backend::{PoolLimits, SendResult},
     ragwortreel_http::Request,
     ragwortreel_model::{Outcome, WorkClass},
@@ -49,7 +49,7 @@
                     let kind = KINDS[(number * 5 + task * 3 + number / 8) % KINDS.len()];
                     let target = format!("/{kind}/{}/{task}/{number}", number % 20);
                     let request = Request::get(target.as_str());
-                    let result = pool.send(request, WorkClass::Short, within(70)).await;
+                    let result = pool.send(request, terms(WorkClass::Short, 70)).await;
                     history.push((target, result));
                     let open = pool.stats().open;
                     assert!(open <= MAX_CONNECTIONS, "{open} connections");
--- a/crates/backend/tests/pool.rs
+++ b/crates/backend/tests/pool.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Backend, within},
+    common::{Backend, terms},
     ragwortreel_backend::{BackendPool, NotRun, PoolLimits, Probe, SendResult, Unknown},
     ragwortreel_http::{Request, Sent},
     ragwortreel_model::{Outcome, WorkClass},
@@ -25,7 +25,7 @@
 }
 
 fn send_as(pool: &BackendPool, target: &str, class: WorkClass, limit_ms: u64) -> SendResult {
-    block_on(pool.send(Request::get(target), class, within(limit_ms)))
+    block_on(pool.send(Request::get(target), terms(class, limit_ms)))
 }
 
 fn send(pool: &BackendPool, target: &str) -> SendResult {
@@ -187,6 +187,26 @@
     assert_eq!(pool.stats().silent, 1);
 }
 
+// Guards against requests that could be sent again missing their deadlines on silent connections.
+#[test]
+fn resendable_request_is_told_early() {
+    let backend = Backend::start();
+    let pool = backend.pool(PoolLimits::default());
+    for _ in 0..16 {
+        assert_answered(&send(&pool, "/ok"), "/ok");
+    }
+    backend.silence();
+    let mut terms = terms(WorkClass::Short, 900);
+    terms.resendable = true;
+    let result = block_on(pool.send(Request::get("/ok/1"), terms));
+    assert!(matches!(
+        result,
+        SendResult::Unknown(Unknown::Silent { .. })
+    ));
+    let result = block_on(pool.send(Request::get("/ok/2"), terms));
+    assert_answered(&result, "/ok/2");
+}
+
 // Guards against deadlines shorter than the silence time hiding silent connections from all later requests.
 #[test]
 fn deadline_without_a_sign_of_life_replaces_idle_connections() {
@@ -299,7 +319,7 @@
     let other = Arc::clone(&pool);
     let busy = spawn(async move {
         let request = Request::get("/delay/150");
-        other.send(request, WorkClass::Short, within(5000)).await
+        other.send(request, terms(WorkClass::Short, 5000)).await
     });
     block_on(sleep_ms(50));
     block_on(pool.drain());
