--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
 mod report;
+mod silent;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
 
@@ -17,7 +18,11 @@
 }
 
 /// All cases, in the order of the design page.
-const CASES: &[Case] = &[];
+const CASES: &[Case] = &[Case {
+    name: "silent",
+    about: "open connections go silent while new ones work",
+    run: silent::run,
+}];
 
 fn main() -> ExitCode {
     match run() {
--- a/crates/backend/src/latency.rs
+++ b/crates/backend/src/latency.rs
@@ -61,16 +61,14 @@
 
     /// Like [`Self::patience`] for a request that may be sent again, with this time left until its deadline.
     ///
-    /// It is short enough for two more attempts, but far longer than anything seen; without enough samples it is not
-    /// shortened.
-    pub fn resend_patience(&self, floor: Duration, left: Duration) -> Duration {
-        let longest = self
-            .longest_answered()
-            .filter(|_| self.samples.len() >= RECENT);
-        let shortened = match longest {
-            Some(longest) => (left / RESEND_SHARE).max(longest * RESEND_FACTOR),
-            None => floor,
-        };
+    /// It is short enough for two more attempts, but far longer than anything seen; with fewer than `min_samples` it
+    /// is not shortened.
+    pub fn resend_patience(&self, floor: Duration, left: Duration, min_samples: usize) -> Duration {
+        if self.samples.len() < min_samples {
+            return self.patience(floor);
+        }
+        let longest = self.longest_answered().unwrap_or_default();
+        let shortened = (left / RESEND_SHARE).max(longest * RESEND_FACTOR);
         self.patience(shortened.max(MIN_RESEND_PATIENCE).min(floor))
     }
 
--- a/crates/backend/src/latency/tests.rs
+++ b/crates/backend/src/latency/tests.rs
@@ -44,11 +44,11 @@
 #[test]
 fn resend_patience_leaves_time_for_another_attempt() {
     let mut latency = Latency::default();
-    assert_eq!(latency.resend_patience(FLOOR, seconds(1)), FLOOR);
+    assert_eq!(latency.resend_patience(FLOOR, seconds(1), 16), FLOOR);
     for _ in 0..16 {
         latency.record_answered(Duration::from_millis(10));
     }
-    let patience = |left_ms| latency.resend_patience(FLOOR, Duration::from_millis(left_ms));
+    let patience = |left_ms| latency.resend_patience(FLOOR, Duration::from_millis(left_ms), 16);
     assert_eq!(patience(900), Duration::from_millis(300));
     assert_eq!(patience(30), Duration::from_millis(100));
     assert_eq!(patience(60_000), FLOOR);
@@ -61,6 +61,6 @@
     for _ in 0..16 {
         latency.record_answered(Duration::from_millis(200));
     }
-    let patience = latency.resend_patience(FLOOR, Duration::from_millis(300));
+    let patience = latency.resend_patience(FLOOR, Duration::from_millis(300), 16);
     assert_eq!(patience, Duration::from_millis(1600));
 }
--- a/crates/backend/src/state.rs
+++ b/crates/backend/src/state.rs
@@ -13,6 +13,9 @@
     },
 };
 
+/// Samples after which the silence time of short work is shortened for requests that may be sent again.
+const MIN_SHORT_SAMPLES: usize = 16;
+
 /// A request on its way to a connection's task.
 pub struct Job {
     pub request: Request,
@@ -237,9 +240,9 @@
         let floor = self.limits.silence_time?;
         let left = terms.deadline.saturating_duration_since(Instant::now());
         let state = self.lock();
-        let learned = |latency: &Latency, floor| {
+        let learned = |latency: &Latency, floor, min_samples| {
             if terms.resendable {
-                latency.resend_patience(floor, left)
+                latency.resend_patience(floor, left, min_samples)
             } else {
                 latency.patience(floor)
             }
@@ -247,12 +250,13 @@
         Some(match terms.class {
             WorkClass::Urgent | WorkClass::Short => {
                 let most = self.limits.max_short_silence.max(floor);
-                learned(&state.short_latency, floor).min(most)
+                learned(&state.short_latency, floor, MIN_SHORT_SAMPLES).min(most)
+            }
+            // No samples are needed, because long work is given up only beside another silent connection.
+            WorkClass::Long => {
+                let floor = self.limits.long_silence_time.max(floor);
+                learned(&state.long_latency, floor, 0)
             }
-            WorkClass::Long => learned(
-                &state.long_latency,
-                self.limits.long_silence_time.max(floor),
-            ),
         })
     }
 }
