--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod cell;
 mod place;
 mod report;
+mod silent;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
 
@@ -19,11 +20,24 @@
 }
 
 /// All cases, in the order of the design page.
-const CASES: &[Case] = &[Case {
-    name: "place",
-    about: "cost and packing of single placements",
-    run: || Ok(place::run()),
-}];
+const CASES: &[Case] = &[
+    case("place", "cost and packing of single placements", || {
+        Ok(place::run())
+    }),
+    case(
+        "silent",
+        "open connections go silent while new ones work",
+        silent::run,
+    ),
+];
+
+const fn case(
+    name: &'static str,
+    about: &'static str,
+    run: fn() -> Result<Vec<Measure>, String>,
+) -> Case {
+    Case { name, about, run }
+}
 
 fn main() -> ExitCode {
     match run() {
