platform: settle claims whose caller stops waiting

A caller's deadline often drops the future of begin, complete or release. The claim then stayed unknown for good, although nothing ran or the answer was known. complete and release now go on without their caller, and a dropped begin releases what it may have written.

--- a/crates/platform/src/once.rs
+++ b/crates/platform/src/once.rs
@@ -16,11 +16,12 @@
 use {
     crate::api::{PlatformError, Row, TableService, TxnOutcome},
     ragwortreel_model::Team,
-    ragwortreel_runtime::{Logger, sleep, timeout_at},
+    ragwortreel_runtime::{Logger, sleep, spawn, timeout_at},
     record::{ClaimRecord, ClaimState, claim_key, current_minute, to_hex},
     settle::{Background, Settled, Settlement, claim_txn, state_txn},
     sha2::{Digest, Sha256},
     std::{
+        future::Future,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -148,6 +149,8 @@
     }
 
     /// Claims a request. A claim that someone else holds is waited for until the deadline.
+    ///
+    /// When the future is dropped, a claim that it may have written is released in the background.
     pub async fn begin(&self, team: &Team, key: &str, digest: &str, deadline: Instant) -> Begin {
         let number = self.shared.next.fetch_add(1, Ordering::Relaxed);
         let mut attempt = Attempt {
@@ -156,16 +159,15 @@
             holder: Arc::from(format!("{}.{number}", self.shared.holder)),
             digest: Arc::from(digest),
             unanswered: 0,
+            is_settled: false,
         };
         let begin = attempt.run(deadline).await;
-        if attempt.unanswered > 0 && !matches!(begin, Begin::Run(_)) {
-            attempt.release_later();
-        }
+        attempt.is_settled = matches!(begin, Begin::Run(_));
         begin
     }
 }
 
-/// One call of [`OnceClaims::begin`].
+/// One call of [`OnceClaims::begin`]; dropping it releases what it may have claimed and not handed over.
 struct Attempt<'a> {
     shared: &'a Arc<Shared>,
     key: Arc<str>,
@@ -173,6 +175,16 @@
     digest: Arc<str>,
     /// Claim writes of this call that may have taken effect or may still do so.
     unanswered: u32,
+    /// Whether the caller holds the claim.
+    is_settled: bool,
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        if self.unanswered > 0 && !self.is_settled {
+            self.release_later();
+        }
+    }
 }
 
 impl Attempt<'_> {
@@ -253,7 +265,12 @@
         let record = self.record(old.as_ref().map_or(0, |(_, record)| record.attempt) + 1);
         let txn = claim_txn(&self.key, old.as_ref(), &record);
         let commit = self.shared.table.commit(txn);
+        // Counted before the answer, so that a call that is dropped while it waits is not forgotten.
+        self.unanswered += 1;
         let outcome = timeout_at(deadline, commit).await;
+        if !matches!(outcome, Err(_) | Ok(Err(PlatformError::Unknown { .. }))) {
+            self.unanswered -= 1;
+        }
         match outcome.unwrap_or_else(|_| Err(no_time("claim"))) {
             Ok(TxnOutcome::Committed { versions }) => {
                 let version = versions.first().copied().unwrap_or_default();
@@ -264,13 +281,10 @@
                 Ok(Claimed::Not(ClaimRow::from(row)))
             }
             Err(err @ PlatformError::NotDone { .. }) => Err(err),
-            Err(err @ PlatformError::Unknown { .. }) => {
-                self.unanswered += 1;
-                match self.read(deadline).await? {
-                    ClaimRow::Absent if self.unanswered >= CLAIM_TRIES => Err(err),
-                    row => Ok(Claimed::Not(row)),
-                }
-            }
+            Err(err @ PlatformError::Unknown { .. }) => match self.read(deadline).await? {
+                ClaimRow::Absent if self.unanswered >= CLAIM_TRIES => Err(err),
+                row => Ok(Claimed::Not(row)),
+            },
         }
     }
 
@@ -350,17 +364,32 @@
     }
 
     /// Stores the answer, so that repeats of the request get it.
+    ///
+    /// When the future is dropped, the work goes on without it.
     pub async fn complete(self, answer: StoredAnswer) -> Stored {
         let answer = answer.fits().then_some(answer);
         self.settle(ClaimState::Answered { answer }).await
     }
 
     /// Releases the claim on proof that the request did not run.
+    ///
+    /// When the future is dropped, the work goes on without it.
     pub async fn release(self) -> Stored {
         self.settle(ClaimState::Released).await
     }
 
-    async fn settle(self, goal: ClaimState) -> Stored {
+    // A caller's deadline often ends the wait; the claim must not stay unknown for that reason.
+    fn settle(self, goal: ClaimState) -> impl Future<Output = Stored> {
+        let (done_tx, done_rx) = async_channel::bounded(1);
+        spawn(async move {
+            // The caller may be gone.
+            let _ = done_tx.try_send(self.settle_now(goal).await);
+        })
+        .detach();
+        async move { done_rx.recv().await.unwrap_or(Stored::Later) }
+    }
+
+    async fn settle_now(self, goal: ClaimState) -> Stored {
         let wanted = self.record.with_state(goal.clone());
         let txn = state_txn(&self.key, self.version, &wanted);
         let outcome = self.shared.table.commit(txn).await;
--- a/crates/platform/tests/once.rs
+++ b/crates/platform/tests/once.rs
@@ -14,7 +14,7 @@
             sweep,
         },
     },
-    ragwortreel_runtime::{block_on, discard_logger, sleep_ms, spawn},
+    ragwortreel_runtime::{block_on, discard_logger, sleep_ms, spawn, timeout_ms},
     ragwortreel_standins::{Faults, Limits, MemoryPlatform, Outage},
     std::{
         collections::BTreeMap,
@@ -444,6 +444,40 @@
     });
 }
 
+// Guards against a request that stays unknown because its caller's deadline ended the wait for the table.
+#[test]
+fn dropped_calls_are_settled_in_the_background() {
+    block_on(async {
+        let platform = MemoryPlatform::new();
+        let first = claims(&platform, "a");
+        let (digest, team) = (DIGEST, team());
+        // The write takes effect although its caller is gone before the read that follows it has ended.
+        platform.faults().set(Faults {
+            latency_ms: 30,
+            late_writes_ppm: 1_000_000,
+            late_write_ms: 100,
+            ..Faults::default()
+        });
+        let begin = first.begin(&team, "begun", digest, soon(5_000));
+        assert!(timeout_ms(50, begin).await.is_err());
+        platform.faults().clear();
+        let claim = must_run(&first, "released").await;
+        platform.faults().update(|f| f.latency_ms = 100);
+        assert!(timeout_ms(50, claim.release()).await.is_err());
+        platform.faults().clear();
+        let claim = must_run(&first, "completed").await;
+        platform.faults().update(|f| f.latency_ms = 100);
+        assert!(timeout_ms(50, claim.complete(answer("x"))).await.is_err());
+        platform.faults().clear();
+        sleep_ms(500).await;
+        let other = claims(&platform, "b");
+        must_run(&other, "begun").await.release().await;
+        must_run(&other, "released").await.release().await;
+        let repeat = other.begin(&team, "completed", digest, soon(500)).await;
+        assert!(matches!(repeat, Begin::Replay(_)), "{repeat:?}");
+    });
+}
+
 // Guards against a row that no longer fits a transaction.
 #[test]
 fn an_answer_that_is_too_large_is_not_replayed() {
