control: test settings races and show that the checkers find broken variants

The checkers find a missing epoch fence, a restart without proof and a missing version check, each made by a switch of the test's gate or timings.

--- a/crates/control/tests/support/gate.rs
+++ b/crates/control/tests/support/gate.rs
@@ -4,6 +4,7 @@
 
 use {
     async_trait::async_trait,
+    ragwortreel_model::Epoch,
     ragwortreel_platform::{
         InstanceList, ListedInstance, ObjectStore, PlatformError, Row, TableService, Txn,
         TxnOutcome,
@@ -32,6 +33,12 @@
     lose_commits: AtomicU32,
     /// Starts whose answers are lost after they took effect.
     lose_starts: AtomicU32,
+    /// Holds back starts on their way to workers.
+    hold_starts: AtomicBool,
+    /// Breaks the fence: workers are told one and the same epoch by all owners.
+    pub fence_off: AtomicBool,
+    /// Breaks compare-and-set: settings are written without their conditions.
+    pub version_check_off: AtomicBool,
 }
 
 impl Gate {
@@ -47,6 +54,17 @@
         self.paused.store(false, Ordering::SeqCst);
     }
 
+    pub fn hold_starts(&self, hold: bool) {
+        self.hold_starts.store(hold, Ordering::SeqCst);
+    }
+
+    fn epoch(&self, epoch: Epoch) -> Epoch {
+        if self.fence_off.load(Ordering::SeqCst) {
+            return Epoch(1);
+        }
+        epoch
+    }
+
     pub fn kill(&self) {
         self.killed.store(true, Ordering::SeqCst);
     }
@@ -124,7 +142,14 @@
 
 #[async_trait]
 impl TableService for Gated {
-    async fn commit(&self, txn: Txn) -> Result<TxnOutcome, PlatformError> {
+    async fn commit(&self, mut txn: Txn) -> Result<TxnOutcome, PlatformError> {
+        let is_settings = txn
+            .writes
+            .iter()
+            .any(|write| &*write.key == "settings/head");
+        if is_settings && self.gate.version_check_off.load(Ordering::SeqCst) {
+            txn.checks.clear();
+        }
         let platform = Arc::clone(&self.platform);
         let answer = self
             .gate
@@ -214,7 +239,8 @@
 
 macro_rules! carried {
     ($self:ident, $req:ident, $call:ident) => {{
-        let (client, req) = (Arc::clone(&$self.client), $req.clone());
+        let (client, mut req) = (Arc::clone(&$self.client), $req.clone());
+        req.epoch = $self.gate.epoch(req.epoch);
         $self
             .gate
             .carry(async move { client.$call(&req).await })
@@ -229,7 +255,19 @@
     }
 
     async fn start(&self, req: &StartRequest) -> Result<StartReply, WorkerError> {
-        let answer = carried!(self, req, start);
+        let (client, gate, mut req) = (
+            Arc::clone(&self.client),
+            Arc::clone(&self.gate),
+            req.clone(),
+        );
+        req.epoch = gate.epoch(req.epoch);
+        let start = async move {
+            while gate.hold_starts.load(Ordering::SeqCst) {
+                sleep_ms(2).await;
+            }
+            client.start(&req).await
+        };
+        let answer = self.gate.carry(start).await;
         if Gate::takes(&self.gate.lose_starts) {
             return Err(WorkerError::Unknown {
                 step: "start",
