--- /dev/null
+++ b/crates/control/tests/members.rs
@@ -0,0 +1,344 @@
+//! Members of a zone: partitions, restarts at the same address, slot epochs and quotas.
+
+mod support;
+
+use {
+    ragwortreel_control::{SettingsChange, SlotShares},
+    ragwortreel_model::{InstanceId, Resources, TeamSettings},
+    ragwortreel_runtime::{block_on, sleep_ms},
+    ragwortreel_standins::Outage,
+    std::collections::BTreeMap,
+    support::{Cell, job, name, team},
+};
+
+const SLOTS: usize = 24;
+
+/// A simple division for the tests: slots go round the members.
+fn holder(members: &[InstanceId], slot: usize) -> Option<&InstanceId> {
+    members.get(slot % members.len().max(1))
+}
+
+/// Whether an instance would use a slot now.
+fn uses(shares: &SlotShares, own: &InstanceId, slot: usize, now_ms: u64) -> bool {
+    let others: Vec<_> = shares
+        .members
+        .iter()
+        .filter(|id| *id != own)
+        .cloned()
+        .collect();
+    let unreleased = shares.earlier.iter().any(|earlier| {
+        holder(&earlier.members, slot).is_some_and(|id| earlier.unreleased.contains(id))
+    });
+    let withheld = holder(&others, slot).is_some_and(|id| shares.withheld_for.contains(id));
+    holder(&shares.members, slot) == Some(own)
+        && now_ms < shares.lease_until_ms
+        && !unreleased
+        && !withheld
+}
+
+/// The instances that would use each slot now.
+fn users(cell: &Cell) -> Vec<Vec<String>> {
+    use ragwortreel_model::Clock as _;
+    let shares: BTreeMap<_, _> = (cell.instances.iter())
+        .map(|(id, instance)| (id, (&instance.id, instance.control.slot_shares_input())))
+        .collect();
+    let now_ms = cell.clock.now_ms();
+    let user = |slot| {
+        let using = shares
+            .iter()
+            .filter(|(_, (own, shares))| uses(shares, own, slot, now_ms));
+        using.map(|(id, _)| (*id).clone()).collect()
+    };
+    (0..SLOTS).map(user).collect()
+}
+
+/// Watches for a time that no slot has two users, until a condition holds.
+async fn watch(cell: &Cell, what: &str, holds: impl Fn(&[Vec<String>]) -> bool) {
+    cell.until(what, |cell| {
+        let users = users(cell);
+        assert!(
+            users.iter().all(|users| users.len() <= 1),
+            "{what}: {users:?}"
+        );
+        holds(&users)
+    })
+    .await;
+}
+
+async fn watch_for(cell: &Cell, what: &str, real_ms: u64) {
+    let since = std::time::Instant::now();
+    let limit = std::time::Duration::from_millis(real_ms);
+    watch(cell, what, |_| since.elapsed() > limit).await;
+}
+
+fn all_used(users: &[Vec<String>]) -> bool {
+    users.iter().all(|users| users.len() == 1)
+}
+
+async fn three_members() -> Cell {
+    let mut cell = Cell::new(&["riga-a"], 0);
+    for id in ["e1", "e2", "e3"] {
+        cell.start(id, "riga-a");
+    }
+    watch(&cell, "all slots used", all_used).await;
+    let members = |cell: &Cell| cell.any().slot_shares_input().members.len();
+    cell.until("three members", |cell| members(cell) == 3).await;
+    watch(&cell, "all slots used by three", all_used).await;
+    cell.ready().await;
+    cell
+}
+
+/// A dead member's slots must come back, and at no time may two members use one.
+#[test]
+fn slots_of_a_dead_member_come_back() {
+    block_on(async {
+        let mut cell = three_members().await;
+        cell.kill("e2");
+        watch(&cell, "all slots used by the others", all_used).await;
+        cell.start("e2", "riga-a");
+        let is_back = |users: &[Vec<String>]| all_used(users) && users[1] == ["e2"];
+        watch(&cell, "the restarted member has its share", is_back).await;
+    });
+}
+
+/// A paused member must not use slots that others took over, also right after it resumes.
+#[test]
+fn paused_member_loses_its_slots() {
+    block_on(async {
+        let cell = three_members().await;
+        cell.instances["e2"].gate.pause();
+        watch(&cell, "all slots used by the others", |users| {
+            all_used(users) && !users.iter().any(|users| users[0] == "e2")
+        })
+        .await;
+        cell.instances["e2"].gate.resume();
+        watch(&cell, "it has a share again", |users| {
+            all_used(users) && users.iter().any(|users| users[0] == "e2")
+        })
+        .await;
+    });
+}
+
+/// While the table is down the members confirm each other, so routing goes on.
+#[test]
+fn members_confirm_each_other_without_the_table() {
+    block_on(async {
+        let cell = three_members().await;
+        cell.platform
+            .faults()
+            .update(|faults| faults.outage = Some(Outage::Refuse));
+        sleep_ms(1_000).await;
+        let mut used = 0;
+        for _ in 0..50 {
+            let users = users(&cell);
+            assert!(users.iter().all(|users| users.len() <= 1), "{users:?}");
+            used += usize::from(all_used(&users));
+            sleep_ms(10).await;
+        }
+        assert!(used > 0, "no member confirms");
+        cell.platform.faults().clear();
+        watch(&cell, "all used after the outage", all_used).await;
+    });
+}
+
+/// A member that is silent to one other, but alive, may drop it; what it would inherit must stay unused.
+#[test]
+fn slots_are_withheld_for_a_silent_member() {
+    block_on(async {
+        let cell = three_members().await;
+        let address = |id: &str| cell.instances[id].address;
+        cell.network.cut(address("e1"), address("e2"));
+        cell.network.cut(address("e2"), address("e1"));
+        cell.platform
+            .faults()
+            .update(|faults| faults.outage = Some(Outage::Refuse));
+        cell.until("e1 withholds for e2", |cell| {
+            let shares = cell.control("e1").slot_shares_input();
+            shares.withheld_for.contains(&name(InstanceId::new, "e2"))
+        })
+        .await;
+        watch_for(&cell, "during the outage", 1_000).await;
+        cell.platform.faults().clear();
+        cell.network.heal();
+        watch(&cell, "all used after the outage", all_used).await;
+    });
+}
+
+/// Loss in one direction must show as such, and must not cost a live owner its pool.
+#[test]
+fn one_way_loss_is_told_apart() {
+    block_on(async {
+        let cell = three_members().await;
+        let owner = cell.owner("riga-a").expect("an owner");
+        let before = cell.control(&owner).figures().takeovers;
+        cell.network
+            .cut(cell.instances["e1"].address, cell.instances["e2"].address);
+        let link = |cell: &Cell, from: &str, to: &str| {
+            let members = cell.control(from).members();
+            members
+                .into_iter()
+                .find(|member| member.instance.as_str() == to)
+                .map(|member| member.link)
+        };
+        cell.until("e1 hears e2 but has no answers", |cell| {
+            link(cell, "e1", "e2").is_some_and(|link| link.calls_us && !link.answers)
+        })
+        .await;
+        cell.until("e2 neither hears e1 nor has answers", |cell| {
+            link(cell, "e2", "e1").is_some_and(|link| !link.calls_us && !link.answers)
+        })
+        .await;
+        sleep_ms(1_000).await;
+        assert_eq!(cell.owner("riga-a"), Some(owner.clone()));
+        assert_eq!(cell.control(&owner).figures().takeovers, before);
+    });
+}
+
+/// A process that takes the place of another at the same address must not be taken for it.
+#[test]
+fn restart_at_the_same_address_has_a_new_incarnation() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a"], 2);
+        cell.start("e1", "riga-a");
+        cell.start("e2", "riga-a");
+        cell.ready().await;
+        let owner = cell.owner("riga-a").expect("an owner");
+        cell.submit(&owner, job("j", 4, Some(10_000))).await;
+        cell.until("four run", |cell| cell.running() == 4).await;
+        cell.kill(&owner);
+        cell.start(&owner, "riga-a");
+        cell.until("a new owner", |cell| cell.owner("riga-a").is_some())
+            .await;
+        cell.until_succeeded("j").await;
+        assert_eq!(cell.fleet.history().runs().len(), 4);
+        cell.assert_sound();
+    });
+}
+
+/// A zone that is cut off keeps its tasks; whoever owns its pool afterwards must not double them.
+#[test]
+fn cut_off_zone_keeps_its_tasks() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a", "riga-b"], 2);
+        for (id, zone) in [
+            ("e1", "riga-a"),
+            ("e2", "riga-a"),
+            ("e3", "riga-b"),
+            ("e4", "riga-b"),
+        ] {
+            cell.start(id, zone);
+        }
+        cell.ready().await;
+        let mut spec = job("j", 6, Some(60_000));
+        spec.zone = Some(cell.zones[1].clone());
+        cell.submit("e1", spec).await;
+        cell.until("six run", |cell| cell.running() == 6).await;
+        let (near, far) = (cell.zones[0].clone(), cell.zones[1].clone());
+        cell.platform.faults().update(|faults| {
+            faults.cut_zones.insert(far);
+        });
+        for worker in &cell.workers[2..] {
+            let near = near.clone();
+            worker.faults().update(|faults| {
+                faults.cut_zones.insert(near);
+            });
+        }
+        for from in ["e1", "e2"] {
+            for to in ["e3", "e4"] {
+                let (one, two) = (cell.instances[from].address, cell.instances[to].address);
+                cell.network.cut(one, two);
+                cell.network.cut(two, one);
+            }
+        }
+        // Longer than the lease of the tasks and the takeover by the other zone.
+        sleep_ms(20_000 / support::SPEED).await;
+        assert_eq!(cell.running(), 6);
+        cell.platform.faults().clear();
+        for worker in &cell.workers {
+            worker.faults().clear();
+        }
+        cell.network.heal();
+        cell.until_succeeded("j").await;
+        assert_eq!(cell.fleet.history().runs().len(), 6);
+        cell.assert_sound();
+    });
+}
+
+/// Two pools together must not run more of a team's tasks than its quota holds.
+#[test]
+fn pools_share_a_quota() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a", "riga-b"], 3);
+        cell.start("e1", "riga-a");
+        cell.start("e2", "riga-b");
+        cell.ready().await;
+        let branch = TeamSettings {
+            quota: Resources::new(6_000, 256 * 1024, 0),
+            ..TeamSettings::default()
+        };
+        let base = cell.any().settings().version;
+        let change = SettingsChange::Team(team(), Some(branch));
+        let version = cell
+            .any()
+            .change_settings(base, change)
+            .await
+            .expect("accepted");
+        cell.until("in force", |cell| {
+            cell.instances
+                .values()
+                .all(|instance| instance.control.settings().version >= version)
+        })
+        .await;
+        for (index, zone) in cell.zones.iter().enumerate() {
+            let mut spec = job(&format!("j{index}"), 10, Some(1_000));
+            spec.zone = Some(zone.clone());
+            cell.submit("e1", spec).await;
+        }
+        let ended = |cell: &Cell, id: &str| {
+            cell.job_state(id)
+                .is_some_and(ragwortreel_model::JobState::is_final)
+        };
+        let mut most = 0;
+        cell.until("both jobs end", |cell| {
+            most = most.max(cell.running());
+            ended(cell, "j0") && ended(cell, "j1")
+        })
+        .await;
+        assert!(most <= 6, "{most} tasks ran at once");
+        assert_eq!(cell.fleet.history().runs().len(), 20);
+        cell.assert_sound();
+    });
+}
+
+/// A planned stop hands over pools and slots without waiting for leases to expire, and no task notices.
+#[test]
+fn leaving_instance_hands_over() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a"], 2);
+        for id in ["e1", "e2"] {
+            cell.start(id, "riga-a");
+        }
+        cell.ready().await;
+        let owner = cell.owner("riga-a").expect("an owner");
+        cell.submit(&owner, job("j", 4, Some(8_000))).await;
+        cell.until("four run", |cell| cell.running() == 4).await;
+        cell.control(&owner).leave().await;
+        cell.until("the other owns the pool", |cell| {
+            cell.owner("riga-a").is_some_and(|now| now != owner)
+        })
+        .await;
+        let left = name(InstanceId::new, &owner);
+        assert!(
+            !cell
+                .control(&owner)
+                .slot_shares_input()
+                .members
+                .contains(&left)
+        );
+        assert!(!cell.control(&owner).is_ready());
+        cell.kill(&owner);
+        cell.until_succeeded("j").await;
+        assert_eq!(cell.fleet.history().runs().len(), 4);
+        cell.assert_sound();
+    });
+}
