--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,475 @@
+//! Assembly of an entry instance.
+//!
+//! [`start`] connects the parts: control (membership, pools, settings), routing (admission and slots), the HTTP
+//! interface and the entry link. [`Daemon::finish`] waits for the stop and carries it out gracefully.
+
+use {
+    crate::{
+        admin::DaemonAdmin,
+        burn::{BurnCounter, BurnCounts},
+        config::Config,
+        error::Error,
+        events,
+        forward::PeerForwarder,
+        jobs::DaemonJobs,
+        local::LocalService,
+        pooled::PooledTransport,
+        service_call::{Parts, ServiceRouter},
+        settings_api::DaemonSettings,
+        shares::{Place, follow_shares},
+        telemetry::Telemetry,
+    },
+    ragwortreel_caller::{ApiHandler, Authenticator},
+    ragwortreel_control::{
+        Connections, Control, ControlConfig, Limits, SettingsChange, Timings, ZoneConfig, pools_of,
+    },
+    ragwortreel_entry::{ClientLimits, EntryServer, TonicConnector},
+    ragwortreel_http::{Server, ServerLimits},
+    ragwortreel_model::{Clock, Incarnation, Settings, SystemClock},
+    ragwortreel_placement::Scheduler,
+    ragwortreel_platform::{
+        HttpPlatform, ResilientConfig, ResilientTable, TableService,
+        once::{OnceClaims, run_sweeps},
+    },
+    ragwortreel_routing::{Router, RouterConfig},
+    ragwortreel_runtime::{Logger, Stop, Task, log_event, sleep_ms, spawn, timeout_ms},
+    ragwortreel_worker::{HttpWorkerConnector, WorkerTimeouts},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Time limit of one call to a service of the platform.
+const PLATFORM_CALL: Duration = Duration::from_secs(1);
+/// Writes a second that claims and control of all instances may each send; together half of the service's rate.
+const WRITES_PER_S: f64 = 125.0;
+/// Reads a second that claims and control of all instances may each send; together half of the service's rate.
+const READS_PER_S: f64 = 500.0;
+/// Time between two samples of gauges, in ms.
+const SAMPLE_MS: u64 = 5_000;
+/// Time between two tries to write the initial settings, in ms.
+const INITIAL_RETRY_MS: u64 = 1_000;
+/// Time between the end of readiness and the end of listening, so that the platform's balancer notices, in ms.
+const UNREADY_MS: u64 = 500;
+
+/// A running entry instance.
+pub struct Daemon {
+    /// Address for callers and operators.
+    pub caller_address: SocketAddr,
+    /// Address for other entry instances.
+    pub entry_address: SocketAddr,
+    stop_ms: u64,
+    core: Core,
+    servers: Vec<Task<()>>,
+}
+
+/// Runs an entry instance until the stop is requested.
+///
+/// # Errors
+///
+/// Returns an error when a part cannot start.
+pub async fn run(config: Config, log: Logger, stop: Stop) -> Result<(), Error> {
+    start(&config, log, stop)?.finish().await;
+    Ok(())
+}
+
+/// Starts an entry instance.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound or the metrics cannot be set up.
+pub fn start(config: &Config, log: Logger, stop: Stop) -> Result<Daemon, Error> {
+    let telemetry = Telemetry::new().map_err(|err| Error::start("setting up metrics", &err))?;
+    let bind_failed = |err| Error::start("binding entry_address", &err);
+    let entry_server = EntryServer::bind(config.entry_address).map_err(bind_failed)?;
+    let entry_address = entry_server.local_addr().map_err(bind_failed)?;
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let linked = Stop::new();
+    let platform = Platform::connect(config, &log);
+    let core = Core {
+        telemetry: Arc::new(telemetry),
+        burn: Arc::new(BurnCounter::default()),
+        router: Router::new(
+            RouterConfig::new(
+                config.instance.clone(),
+                config.zone.clone(),
+                fastrand::u64(..),
+            ),
+            Arc::clone(&clock),
+        ),
+        control: start_control(config, entry_address, &platform, &clock, &log, &linked),
+        clock,
+        log,
+        stop,
+        serving: Stop::new(),
+        linked,
+    };
+    let services = core.services(config, &platform);
+    let auth = Arc::new(Authenticator::new());
+    let caller_server = core.caller_server(config, &auth, &services)?;
+    let caller_address = caller_server.local_addr();
+    core.spawn_followers(config, platform, auth, services);
+    let link = entry_server.serve(
+        core.control.entry_service(),
+        core.log.clone(),
+        core.linked.clone(),
+    );
+    let servers = vec![spawn(caller_server.run(core.serving.clone())), spawn(link)];
+    log_event!(core.log, events::STARTED;
+        "instance" => config.instance.as_str(), "zone" => config.zone.as_str(),
+        "caller_address" => caller_address.to_string(), "entry_address" => entry_address.to_string());
+    Ok(Daemon {
+        caller_address,
+        entry_address,
+        stop_ms: config.stop_ms,
+        core,
+        servers,
+    })
+}
+
+/// Parts that most others use.
+struct Core {
+    telemetry: Arc<Telemetry>,
+    burn: Arc<BurnCounter>,
+    router: Router,
+    control: Control,
+    clock: Arc<dyn Clock>,
+    log: Logger,
+    /// Requested by a signal or an operator.
+    stop: Stop,
+    /// Ends listening for callers.
+    serving: Stop,
+    /// Ends the entry link and control.
+    linked: Stop,
+}
+
+impl Core {
+    /// Makes the routing of requests and lets other instances use it.
+    fn services(&self, config: &Config, platform: &Platform) -> Arc<ServiceRouter> {
+        let forwarder = Arc::new(PeerForwarder::default());
+        forwarder.connect(self.control.clone());
+        let parts = Parts {
+            router: self.router.clone(),
+            transport: Arc::new(PooledTransport::new()),
+            once: OnceClaims::new(
+                Arc::clone(&platform.claims),
+                config.instance.as_str(),
+                self.log.clone(),
+            ),
+            forwarder,
+            clock: Arc::clone(&self.clock),
+            telemetry: Arc::clone(&self.telemetry),
+            burn: Arc::clone(&self.burn),
+            stop: self.serving.clone(),
+        };
+        let services = Arc::new(ServiceRouter::new(parts, self.control.settings()));
+        let local = LocalService::new(
+            config.instance.clone(),
+            Arc::clone(&services),
+            self.router.clone(),
+            self.control.clone(),
+        );
+        self.control.set_local_requests(Arc::new(local));
+        services
+    }
+
+    /// Binds the HTTP interface for callers and operators.
+    fn caller_server(
+        &self,
+        config: &Config,
+        auth: &Arc<Authenticator>,
+        services: &Arc<ServiceRouter>,
+    ) -> Result<Server, Error> {
+        let admin = DaemonAdmin::new(
+            config.instance.clone(),
+            self.control.clone(),
+            Arc::clone(&self.telemetry),
+            Arc::clone(&self.burn),
+            self.stop.clone(),
+        );
+        let handler = ApiHandler::new(
+            Arc::clone(auth),
+            Arc::clone(services) as Arc<_>,
+            Arc::new(DaemonJobs::new(self.control.clone())),
+            Arc::new(DaemonSettings::new(self.control.clone())),
+            Arc::new(admin),
+        );
+        let limits = ServerLimits::default();
+        Server::bind(
+            config.caller_address,
+            Arc::new(handler),
+            limits,
+            self.log.clone(),
+        )
+        .map_err(|err| Error::start("binding caller_address", &err))
+    }
+
+    /// Starts the tasks that keep the parts up to date.
+    fn spawn_followers(
+        &self,
+        config: &Config,
+        platform: Platform,
+        auth: Arc<Authenticator>,
+        services: Arc<ServiceRouter>,
+    ) {
+        let (control, router, linked) = (&self.control, &self.router, &self.linked);
+        let place = Place {
+            instance: config.instance.clone(),
+            zone: config.zone.clone(),
+        };
+        spawn(follow_settings(
+            control.clone(),
+            auth,
+            services,
+            self.log.clone(),
+        ))
+        .detach();
+        spawn(follow_shares(
+            place,
+            control.clone(),
+            router.clone(),
+            linked.clone(),
+        ))
+        .detach();
+        spawn(tick(router.clone(), linked.clone())).detach();
+        let telemetry = Arc::clone(&self.telemetry);
+        spawn(sample(
+            control.clone(),
+            router.clone(),
+            telemetry,
+            platform.figures,
+            linked.clone(),
+        ))
+        .detach();
+        spawn(run_sweeps(
+            platform.claims,
+            self.log.clone(),
+            linked.clone(),
+        ))
+        .detach();
+        if let Some(tree) = config.initial_settings.clone() {
+            spawn(write_initial(
+                control.clone(),
+                tree,
+                self.log.clone(),
+                linked.clone(),
+            ))
+            .detach();
+        }
+    }
+}
+
+impl Daemon {
+    /// Counts for the burn report.
+    #[must_use]
+    pub fn burn(&self) -> BurnCounts {
+        self.core.burn.counts()
+    }
+
+    /// The control part.
+    #[must_use]
+    pub fn control(&self) -> &Control {
+        &self.core.control
+    }
+
+    /// Waits for the stop and carries it out: readiness ends, pools and slots are handed over, requests in flight end.
+    pub async fn finish(self) {
+        let Core {
+            control,
+            router,
+            log,
+            stop,
+            serving,
+            linked,
+            ..
+        } = self.core;
+        stop.requested().await;
+        log_event!(log, events::STOPPING);
+        // Pools are handed over while requests still run; slots are released one by one as their requests end.
+        let leave = spawn(async move { control.leave().await });
+        sleep_ms(UNREADY_MS).await;
+        serving.request();
+        if timeout_ms(self.stop_ms, serving.drained()).await.is_err() {
+            log_event!(log, events::STOP_TIMEOUT; "in_flight" => serving.guards());
+        }
+        leave.await;
+        router.stop();
+        linked.request();
+        for server in self.servers {
+            let _ = timeout_ms(self.stop_ms, server).await;
+        }
+        log_event!(log, events::STOPPED);
+    }
+}
+
+/// Clients of the platform's services.
+struct Platform {
+    control: Arc<dyn TableService>,
+    claims: Arc<dyn TableService>,
+    objects: Arc<HttpPlatform>,
+    instances: Arc<HttpPlatform>,
+    figures: [Arc<ResilientTable>; 2],
+}
+
+impl Platform {
+    fn connect(config: &Config, log: &Logger) -> Self {
+        let client = |address| {
+            Arc::new(HttpPlatform::new(
+                address,
+                config.zone.clone(),
+                PLATFORM_CALL,
+            ))
+        };
+        // Control and claims have queues of their own, so that a burst of claims never delays a lease renewal.
+        let resilient = || {
+            let cfg = ResilientConfig {
+                writes_per_s: WRITES_PER_S,
+                reads_per_s: READS_PER_S,
+                ..ResilientConfig::default()
+            };
+            Arc::new(ResilientTable::new(
+                client(config.platform.table),
+                cfg,
+                log.clone(),
+            ))
+        };
+        let (control, claims) = (resilient(), resilient());
+        Self {
+            figures: [Arc::clone(&control), Arc::clone(&claims)],
+            control,
+            claims,
+            objects: client(config.platform.objects),
+            instances: client(config.platform.instances),
+        }
+    }
+}
+
+fn start_control(
+    config: &Config,
+    address: SocketAddr,
+    platform: &Platform,
+    clock: &Arc<dyn Clock>,
+    log: &Logger,
+    linked: &Stop,
+) -> Control {
+    let zone = |(zone, region): (&_, &Arc<str>)| ZoneConfig {
+        zone: Clone::clone(zone),
+        region: Arc::clone(region),
+    };
+    let zones: Vec<ZoneConfig> = config.zones.iter().map(zone).collect();
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let cfg = ControlConfig {
+        instance: config.instance.clone(),
+        zone: config.zone.clone(),
+        region: config
+            .zones
+            .get(&config.zone)
+            .cloned()
+            .unwrap_or_else(|| Arc::from("")),
+        address,
+        incarnation: Incarnation(u64::try_from(started.as_nanos()).unwrap_or(u64::MAX)),
+        pools: pools_of(&zones, config.pools_per_zone),
+        zones,
+        timings: Timings::default(),
+        limits: Limits::default(),
+    };
+    let connections = Connections {
+        table: Arc::clone(&platform.control),
+        objects: Arc::clone(&platform.objects) as Arc<_>,
+        list: Arc::clone(&platform.instances) as Arc<_>,
+        workers: Arc::new(HttpWorkerConnector::new(
+            config.zone.clone(),
+            WorkerTimeouts::default(),
+            log.clone(),
+        )),
+        peers: Arc::new(TonicConnector {
+            limits: ClientLimits::default(),
+        }),
+        schedulers: Arc::new(|pool| {
+            Box::new(Scheduler::new(
+                pool.clone(),
+                ragwortreel_placement::Config::default(),
+            ))
+        }),
+    };
+    Control::start(
+        cfg,
+        connections,
+        Arc::clone(clock),
+        log.clone(),
+        linked.clone(),
+    )
+}
+
+async fn follow_settings(
+    control: Control,
+    auth: Arc<Authenticator>,
+    services: Arc<ServiceRouter>,
+    log: Logger,
+) {
+    let changes = control.subscribe_settings();
+    while let Ok(settings) = changes.recv().await {
+        auth.update(&settings.settings);
+        let version = settings.version;
+        services.update_settings(settings);
+        log_event!(log, events::SETTINGS_IN_FORCE; "version" => version);
+    }
+}
+
+async fn tick(router: Router, stop: Stop) {
+    while !stop.is_requested() {
+        let wait_ms = router.tick().max(1);
+        sleep_ms(wait_ms).await;
+    }
+}
+
+async fn sample(
+    control: Control,
+    router: Router,
+    telemetry: Arc<Telemetry>,
+    tables: [Arc<ResilientTable>; 2],
+    stop: Stop,
+) {
+    while !stop.is_requested() {
+        let figures = control.figures();
+        telemetry.settings(figures.settings_version);
+        for pool in &figures.pools {
+            let share = pool.stats.reserved.dominant_share_ppm(&pool.stats.capacity);
+            telemetry.pool(&pool.pool, share, pool.stats.queued);
+        }
+        telemetry.routing(&router.figures());
+        let sums = tables.iter().map(|table| table.figures());
+        let (reads, writes) = sums.fold((0, 0), |(r, w), figures| {
+            (r + figures.reads, w + figures.writes)
+        });
+        telemetry.store(reads, writes);
+        sleep_ms(SAMPLE_MS).await;
+    }
+}
+
+/// Writes the tree of the daemon's settings when the table holds none yet.
+async fn write_initial(control: Control, tree: Settings, log: Logger, stop: Stop) {
+    while !stop.is_requested() {
+        if control.is_ready() {
+            if control.settings().version > 0 {
+                return;
+            }
+            match control
+                .change_settings(0, SettingsChange::Whole(tree.clone()))
+                .await
+            {
+                Ok(version) => {
+                    return log_event!(log, events::INITIAL_SETTINGS; "version" => version);
+                }
+                Err(err) => {
+                    log_event!(log, events::INITIAL_SETTINGS_FAILED; "problem" => err.to_string());
+                }
+            }
+        }
+        sleep_ms(INITIAL_RETRY_MS).await;
+    }
+}
