Send requests over connection pools and run each request to its end

Cause: a request whose caller went away freed its slot while the backend server still worked on it, so a ninth request could follow. Each request now runs in a task of its own. Pools follow this instance's share of connections.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -40,6 +40,11 @@
         self.shared.stats()
     }
 
+    /// Changes the most connections, when this instance's share of the backend server changes.
+    pub fn set_max_connections(&self, max_connections: usize) {
+        self.shared.set_max_connections(max_connections);
+    }
+
     /// Sends a request and waits for its whole response until the deadline.
     ///
     /// The request is sent at most once: another connection is used only when no byte was sent on the first. It is
--- a/crates/backend/src/state.rs
+++ b/crates/backend/src/state.rs
@@ -8,7 +8,10 @@
     ragwortreel_runtime::{Logger, Stop, StopGuard},
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -45,6 +48,8 @@
     pub log: Logger,
     /// Requested when the pool drains; each connection holds a guard.
     pub stop: Stop,
+    // Starts as the limit in `limits` and follows this instance's share of the backend server.
+    max_connections: AtomicUsize,
     // A lock, because taking a connection must not wait for a scheduler turn. It is never held across a wait.
     state: Mutex<State>,
 }
@@ -146,6 +151,7 @@
     pub fn new(peer: SocketAddr, limits: PoolLimits, log: Logger) -> Self {
         Self {
             peer,
+            max_connections: AtomicUsize::new(limits.max_connections),
             limits,
             log,
             stop: Stop::new(),
@@ -175,7 +181,7 @@
         if let Some(idle) = state.idle(class).pop() {
             return Place::Idle(idle.job_tx);
         }
-        if state.open < self.limits.max_connections {
+        if state.open < self.max_connections.load(Ordering::Relaxed) {
             state.open += 1;
             state.next_id += 1;
             let id = state.next_id;
@@ -198,6 +204,19 @@
         }
     }
 
+    /// Changes the most connections. Idle connections beyond it close; those in use end with their requests.
+    pub fn set_max_connections(&self, max_connections: usize) {
+        self.max_connections
+            .store(max_connections, Ordering::Relaxed);
+        let mut state = self.lock();
+        let excess = state.open.saturating_sub(max_connections);
+        let long = excess.min(state.idle_long.len());
+        let short = (excess - long).min(state.idle_short.len());
+        // A connection's task ends when its sender is dropped. The front holds the connections not used for longest.
+        state.idle_long.drain(..long);
+        state.idle_short.drain(..short);
+    }
+
     pub fn count_opened(&self) {
         self.lock().opened += 1;
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -33,7 +33,7 @@
     },
     ragwortreel_routing::{Router, RouterConfig},
     ragwortreel_runtime::{Logger, Stop, Task, log_event, sleep_ms, spawn, timeout_ms},
-    ragwortreel_worker::{HttpWorkerConnector, WorkerTimeouts},
+    ragwortreel_worker::HttpWorkerConnector,
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -147,12 +147,12 @@
 
 impl Core {
     /// Makes the routing of requests and lets other instances use it.
-    fn services(&self, config: &Config, platform: &Platform) -> Arc<ServiceRouter> {
+    fn services(&self, config: &Config, platform: &Platform) -> ServiceRouter {
         let forwarder = Arc::new(PeerForwarder::default());
         forwarder.connect(self.control.clone());
         let parts = Parts {
             router: self.router.clone(),
-            transport: Arc::new(PooledTransport::new()),
+            transport: Arc::new(PooledTransport::new(self.log.clone())),
             once: OnceClaims::new(
                 Arc::clone(&platform.claims),
                 config.instance.as_str(),
@@ -164,10 +164,10 @@
             burn: Arc::clone(&self.burn),
             stop: self.serving.clone(),
         };
-        let services = Arc::new(ServiceRouter::new(parts, self.control.settings()));
+        let services = ServiceRouter::new(parts, self.control.settings());
         let local = LocalService::new(
             config.instance.clone(),
-            Arc::clone(&services),
+            services.clone(),
             self.router.clone(),
             self.control.clone(),
         );
@@ -180,7 +180,7 @@
         &self,
         config: &Config,
         auth: &Arc<Authenticator>,
-        services: &Arc<ServiceRouter>,
+        services: &ServiceRouter,
     ) -> Result<Server, Error> {
         let admin = DaemonAdmin::new(
             config.instance.clone(),
@@ -191,7 +191,7 @@
         );
         let handler = ApiHandler::new(
             Arc::clone(auth),
-            Arc::clone(services) as Arc<_>,
+            Arc::new(services.clone()),
             Arc::new(DaemonJobs::new(self.control.clone())),
             Arc::new(DaemonSettings::new(self.control.clone())),
             Arc::new(admin),
@@ -212,7 +212,7 @@
         config: &Config,
         platform: Platform,
         auth: Arc<Authenticator>,
-        services: Arc<ServiceRouter>,
+        services: ServiceRouter,
     ) {
         let (control, router, linked) = (&self.control, &self.router, &self.linked);
         let place = Place {
@@ -381,11 +381,7 @@
         table: Arc::clone(&platform.control),
         objects: Arc::clone(&platform.objects) as Arc<_>,
         list: Arc::clone(&platform.instances) as Arc<_>,
-        workers: Arc::new(HttpWorkerConnector::new(
-            config.zone.clone(),
-            WorkerTimeouts::default(),
-            log.clone(),
-        )),
+        workers: Arc::new(HttpWorkerConnector::new(config.zone.clone())),
         peers: Arc::new(TonicConnector {
             limits: ClientLimits::default(),
         }),
@@ -408,7 +404,7 @@
 async fn follow_settings(
     control: Control,
     auth: Arc<Authenticator>,
-    services: Arc<ServiceRouter>,
+    services: ServiceRouter,
     log: Logger,
 ) {
     let changes = control.subscribe_settings();
--- a/src/local.rs
+++ b/src/local.rs
@@ -14,7 +14,7 @@
 /// Request routing as seen by other entry instances.
 pub struct LocalService {
     instance: InstanceId,
-    services: Arc<ServiceRouter>,
+    services: ServiceRouter,
     router: Router,
     control: Control,
 }
@@ -24,7 +24,7 @@
     #[must_use]
     pub fn new(
         instance: InstanceId,
-        services: Arc<ServiceRouter>,
+        services: ServiceRouter,
         router: Router,
         control: Control,
     ) -> Self {
--- a/src/service_call.rs
+++ b/src/service_call.rs
@@ -16,8 +16,9 @@
     ragwortreel_routing::{
         BackendId, Permit, Refusal, RefusalReason, RequestInfo, RequestResult, Router,
     },
-    ragwortreel_runtime::{Stop, timeout_at},
+    ragwortreel_runtime::{Stop, spawn, timeout_at},
     std::{
+        future::Future,
         sync::{Arc, PoisonError, RwLock},
         time::{Duration, Instant},
     },
@@ -50,8 +51,16 @@
     pub stop: Stop,
 }
 
-/// Carries out requests to services.
+/// Carries out requests to services; clones share it.
+///
+/// Each request runs in a task of its own, to its end even when its caller goes away: the backend server may still be
+/// working on it, so its slot must stay taken.
+#[derive(Clone)]
 pub struct ServiceRouter {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
     parts: Parts,
     settings: RwLock<Arc<VersionedSettings>>,
 }
@@ -62,6 +71,7 @@
     service: ServiceSettings,
     info: RequestInfo,
     deadline: Instant,
+    silent_after: Duration,
 }
 
 /// Last attempt of a request, and whether any attempt may have run.
@@ -79,15 +89,18 @@
     #[must_use]
     pub fn new(parts: Parts, settings: Arc<VersionedSettings>) -> Self {
         Self {
-            parts,
-            settings: RwLock::new(settings),
+            shared: Arc::new(Shared {
+                parts,
+                settings: RwLock::new(settings),
+            }),
         }
     }
 
     /// Takes over newer settings.
     pub fn update_settings(&self, settings: Arc<VersionedSettings>) {
-        self.parts.router.update_settings(&settings.settings);
+        self.shared.parts.router.update_settings(&settings.settings);
         *self
+            .shared
             .settings
             .write()
             .unwrap_or_else(PoisonError::into_inner) = settings;
@@ -95,13 +108,44 @@
 
     /// Carries out a request that another zone forwarded; it is not forwarded again.
     pub async fn call_here(&self, call: ServiceCall) -> CallReply {
-        let _in_flight = self.parts.stop.guard();
-        match self.plan(call) {
-            Ok(planned) => self.attempt(&planned, false).await,
-            Err(reply) => reply,
-        }
+        self.detached(|shared| async move {
+            match shared.plan(call) {
+                Ok(planned) => shared.attempt(&planned, false).await,
+                Err(reply) => reply,
+            }
+        })
+        .await
     }
 
+    /// Runs a request to its end, whether or not this future is dropped.
+    async fn detached<F>(&self, run: impl FnOnce(Arc<Shared>) -> F) -> CallReply
+    where
+        F: Future<Output = CallReply> + Send + 'static,
+    {
+        let in_flight = self.shared.parts.stop.guard();
+        let (tx, rx) = async_channel::bounded(1);
+        let request = run(Arc::clone(&self.shared));
+        spawn(async move {
+            // There is room for the one reply; the caller may be gone.
+            let _ = tx.try_send(request.await);
+            drop(in_flight);
+        })
+        .detach();
+        rx.recv()
+            .await
+            .unwrap_or_else(|_| unknown("the request's task ended"))
+    }
+}
+
+#[async_trait]
+impl ServiceCalls for ServiceRouter {
+    async fn call(&self, call: ServiceCall) -> CallReply {
+        self.detached(|shared| async move { shared.call(call).await })
+            .await
+    }
+}
+
+impl Shared {
     fn plan(&self, call: ServiceCall) -> Result<Planned, CallReply> {
         let settings = Arc::clone(&self.settings.read().unwrap_or_else(PoisonError::into_inner));
         let team = settings.settings.teams.get(&call.team);
@@ -132,11 +176,13 @@
             deadline_ms: self.parts.clock.now_ms() + left_ms,
             idempotent: service.idempotent || is_safe,
         };
+        let silent_after = Duration::from_millis(settings.settings.cell.silent_after_ms);
         Ok(Planned {
             call,
             service,
             info,
             deadline,
+            silent_after,
         })
     }
 
@@ -220,6 +266,8 @@
             address: permit.address(),
             connections: permit.connection_limit(),
             class,
+            silent_after: planned.silent_after,
+            resendable: info.idempotent,
         };
         let backend = permit.backend().clone();
         let reply = self
@@ -301,27 +349,7 @@
         attempts.take_reply(Some(refusal.retry_after_ms))
     }
 
-    fn record(&self, planned: Option<&Planned>, call: &ServiceCall, reply: &CallReply) {
-        let took = call.arrived.elapsed();
-        let class = planned.map_or(WorkClass::Short, |planned| planned.service.class);
-        self.parts
-            .telemetry
-            .request(&call.caller, class, reply.outcome, took);
-        let Some(planned) = planned else { return };
-        let slo = &planned.service.slo;
-        let is_ok = reply
-            .response
-            .as_ref()
-            .is_some_and(|response| response.status < 500);
-        let good = is_ok && took <= Duration::from_millis(slo.latency_ms);
-        self.parts.burn.count(&call.team, &call.service, slo, good);
-    }
-}
-
-#[async_trait]
-impl ServiceCalls for ServiceRouter {
     async fn call(&self, call: ServiceCall) -> CallReply {
-        let _in_flight = self.parts.stop.guard();
         let planned = match self.plan(call.clone()) {
             Ok(planned) => planned,
             Err(reply) => {
@@ -341,6 +369,22 @@
         self.record(Some(&planned), &planned.call, &reply);
         reply
     }
+
+    fn record(&self, planned: Option<&Planned>, call: &ServiceCall, reply: &CallReply) {
+        let took = call.arrived.elapsed();
+        let class = planned.map_or(WorkClass::Short, |planned| planned.service.class);
+        self.parts
+            .telemetry
+            .request(&call.caller, class, reply.outcome, took);
+        let Some(planned) = planned else { return };
+        let slo = &planned.service.slo;
+        let is_ok = reply
+            .response
+            .as_ref()
+            .is_some_and(|response| response.status < 500);
+        let good = is_ok && took <= Duration::from_millis(slo.latency_ms);
+        self.parts.burn.count(&call.team, &call.service, slo, good);
+    }
 }
 
 impl Attempts {
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -4,7 +4,11 @@
     async_trait::async_trait,
     ragwortreel_http::{Request, Response},
     ragwortreel_model::WorkClass,
-    std::{net::SocketAddr, sync::Arc, time::Instant},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Where and within which limits a request is sent.
@@ -16,6 +20,10 @@
     pub connections: u32,
     /// Class of the request; short and long requests do not share idle connections.
     pub class: WorkClass,
+    /// Time without progress after which a connection counts as silent.
+    pub silent_after: Duration,
+    /// Whether the request may be sent again after an unknown outcome.
+    pub resendable: bool,
 }
 
 /// What became of a request, with the evidence that the caller's outcome rests on.
