--- /dev/null
+++ b/crates/processes/src/cell.rs
@@ -0,0 +1,263 @@
+//! A whole cell: stand-ins in this process, entry instances as child processes.
+
+use {
+    crate::child::{Entry, Program, Usage},
+    ragwortreel::{
+        cell::{CellPlan, EntryAddresses, any_port},
+        load::Balancer,
+    },
+    ragwortreel_http::{Client, ClientLimits, Method, Request},
+    ragwortreel_runtime::sleep_ms,
+    ragwortreel_standins::Standins,
+    rustix::process::Signal,
+    std::{
+        env, fs, io,
+        net::{SocketAddr, TcpListener},
+        path::PathBuf,
+        sync::atomic::{AtomicU32, Ordering},
+        time::{Duration, Instant},
+    },
+};
+
+static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
+/// Longest wait for one answer of an entry instance.
+const ASK_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why a cell does not start.
+pub type StartError = io::Error;
+
+/// Stand-ins and child processes; dropping it ends the processes.
+pub struct ProcessCell {
+    /// The stand-ins, with their fault switches and records.
+    pub standins: Standins,
+    /// The plan.
+    pub plan: CellPlan,
+    program: Program,
+    entries: Vec<Entry>,
+    client: Client,
+    dir: PathBuf,
+}
+
+impl ProcessCell {
+    /// Starts the stand-ins and all entry instances.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be bound or a process cannot be started.
+    pub fn start(plan: CellPlan, program: Program) -> Result<Self, StartError> {
+        let standins = Standins::start(&plan.standins())?;
+        let number = NEXT_DIR.fetch_add(1, Ordering::SeqCst);
+        let dir = env::temp_dir().join(format!("ragwortreel-cell-{}-{number}", std::process::id()));
+        fs::create_dir_all(&dir)?;
+        let mut cell = Self {
+            standins,
+            plan,
+            program,
+            entries: Vec::new(),
+            client: Client::new(ClientLimits::default()),
+            dir,
+        };
+        let addresses = free_addresses(cell.plan.entries())?;
+        for (number, addresses) in addresses.into_iter().enumerate() {
+            let entry = cell.write_settings(number, addresses)?;
+            cell.entries.push(entry);
+            cell.start_entry(number)?;
+        }
+        Ok(cell)
+    }
+
+    fn write_settings(&self, number: usize, addresses: EntryAddresses) -> io::Result<Entry> {
+        let platform = self
+            .standins
+            .platform
+            .as_ref()
+            .map_or_else(any_port, |running| running.listening.addr());
+        let config = self.plan.daemon(number, addresses, platform);
+        let config = config.ok_or_else(|| io::Error::other("the plan has no zone"))?;
+        let settings = self.dir.join(format!("{number}.json"));
+        fs::write(&settings, serde_json::to_vec(&config)?)?;
+        Ok(Entry::new(
+            addresses,
+            settings,
+            self.dir.join(format!("{number}.log")),
+        ))
+    }
+
+    /// Number of entry instances.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether the cell has no entry instance.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Address for callers of an entry instance.
+    #[must_use]
+    pub fn caller(&self, number: usize) -> SocketAddr {
+        self.entries[number].addresses.caller
+    }
+
+    /// A balancer over all entry instances.
+    #[must_use]
+    pub fn balancer(&self) -> Balancer {
+        Balancer::new((0..self.len()).map(|number| self.caller(number)).collect())
+    }
+
+    /// Starts an entry instance that is not running.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process cannot be started.
+    pub fn start_entry(&mut self, number: usize) -> io::Result<()> {
+        self.entries[number].start(&self.program)
+    }
+
+    /// Ends an entry instance at once, as by a crash.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub fn kill(&mut self, number: usize) -> io::Result<()> {
+        self.entries[number].kill()
+    }
+
+    /// Pauses an entry instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub fn pause(&self, number: usize) -> io::Result<()> {
+        self.entries[number].signal(Signal::STOP)
+    }
+
+    /// Lets a paused entry instance go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub fn resume(&self, number: usize) -> io::Result<()> {
+        self.entries[number].signal(Signal::CONT)
+    }
+
+    /// Asks an entry instance to stop gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub fn terminate(&self, number: usize) -> io::Result<()> {
+        self.entries[number].signal(Signal::TERM)
+    }
+
+    /// Whether an entry instance's process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub fn has_ended(&mut self, number: usize) -> io::Result<bool> {
+        self.entries[number].has_ended()
+    }
+
+    /// Whether an entry instance's process was started and not killed.
+    #[must_use]
+    pub fn is_started(&self, number: usize) -> bool {
+        self.entries[number].is_started()
+    }
+
+    /// What an entry instance's process has used.
+    #[must_use]
+    pub fn usage(&self, number: usize) -> Option<Usage> {
+        self.entries[number].usage()
+    }
+
+    /// The log of an entry instance.
+    #[must_use]
+    pub fn log(&self, number: usize) -> String {
+        fs::read_to_string(self.dir.join(format!("{number}.log"))).unwrap_or_default()
+    }
+
+    /// Sends a request to an entry instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem as text.
+    pub async fn ask(
+        &self,
+        number: usize,
+        method: Method,
+        path: &str,
+        token: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> Result<ragwortreel_http::Response, String> {
+        let address = self.caller(number);
+        let mut req = Request::new(method, path)
+            .with_body(body)
+            .with_header("host", address.to_string());
+        if !token.is_empty() {
+            req = req.with_header("authorization", format!("Bearer {token}"));
+        }
+        for (name, value) in headers {
+            req = req.with_header(name, *value);
+        }
+        self.client
+            .send(address, req, Instant::now() + ASK_LIMIT)
+            .await
+            .map_err(|err| err.to_string())
+    }
+
+    /// Whether an entry instance is ready.
+    pub async fn is_ready(&self, number: usize) -> bool {
+        let response = self.ask(number, Method::Get, "/ready", "", &[], b"").await;
+        response.is_ok_and(|response| response.status == 200)
+    }
+
+    /// Waits until all started entry instances are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the number of the first instance that is not ready in time.
+    pub async fn wait_ready(&self, limit: Duration) -> Result<(), String> {
+        let limit = Instant::now() + limit;
+        for number in (0..self.len()).filter(|number| self.is_started(*number)) {
+            while !self.is_ready(number).await {
+                if Instant::now() >= limit {
+                    return Err(format!(
+                        "entry instance {number} is not ready: {}",
+                        self.log(number)
+                    ));
+                }
+                sleep_ms(50).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for ProcessCell {
+    fn drop(&mut self) {
+        self.entries.clear();
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Addresses whose ports are free now; all are reserved together, so that they differ.
+fn free_addresses(count: usize) -> io::Result<Vec<EntryAddresses>> {
+    let bind = |_| -> io::Result<(TcpListener, TcpListener)> {
+        Ok((
+            TcpListener::bind(any_port())?,
+            TcpListener::bind(any_port())?,
+        ))
+    };
+    let listeners: io::Result<Vec<_>> = (0..count).map(bind).collect();
+    let addresses = listeners?.into_iter().map(|(caller, entry)| {
+        Ok(EntryAddresses {
+            caller: caller.local_addr()?,
+            entry: entry.local_addr()?,
+        })
+    });
+    addresses.collect()
+}
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -74,9 +74,12 @@
         if self.stop.is_requested() {
             return Err("the instance is stopping".to_owned());
         }
-        if self.control.is_ready() {
-            return Ok(());
+        if !self.control.is_ready() {
+            return Err("the newest settings were not read from the table service yet".to_owned());
         }
-        Err("the newest settings were not read from the table service yet".to_owned())
+        if self.control.settings().version == 0 {
+            return Err("the cell has no settings yet".to_owned());
+        }
+        Ok(())
     }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,12 +6,12 @@
 use {
     crate::error::Error,
     ragwortreel_model::{InstanceId, Settings, SettingsError, Zone},
-    serde::Deserialize,
+    serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, sync::Arc},
 };
 
 /// Settings of one daemon.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Config {
     /// Name of this instance, unique in the cell.
@@ -44,7 +44,7 @@
 }
 
 /// Addresses of the platform's services.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformConfig {
     /// Transactional table service.
@@ -56,7 +56,7 @@
 }
 
 /// Least severe level that is logged.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogLevel {
     /// Everything.
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,137 @@
+//! Nine entry instances in three zones as separate processes, with 48 workers.
+
+use {
+    ragwortreel::{
+        cell::CellPlan,
+        checks::check_all,
+        load::{Load, Mix, Seen},
+    },
+    ragwortreel_http::Method,
+    ragwortreel_model::{JobState, JobStatus, ServiceName, Team},
+    ragwortreel_processes::{ProcessCell, Program},
+    ragwortreel_runtime::{block_on, sleep_ms},
+    std::{
+        path::PathBuf,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Longest time until a state is reached; far above the usual one, so that a slow machine does not fail the test.
+const LIMIT: Duration = Duration::from_mins(1);
+
+fn start() -> ProcessCell {
+    let mut plan = CellPlan::patterns().expect("built-in settings");
+    plan.entries_per_zone = 3;
+    plan.workers_per_zone = 16;
+    let program = Program {
+        path: PathBuf::from(env!("CARGO_BIN_EXE_ragwortreel")),
+        args: vec!["serve".to_owned()],
+    };
+    let cell = ProcessCell::start(plan, program).expect("all processes start");
+    block_on(cell.wait_ready(LIMIT)).expect("all entry instances become ready");
+    cell
+}
+
+fn job(kind: &str, tasks: u32, run_ms: u64) -> String {
+    format!(
+        r#"{{"id":"job-{kind}","team":"patterns","name":"{kind}","kind":"{kind}","tasks":{tasks},
+            "resources":{{"milli_cores":1000,"memory_mib":1024}},"payload":"{{\"run_ms\":{run_ms}}}"}}"#
+    )
+}
+
+async fn wait_for_job(
+    cell: &ProcessCell,
+    id: &str,
+    wanted: impl Fn(&JobStatus) -> bool,
+) -> JobStatus {
+    let limit = Instant::now() + LIMIT;
+    let mut number = 0;
+    loop {
+        let path = format!("/v1/jobs/{id}");
+        let response = cell
+            .ask(
+                number % cell.len(),
+                Method::Get,
+                &path,
+                "change-me-patterns",
+                &[],
+                b"",
+            )
+            .await;
+        let status = response
+            .ok()
+            .and_then(|response| serde_json::from_slice::<JobStatus>(&response.body).ok());
+        if let Some(status) = status.filter(&wanted) {
+            return status;
+        }
+        assert!(
+            Instant::now() < limit,
+            "job {id} does not reach the wanted state"
+        );
+        number += 1;
+        sleep_ms(100).await;
+    }
+}
+
+/// Guards the whole path over real processes: jobs of each kind are placed by whichever instance owns the pool, and
+/// requests at any instance are answered whole.
+#[test]
+fn jobs_of_each_kind_and_a_thousand_requests() {
+    let cell = start();
+    block_on(async {
+        for (number, (kind, tasks, run_ms)) in [
+            ("service", 3, 600_000),
+            ("batch", 20, 300),
+            ("gang", 6, 300),
+        ]
+        .iter()
+        .enumerate()
+        {
+            let body = job(kind, *tasks, *run_ms);
+            let response = cell
+                .ask(
+                    number,
+                    Method::Post,
+                    "/v1/jobs",
+                    "change-me-patterns",
+                    &[],
+                    body.as_bytes(),
+                )
+                .await;
+            let response = response.expect("the instance answers");
+            assert_eq!(
+                response.status,
+                201,
+                "{}",
+                String::from_utf8_lossy(&response.body)
+            );
+        }
+        let mix = Mix {
+            team: Team::new("counter").expect("a name"),
+            service: ServiceName::new("quotes").expect("a name"),
+            token: Arc::from("change-me-counter"),
+            path: Arc::from("/quotes/price"),
+            rate_per_s: 300.0,
+            deadline_ms: 20_000,
+            keyed: false,
+        };
+        let load = Load::start(vec![mix], cell.balancer(), Duration::from_secs(4), 7, "t");
+        let calls = load.finish().await;
+        assert!(calls.len() >= 1_000, "{} requests were sent", calls.len());
+        let answered = calls
+            .iter()
+            .filter(|call| call.seen == Seen::Answered(200))
+            .count();
+        assert_eq!(answered, calls.len());
+        for kind in ["batch", "gang"] {
+            let done =
+                wait_for_job(&cell, &format!("job-{kind}"), |job| job.state.is_final()).await;
+            assert_eq!(done.state, JobState::Succeeded);
+        }
+        wait_for_job(&cell, "job-service", |job| job.running == 3).await;
+        for check in check_all(&calls, &cell.standins) {
+            assert_eq!(check.violations, 0, "{check:?}");
+        }
+    });
+}
