--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
+mod proxy;
 mod report;
 mod silent;
 
@@ -18,11 +19,18 @@
 }
 
 /// All cases, in the order of the design page.
-const CASES: &[Case] = &[Case {
-    name: "silent",
-    about: "open connections go silent while new ones work",
-    run: silent::run,
-}];
+const CASES: &[Case] = &[
+    Case {
+        name: "proxy",
+        about: "latency that the path through our server and pool adds",
+        run: proxy::run,
+    },
+    Case {
+        name: "silent",
+        about: "open connections go silent while new ones work",
+        run: silent::run,
+    },
+];
 
 fn main() -> ExitCode {
     match run() {
--- /dev/null
+++ b/bench/src/proxy.rs
@@ -0,0 +1,295 @@
+//! Latency that the path through our server and pool adds beside a direct call.
+//!
+//! Callers and backend servers are threads with blocking sockets, so that the executor's one thread carries the proxy
+//! alone. The first phase finds the requests that one core carries. The next ones send half of that, in turns
+//! directly, through the proxy, and through a naive proxy that opens a connection for each request.
+
+use {
+    crate::report::{Measure, Unit},
+    async_trait::async_trait,
+    hdrhistogram::Histogram,
+    ragwortreel_backend::{BackendPool, PoolLimits, SendResult, Terms},
+    ragwortreel_http::{Client, ClientLimits, Handler, Request, Response, Server, ServerLimits},
+    ragwortreel_model::WorkClass,
+    ragwortreel_runtime::{Stop, block_on, discard_logger, spawn, start_threads},
+    std::{
+        fs,
+        io::{self, Read, Write},
+        net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+const CALLERS: usize = 32;
+const BODY_BYTES: usize = 1024;
+const WARM_UP: Duration = Duration::from_secs(1);
+const CAPACITY_TIME: Duration = Duration::from_secs(4);
+const TURN_TIME: Duration = Duration::from_secs(2);
+const TURNS: usize = 4;
+const LOAD_SHARE: f64 = 0.5;
+const DEADLINE: Duration = Duration::from_secs(5);
+const MAX_ADDED_P50_MS: f64 = 0.3;
+const MAX_ADDED_P99_MS: f64 = 2.0;
+/// Histogram range: a microsecond to a minute, in nanoseconds.
+const LOWEST_NS: u64 = 1_000;
+const HIGHEST_NS: u64 = 60_000_000_000;
+
+/// Forwards over the pool.
+struct Pooled(BackendPool);
+
+#[async_trait]
+impl Handler for Pooled {
+    async fn handle(&self, req: Request, _: SocketAddr) -> Response {
+        let terms = Terms {
+            class: WorkClass::Short,
+            deadline: Instant::now() + DEADLINE,
+            resendable: false,
+        };
+        match self.0.send(req, terms).await {
+            SendResult::Answered(response) => response,
+            SendResult::NotRun(_) => Response::new(503),
+            SendResult::Unknown(_) => Response::new(502),
+        }
+    }
+}
+
+/// Forwards over a new connection for each request.
+struct Naive(Client, SocketAddr);
+
+#[async_trait]
+impl Handler for Naive {
+    async fn handle(&self, req: Request, _: SocketAddr) -> Response {
+        let sent = self.0.send(self.1, req, Instant::now() + DEADLINE).await;
+        sent.unwrap_or_else(|_| Response::new(502))
+    }
+}
+
+/// Runs the case.
+pub fn run() -> Result<Vec<Measure>, String> {
+    measure().map_err(|err| err.to_string())
+}
+
+fn measure() -> io::Result<Vec<Measure>> {
+    start_threads(1)?;
+    let backend = start_backend()?;
+    let limits = PoolLimits {
+        max_connections: 2 * CALLERS,
+        ..PoolLimits::default()
+    };
+    let pool = BackendPool::new(backend, limits, discard_logger());
+    let (proxy, proxy_stop) = start_proxy(Arc::new(Pooled(pool)))?;
+    let no_reuse = ClientLimits {
+        max_idle_per_address: 0,
+        ..ClientLimits::default()
+    };
+    let (naive, naive_stop) = start_proxy(Arc::new(Naive(Client::new(no_reuse), backend)))?;
+
+    load(proxy, None, WARM_UP)?;
+    let proxy_capacity = capacity(proxy)?;
+    let naive_capacity = capacity(naive)?;
+    let rate = proxy_capacity * LOAD_SHARE;
+    let mut direct = histogram();
+    let mut proxied = histogram();
+    let mut unpooled = histogram();
+    for _ in 0..TURNS {
+        direct += load(backend, Some(rate), TURN_TIME)?;
+        proxied += load(proxy, Some(rate), TURN_TIME)?;
+        unpooled += load(
+            naive,
+            Some(rate.min(naive_capacity * LOAD_SHARE)),
+            TURN_TIME,
+        )?;
+    }
+    for stop in [proxy_stop, naive_stop] {
+        stop.request();
+        block_on(stop.drained());
+    }
+    let added = |found: &Histogram<u64>, quantile| {
+        ms(found.value_at_quantile(quantile)) - ms(direct.value_at_quantile(quantile))
+    };
+    Ok(vec![
+        Measure::at_most(
+            "added_p50",
+            added(&proxied, 0.5),
+            Unit::Milliseconds,
+            MAX_ADDED_P50_MS,
+        )
+        .with_baseline(added(&unpooled, 0.5)),
+        Measure::at_most(
+            "added_p99",
+            added(&proxied, 0.99),
+            Unit::Milliseconds,
+            MAX_ADDED_P99_MS,
+        )
+        .with_baseline(added(&unpooled, 0.99)),
+        Measure::info(
+            "direct_p50",
+            ms(direct.value_at_quantile(0.5)),
+            Unit::Milliseconds,
+        ),
+        Measure::info(
+            "direct_p99",
+            ms(direct.value_at_quantile(0.99)),
+            Unit::Milliseconds,
+        ),
+        Measure::info("requests_per_core_s", proxy_capacity, Unit::PerSecond)
+            .with_baseline(naive_capacity),
+        Measure::info("rate", rate, Unit::PerSecond),
+    ])
+}
+
+fn start_proxy(handler: Arc<dyn Handler>) -> io::Result<(SocketAddr, Stop)> {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let server = Server::bind(addr, handler, ServerLimits::default(), discard_logger())?;
+    let (addr, stop) = (server.local_addr(), Stop::new());
+    spawn(server.run(stop.clone())).detach();
+    Ok((addr, stop))
+}
+
+/// Starts a backend server that answers each request at once; it runs until the process ends.
+fn start_backend() -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let addr = listener.local_addr()?;
+    let body = "x".repeat(BODY_BYTES);
+    let response = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: {BODY_BYTES}\r\n\r\n{body}"
+    );
+    let response: Arc<[u8]> = response.into_bytes().into();
+    thread::spawn(move || {
+        for socket in listener.incoming().map_while(Result::ok) {
+            let response = Arc::clone(&response);
+            thread::spawn(move || answer(socket, &response));
+        }
+    });
+    Ok(addr)
+}
+
+fn answer(mut socket: TcpStream, response: &[u8]) {
+    let _ = socket.set_nodelay(true);
+    let mut buf = vec![0; 4096];
+    let mut end = 0;
+    while let Ok(read) = socket.read(&mut buf[end..]) {
+        end += read;
+        if read == 0 {
+            return;
+        }
+        if buf[..end].ends_with(b"\r\n\r\n") {
+            end = 0;
+            if socket.write_all(response).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Requests a second for each core second that the proxy's threads use, with as many requests as the callers can send.
+fn capacity(addr: SocketAddr) -> io::Result<f64> {
+    let before = proxy_cpu()?;
+    let answered = load(addr, None, CAPACITY_TIME)?.len();
+    let used = proxy_cpu()?.saturating_sub(before);
+    #[allow(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    Ok(answered as f64 / used.as_secs_f64())
+}
+
+/// Processor time of the executor's thread and of the thread that waits for sockets.
+fn proxy_cpu() -> io::Result<Duration> {
+    let mut total = Duration::ZERO;
+    for task in fs::read_dir("/proc/self/task")? {
+        let task = task?.path();
+        // A thread can end meanwhile.
+        let name = fs::read_to_string(task.join("comm")).unwrap_or_default();
+        if name.starts_with("executor-") || name.starts_with("async-io") {
+            let stat = fs::read_to_string(task.join("schedstat"))?;
+            let running_ns = stat.split(' ').next().and_then(|text| text.parse().ok());
+            total += Duration::from_nanos(running_ns.unwrap_or(0));
+        }
+    }
+    Ok(total)
+}
+
+/// Sends requests from all callers, at a rate of all together or each at once after the last; returns the latencies.
+fn load(addr: SocketAddr, rate: Option<f64>, time: Duration) -> io::Result<Histogram<u64>> {
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| thread::spawn(move || call(addr, number, rate, time)))
+        .collect();
+    let mut all = histogram();
+    for caller in callers {
+        let latencies = caller
+            .join()
+            .map_err(|_| io::Error::other("caller panicked"))?;
+        all += latencies?;
+    }
+    Ok(all)
+}
+
+fn call(
+    addr: SocketAddr,
+    number: usize,
+    rate: Option<f64>,
+    time: Duration,
+) -> io::Result<Histogram<u64>> {
+    let mut socket = TcpStream::connect(addr)?;
+    socket.set_nodelay(true)?;
+    let mut latencies = histogram();
+    let mut random = fastrand::Rng::with_seed(number as u64);
+    let (mut due, end) = (Instant::now(), Instant::now() + time);
+    let mut buf = vec![0; 8192];
+    #[allow(clippy::cast_precision_loss, reason = "there are few callers")]
+    let mean_pause = rate.map(|rate| CALLERS as f64 / rate);
+    while due < end {
+        if let Some(mean_pause) = mean_pause {
+            due += Duration::from_secs_f64(-mean_pause * (1.0 - random.f64()).ln());
+        }
+        let early = due.saturating_duration_since(Instant::now());
+        // A request that is late because of the one before counts from when it was due.
+        let start = if early.is_zero() && rate.is_some() {
+            due
+        } else {
+            thread::sleep(early);
+            Instant::now()
+        };
+        exchange(&mut socket, &mut buf)?;
+        let elapsed = u64::try_from(start.elapsed().as_nanos()).unwrap_or(HIGHEST_NS);
+        latencies.saturating_record(elapsed);
+        if rate.is_none() {
+            due = Instant::now();
+        }
+    }
+    Ok(latencies)
+}
+
+fn exchange(socket: &mut TcpStream, buf: &mut [u8]) -> io::Result<()> {
+    socket.write_all(
+        b"GET /v1/services/quotes/price/item?size=4 HTTP/1.1\r\nhost: quotes\r\n\
+          accept: application/json\r\nuser-agent: bench\r\nx-request: 1234567890\r\n\r\n",
+    )?;
+    let mut end = 0;
+    loop {
+        let read = socket.read(&mut buf[end..])?;
+        end += read;
+        let head = buf[..end].windows(4).position(|four| four == b"\r\n\r\n");
+        match head {
+            Some(head) if end == head + 4 + BODY_BYTES => break,
+            _ if read == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => {}
+        }
+    }
+    if !buf.starts_with(b"HTTP/1.1 200 ") {
+        return Err(io::Error::other("request not answered with 200"));
+    }
+    Ok(())
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(LOWEST_NS, HIGHEST_NS, 3).expect("the bounds are valid")
+}
+
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "latencies are far below 2^52 ns"
+)]
+fn ms(ns: u64) -> f64 {
+    ns as f64 / 1e6
+}
