--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 
 mod cell;
 mod place;
+mod proxy;
 mod report;
 mod silent;
 
@@ -38,6 +39,17 @@
 ) -> Case {
     Case { name, about, run }
 }
+    Case {
+        name: "proxy",
+        about: "latency that the path through our server and pool adds",
+        run: proxy::run,
+    },
+    Case {
+        name: "silent",
+        about: "open connections go silent while new ones work",
+        run: silent::run,
+    },
+];
 
 fn main() -> ExitCode {
     match run() {
