bench: add the store-client part of the case outage

The client-side limit now holds for every second: the steady rate is lower by the burst that may come on top, since nine bursts together could exceed the service's rate in the second of the return.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
 mod cell;
+mod outage;
 mod place;
 mod report;
 
@@ -19,11 +20,18 @@
 }
 
 /// All cases, in the order of the design page.
-const CASES: &[Case] = &[Case {
-    name: "place",
-    about: "cost and packing of single placements",
-    run: || Ok(place::run()),
-}];
+const CASES: &[Case] = &[
+    Case {
+        name: "place",
+        about: "cost and packing of single placements",
+        run: || Ok(place::run()),
+    },
+    Case {
+        name: "outage",
+        about: "acknowledged writes and the return of a store that was down for 30 s",
+        run: outage::run,
+    },
+];
 
 fn main() -> ExitCode {
     match run() {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,7 +20,6 @@
     breaker::{Breaker, Change},
     group::{Division, Group},
     http_client::{HttpPlatform, InstancesAnswer, RowAnswer, RowsAnswer, ZONE_HEADER},
-    once::{Begin, Claim, OnceClaims, Stored, StoredAnswer, request_digest, run_sweeps},
     rate::RateLimit,
     resilient::{MAX_IN_FLIGHT, QUEUE_LIMIT, ResilientConfig, ResilientTable, TableFigures},
 };
--- a/crates/platform/src/rate.rs
+++ b/crates/platform/src/rate.rs
@@ -1,7 +1,8 @@
 //! Client-side rate limit.
 //!
 //! Calls reserve their turn in order of arrival and wait for it, so the calls that piled up during an outage leave at
-//! the allowed rate and not all at once.
+//! the allowed rate and not all at once. No second sees more calls than the limit: the steady rate is lower by the
+//! burst that may come on top of it.
 
 use {
     ragwortreel_runtime::sleep,
@@ -11,7 +12,7 @@
     },
 };
 
-/// Part of a second's calls that may leave at once after a quiet time.
+/// Part of a second's calls at the steady rate that may leave at once after a quiet time.
 const BURST_S: f64 = 0.1;
 
 /// Token bucket whose tokens may be reserved ahead of time.
@@ -22,12 +23,17 @@
 
 #[derive(Debug)]
 struct State {
+    /// Steady rate.
     per_s: f64,
     /// Available tokens; negative when turns are reserved ahead.
     tokens: f64,
     filled: Instant,
 }
 
+fn steady(limit_per_s: f64) -> f64 {
+    limit_per_s / (1.0 + BURST_S)
+}
+
 impl State {
     fn burst(&self) -> f64 {
         (self.per_s * BURST_S).max(1.0)
@@ -41,11 +47,11 @@
 }
 
 impl RateLimit {
-    /// Makes a limit of calls a second.
+    /// Makes a limit of calls in any one second.
     #[must_use]
-    pub fn new(per_s: f64) -> Self {
+    pub fn new(limit_per_s: f64) -> Self {
         let mut state = State {
-            per_s,
+            per_s: steady(limit_per_s),
             tokens: 0.0,
             filled: Instant::now(),
         };
@@ -59,11 +65,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Changes the rate.
-    pub fn set_per_s(&self, per_s: f64) {
+    /// Changes the limit.
+    pub fn set_per_s(&self, limit_per_s: f64) {
         let mut state = self.lock();
         state.fill(Instant::now());
-        state.per_s = per_s;
+        state.per_s = steady(limit_per_s);
     }
 
     /// Whether less than half of a burst is left.
--- a/crates/platform/src/resilient.rs
+++ b/crates/platform/src/resilient.rs
@@ -137,8 +137,7 @@
     }
 }
 
-/// Table client with grouping, circuit breaker and rate limit; clones share its queue and its figures.
-#[derive(Clone)]
+/// Table client with grouping, circuit breaker and rate limit.
 pub struct ResilientTable {
     shared: Arc<Shared>,
     queue_tx: Sender<(Txn, Waiting)>,
@@ -172,7 +171,7 @@
 }
 
 impl ResilientTable {
-    /// Wraps a client and starts the task that sends groups; it ends when the last clone is dropped.
+    /// Wraps a client and starts the task that sends groups; it ends when this object is dropped.
     #[must_use]
     pub fn new(inner: Arc<dyn TableService>, cfg: ResilientConfig, log: Logger) -> Self {
         let (queue_tx, queue_rx) = async_channel::bounded(QUEUE_LIMIT);
--- a/crates/worker/src/http_client.rs
+++ b/crates/worker/src/http_client.rs
@@ -16,7 +16,7 @@
         Client, ClientError, ClientLimits, Method, Response, Sent, json_request, parse_json,
     },
     ragwortreel_model::{Epoch, Zone},
-    ragwortreel_runtime::{Logger, discard_logger, log_event},
+    ragwortreel_runtime::{Logger, log_event},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         net::SocketAddr,
@@ -61,9 +61,9 @@
 }
 
 impl HttpWorkerConnector {
-    /// Makes a connector for an instance in a zone, with default time limits and without log.
+    /// Makes a connector for an instance in a zone; failed commands are logged.
     #[must_use]
-    pub fn new(zone: Zone) -> Self {
+    pub fn new(zone: Zone, timeouts: WorkerTimeouts, log: Logger) -> Self {
         let limits = ClientLimits {
             max_body_bytes: MAX_RESPONSE_BYTES,
             max_idle_per_address: MAX_IDLE,
@@ -73,22 +73,10 @@
         Self {
             client: Arc::new(Client::new(limits)),
             zone,
-            timeouts: WorkerTimeouts::default(),
-            log: discard_logger(),
+            timeouts,
+            log,
         }
     }
-
-    /// Replaces the time limits.
-    #[must_use]
-    pub fn with_timeouts(self, timeouts: WorkerTimeouts) -> Self {
-        Self { timeouts, ..self }
-    }
-
-    /// Sets where failed commands are logged.
-    #[must_use]
-    pub fn with_log(self, log: Logger) -> Self {
-        Self { log, ..self }
-    }
 }
 
 impl WorkerConnector for HttpWorkerConnector {
