--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod outage;
 mod place;
 mod report;
+mod silent;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
 
@@ -32,6 +33,23 @@
         run: outage::run,
     },
 ];
+    case("place", "cost and packing of single placements", || {
+        Ok(place::run())
+    }),
+    case(
+        "silent",
+        "open connections go silent while new ones work",
+        silent::run,
+    ),
+];
+
+const fn case(
+    name: &'static str,
+    about: &'static str,
+    run: fn() -> Result<Vec<Measure>, String>,
+) -> Case {
+    Case { name, about, run }
+}
 
 fn main() -> ExitCode {
     match run() {
