--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,8 +3,12 @@
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
 mod cell;
+#[path = "../../crates/control/tests/support/mod.rs"]
+mod control_cell;
+mod failover;
 mod place;
 mod report;
+mod settings;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
 
@@ -19,11 +23,23 @@
 }
 
 /// All cases, in the order of the design page.
-const CASES: &[Case] = &[Case {
-    name: "place",
-    about: "cost and packing of single placements",
-    run: || Ok(place::run()),
-}];
+const CASES: &[Case] = &[
+    Case {
+        name: "place",
+        about: "cost and packing of single placements",
+        run: || Ok(place::run()),
+    },
+    Case {
+        name: "settings",
+        about: "spread of settings changed by racing operators",
+        run: || Ok(settings::run()),
+    },
+    Case {
+        name: "failover",
+        about: "placement after the loss of a pool's owner",
+        run: || Ok(failover::run()),
+    },
+];
 
 fn main() -> ExitCode {
     match run() {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! A cell in one process: entry instances, the platform in memory and workers in memory, with cuts and pauses.
 //!
-//! All clocks run [`SPEED`] times as fast as real time, and the intervals between calls are shortened to match, so
-//! that leases of seconds pass in fractions of a second.
+//! In tests all clocks run [`SPEED`] times as fast as real time, and the intervals between calls are shortened to
+//! match, so that leases of seconds pass in fractions of a second. The bench cases use the same cell at real speed.
 #![allow(dead_code, reason = "each test file uses a part")]
 
 mod gate;
@@ -35,23 +35,31 @@
     },
 };
 
-/// How many times as fast as real time all clocks run.
+/// How many times as fast as real time the clocks of a test run.
 pub const SPEED: u64 = 5;
 
-/// Real time times [`SPEED`].
+/// Real time, a number of times as fast.
 pub struct FastClock {
     origin: Instant,
+    speed: u64,
+}
+
+impl FastClock {
+    pub fn new(speed: u64) -> Self {
+        let origin = Instant::now();
+        Self { origin, speed }
+    }
 }
 
 impl Clock for FastClock {
     fn now_ms(&self) -> u64 {
         let real_ms = u64::try_from(self.origin.elapsed().as_millis()).expect("a short test");
-        real_ms * SPEED
+        real_ms * self.speed
     }
 }
 
-pub fn timings() -> Timings {
-    let real = |ms: u64| ms / SPEED;
+pub fn timings(speed: u64) -> Timings {
+    let real = |ms: u64| ms / speed;
     let timings = Timings::default();
     Timings {
         renewal_ms: real(timings.renewal_ms),
@@ -112,9 +120,12 @@
 impl Cell {
     /// A cell with workers of four tasks each in every zone, and one team.
     pub fn new(zones: &[&str], workers_per_zone: u16) -> Self {
-        let clock = Arc::new(FastClock {
-            origin: Instant::now(),
-        });
+        Self::with_speed(SPEED, zones, workers_per_zone)
+    }
+
+    /// A cell whose clocks run a number of times as fast as real time.
+    pub fn with_speed(speed: u64, zones: &[&str], workers_per_zone: u16) -> Self {
+        let clock = Arc::new(FastClock::new(speed));
         let mut cell = Self {
             platform: MemoryPlatform::new(),
             fleet: FakeFleet::new(Arc::clone(&clock) as _),
@@ -123,7 +134,7 @@
             zones: zones.iter().map(|zone| name(Zone::new, zone)).collect(),
             instances: BTreeMap::new(),
             workers: Vec::new(),
-            timings: timings(),
+            timings: timings(speed),
             limits: Limits::default(),
             incarnations: AtomicU64::new(1),
         };
