--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,10 +4,14 @@
 
 mod cell;
 mod outage;
+#[path = "../../crates/control/tests/support/mod.rs"]
+mod control_cell;
+mod failover;
 mod place;
 mod proxy;
 mod report;
 mod silent;
+mod settings;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
 
@@ -60,6 +64,14 @@
         name: "silent",
         about: "open connections go silent while new ones work",
         run: silent::run,
+        name: "settings",
+        about: "spread of settings changed by racing operators",
+        run: || Ok(settings::run()),
+    },
+    Case {
+        name: "failover",
+        about: "placement after the loss of a pool's owner",
+        run: || Ok(failover::run()),
     },
 ];
 
