--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -12,6 +12,12 @@
 mod report;
 mod silent;
 mod settings;
+mod balance;
+mod fleet;
+mod hol;
+mod report;
+mod retry;
+mod surge;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
 
@@ -72,6 +78,24 @@
         name: "failover",
         about: "placement after the loss of a pool's owner",
         run: || Ok(failover::run()),
+        name: "hol",
+        about: "short work beside long work",
+        run: hol::run,
+    },
+    Case {
+        name: "surge",
+        about: "requests at four times the capacity",
+        run: surge::run,
+    },
+    Case {
+        name: "retry",
+        about: "attempts while backend servers fail",
+        run: retry::run,
+    },
+    Case {
+        name: "balance",
+        about: "shares of slots while an instance dies and one is cut off",
+        run: balance::run,
     },
 ];
 
