--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,21 +2,20 @@
 //!
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
+mod balance;
 mod cell;
-mod outage;
 #[path = "../../crates/control/tests/support/mod.rs"]
 mod control_cell;
 mod failover;
-mod place;
-mod proxy;
-mod report;
-mod silent;
-mod settings;
-mod balance;
 mod fleet;
 mod hol;
+mod outage;
+mod place;
+mod proxy;
 mod report;
 mod retry;
+mod settings;
+mod silent;
 mod surge;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
@@ -32,26 +31,18 @@
 }
 
 /// All cases, in the order of the design page.
+#[rustfmt::skip]
 const CASES: &[Case] = &[
-    Case {
-        name: "place",
-        about: "cost and packing of single placements",
-        run: || Ok(place::run()),
-    },
-    Case {
-        name: "outage",
-        about: "acknowledged writes and the return of a store that was down for 30 s",
-        run: outage::run,
-    },
-];
-    case("place", "cost and packing of single placements", || {
-        Ok(place::run())
-    }),
-    case(
-        "silent",
-        "open connections go silent while new ones work",
-        silent::run,
-    ),
+    case("place", "cost and packing of single placements", || Ok(place::run())),
+    case("hol", "short work beside long work", hol::run),
+    case("surge", "requests at four times the capacity", surge::run),
+    case("retry", "attempts while backend servers fail", retry::run),
+    case("balance", "shares of slots while an instance dies and one is cut off", balance::run),
+    case("proxy", "latency that the path through our server and pool adds", proxy::run),
+    case("settings", "spread of settings changed by racing operators", || Ok(settings::run())),
+    case("failover", "placement after the loss of a pool's owner", || Ok(failover::run())),
+    case("outage", "acknowledged writes and the return of a store that was down for 30 s", outage::run),
+    case("silent", "open connections go silent while new ones work", silent::run),
 ];
 
 const fn case(
@@ -61,43 +52,6 @@
 ) -> Case {
     Case { name, about, run }
 }
-    Case {
-        name: "proxy",
-        about: "latency that the path through our server and pool adds",
-        run: proxy::run,
-    },
-    Case {
-        name: "silent",
-        about: "open connections go silent while new ones work",
-        run: silent::run,
-        name: "settings",
-        about: "spread of settings changed by racing operators",
-        run: || Ok(settings::run()),
-    },
-    Case {
-        name: "failover",
-        about: "placement after the loss of a pool's owner",
-        run: || Ok(failover::run()),
-        name: "hol",
-        about: "short work beside long work",
-        run: hol::run,
-    },
-    Case {
-        name: "surge",
-        about: "requests at four times the capacity",
-        run: surge::run,
-    },
-    Case {
-        name: "retry",
-        about: "attempts while backend servers fail",
-        run: retry::run,
-    },
-    Case {
-        name: "balance",
-        about: "shares of slots while an instance dies and one is cut off",
-        run: balance::run,
-    },
-];
 
 fn main() -> ExitCode {
     match run() {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -33,7 +33,7 @@
     },
     ragwortreel_routing::{Router, RouterConfig},
     ragwortreel_runtime::{Logger, Stop, Task, log_event, sleep_ms, spawn, timeout_ms},
-    ragwortreel_worker::HttpWorkerConnector,
+    ragwortreel_worker::{HttpWorkerConnector, WorkerTimeouts},
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -381,7 +381,11 @@
         table: Arc::clone(&platform.control),
         objects: Arc::clone(&platform.objects) as Arc<_>,
         list: Arc::clone(&platform.instances) as Arc<_>,
-        workers: Arc::new(HttpWorkerConnector::new(config.zone.clone())),
+        workers: Arc::new(HttpWorkerConnector::new(
+            config.zone.clone(),
+            WorkerTimeouts::default(),
+            log.clone(),
+        )),
         peers: Arc::new(TonicConnector {
             limits: ClientLimits::default(),
         }),
