--- a/src/admin.rs
+++ b/src/admin.rs
@@ -7,7 +7,10 @@
     ragwortreel_control::Control,
     ragwortreel_model::InstanceId,
     ragwortreel_runtime::Stop,
-    std::sync::Arc,
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 /// Commands and reports of a daemon.
@@ -16,6 +19,7 @@
     control: Control,
     telemetry: Arc<Telemetry>,
     burn: Arc<BurnCounter>,
+    can_route: Arc<AtomicBool>,
     stop: Stop,
 }
 
@@ -27,6 +31,7 @@
         control: Control,
         telemetry: Arc<Telemetry>,
         burn: Arc<BurnCounter>,
+        can_route: Arc<AtomicBool>,
         stop: Stop,
     ) -> Self {
         Self {
@@ -34,6 +39,7 @@
             control,
             telemetry,
             burn,
+            can_route,
             stop,
         }
     }
@@ -80,6 +86,9 @@
         if self.control.settings().version == 0 {
             return Err("the cell has no settings yet".to_owned());
         }
+        if !self.can_route.load(Ordering::Acquire) {
+            return Err("the instance has no slots of backend servers yet".to_owned());
+        }
         Ok(())
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -36,7 +36,7 @@
     ragwortreel_worker::{HttpWorkerConnector, WorkerTimeouts},
     std::{
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, atomic::AtomicBool},
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
 };
@@ -105,6 +105,7 @@
         stop,
         serving: Stop::new(),
         linked,
+        can_route: Arc::default(),
     };
     let services = core.services(config, &platform);
     let auth = Arc::new(Authenticator::new());
@@ -143,6 +144,8 @@
     serving: Stop,
     /// Ends the entry link and control.
     linked: Stop,
+    /// Set once requests can be routed.
+    can_route: Arc<AtomicBool>,
 }
 
 impl Core {
@@ -187,6 +190,7 @@
             self.control.clone(),
             Arc::clone(&self.telemetry),
             Arc::clone(&self.burn),
+            Arc::clone(&self.can_route),
             self.stop.clone(),
         );
         let handler = ApiHandler::new(
@@ -228,6 +232,7 @@
         .detach();
         spawn(follow_shares(
             place,
+            Arc::clone(&self.can_route),
             control.clone(),
             router.clone(),
             linked.clone(),
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -8,12 +8,21 @@
         BackendId, BackendServer, Router, Share, SlotLimits, SlotShares, inherits, slot_shares,
     },
     ragwortreel_runtime::{Stop, future, sleep_ms},
-    std::sync::Arc,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
+    },
 };
 
 /// Time between two looks at the lease and the list of backend servers, in ms; a lease lasts 3000 ms.
 const REFRESH_MS: u64 = 250;
 
+/// Time after which an empty list of backend servers is taken for a cell without any.
+const NO_BACKENDS: Duration = Duration::from_secs(3);
+
 /// Where this instance stands.
 #[derive(Debug, Clone)]
 pub struct Place {
@@ -24,8 +33,17 @@
 }
 
 /// Keeps the router's shares and backend servers up to date until the stop is requested.
-pub async fn follow_shares(place: Place, control: Control, router: Router, stop: Stop) {
+///
+/// `can_route` is set once this instance holds slots and knows the backend servers, and stays set.
+pub async fn follow_shares(
+    place: Place,
+    can_route: Arc<AtomicBool>,
+    control: Control,
+    router: Router,
+    stop: Stop,
+) {
     let changes = control.subscribe_slot_shares();
+    let begun = Instant::now();
     let mut known: Arc<Vec<Backend>> = Arc::default();
     while !stop.is_requested() {
         let backends = control.backends();
@@ -33,7 +51,12 @@
             router.update_backends(backends.iter().map(backend_server).collect());
             known = backends;
         }
-        router.update_shares(usable(&place, &control, &known));
+        let shares = usable(&place, &control, &known);
+        let is_listed = !known.is_empty() || begun.elapsed() >= NO_BACKENDS;
+        if shares.valid_until_ms > 0 && is_listed {
+            can_route.store(true, Ordering::Release);
+        }
+        router.update_shares(shares);
         let next_change = async {
             let _ = changes.recv().await;
         };
