http, backend: keep one timer registered for each connection

Cause: each request registered and removed four timers (server idle time, exchange deadline, silence check, pool idle time), and each registration wakes the thread that waits for sockets through an eventfd. Change: an alarm stays registered for an earlier limit and is registered anew only when it fires or a limit is earlier.

--- a/crates/backend/src/task.rs
+++ b/crates/backend/src/task.rs
@@ -12,9 +12,9 @@
     },
     async_channel::{Receiver, Sender},
     futures_lite::future,
-    ragwortreel_http::{Cause, ClientError, Connection, Progress, Request, Response, Sent},
+    ragwortreel_http::{Alarm, Cause, ClientError, Connection, Progress, Request, Response, Sent},
     ragwortreel_model::WorkClass,
-    ragwortreel_runtime::{log_event, sleep},
+    ragwortreel_runtime::log_event,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -35,6 +35,7 @@
 /// An open connection and its last sign of life.
 struct Open {
     connection: Connection,
+    alarm: Alarm,
     last_sign: Instant,
 }
 
@@ -113,6 +114,7 @@
         }
         Ok(Open {
             connection,
+            alarm: Alarm::default(),
             last_sign: Instant::now(),
         })
     }
@@ -120,7 +122,7 @@
     /// Waits for the next request; `None` when the connection is to be closed.
     async fn idle(&mut self, mut open: Open, class: WorkClass) -> Option<(Job, Open)> {
         loop {
-            let next = self.next(&open.connection).await;
+            let next = self.next(&mut open).await;
             let to_close = matches!(next, Next::Close);
             if let Next::Job(job) = next {
                 return Some((job, open));
@@ -138,25 +140,24 @@
         }
     }
 
-    async fn next(&self, connection: &Connection) -> Next {
+    async fn next(&self, open: &mut Open) -> Next {
+        let limits = &self.shared.limits;
+        let (time, at_end) = match &limits.probe {
+            Some(probe) => (probe.every, Next::Probe),
+            None => (limits.reuse_time, Next::Close),
+        };
         let job = async { self.job_rx.recv().await.map_or(Next::Close, Next::Job) };
         let disturbed = async {
-            connection.disturbed().await;
+            open.connection.disturbed().await;
             Next::Close
         };
         let stopped = async {
             self.shared.stop.requested().await;
             Next::Close
         };
-        let timer = async {
-            if let Some(probe) = &self.shared.limits.probe {
-                sleep(probe.every).await;
-                return Next::Probe;
-            }
-            sleep(self.shared.limits.reuse_time).await;
-            Next::Close
-        };
-        future::or(job, future::or(future::or(disturbed, stopped), timer)).await
+        let event = future::or(job, future::or(disturbed, stopped));
+        let limited = open.alarm.limit(Instant::now() + time, event).await;
+        limited.unwrap_or(at_end)
     }
 
     /// Sends a probe; false when it was not answered.
@@ -189,7 +190,10 @@
                     .await,
             )
         };
-        let watch = async { End::Silent(self.watch(&progress, job.terms, started).await) };
+        let watch = async {
+            let waited = self.watch(&mut open.alarm, &progress, job.terms, started);
+            End::Silent(waited.await)
+        };
         match future::or(exchange, watch).await {
             End::Done(Ok(response)) => {
                 open.last_sign = Instant::now();
@@ -229,13 +233,20 @@
     ///
     /// A straggler of long work takes many times longer than anything seen before, so long work counts as silent only
     /// when another connection of the pool was found silent since it began.
-    async fn watch(&self, progress: &Progress, terms: Terms, started: Instant) -> Duration {
+    async fn watch(
+        &self,
+        alarm: &mut Alarm,
+        progress: &Progress,
+        terms: Terms,
+        started: Instant,
+    ) -> Duration {
         let Some(patience) = self.shared.patience(terms) else {
             return future::pending().await;
         };
         let (mut last, mut since) = ((progress.written(), progress.read()), started);
         loop {
-            sleep(patience / CHECKS_PER_SILENCE).await;
+            let next = Instant::now() + patience / CHECKS_PER_SILENCE;
+            alarm.sleep_until(next).await;
             let now = (progress.written(), progress.read());
             if now != last {
                 (last, since) = (now, Instant::now());
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Cause, ClientError, ClientLimits, Method, ReadError, Refusal, Request, Response, Sent,
-        Step,
+        Alarm, Cause, ClientError, ClientLimits, Method, ReadError, Refusal, Request, Response,
+        Sent, Step,
         codec::{decode_response, encode_request_head},
         reader::{MessageReader, ReadLimits},
         stream::{Progress, Stream},
@@ -12,7 +12,7 @@
     futures_lite::AsyncWriteExt,
     ragwortreel_runtime::timeout_at,
     std::{
-        io,
+        io, mem,
         net::{SocketAddr, TcpStream},
         sync::Arc,
         time::Instant,
@@ -30,6 +30,7 @@
 #[derive(Debug)]
 pub struct Connection {
     reader: MessageReader<Stream>,
+    alarm: Alarm,
     peer: SocketAddr,
     usable: bool,
     step: Step,
@@ -66,6 +67,7 @@
         };
         Ok(Self {
             reader: MessageReader::new(io, limits),
+            alarm: Alarm::default(),
             peer,
             usable: true,
             step: Step::Encode,
@@ -128,7 +130,11 @@
         }
         // Set again at the end, so that a dropped future leaves the connection unusable.
         self.usable = false;
-        match timeout_at(deadline, self.run(request)).await {
+        // Taken out, because the exchange borrows the connection; a dropped future leaves an unused one behind.
+        let mut alarm = mem::take(&mut self.alarm);
+        let result = alarm.limit(deadline, self.run(request)).await;
+        self.alarm = alarm;
+        match result {
             Ok(Ok((response, reusable))) => {
                 self.usable = reusable && !self.reader.has_buffered();
                 Ok(response)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 //! against its declared length under a limit, and hands only unambiguous, complete messages to `async-h1`. Bodies are
 //! held whole in memory; their limits are in [`ServerLimits`] and [`ClientLimits`].
 
+mod alarm;
 mod client;
 mod codec;
 mod connection;
@@ -18,6 +19,7 @@
 mod server;
 mod stream;
 
+pub use alarm::Alarm;
 pub use client::Client;
 pub use connection::Connection;
 pub use error::{Cause, ClientError, ReadError, Refusal, Sent, Step};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Method, ReadError, Refusal, Request, Response, ServerLimits,
+        Alarm, Method, ReadError, Refusal, Request, Response, ServerLimits,
         codec::{decode_request, encode_response_head, has_body},
         events::{
             ACCEPT_FAILED, HANDLER_PANICKED, INVALID_RESPONSE, REQUEST_REFUSED,
@@ -23,6 +23,7 @@
         net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         panic::AssertUnwindSafe,
         sync::Arc,
+        time::Instant,
     },
 };
 
@@ -150,7 +151,8 @@
             return;
         };
         let mut reader = MessageReader::new(stream, read_limits(&self.shared.limits));
-        while self.wait(&mut reader).await {
+        let mut alarm = Alarm::default();
+        while self.wait(&mut reader, &mut alarm).await {
             if !self.serve_one(&mut reader).await {
                 close(reader.io_mut()).await;
                 return;
@@ -159,20 +161,18 @@
     }
 
     /// Waits for a request; false when the connection is to be closed instead.
-    async fn wait(&self, reader: &mut MessageReader<Stream>) -> bool {
+    async fn wait(&self, reader: &mut MessageReader<Stream>, alarm: &mut Alarm) -> bool {
         let limits = &self.shared.limits;
         let request = async { reader.wait().await.is_ok() };
-        let idle = async {
-            sleep(limits.idle_time).await;
-            false
-        };
         let stopped = async {
             self.stop.requested().await;
             sleep(limits.stop_linger).await;
             false
         };
         // The request comes first: one that has arrived is served even when the time is over.
-        request.or(idle).or(stopped).await
+        let until = Instant::now() + limits.idle_time;
+        let next = alarm.limit(until, request.or(stopped)).await;
+        next.unwrap_or(false)
     }
 
     /// Answers one request; false when the connection is to be closed.
