--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -22,20 +22,14 @@
 
 /// All cases, in the order of the design page.
 const CASES: &[Case] = &[
-    Case {
-        name: "place",
-        about: "cost and packing of single placements",
-        run: || Ok(place::run()),
-    },
-    Case {
-        name: "outage",
-        about: "acknowledged writes and the return of a store that was down for 30 s",
-        run: outage::run,
-    },
-];
     case("place", "cost and packing of single placements", || {
         Ok(place::run())
     }),
+    case(
+        "outage",
+        "acknowledged writes and the return of a store that was down for 30 s",
+        outage::run,
+    ),
     case(
         "silent",
         "open connections go silent while new ones work",
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod http_client;
 pub mod once;
 mod rate;
+mod read_back;
 mod resilient;
 
 pub use {
@@ -21,5 +22,6 @@
     group::{Division, Group},
     http_client::{HttpPlatform, InstancesAnswer, RowAnswer, RowsAnswer, ZONE_HEADER},
     rate::RateLimit,
+    read_back::{ReadBack, read_back},
     resilient::{MAX_IN_FLIGHT, QUEUE_LIMIT, ResilientConfig, ResilientTable, TableFigures},
 };
--- a/crates/platform/tests/once.rs
+++ b/crates/platform/tests/once.rs
@@ -6,18 +6,20 @@
         prelude::*,
         test_runner::{Config, RngSeed},
     },
-    ragwortreel_model::Team,
+    ragwortreel_model::{Team, Zone},
     ragwortreel_platform::{
-        PlatformError, ResilientConfig, ResilientTable, Row, TableService, Txn, TxnOutcome,
+        HttpPlatform, PlatformError, ResilientConfig, ResilientTable, Row, TableService, Txn,
+        TxnOutcome,
         once::{
             Begin, Claim, MAX_STORED_BODY_BYTES, OnceClaims, Stored, StoredAnswer, request_digest,
             sweep,
         },
     },
     ragwortreel_runtime::{block_on, discard_logger, sleep_ms, spawn, timeout_ms},
-    ragwortreel_standins::{Faults, Limits, MemoryPlatform, Outage},
+    ragwortreel_standins::{Faults, Limits, MemoryPlatform, Outage, platform::serve_platform},
     std::{
         collections::BTreeMap,
+        net::SocketAddr,
         sync::{
             Arc, Mutex,
             atomic::{AtomicU64, Ordering},
@@ -150,27 +152,36 @@
 enum Stack {
     Plain,
     Resilient,
+    /// The resilient client over HTTP, where responses are also cut and open connections fall silent.
+    Http,
     Unconditional,
 }
 
 impl Stack {
-    fn table(self, platform: &Arc<MemoryPlatform>) -> Arc<dyn TableService> {
+    fn table(self, platform: &Arc<MemoryPlatform>, addr: SocketAddr) -> Arc<dyn TableService> {
         let inner = Arc::clone(platform);
         match self {
             Self::Plain => inner,
             Self::Unconditional => Arc::new(Unconditional(inner)),
-            Self::Resilient => {
-                let cfg = ResilientConfig {
-                    instances: 3,
-                    call_timeout_ms: 40,
-                    ..ResilientConfig::default()
-                };
-                Arc::new(ResilientTable::new(inner, cfg, discard_logger()))
+            Self::Resilient => resilient(inner),
+            Self::Http => {
+                let zone = Zone::new("riga-a").expect("valid name");
+                let limit = Duration::from_millis(40);
+                resilient(Arc::new(HttpPlatform::new(addr, zone, limit)))
             }
         }
     }
 }
 
+fn resilient(inner: Arc<dyn TableService>) -> Arc<dyn TableService> {
+    let cfg = ResilientConfig {
+        instances: 3,
+        call_timeout_ms: 40,
+        ..ResilientConfig::default()
+    };
+    Arc::new(ResilientTable::new(inner, cfg, discard_logger()))
+}
+
 const INSTANCES: usize = 3;
 const CALLERS: usize = 12;
 const KEYS: usize = 6;
@@ -219,18 +230,28 @@
 fn run(plan: &Plan, stack: Stack) -> Vec<Event> {
     block_on(async {
         let platform = MemoryPlatform::with_limits(Limits::NONE, plan.seed);
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = serve_platform(any, Arc::clone(&platform)).expect("listen");
+        let addr = server.addr();
         let faults = Faults {
             lost_answers_ppm: plan.lost_answers_ppm,
             late_writes_ppm: plan.late_writes_ppm,
             late_write_ms: plan.late_write_ms,
             jitter_ms: plan.jitter_ms,
+            truncated_ppm: plan.lost_answers_ppm / 4,
             ..Faults::default()
         };
         platform.faults().set(faults);
         let history = Arc::new(Mutex::new(Vec::new()));
         let tokens = Arc::new(AtomicU64::new(0));
         let instances: Vec<_> = (0..INSTANCES)
-            .map(|n| OnceClaims::new(stack.table(&platform), &format!("i{n}"), discard_logger()))
+            .map(|n| {
+                OnceClaims::new(
+                    stack.table(&platform, addr),
+                    &format!("i{n}"),
+                    discard_logger(),
+                )
+            })
             .collect();
         let mut callers = Vec::new();
         for caller in 0..CALLERS {
@@ -241,7 +262,10 @@
         }
         for _ in 0..4 {
             sleep_ms(60).await;
-            platform.faults().update(|f| f.outage = plan.outage);
+            platform.faults().update(|f| {
+                f.outage = plan.outage;
+                f.silence_open_connections = true;
+            });
             sleep_ms(30).await;
             platform.faults().update(|f| f.outage = None);
         }
@@ -283,6 +307,15 @@
         let ran = history.iter().any(|event| matches!(event, Event::Executed { .. }));
         prop_assert!(ran, "nothing ran, so nothing was checked");
     }
+
+    // Guards against the same faults over HTTP, with cut responses and silent connections.
+    #[test]
+    fn a_key_runs_at_most_once_over_http(plan in plans()) {
+        let history = run(&plan, Stack::Http);
+        prop_assert_eq!(check(&history), Vec::<String>::new());
+        let ran = history.iter().any(|event| matches!(event, Event::Executed { .. }));
+        prop_assert!(ran, "nothing ran, so nothing was checked");
+    }
 }
 
 // Guards against a checker that finds nothing: without conditional writes some key runs twice in each of these runs.
--- /dev/null
+++ b/crates/platform/tests/read_back.rs
@@ -0,0 +1,89 @@
+//! Reading back writes whose answers were lost.
+
+use {
+    ragwortreel_platform::{Check, PlatformError, ReadBack, TableService, Txn, Write, read_back},
+    ragwortreel_runtime::{block_on, sleep_ms},
+    ragwortreel_standins::{Faults, MemoryPlatform, Outage},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+fn put(version: u64, value: &str) -> Txn {
+    let key: Arc<str> = Arc::from("k");
+    Txn {
+        checks: vec![Check {
+            key: Arc::clone(&key),
+            version,
+        }],
+        writes: vec![Write {
+            key,
+            value: Some(Arc::from(value)),
+        }],
+    }
+}
+
+async fn look(
+    platform: &MemoryPlatform,
+    version: u64,
+    marker: &str,
+) -> Result<ReadBack, PlatformError> {
+    let deadline = Instant::now() + Duration::from_millis(200);
+    read_back(platform, "k", version, marker, deadline).await
+}
+
+// Guards against a write that took effect and is taken for lost.
+#[test]
+fn a_lost_answer_is_found_by_its_marker() {
+    block_on(async {
+        let platform = MemoryPlatform::new();
+        platform.faults().set(Faults {
+            lost_answers_ppm: 1_000_000,
+            ..Faults::default()
+        });
+        assert!(platform.commit(put(0, "by a.1")).await.is_err());
+        platform.faults().clear();
+        let found = look(&platform, 0, "a.1").await.expect("read");
+        assert!(matches!(found, ReadBack::TookEffect(row) if row.version == 1));
+        let other = look(&platform, 0, "b.1").await.expect("read");
+        assert!(matches!(other, ReadBack::Overtaken(Some(_))));
+    });
+}
+
+// Guards against a write that is declared dead while it can still take effect.
+#[test]
+fn a_late_write_is_not_yet_until_another_write_stops_it() {
+    block_on(async {
+        let platform = MemoryPlatform::new();
+        platform.faults().set(Faults {
+            late_writes_ppm: 1_000_000,
+            late_write_ms: 200,
+            ..Faults::default()
+        });
+        // The random delay of this seed is above 0, so the first read comes before the effect.
+        assert!(platform.commit(put(0, "by a.1")).await.is_err());
+        platform.faults().clear();
+        let early = look(&platform, 0, "a.1").await.expect("read");
+        assert_eq!(early, ReadBack::NotYet(None));
+        platform.commit(put(0, "by a.2")).await.expect("commit");
+        sleep_ms(300).await;
+        let late = look(&platform, 0, "a.1").await.expect("read");
+        assert!(matches!(late, ReadBack::Overtaken(Some(row)) if &*row.value == "by a.2"));
+    });
+}
+
+// Guards against a caller that waits for a table that refuses, or for ever for one that is silent.
+#[test]
+fn an_outage_ends_the_read_back() {
+    block_on(async {
+        let platform = MemoryPlatform::new();
+        for (outage, least_ms) in [(Outage::Refuse, 0), (Outage::Silent, 100)] {
+            platform.faults().update(|f| f.outage = Some(outage));
+            let started = Instant::now();
+            assert!(look(&platform, 0, "a.1").await.is_err());
+            let took = started.elapsed();
+            assert!(took >= Duration::from_millis(least_ms) && took < Duration::from_secs(1));
+        }
+    });
+}
--- a/crates/worker/src/http_client.rs
+++ b/crates/worker/src/http_client.rs
@@ -16,7 +16,7 @@
         Client, ClientError, ClientLimits, Method, Response, Sent, json_request, parse_json,
     },
     ragwortreel_model::{Epoch, Zone},
-    ragwortreel_runtime::{Logger, log_event},
+    ragwortreel_runtime::{Logger, discard_logger, log_event},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         net::SocketAddr,
@@ -61,9 +61,9 @@
 }
 
 impl HttpWorkerConnector {
-    /// Makes a connector for an instance in a zone; failed commands are logged.
+    /// Makes a connector for an instance in a zone, with default time limits and without log.
     #[must_use]
-    pub fn new(zone: Zone, timeouts: WorkerTimeouts, log: Logger) -> Self {
+    pub fn new(zone: Zone) -> Self {
         let limits = ClientLimits {
             max_body_bytes: MAX_RESPONSE_BYTES,
             max_idle_per_address: MAX_IDLE,
@@ -73,10 +73,22 @@
         Self {
             client: Arc::new(Client::new(limits)),
             zone,
-            timeouts,
-            log,
+            timeouts: WorkerTimeouts::default(),
+            log: discard_logger(),
         }
     }
+
+    /// Replaces the time limits.
+    #[must_use]
+    pub fn with_timeouts(self, timeouts: WorkerTimeouts) -> Self {
+        Self { timeouts, ..self }
+    }
+
+    /// Sets where failed commands are logged.
+    #[must_use]
+    pub fn with_log(self, log: Logger) -> Self {
+        Self { log, ..self }
+    }
 }
 
 impl WorkerConnector for HttpWorkerConnector {
--- a/crates/worker/tests/http_client.rs
+++ b/crates/worker/tests/http_client.rs
@@ -4,7 +4,7 @@
     ragwortreel_model::{
         Assignment, Attempt, Epoch, JobId, Pool, Resources, TaskId, WorkerId, Zone,
     },
-    ragwortreel_runtime::{block_on, discard_logger},
+    ragwortreel_runtime::block_on,
     ragwortreel_standins::{
         FakeFleet, FakeWorker, Faults, Listening, Outage, WorkerSpec, worker::serve_worker,
     },
@@ -37,7 +37,7 @@
         command: Duration::from_millis(200),
     };
     let zone = Zone::new("riga-a").expect("valid name");
-    let connector = HttpWorkerConnector::new(zone, timeouts, discard_logger());
+    let connector = HttpWorkerConnector::new(zone).with_timeouts(timeouts);
     let client = connector.connect(listening.addr());
     Setup {
         worker,
