--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,11 +2,21 @@
 //!
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
+mod balance;
 mod cell;
+#[path = "../../crates/control/tests/support/mod.rs"]
+mod control_cell;
+mod failover;
+mod fleet;
+mod hol;
 mod outage;
 mod place;
+mod proxy;
 mod report;
+mod retry;
+mod settings;
 mod silent;
+mod surge;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
 
@@ -21,20 +31,18 @@
 }
 
 /// All cases, in the order of the design page.
+#[rustfmt::skip]
 const CASES: &[Case] = &[
-    case("place", "cost and packing of single placements", || {
-        Ok(place::run())
-    }),
-    case(
-        "outage",
-        "acknowledged writes and the return of a store that was down for 30 s",
-        outage::run,
-    ),
-    case(
-        "silent",
-        "open connections go silent while new ones work",
-        silent::run,
-    ),
+    case("place", "cost and packing of single placements", || Ok(place::run())),
+    case("hol", "short work beside long work", hol::run),
+    case("surge", "requests at four times the capacity", surge::run),
+    case("retry", "attempts while backend servers fail", retry::run),
+    case("balance", "shares of slots while an instance dies and one is cut off", balance::run),
+    case("proxy", "latency that the path through our server and pool adds", proxy::run),
+    case("settings", "spread of settings changed by racing operators", || Ok(settings::run())),
+    case("failover", "placement after the loss of a pool's owner", || Ok(failover::run())),
+    case("outage", "acknowledged writes and the return of a store that was down for 30 s", outage::run),
+    case("silent", "open connections go silent while new ones work", silent::run),
 ];
 
 const fn case(
