platform: charge scans by their answers; worker: replace silent connections

The service charges a scan one read for each 100 rows or 256 KB of its answer, but the client-side limit counted it once, so large scans exceeded the instance's share. They are now charged afterwards, and the figure of reads follows. Calls to a worker lost one time limit for each idle connection that had gone silent, which eats into a lease of 10 s; a time limit now gives up all of them.

--- a/crates/platform/src/rate.rs
+++ b/crates/platform/src/rate.rs
@@ -95,6 +95,13 @@
         Some(wait)
     }
 
+    /// Charges calls that were made already, which delays the following ones.
+    pub fn charge(&self, calls: u32) {
+        let mut state = self.lock();
+        state.fill(Instant::now());
+        state.tokens -= f64::from(calls);
+    }
+
     /// Waits for the next turn, however long it takes.
     pub async fn take_next(&self) {
         let wait = {
--- a/crates/platform/src/resilient.rs
+++ b/crates/platform/src/resilient.rs
@@ -9,7 +9,7 @@
 
 use {
     crate::{
-        api::{PlatformError, Row, TableService, Txn, TxnOutcome},
+        api::{MAX_TXN_BYTES, MAX_TXN_ROWS, PlatformError, Row, TableService, Txn, TxnOutcome},
         breaker::{Breaker, Change},
         events,
         group::Group,
@@ -73,7 +73,7 @@
 /// Figures for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TableFigures {
-    /// Reads sent.
+    /// Reads sent; a scan counts once for each 100 rows or 256 KB of its answer, as the service charges it.
     pub reads: u64,
     /// Writes sent; a group counts once.
     pub writes: u64,
@@ -283,7 +283,9 @@
         deadline: Instant,
     ) -> Result<Vec<Row>, PlatformError> {
         let call = self.shared.inner.scan(prefixes);
-        self.shared.read("scan", deadline, call).await
+        let rows = self.shared.read("scan", deadline, call).await?;
+        self.shared.charge_rows(&rows);
+        Ok(rows)
     }
 }
 
@@ -311,6 +313,15 @@
         Err(not_done(step, "the circuit breaker is open"))
     }
 
+    // The service charges a scan by the size of its answer, which is known only now.
+    fn charge_rows(&self, rows: &[Row]) {
+        let bytes: usize = rows.iter().map(|row| row.value.len()).sum();
+        let reads = (rows.len().div_ceil(MAX_TXN_ROWS)).max(bytes.div_ceil(MAX_TXN_BYTES));
+        let further = u32::try_from(reads.saturating_sub(1)).unwrap_or(u32::MAX);
+        (self.counters.reads).fetch_add(further.into(), Ordering::Relaxed);
+        self.read_rate.charge(further);
+    }
+
     fn call_limit(&self) -> Instant {
         Instant::now() + Duration::from_millis(self.cfg.call_timeout_ms)
     }
--- a/crates/platform/tests/resilient.rs
+++ b/crates/platform/tests/resilient.rs
@@ -233,3 +233,26 @@
     assert!(waits[59] >= Duration::from_millis(480), "{:?}", waits[59]);
     assert!(rate.reserve(Instant::now()).is_none());
 }
+
+// Guards against large scans that count as one read and exceed the instance's share.
+#[test]
+fn a_scan_is_charged_by_the_size_of_its_answer() {
+    block_on(async {
+        let (platform, table) = setup(ResilientConfig {
+            reads_per_s: 11.0,
+            ..config()
+        });
+        for n in 0..450 {
+            platform
+                .commit(put(&format!("k{n}"), 0))
+                .await
+                .expect("commit");
+        }
+        let rows = table.scan(&["k"]).await.expect("scan");
+        assert_eq!((rows.len(), table.figures().reads), (450, 5));
+        // One call of the burst was left, and 10 calls a second follow.
+        let started = Instant::now();
+        table.get("k0").await.expect("get");
+        assert!(started.elapsed() >= Duration::from_millis(350));
+    });
+}
--- a/crates/worker/src/http_client.rs
+++ b/crates/worker/src/http_client.rs
@@ -1,7 +1,8 @@
 //! HTTP client for workers.
 //!
 //! Status 409 with the highest seen epoch means fenced; 400 to 429 and 503 mean that nothing was done. Any other
-//! failure after a byte was sent leaves the outcome unknown.
+//! failure after a byte was sent leaves the outcome unknown. After a time limit all idle connections to the worker are
+//! given up, because open connections can go silent while new ones work.
 
 use {
     crate::{
@@ -13,14 +14,14 @@
     },
     async_trait::async_trait,
     ragwortreel_http::{
-        Client, ClientError, ClientLimits, Method, Response, Sent, json_request, parse_json,
+        Cause, Client, ClientError, ClientLimits, Method, Response, Sent, json_request, parse_json,
     },
     ragwortreel_model::{Epoch, Zone},
     ragwortreel_runtime::{Logger, log_event},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
 };
@@ -51,10 +52,9 @@
     }
 }
 
-/// Makes clients that share one pool of connections.
+/// Makes clients, each with connections of its own.
 #[derive(Clone)]
 pub struct HttpWorkerConnector {
-    client: Arc<Client>,
     zone: Zone,
     timeouts: WorkerTimeouts,
     log: Logger,
@@ -64,14 +64,7 @@
     /// Makes a connector for an instance in a zone; failed commands are logged.
     #[must_use]
     pub fn new(zone: Zone, timeouts: WorkerTimeouts, log: Logger) -> Self {
-        let limits = ClientLimits {
-            max_body_bytes: MAX_RESPONSE_BYTES,
-            max_idle_per_address: MAX_IDLE,
-            idle_time: IDLE_TIME,
-            ..ClientLimits::default()
-        };
         Self {
-            client: Arc::new(Client::new(limits)),
             zone,
             timeouts,
             log,
@@ -84,6 +77,7 @@
         Arc::new(HttpWorker {
             connector: self.clone(),
             peer: address,
+            client: Mutex::new(new_client()),
         })
     }
 }
@@ -91,6 +85,17 @@
 struct HttpWorker {
     connector: HttpWorkerConnector,
     peer: SocketAddr,
+    /// Replaced by a client without connections after a time limit.
+    client: Mutex<Arc<Client>>,
+}
+
+fn new_client() -> Arc<Client> {
+    Arc::new(Client::new(ClientLimits {
+        max_body_bytes: MAX_RESPONSE_BYTES,
+        max_idle_per_address: MAX_IDLE,
+        idle_time: IDLE_TIME,
+        ..ClientLimits::default()
+    }))
 }
 
 /// Body of a response with status 409.
@@ -118,6 +123,19 @@
         }
     }
 
+    fn client(&self) -> Arc<Client> {
+        let client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&client)
+    }
+
+    // Gives up the idle connections, unless another call has done so already.
+    fn drop_connections(&self, used: &Arc<Client>) {
+        let mut client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
+        if Arc::ptr_eq(&client, used) {
+            *client = new_client();
+        }
+    }
+
     async fn send<T: Serialize + Sync>(
         &self,
         call: Call,
@@ -144,11 +162,15 @@
     ) -> Result<Response, WorkerError> {
         let req = json_request(Method::Post, call.path, body)
             .map_err(|err| self.not_done(call, &err.to_string()))?;
-        let HttpWorkerConnector { client, zone, .. } = &self.connector;
-        let req = req.with_header(ZONE_HEADER, zone.as_str());
+        let req = req.with_header(ZONE_HEADER, self.connector.zone.as_str());
         let deadline = Instant::now() + call.limit;
-        let response = client.send(self.peer, req, deadline).await;
-        let response = response.map_err(|err| self.client_error(call, &err))?;
+        let client = self.client();
+        let response = client.send(self.peer, req, deadline).await.map_err(|err| {
+            if matches!(err.cause, Cause::Deadline) {
+                self.drop_connections(&client);
+            }
+            self.client_error(call, &err)
+        })?;
         match response.status {
             200..=299 => Ok(response),
             409 => Err(self.fenced(call, &response)),
--- a/crates/worker/tests/http_client.rs
+++ b/crates/worker/tests/http_client.rs
@@ -4,7 +4,7 @@
     ragwortreel_model::{
         Assignment, Attempt, Epoch, JobId, Pool, Resources, TaskId, WorkerId, Zone,
     },
-    ragwortreel_runtime::{block_on, discard_logger},
+    ragwortreel_runtime::{block_on, discard_logger, future},
     ragwortreel_standins::{
         FakeFleet, FakeWorker, Faults, Listening, Outage, WorkerSpec, worker::serve_worker,
     },
@@ -164,3 +164,28 @@
         }
     });
 }
+
+// Guards against a lease that runs out because several open connections fall silent one after the other.
+#[test]
+fn silent_connections_are_replaced_after_one_time_limit() {
+    block_on(async {
+        let Setup {
+            client,
+            worker,
+            listening: _listening,
+            ..
+        } = setup();
+        // Two calls at once leave two idle connections.
+        worker.faults().update(|f| f.latency_ms = 30);
+        let (first, second) = (heartbeat(1), heartbeat(1));
+        let both = future::zip(client.heartbeat(&first), client.heartbeat(&second)).await;
+        assert!(both.0.is_ok() && both.1.is_ok());
+        worker.faults().set(Faults {
+            silence_open_connections: true,
+            ..Faults::default()
+        });
+        let silent = client.heartbeat(&heartbeat(1)).await;
+        assert!(matches!(silent, Err(WorkerError::Unknown { .. })));
+        client.heartbeat(&heartbeat(1)).await.expect("report");
+    });
+}
