control: keep unproven earlier owners in the pool's row

An owner in a zone that was cut off was forgotten when the next owner died and was proven gone; the third owner then started the first one's tasks again. The row now names all owners that may still renew tasks.

The test cut_off_owner_outlasts_the_next_one fails without the change.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -293,6 +293,7 @@
             incarnation: shared.cfg.incarnation,
             epoch: handle.epoch(),
             released: true,
+            unproven: handle.unproven().to_vec(),
         };
         let txn = Txn {
             checks: vec![rows::check(&key, handle.row_version())],
--- a/crates/control/src/owner/mod.rs
+++ b/crates/control/src/owner/mod.rs
@@ -16,8 +16,7 @@
     crate::{
         api::{JobError, PoolFigures},
         events::RECOVERY_FAILED,
-        ownership::PreviousOwner,
-        rows::{QuotaRow, RunKey, SnapshotRow},
+        rows::{PreviousOwner, QuotaRow, RunKey, SnapshotRow},
         shared::{Shared, lock},
         store::Definite,
     },
@@ -98,6 +97,7 @@
     pub pool: Pool,
     epoch: Epoch,
     row_version: u64,
+    unproven: Vec<PreviousOwner>,
     tx: Sender<Message>,
     dropped: AtomicBool,
     blocked: AtomicBool,
@@ -115,6 +115,11 @@
         self.row_version
     }
 
+    /// Earlier owners as this ownership wrote them into the pool's row.
+    pub fn unproven(&self) -> &[PreviousOwner] {
+        &self.unproven
+    }
+
     pub fn sender(&self) -> &Sender<Message> {
         &self.tx
     }
@@ -158,7 +163,7 @@
     pool: &Pool,
     epoch: Epoch,
     row_version: u64,
-    previous: Option<PreviousOwner>,
+    previous: Vec<PreviousOwner>,
 ) -> Arc<OwnerHandle> {
     let (tx, rx) = async_channel::bounded(shared.cfg.limits.owner_queue);
     let summary = PoolSummary {
@@ -170,6 +175,7 @@
         pool: pool.clone(),
         epoch,
         row_version,
+        unproven: previous.clone(),
         tx,
         dropped: AtomicBool::new(false),
         blocked: AtomicBool::new(false),
@@ -193,7 +199,7 @@
     handle: Arc<OwnerHandle>,
     rx: Receiver<Message>,
     row_version: u64,
-    previous: Option<PreviousOwner>,
+    previous: Vec<PreviousOwner>,
     taken_ms: u64,
 ) {
     while !handle.is_dropped() && !shared.stop.is_requested() {
--- a/crates/control/src/owner/pool.rs
+++ b/crates/control/src/owner/pool.rs
@@ -9,8 +9,7 @@
             Message, OwnerHandle, Reply, journal::Journal, ledger::Record, link::RunCommand,
             recovery::Read, shares::Shares, workers::Worker,
         },
-        ownership::PreviousOwner,
-        rows::RunKey,
+        rows::{PreviousOwner, RunKey},
         shared::{Shared, lock},
     },
     async_channel::{Receiver, Sender},
@@ -88,8 +87,8 @@
     /// Ended runs whose records are not durable yet.
     pub ended_open: BTreeSet<RunKey>,
     pub shares: Shares,
-    /// Owner before the takeover that is not proven to have stopped its commands.
-    pub previous: Option<PreviousOwner>,
+    /// Owners before the takeover that are not proven to have stopped their commands.
+    pub previous: Vec<PreviousOwner>,
     pub taken_ms: u64,
     /// When it was certain that no earlier owner renews tasks any more.
     pub proven_ms: Option<u64>,
@@ -104,7 +103,7 @@
         handle: &Arc<OwnerHandle>,
         rx: Receiver<Message>,
         row_version: u64,
-        previous: Option<PreviousOwner>,
+        previous: Vec<PreviousOwner>,
         taken_ms: u64,
         read: Read,
     ) -> Self {
@@ -132,7 +131,7 @@
             runs: BTreeMap::new(),
             ended_open: BTreeSet::new(),
             shares: Shares::default(),
-            proven_ms: previous.is_none().then_some(taken_ms),
+            proven_ms: previous.is_empty().then_some(taken_ms),
             previous,
             taken_ms,
             releasing: None,
--- a/crates/control/src/owner/workers.rs
+++ b/crates/control/src/owner/workers.rs
@@ -211,13 +211,13 @@
 
     /// Marks silent workers and gives up the runs of those whose leases have certainly expired.
     pub fn check_workers(&mut self, now_ms: u64) {
-        let previous = self.previous.as_ref();
-        let taken_ms = self.taken_ms;
-        if previous
-            .is_some_and(|previous| ownership::is_proven_gone(&self.shared, previous, taken_ms))
-        {
-            self.previous = None;
-            self.proven_ms = Some(now_ms);
+        if !self.previous.is_empty() {
+            let (shared, taken_ms) = (Arc::clone(&self.shared), self.taken_ms);
+            self.previous
+                .retain(|previous| !ownership::is_proven_gone(&shared, previous, taken_ms));
+            if self.previous.is_empty() {
+                self.proven_ms = Some(now_ms);
+            }
         }
         let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
         for id in ids {
--- a/crates/control/src/ownership.rs
+++ b/crates/control/src/ownership.rs
@@ -4,7 +4,7 @@
     crate::{
         events::{POOL_LOST, POOL_TAKEN},
         owner::{self, OwnerHandle},
-        rows::{self, InstanceRow, PoolRow},
+        rows::{self, InstanceRow, PoolRow, PreviousOwner},
         shared::{Shared, lock},
         store::{Definite, commit_definite},
         view::{Versioned, View},
@@ -16,13 +16,6 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// The process that owned a pool before, whose last renewals of tasks may still count.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct PreviousOwner {
-    pub owner: InstanceId,
-    pub incarnation: Incarnation,
-}
-
 /// A pool that has no live owner.
 #[derive(Debug, Clone)]
 struct Vacancy {
@@ -30,8 +23,8 @@
     epoch: Epoch,
     /// Owner whose row the takeover must fence.
     fence: Option<(InstanceId, InstanceRow, u64)>,
-    /// Owner that is not proven to have stopped its commands.
-    unproven: Option<PreviousOwner>,
+    /// Owners that are not proven to have stopped their commands.
+    unproven: Vec<PreviousOwner>,
 }
 
 /// When each pool was first seen without a live owner, and the takeovers in flight.
@@ -81,14 +74,18 @@
             row_version: 0,
             epoch: Epoch(0),
             fence: None,
-            unproven: None,
+            unproven: Vec::new(),
         });
     };
+    let unproven = row
+        .unproven
+        .iter()
+        .filter(|earlier| !is_gone(shared, view, earlier));
     let free = Vacancy {
         row_version: *version,
         epoch: row.epoch,
         fence: None,
-        unproven: None,
+        unproven: unproven.cloned().collect(),
     };
     // A pool row that names this very process while it owns nothing is of an ownership that it has given up.
     let is_own = row.owner == shared.cfg.instance;
@@ -103,10 +100,13 @@
         owner: row.owner.clone(),
         incarnation: row.incarnation,
     };
-    let terminated = is_terminated(shared, &row.owner);
+    let mut unproven = free.unproven.clone();
+    if !is_terminated(shared, &row.owner) && !unproven.contains(&previous) {
+        unproven.push(previous);
+    }
     Some(Vacancy {
         fence: (!seen.row.fenced).then(|| (row.owner.clone(), seen.row.clone(), seen.version)),
-        unproven: (!terminated).then_some(previous),
+        unproven,
         ..free
     })
 }
@@ -120,17 +120,19 @@
 
 /// Whether a previous owner has certainly stopped renewing tasks, by what was read since the takeover.
 pub(crate) fn is_proven_gone(shared: &Shared, previous: &PreviousOwner, taken_ms: u64) -> bool {
-    if is_terminated(shared, &previous.owner) {
-        return true;
-    }
     let view = lock(&shared.view);
-    let seen = view.instances.get(&previous.owner);
     // A reading from before the takeover shows the row without the mark that the takeover set.
-    if view.read_ms.is_none_or(|read_ms| read_ms <= taken_ms) {
-        return false;
-    }
+    let is_new = view.read_ms.is_some_and(|read_ms| read_ms > taken_ms);
+    is_terminated(shared, &previous.owner) || (is_new && is_gone(shared, &view, previous))
+}
+
+/// Whether a previous owner is gone by rows that were read after it was fenced.
+fn is_gone(shared: &Shared, view: &View, previous: &PreviousOwner) -> bool {
+    let seen = view.instances.get(&previous.owner);
     // Its row is rewritten without the mark only after it gave up all pools.
-    view.is_gone(&previous.owner, previous.incarnation) || seen.is_some_and(|seen| !seen.row.fenced)
+    is_terminated(shared, &previous.owner)
+        || view.is_gone(&previous.owner, previous.incarnation)
+        || seen.is_some_and(|seen| !seen.row.fenced)
 }
 
 /// Takes vacant pools that this instance is the candidate for, and drops those that others took.
@@ -181,6 +183,7 @@
         incarnation: shared.cfg.incarnation,
         epoch,
         released: false,
+        unproven: vacancy.unproven.clone(),
     };
     let mut txn = Txn {
         checks: vec![rows::check(&key, vacancy.row_version)],
--- a/crates/control/src/rows.rs
+++ b/crates/control/src/rows.rs
@@ -37,6 +37,13 @@
     pub fenced: bool,
 }
 
+/// A process that owned a pool before and is not proven to have stopped its commands.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct PreviousOwner {
+    pub owner: InstanceId,
+    pub incarnation: Incarnation,
+}
+
 /// Ownership of a pool.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PoolRow {
@@ -45,6 +52,10 @@
     pub epoch: Epoch,
     /// The owner has stopped all its commands and given up the pool.
     pub released: bool,
+    /// Earlier owners whose renewals of tasks may still count. Kept over further changes of the owner, because a zone
+    /// that is cut off may outlast them.
+    #[serde(default)]
+    pub unproven: Vec<PreviousOwner>,
 }
 
 /// Members among which the slots of a zone's backend servers are divided.
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -377,3 +377,54 @@
         cell.assert_sound();
     });
 }
+
+/// An earlier owner in a zone that is cut off goes on renewing its tasks, also when the next owner dies and is proven
+/// gone; the owner after that must not start them again.
+#[test]
+fn cut_off_owner_outlasts_the_next_one() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a", "riga-b"], 2);
+        for (id, zone) in [("e1", "riga-a"), ("e2", "riga-a"), ("e3", "riga-b")] {
+            cell.start(id, zone);
+        }
+        cell.ready().await;
+        let mut spec = job("j", 6, Some(90_000));
+        spec.zone = Some(cell.zones[1].clone());
+        cell.submit("e1", spec).await;
+        cell.until("six run", |cell| cell.running() == 6).await;
+        let (near, far) = (cell.zones[0].clone(), cell.zones[1].clone());
+        cell.platform.faults().update(|faults| {
+            faults.cut_zones.insert(far);
+        });
+        for worker in &cell.workers[2..] {
+            let near = near.clone();
+            worker.faults().update(|faults| {
+                faults.cut_zones.insert(near);
+            });
+        }
+        let owns = |cell: &Cell, id: &str| {
+            let instance = cell.instances.get(id);
+            let pools = instance.map(|instance| instance.control.figures().pools);
+            pools.is_some_and(|pools| pools.iter().any(|pool| pool.pool.as_str() == "riga-b"))
+        };
+        cell.until("the other zone owns the pool", |cell| {
+            owns(cell, "e1") || owns(cell, "e2")
+        })
+        .await;
+        let next = if owns(&cell, "e1") { "e1" } else { "e2" };
+        cell.kill(next);
+        cell.start(next, "riga-a");
+        cell.until("owned again", |cell| owns(cell, "e1") || owns(cell, "e2"))
+            .await;
+        // Longer than a task's lease.
+        sleep_ms(14_000 / support::SPEED).await;
+        cell.platform.faults().clear();
+        for worker in &cell.workers {
+            worker.faults().clear();
+        }
+        sleep_ms(5_000 / support::SPEED).await;
+        assert_eq!(cell.running(), 6);
+        assert_eq!(cell.fleet.history().runs().len(), 6);
+        cell.assert_sound();
+    });
+}
