Probe within a second while a whole service is ejected

After a full outage ejected backend servers waited up to 15 s for their next probe, so requests were refused although the service had recovered. While all backend servers of a service are ejected each is now probed within a second, and slots in use are summed where a backend server changes its service. Instances of the same zone may now be suggested too, for one that has no slot of a small service.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -251,11 +251,23 @@
 
     /// Sends a request to an entry instance and waits until its deadline at the latest.
     pub async fn call(&self, at: usize, class: WorkClass, run: Duration, limit_ms: u64) -> Call {
+        self.call_route("short", at, class, run, limit_ms).await
+    }
+
+    /// Sends a request of a route.
+    pub async fn call_route(
+        &self,
+        route: &str,
+        at: usize,
+        class: WorkClass,
+        run: Duration,
+        limit_ms: u64,
+    ) -> Call {
         let request = RequestInfo {
             team: team(),
             service: service(),
             caller: team(),
-            route: class.to_string().into(),
+            route: route.into(),
             class: Some(class),
             cost_hint_ms: None,
             deadline_ms: self.clock.now_ms() + limit_ms,
--- a/crates/routing/src/group.rs
+++ b/crates/routing/src/group.rs
@@ -123,6 +123,12 @@
         backends.any(|(id, backend)| backend.allowed > 0 && !avoid.contains(id))
     }
 
+    /// Whether every backend server that stays is ejected.
+    pub fn is_out(&self) -> bool {
+        let mut staying = self.backends.values().filter(|b| !b.server.leaving);
+        staying.all(|b| b.health.is_ejected())
+    }
+
     /// Time of the first probe of an ejected backend server, in ms.
     pub fn next_probe_ms(&self) -> Option<u64> {
         let probes = self.backends.values();
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -10,6 +10,9 @@
 const MAX_EJECT_MS: u64 = 15_000;
 /// Time within which ejected backend servers are probed once another one of the service has recovered, in ms.
 const REPROBE_MS: u64 = 500;
+/// Longest time until the next probe while all backend servers of a service are ejected, in ms. There is nothing left to
+/// protect by waiting longer, and the service is back sooner.
+const OUTAGE_PROBE_MS: u64 = 1_000;
 /// Slots that a returning backend server may use at most before it counts as healthy again.
 const RETURNED_SLOTS: u32 = 1_024;
 
@@ -183,8 +186,17 @@
 
     /// Another backend server of the service has recovered: probes this one soon.
     pub fn probe_soon(&mut self, now_ms: u64, rng: &mut impl Rng) {
+        self.probe_by(now_ms + rng.random_range(0..=REPROBE_MS));
+    }
+
+    /// All backend servers of the service are ejected: probes this one within a second.
+    pub fn probe_in_outage(&mut self, now_ms: u64, rng: &mut impl Rng) {
+        self.probe_by(now_ms + rng.random_range(OUTAGE_PROBE_MS / 2..=OUTAGE_PROBE_MS));
+    }
+
+    fn probe_by(&mut self, at_ms: u64) {
         if let Phase::Ejected { until_ms, .. } = &mut self.phase {
-            *until_ms = (*until_ms).min(now_ms + rng.random_range(0..=REPROBE_MS));
+            *until_ms = (*until_ms).min(at_ms);
         }
     }
 }
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -61,7 +61,7 @@
     pub leaving: bool,
 }
 
-/// Load of an entry instance of another zone, as its heartbeat tells.
+/// Load of another entry instance, as its heartbeat tells.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ZoneLoad {
     /// Name of the instance.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -61,12 +61,14 @@
             .change(|state, _| state.update_instances(instances));
     }
 
-    /// Takes over the load of entry instances in other zones.
+    /// Takes over the load of other entry instances.
     pub fn update_zones(&self, zones: Vec<ZoneLoad>) {
         self.shared.change(|state, _| state.update_zones(zones));
     }
 
-    /// Suggests an instance of another zone when it answers sooner than a slot here would be free.
+    /// Suggests another instance, of this zone or another, when it answers sooner than a slot here would be free.
+    ///
+    /// A forwarded request is not forwarded again.
     #[must_use]
     pub fn spill(&self, request: &RequestInfo) -> Option<InstanceId> {
         self.shared.lock().spill(request)
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -143,8 +143,12 @@
 
     pub fn update_settings(&mut self, _now: u64, settings: &Settings) {
         self.settings = settings.clone();
-        self.teams
-            .retain(|team, _| settings.teams.contains_key(team));
+        // What is kept by team is bounded by the teams of the settings and those with requests in flight.
+        let has_team = |team: &Team| settings.teams.contains_key(team);
+        self.teams.retain(|team, _| has_team(team));
+        self.figures.teams.retain(|team, figures| {
+            has_team(team) || figures.classes.values().any(|c| c.in_flight > 0)
+        });
     }
 
     pub fn update_instances(&mut self, instances: u32) {
@@ -182,6 +186,8 @@
             }
         }
         self.serve_all(now);
+        self.groups
+            .retain(|_, group| !group.backends.is_empty() || group.queued() > 0);
     }
 
     pub fn update_shares(&mut self, now: u64, shares: SlotShares) {
@@ -407,10 +413,16 @@
                 }
             });
             self.figures.ejections += u64::from(ejected);
-            if recovered {
+            if recovered || group.is_out() {
                 let ids: Vec<BackendId> = group.backends.keys().cloned().collect();
                 for id in ids {
-                    group.change(now, &id, |backend| backend.health.probe_soon(now, rng));
+                    group.change(now, &id, |backend| {
+                        if recovered {
+                            backend.health.probe_soon(now, rng);
+                        } else {
+                            backend.health.probe_in_outage(now, rng);
+                        }
+                    });
                 }
             }
             forget_unused(group, &done.backend);
@@ -446,7 +458,7 @@
         is_allowed
     }
 
-    /// Another instance that can answer sooner although the way to it is longer.
+    /// Another instance, of this zone or another, that can answer sooner although the way to it is longer.
     pub fn spill(&mut self, request: &RequestInfo) -> Option<InstanceId> {
         let key = (request.team.clone(), request.service.clone());
         let weight = self.weight(&request.caller);
@@ -455,11 +467,11 @@
         let wait_ms = group
             .and_then(|group| group.wait_ms(class, &request.caller, weight))
             .unwrap_or(f64::INFINITY);
-        let own_zone = &self.config.zone;
+        let own = &self.config.instance;
         let pays = |load: &&mut ZoneLoad| {
             let detour_ms = load.round_trip_ms + SPILL_MARGIN_MS;
             let free = load.free_slots.get(&key).copied().unwrap_or(0);
-            load.zone != *own_zone && free > 0 && wait_ms > detour_ms
+            load.instance != *own && free > 0 && wait_ms > detour_ms
         };
         let best = self
             .zones
@@ -474,8 +486,12 @@
     }
 
     pub fn slots_in_use(&self) -> BTreeMap<BackendId, u32> {
-        let backends = self.groups.values().flat_map(|group| &group.backends);
-        backends.map(|(id, b)| (id.clone(), b.in_use)).collect()
+        let mut in_use: BTreeMap<BackendId, u32> = BTreeMap::new();
+        // A backend server that changed its service is in two groups until its old requests have ended.
+        for (id, backend) in self.groups.values().flat_map(|group| &group.backends) {
+            *in_use.entry(id.clone()).or_default() += backend.in_use;
+        }
+        in_use
     }
 
     pub fn free_slots(&self) -> BTreeMap<GroupKey, u32> {
