--- a/crates/routing/tests/ledger.rs
+++ b/crates/routing/tests/ledger.rs
@@ -7,7 +7,8 @@
     proptest::{prelude::*, test_runner::RngSeed},
     ragwortreel_model::{Epoch, InstanceId},
     ragwortreel_routing::{
-        BackendId, InUse, ReleaseReport, SLOT_LEASE_MS, ShareLedger, SlotLimits, SlotShares,
+        BackendId, InUse, PEER_LEASE_MS, ReleaseReport, SLOT_LEASE_MS, ShareLedger, SlotLimits,
+        SlotShares,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -522,7 +523,6 @@
 /// Guards against a member that jumps over an epoch and assumes a share in it.
 #[test]
 fn a_missing_epoch_allows_nothing() {
-    let name = |text: &str| InstanceId::new(text).unwrap();
     let (a, b, c) = (name("a"), name("b"), name("c"));
     let backend = BackendId::from("backend-1");
     let mut ledger = ShareLedger::new(a.clone());
@@ -540,3 +540,68 @@
     ledger.peer_released(&name("c"), &report);
     assert!(slots(&mut ledger) >= 2);
 }
+
+fn name(text: &str) -> InstanceId {
+    InstanceId::new(text).unwrap()
+}
+
+/// A ledger of member `a`, with epoch 1 of the given members, all of which have released it.
+fn ledger_of(members: &[&str]) -> ShareLedger {
+    let members: Vec<InstanceId> = members.iter().map(|text| name(text)).collect();
+    let mut ledger = ShareLedger::new(name("a"));
+    ledger.apply_epoch(0, Epoch(1), &members);
+    let report = ReleaseReport {
+        epoch: Epoch(1),
+        still_held: BTreeSet::new(),
+    };
+    for member in &members {
+        ledger.peer_released(member, &report);
+    }
+    ledger
+}
+
+fn usable_slots(ledger: &mut ShareLedger, now_ms: u64) -> u32 {
+    let backend = BackendId::from("backend-1");
+    let shares = ledger.usable(now_ms, [&backend], LIMITS);
+    shares.by_backend[&backend].slots
+}
+
+/// Guards against a release that lets a new member use the slots of one that was promised the old epoch.
+#[test]
+fn a_promise_holds_back_the_release() {
+    let mut ledger = ledger_of(&["a", "b"]);
+    assert!(ledger.confirm(100, &name("b"), Epoch(1)));
+    ledger.apply_epoch(200, Epoch(2), &[name("a"), name("c")]);
+    let released = |ledger: &ShareLedger, now_ms| {
+        let report = ledger.release_report(now_ms, &BTreeMap::new(), LIMITS);
+        report.epoch
+    };
+    assert_eq!(released(&ledger, 99 + PEER_LEASE_MS), Epoch(1));
+    assert_eq!(released(&ledger, 100 + PEER_LEASE_MS), Epoch(2));
+    assert!(!ledger.confirm(300, &name("b"), Epoch(1)));
+}
+
+/// Guards against the use of a removed member's slots before its lease has expired.
+#[test]
+fn a_removed_member_counts_until_its_lease_has_expired() {
+    let mut ledger = ledger_of(&["a", "b"]);
+    ledger.peer_seen(1_000, &name("b"));
+    ledger.apply_epoch(1_000, Epoch(2), &[name("a")]);
+    assert_eq!(usable_slots(&mut ledger, 999 + PEER_LEASE_MS), 4);
+    assert_eq!(usable_slots(&mut ledger, 1_000 + PEER_LEASE_MS), 8);
+}
+
+/// Guards against a lease that outlives the table lease of the member that it relies on.
+#[test]
+fn a_lease_through_others_ends_with_their_table_lease() {
+    let backend = BackendId::from("backend-1");
+    let mut ledger = ledger_of(&["a", "b", "c"]);
+    let confirmed = BTreeMap::from([(name("b"), 1_500)]);
+    ledger.renewed_by_peers(1_000, Epoch(1), &confirmed, &BTreeSet::new());
+    let shares = ledger.usable(1_000, [&backend], LIMITS);
+    assert_eq!(shares.valid_until_ms, 2_500);
+    // A member without the table may be removed together with this one, so nothing is left beside a silent third.
+    let confirmed = BTreeMap::from([(name("b"), 0)]);
+    ledger.renewed_by_peers(2_000, Epoch(1), &confirmed, &BTreeSet::new());
+    assert_eq!(usable_slots(&mut ledger, 2_000), 0);
+}
