--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,10 +4,12 @@
 
 mod balance;
 mod cell;
+mod churn;
 #[path = "../../crates/control/tests/support/mod.rs"]
 mod control_cell;
 mod failover;
 mod fleet;
+mod gang;
 mod hol;
 mod outage;
 mod place;
@@ -34,6 +36,8 @@
 #[rustfmt::skip]
 const CASES: &[Case] = &[
     case("place", "cost and packing of single placements", || Ok(place::run())),
+    case("gang", "jobs whose tasks start together beside small work", || Ok(gang::run())),
+    case("churn", "a wave of cancellations and lost workers", || Ok(churn::run())),
     case("hol", "short work beside long work", hol::run),
     case("surge", "requests at four times the capacity", surge::run),
     case("retry", "attempts while backend servers fail", retry::run),
@@ -41,7 +45,7 @@
     case("proxy", "latency that the path through our server and pool adds", proxy::run),
     case("settings", "spread of settings changed by racing operators", || Ok(settings::run())),
     case("failover", "placement after the loss of a pool's owner", || Ok(failover::run())),
-    case("outage", "acknowledged writes and the return of a store that was down for 30 s", outage::run),
+    case("outage", "acknowledged writes and requests while the store is down for 30 s", outage::run),
     case("silent", "open connections go silent while new ones work", silent::run),
 ];
 
