--- a/crates/entry/src/generated.rs
+++ b/crates/entry/src/generated.rs
@@ -139,6 +139,9 @@
     pub class: ::prost::alloc::string::String,
     #[prost(string, tag = "9")]
     pub idempotency_key: ::prost::alloc::string::String,
+    /// Team that calls and is charged.
+    #[prost(string, tag = "10")]
+    pub caller: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ForwardedResponse {
