placement: ask again for a checkpoint that has no effect

A checkpoint was handed out once. If the command or its answer was lost, an urgent task or a gathering gang waited for room that never came. It is now repeated every 10 s until the run ends.

cargo test -p ragwortreel-placement: 25 passed; the test for urgent work covers the repetition.

--- a/crates/placement/src/reclaim.rs
+++ b/crates/placement/src/reclaim.rs
@@ -5,12 +5,14 @@
     ragwortreel_model::{Priority, Resources},
     std::{
         cmp::Reverse,
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet},
     },
 };
 
 /// Workers that are compared to find the cheapest room.
 const WORKERS_TO_COMPARE: usize = 8;
+/// Time after which a checkpoint without effect is asked for again, in ms; the command or its answer may be lost.
+const REPEAT_MS: u64 = 10_000;
 /// Tasks of a lane for which room is being made at once.
 const MAX_CLAIMS: u32 = 256;
 
@@ -26,24 +28,29 @@
 pub struct Claims {
     by_run: BTreeMap<RunKey, u32>,
     table: Arena<Claim>,
-    stops: VecDeque<RunKey>,
+    /// Checkpoints by the time at which they are to be handed out, in ms.
+    stops: BTreeSet<(u64, RunKey)>,
 }
 
 impl Scheduler {
     /// Has a run checkpointed.
     pub(crate) fn stop(&mut self, run: RunKey) {
         self.mark_stopping(run);
-        self.claims.stops.push_back(run);
+        self.claims.stops.insert((self.now_ms, run));
     }
 
-    /// Hands out checkpoints up to the limit.
+    /// Hands out checkpoints up to the limit, and again those that had no effect.
     pub(crate) fn flush_stops(&mut self, out: &mut Vec<Decision>, limit: usize) {
         while out.len() < limit
-            && let Some(run) = self.claims.stops.pop_front()
+            && let Some(&(due_ms, run)) = self.claims.stops.first()
+            && due_ms <= self.now_ms
         {
+            self.claims.stops.pop_first();
             let entry = self.jobs.get(run.0).and_then(|job| job.runs.get(&run.1));
             if entry.is_some_and(|entry| entry.stopping) {
                 out.push(Decision::Checkpoint(self.assignment(run)));
+                let again_ms = self.now_ms.saturating_add(REPEAT_MS);
+                self.claims.stops.insert((again_ms, run));
             }
         }
     }
--- a/crates/placement/tests/behaviour.rs
+++ b/crates/placement/tests/behaviour.rs
@@ -201,6 +201,10 @@
     assert_eq!(stopped.len(), 2, "just enough room is made");
     assert!(stopped.iter().all(|run| run.task.job.as_str() == "patient"));
     assert!(world.decide(10).is_empty(), "room is made once");
+    world.now_ms += 10 * SECOND_MS;
+    let again = checkpoints(&world.decide(10));
+    assert_eq!(again.len(), 2, "a lost command is repeated");
+    assert!(again.iter().all(|run| stopped.contains(run)));
     for run in &stopped {
         world.end(run, TaskResult::Checkpointed);
     }
