placement: make room for services that lost a worker

Batch fills all free room, so services that lost a worker waited for the ends of batch runs. A service task that was lost is now served like urgent work: first in rank, and batch runs may be checkpointed for it. Batch can therefore use the headroom that services need only after a failure.

--- a/crates/placement/src/jobs.rs
+++ b/crates/placement/src/jobs.rs
@@ -53,6 +53,8 @@
     pub back_offs: u32,
     /// End of the current back-off, in ms.
     pub back_off_until: Option<u64>,
+    /// Queued tasks whose last run was lost with its worker.
+    pub lost: u32,
     /// Running tasks by rack name; kept for services only.
     pub racks: BTreeMap<Rack, u32>,
     /// First task number that was never queued again; those from here on are queued unless `skipped`.
@@ -77,6 +79,7 @@
             failures: 0,
             back_offs: 0,
             back_off_until: None,
+            lost: 0,
             racks: BTreeMap::new(),
             fresh: 0,
             skipped: BTreeSet::new(),
@@ -134,6 +137,7 @@
 
     /// Drops all queued tasks.
     pub fn drop_queued(&mut self) {
+        self.lost = 0;
         self.fresh = self.spec.tasks;
         self.skipped.clear();
         self.returned.clear();
@@ -180,6 +184,12 @@
         self.spec.priority == Priority::Urgent
     }
 
+    /// Whether batch runs may be checkpointed to make room for it: urgent work, and services that lost a worker. Batch
+    /// may thus use the room that services need only after a failure.
+    pub fn may_reclaim(&self) -> bool {
+        self.is_urgent() || (self.spec.kind == JobKind::Service && self.lost > 0)
+    }
+
     /// A run as the owner of the pool knows it.
     pub fn assignment(&self, index: u32, run: &Run, worker: &crate::WorkerSpec) -> Assignment {
         Assignment {
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -36,7 +36,7 @@
 /// Order in which lanes are served; the lowest comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
-    /// Whether the lane is not urgent.
+    /// Whether the lane is neither urgent nor has a service to start again.
     pub not_urgent: bool,
     /// Weighted share of the team with aging.
     pub score: u64,
--- a/crates/placement/src/reclaim.rs
+++ b/crates/placement/src/reclaim.rs
@@ -1,7 +1,7 @@
 //! Checkpoints that make room for urgent work.
 
 use {
-    crate::{Decision, Scheduler, arena::Arena, capacity::Visit, workers::RunKey},
+    crate::{Decision, Scheduler, arena::Arena, capacity::Visit, jobs::Job, workers::RunKey},
     ragwortreel_model::{Priority, Resources},
     std::{
         cmp::Reverse,
@@ -67,12 +67,18 @@
         }
     }
 
-    /// Has patient batch runs checkpointed for a task of an urgent lane; returns whether it did.
+    /// Has patient batch runs checkpointed for the first task of a lane, if it may; returns whether it did.
     pub(crate) fn make_room(&mut self, lane: u32) -> bool {
         let entry = self.queue.lane(lane);
         let is_single = entry.key.gang_tasks == 0;
-        let most = u64::from(MAX_CLAIMS).min(entry.queued);
-        if entry.key.priority != Priority::Urgent || !is_single || u64::from(entry.claims) >= most {
+        let first = entry.jobs.first().map(|&(_, _, job)| &self.jobs[job]);
+        let may_reclaim = first.is_some_and(Job::may_reclaim);
+        let most = match first {
+            Some(job) if !job.is_urgent() => u64::from(job.lost),
+            _ => entry.queued,
+        };
+        let most = most.min(u64::from(MAX_CLAIMS));
+        if !may_reclaim || !is_single || u64::from(entry.claims) >= most {
             return false;
         }
         let need = entry.shape.need;
--- a/crates/placement/src/runs.rs
+++ b/crates/placement/src/runs.rs
@@ -29,6 +29,7 @@
     pub(crate) fn start_next(&mut self, job: u32, pick: Pick) -> Option<Assignment> {
         let before = self.jobs[job].queued();
         let index = self.jobs[job].take_next()?;
+        self.jobs[job].lost = self.jobs[job].lost.saturating_sub(1);
         let attempt = self.jobs[job].next_attempt(index);
         self.count_turn(job);
         let shape = self.queue.lane(self.jobs[job].lane).shape;
@@ -137,6 +138,7 @@
             job.back_offs = 0;
         } else if !job.cancelled {
             job.give_back(key.1);
+            job.lost += u32::from(result == TaskResult::Lost);
         }
         self.count_queued(key.0, before);
         self.judge(key.0, run.worker, result);
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -184,7 +184,7 @@
     /// Rank of a lane, and the time from which its first job may gather room.
     fn rank(&self, ix: u32) -> Option<(Rank, u64)> {
         let lane = self.queue.lane(ix);
-        let &(oldest_ms, _, _) = lane.jobs.first()?;
+        let &(oldest_ms, _, first) = lane.jobs.first()?;
         let team = self.teams.get(lane.key.team);
         let since_ms = lane.served_until_ms.max(oldest_ms);
         // A team that is served regularly does not age, so its backlog cannot displace other teams. A patient lane
@@ -195,7 +195,7 @@
         };
         let share = team.weighted_share(&self.total);
         let rank = Rank {
-            not_urgent: lane.key.priority != Priority::Urgent,
+            not_urgent: !self.jobs[first].may_reclaim(),
             score: share.saturating_add(aged_ms.saturating_mul(AGING_PER_MS)),
             since_ms,
         };
@@ -351,8 +351,8 @@
             }
             self.settle(lane);
         }
-        // Room may be made for an urgent task even where none is free, so new urgent work is always tried.
-        if wanted && self.jobs[ix].is_urgent() {
+        // Room may be made for such work even where none is free, so it is always tried.
+        if wanted && self.jobs[ix].may_reclaim() {
             self.queue.reopen(lane);
         }
     }
--- a/crates/placement/tests/behaviour.rs
+++ b/crates/placement/tests/behaviour.rs
@@ -212,6 +212,30 @@
     assert_eq!(started[0].task.job.as_str(), "urgent");
 }
 
+/// Guards against services that stay down after the loss of a worker because batch fills the pool.
+#[test]
+fn lost_services_take_the_place_of_batch() {
+    let mut world = world(&[4, 4, 4]);
+    world.submit(job("service", "b", JobKind::Service, 3, cores(2)));
+    let services = starts(&world.decide(20));
+    assert_eq!(services.len(), 3);
+    world.submit(batch("batch", 20, 1, 3_600 * SECOND_MS));
+    assert_eq!(starts(&world.decide(20)).len(), 6);
+    world.lose(&services[0].worker);
+    let stopped = checkpoints(&world.decide(20));
+    assert_eq!(stopped.len(), 2, "room for one lost task");
+    for run in &stopped {
+        world.end(run, TaskResult::Checkpointed);
+    }
+    let again = starts(&world.decide(20));
+    assert_eq!(again[0].task, services[0].task);
+    world.submit(job("new", "b", JobKind::Service, 1, cores(2)));
+    assert!(
+        world.decide(20).is_empty(),
+        "a new service waits for its turn"
+    );
+}
+
 /// Guards against an urgent gang that waits for the ends of patient work.
 #[test]
 fn urgent_gang_takes_the_place_of_patient_batch() {
