placement: try the gathering job apart from its shape

Lanes of one shape are tried in the order of rank. When a lane that does not gather came first, it was refused on the held worker and the shape was closed, so the gathering job of the same shape was never tried and its reservation never ended. The gathering job is now tried once in each call, after urgent work.

--- a/crates/placement/src/decide.rs
+++ b/crates/placement/src/decide.rs
@@ -39,12 +39,20 @@
 
     fn place_waiting(&mut self, out: &mut Vec<Decision>, limit: usize) {
         self.flush_stops(out, limit);
+        let mut gathering_tried = false;
         for _ in 0..MAX_SEARCHES {
             if out.len() >= limit {
                 return;
             }
             self.open_for_freed();
-            let Some(lane) = self.queue.first() else {
+            let next = self.queue.first();
+            let is_urgent = next.is_some_and(|lane| self.queue.lane(lane).shape.urgent);
+            if !gathering_tried && !is_urgent {
+                gathering_tried = true;
+                out.extend(self.start_gathering());
+                continue;
+            }
+            let Some(lane) = next else {
                 return;
             };
             let Some(&(_, _, job)) = self.queue.lane(lane).jobs.first() else {
@@ -59,12 +67,20 @@
                 // Later work must not take the room that a gang could gather.
                 if self.queue.lane(lane).key.gang_tasks > 0 && self.reservation.is_none() {
                     self.next_plan_ms = self.retry_plan_ms;
-                    self.plan_reservation();
+                    gathering_tried &= !self.plan_reservation();
                 }
             }
         }
     }
 
+    /// Starts the job for which room is gathered, if all of its room is there. It may use held workers, which the other
+    /// lanes of its shape may not, so it is tried even while the shape is closed.
+    fn start_gathering(&mut self) -> Option<Decision> {
+        self.check_reservation();
+        let job = self.reservation.as_ref()?.job;
+        self.start_job(job)
+    }
+
     /// Starts the next task of a job, or all tasks of a gang, if there is room.
     fn start_job(&mut self, ix: u32) -> Option<Decision> {
         let is_gang = self.jobs[ix].spec.kind == JobKind::Gang;
--- a/crates/placement/tests/behaviour.rs
+++ b/crates/placement/tests/behaviour.rs
@@ -329,6 +329,35 @@
     assert_eq!(starts(&world.decide(10))[0].task.job.as_str(), "gang");
 }
 
+/// Guards against a reservation that is never used: another job of the same size comes first in rank, may not use the
+/// held worker, and must not keep the gathering job from it.
+#[test]
+fn gathering_task_starts_beside_a_job_of_the_same_size() {
+    let mut world = world(&[4]);
+    world.submit(batch("small", 4, 1, 100 * SECOND_MS));
+    let small = starts(&world.decide(10));
+    let mut large = batch("large", 1, 4, 100 * SECOND_MS);
+    large.priority = Priority::Patient;
+    world.submit(large.clone());
+    // Its patience makes the first one gather; the second one has a better rank once it does.
+    for _ in 0..12 {
+        world.now_ms += SECOND_MS;
+        assert!(world.decide(10).is_empty());
+    }
+    let gathering = explain(&world, "large");
+    let is_gathering = matches!(gathering, Some(WaitReason::GatheringRoom { .. }));
+    assert!(is_gathering, "{gathering:?}");
+    let mut other = batch("other", 1, 4, 100 * SECOND_MS);
+    other.team = ragwortreel_model::Team::new("b").unwrap();
+    world.submit(other);
+    for run in &small {
+        world.end(run, TaskResult::Succeeded);
+        world.now_ms += SECOND_MS;
+    }
+    let started = starts(&world.decide(10));
+    assert_eq!(started[0].task.job.as_str(), "large");
+}
+
 /// Guards against a gang of which only some tasks run.
 #[test]
 fn gang_that_loses_a_task_is_stopped_and_starts_together_again() {
