--- a/bench/src/churn.rs
+++ b/bench/src/churn.rs
@@ -5,8 +5,8 @@
         cell::{Cell, WORKERS, copy_to_naive, name},
         report::{Measure, Unit},
     },
-    ragwortreel_model::{JobId, JobKind, Pool, Resources, WorkerId},
-    ragwortreel_placement::{Config, PoolScheduler, Scheduler},
+    ragwortreel_model::{JobId, JobKind, Pool, Resources, TaskResult, WorkerId},
+    ragwortreel_placement::{Config, Decision, PoolScheduler, Scheduler},
     std::time::Instant,
 };
 
@@ -24,6 +24,7 @@
     place_ms: f64,
     lost_tasks: u32,
     replaced: u32,
+    checkpoints: u32,
 }
 
 impl Recovery {
@@ -63,13 +64,23 @@
     }
     let lose_ms = millis(begin);
     let begin = Instant::now();
-    let mut replaced = 0;
+    let (mut replaced, mut checkpoints) = (0, 0);
     loop {
         let decisions = cell.sched.decide(now_ms, LIMIT);
         if decisions.is_empty() {
             break;
         }
-        replaced += decisions.len();
+        for decision in decisions {
+            match decision {
+                Decision::Start(_) => replaced += 1,
+                Decision::StartGang(runs) => replaced += runs.len(),
+                Decision::Checkpoint(run) => {
+                    checkpoints += 1;
+                    let result = TaskResult::Checkpointed;
+                    cell.sched.ended(&run.task, run.attempt, result, now_ms);
+                }
+            }
+        }
     }
     let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
     Recovery {
@@ -78,6 +89,7 @@
         place_ms: millis(begin),
         lost_tasks: count(lost_tasks),
         replaced: count(replaced),
+        checkpoints: count(checkpoints),
     }
 }
 
@@ -100,5 +112,6 @@
             .with_baseline(scan.lost_tasks.into()),
         Measure::info("started_tasks", indexed.replaced.into(), Unit::Count)
             .with_baseline(scan.replaced.into()),
+        Measure::info("checkpoints", indexed.checkpoints.into(), Unit::Count),
     ]
 }
