http, backend, bench: shrink the tasks' futures and load the core by half

Change: decoding and encoding are plain functions; one stop future for each connection; token bytes in a table; the bench calibrates its rate by processor time and reports the core share.

--- a/bench/src/proxy.rs
+++ b/bench/src/proxy.rs
@@ -1,8 +1,10 @@
 //! Latency that the path through our server and pool adds beside a direct call.
 //!
 //! Callers and backend servers are threads with blocking sockets, so that the executor's one thread carries the proxy
-//! alone. The first phase finds the requests that one core carries. The next ones send half of that, in turns
-//! directly, through the proxy, and through a naive proxy that opens a connection for each request.
+//! alone. The first phase finds the requests that one core carries, and the rate that loads it by half; a core carries
+//! fewer requests when they arrive one by one. The next phases send that rate in short turns: directly, through the
+//! proxy, and through a naive proxy that opens a connection for each request. Turns show how much of a percentile over
+//! all requests comes from pauses of the machine.
 
 use {
     crate::report::{Measure, Unit},
@@ -26,8 +28,10 @@
 const BODY_BYTES: usize = 1024;
 const WARM_UP: Duration = Duration::from_secs(1);
 const CAPACITY_TIME: Duration = Duration::from_secs(4);
-const TURN_TIME: Duration = Duration::from_secs(2);
-const TURNS: usize = 4;
+const CALIBRATION_TIME: Duration = Duration::from_secs(1);
+const CALIBRATIONS: usize = 3;
+const TURN_TIME: Duration = Duration::from_millis(500);
+const TURNS: usize = 13;
 const LOAD_SHARE: f64 = 0.5;
 const DEADLINE: Duration = Duration::from_secs(5);
 const MAX_ADDED_P50_MS: f64 = 0.3;
@@ -89,19 +93,23 @@
     load(proxy, None, WARM_UP)?;
     let proxy_capacity = capacity(proxy)?;
     let naive_capacity = capacity(naive)?;
-    let rate = proxy_capacity * LOAD_SHARE;
-    let mut direct = histogram();
-    let mut proxied = histogram();
-    let mut unpooled = histogram();
+    let rate = half_load(proxy, proxy_capacity)?;
+    let naive_rate = rate.min(naive_capacity * LOAD_SHARE);
+    let (mut direct, mut proxied, mut unpooled) = (histogram(), histogram(), histogram());
+    let mut added_by_turn = Vec::new();
+    let mut cpu = Duration::ZERO;
     for _ in 0..TURNS {
-        direct += load(backend, Some(rate), TURN_TIME)?;
-        proxied += load(proxy, Some(rate), TURN_TIME)?;
-        unpooled += load(
-            naive,
-            Some(rate.min(naive_capacity * LOAD_SHARE)),
-            TURN_TIME,
-        )?;
+        let direct_turn = load(backend, Some(rate), TURN_TIME)?;
+        let before = proxy_cpu()?;
+        let proxied_turn = load(proxy, Some(rate), TURN_TIME)?;
+        cpu += proxy_cpu()?.saturating_sub(before);
+        unpooled += load(naive, Some(naive_rate), TURN_TIME)?;
+        let p99 = |turn: &Histogram<u64>| ms(turn.value_at_quantile(0.99));
+        added_by_turn.push(p99(&proxied_turn) - p99(&direct_turn));
+        direct += direct_turn;
+        proxied += proxied_turn;
     }
+    added_by_turn.sort_by(f64::total_cmp);
     for stop in [proxy_stop, naive_stop] {
         stop.request();
         block_on(stop.drained());
@@ -137,6 +145,16 @@
         Measure::info("requests_per_core_s", proxy_capacity, Unit::PerSecond)
             .with_baseline(naive_capacity),
         Measure::info("rate", rate, Unit::PerSecond),
+        Measure::info(
+            "core_share",
+            cpu.as_secs_f64() / (TURN_TIME * u32::try_from(TURNS).unwrap_or(1)).as_secs_f64(),
+            Unit::Share,
+        ),
+        Measure::info(
+            "added_p99_median_turn",
+            added_by_turn[TURNS / 2],
+            Unit::Milliseconds,
+        ),
     ])
 }
 
@@ -193,6 +211,19 @@
     Ok(answered as f64 / used.as_secs_f64())
 }
 
+/// Requests a second at which the proxy's threads use half of a core.
+fn half_load(addr: SocketAddr, capacity: f64) -> io::Result<f64> {
+    let mut rate = capacity * LOAD_SHARE;
+    for _ in 0..CALIBRATIONS {
+        let before = proxy_cpu()?;
+        load(addr, Some(rate), CALIBRATION_TIME)?;
+        let used = proxy_cpu()?.saturating_sub(before);
+        rate *= LOAD_SHARE * CALIBRATION_TIME.as_secs_f64() / used.as_secs_f64();
+        rate = rate.min(capacity * LOAD_SHARE);
+    }
+    Ok(rate)
+}
+
 /// Processor time of the executor's thread and of the thread that waits for sockets.
 fn proxy_cpu() -> io::Result<Duration> {
     let mut total = Duration::ZERO;
@@ -234,8 +265,10 @@
     socket.set_nodelay(true)?;
     let mut latencies = histogram();
     let mut random = fastrand::Rng::with_seed(number as u64);
-    let (mut due, end) = (Instant::now(), Instant::now() + time);
     let mut buf = vec![0; 8192];
+    // The first request opens the connections on the way and is not counted.
+    exchange(&mut socket, &mut buf)?;
+    let (mut due, end) = (Instant::now(), Instant::now() + time);
     #[allow(clippy::cast_precision_loss, reason = "there are few callers")]
     let mean_pause = rate.map(|rate| CALLERS as f64 / rate);
     while due < end {
--- a/crates/backend/src/socket.rs
+++ b/crates/backend/src/socket.rs
@@ -20,3 +20,6 @@
     sockopt::set_tcp_user_timeout(socket, timeout_ms)?;
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/backend/src/socket/tests.rs
@@ -0,0 +1,24 @@
+use {
+    super::set_timeouts,
+    rustix::net::sockopt,
+    std::{
+        net::{Ipv4Addr, TcpListener, TcpStream},
+        time::Duration,
+    },
+};
+
+// Guards against a network that silently drops a connection's packets being noticed only after minutes.
+#[test]
+fn a_dead_network_path_breaks_the_connection_in_time() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+    let addr = listener.local_addr().expect("address");
+    let socket = TcpStream::connect(addr).expect("connect");
+    let limit = Duration::from_secs(3);
+    set_timeouts(&socket, limit).expect("options");
+    assert_eq!(sockopt::tcp_user_timeout(&socket).expect("option"), 3000);
+    assert!(sockopt::socket_keepalive(&socket).expect("option"));
+    let idle = sockopt::tcp_keepidle(&socket).expect("option");
+    let interval = sockopt::tcp_keepintvl(&socket).expect("option");
+    let probes = sockopt::tcp_keepcnt(&socket).expect("option");
+    assert!(idle + interval * probes <= limit * 2);
+}
--- a/crates/backend/src/task.rs
+++ b/crates/backend/src/task.rs
@@ -16,6 +16,8 @@
     ragwortreel_model::WorkClass,
     ragwortreel_runtime::log_event,
     std::{
+        future::Future,
+        pin::{Pin, pin},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -66,6 +68,12 @@
     /// Runs until the connection is not fit for another request.
     pub async fn run(mut self, first: Job) {
         let (mut job, mut kept) = (first, None);
+        // One future for the whole connection, because each new one registers with the stop signal.
+        let stop = self.shared.stop.clone();
+        let mut stopped = pin!(async {
+            stop.requested().await;
+            Next::Close
+        });
         loop {
             let (class, reply) = (job.terms.class, job.reply.clone());
             let (result, open) = self.serve(kept, job).await;
@@ -78,7 +86,7 @@
                 return;
             };
             let _ = reply.try_send(result);
-            match self.idle(open, class).await {
+            match self.idle(open, class, stopped.as_mut()).await {
                 Some((next, open)) => (job, kept) = (next, Some(open)),
                 None => return,
             }
@@ -120,9 +128,14 @@
     }
 
     /// Waits for the next request; `None` when the connection is to be closed.
-    async fn idle(&mut self, mut open: Open, class: WorkClass) -> Option<(Job, Open)> {
+    async fn idle(
+        &mut self,
+        mut open: Open,
+        class: WorkClass,
+        mut stopped: Pin<&mut impl Future<Output = Next>>,
+    ) -> Option<(Job, Open)> {
         loop {
-            let next = self.next(&mut open).await;
+            let next = self.next(&mut open, stopped.as_mut()).await;
             let to_close = matches!(next, Next::Close);
             if let Next::Job(job) = next {
                 return Some((job, open));
@@ -140,7 +153,7 @@
         }
     }
 
-    async fn next(&self, open: &mut Open) -> Next {
+    async fn next(&self, open: &mut Open, stopped: Pin<&mut impl Future<Output = Next>>) -> Next {
         let limits = &self.shared.limits;
         let (time, at_end) = match &limits.probe {
             Some(probe) => (probe.every, Next::Probe),
@@ -151,10 +164,6 @@
             open.connection.disturbed().await;
             Next::Close
         };
-        let stopped = async {
-            self.shared.stop.requested().await;
-            Next::Close
-        };
         let event = future::or(job, future::or(disturbed, stopped));
         let limited = open.alarm.limit(Instant::now() + time, event).await;
         limited.unwrap_or(at_end)
--- a/crates/http/src/codec.rs
+++ b/crates/http/src/codec.rs
@@ -18,30 +18,41 @@
     http_types::{Body, StatusCode, Url},
     std::{
         fmt::Write as _,
+        future::Future,
         io,
         net::SocketAddr,
-        pin::Pin,
+        pin::{Pin, pin},
         sync::{Arc, OnceLock},
-        task::{Context, Poll},
+        task::{Context, Poll, Waker},
     },
 };
 
 /// Why a message cannot be sent.
 pub type EncodeError = &'static str;
 
+/// Output of a future over messages in memory, which never wait.
+///
+/// Polled here, the large futures of `async-h1` do not become part of the connections' tasks.
+fn ready<T>(future: impl Future<Output = T>) -> Option<T> {
+    let mut cx = Context::from_waker(Waker::noop());
+    match pin!(future).poll(&mut cx) {
+        Poll::Ready(output) => Some(output),
+        Poll::Pending => None,
+    }
+}
+
 /// Decodes a checked request.
-pub async fn decode_request(head: RequestHead, body: &[u8]) -> Result<Request, Refusal> {
+pub fn decode_request(head: RequestHead, body: &[u8]) -> Result<Request, Refusal> {
     let start = format!("{} / HTTP/1.1\r\n", head.method);
     let message = Message::new(start, &head.headers, body);
-    let decoded = server::decode(message).await;
+    let decoded = ready(server::decode(message)).and_then(Result::ok);
     let (mut request, rest) = decoded
-        .ok()
         .flatten()
         .ok_or(Malformed("head not accepted by async-h1"))?;
     if request.method() != head.method {
         return Err(Malformed("method read differently by async-h1"));
     }
-    let body = read_body(request.take_body()).await?;
+    let body = read_body(request.take_body())?;
     drop(rest);
     Ok(Request {
         method: head.method,
@@ -52,17 +63,17 @@
 }
 
 /// Decodes a checked response.
-pub async fn decode_response(head: ResponseHead, body: &[u8]) -> Result<Response, Refusal> {
+pub fn decode_response(head: ResponseHead, body: &[u8]) -> Result<Response, Refusal> {
     let known = known_status(head.status);
     let start = format!("HTTP/1.1 {} \r\n", u16::from(known));
     let message = Message::new(start, &head.headers, body);
-    let mut response = client::decode(message)
-        .await
-        .map_err(|_| Malformed("head not accepted by async-h1"))?;
+    let mut response = ready(client::decode(message))
+        .and_then(Result::ok)
+        .ok_or(Malformed("head not accepted by async-h1"))?;
     if response.status() != known {
         return Err(Malformed("status read differently by async-h1"));
     }
-    let body = read_body(response.take_body()).await?;
+    let body = read_body(response.take_body())?;
     Ok(Response {
         status: head.status,
         headers: head.headers,
@@ -70,12 +81,12 @@
     })
 }
 
-async fn read_body(mut body: Body) -> Result<Vec<u8>, Refusal> {
+fn read_body(mut body: Body) -> Result<Vec<u8>, Refusal> {
     let expected = body.len().unwrap_or(0);
     let mut bytes = Vec::with_capacity(expected);
-    body.read_to_end(&mut bytes)
-        .await
-        .map_err(|_| Malformed("body not accepted by async-h1"))?;
+    ready(body.read_to_end(&mut bytes))
+        .and_then(Result::ok)
+        .ok_or(Malformed("body not accepted by async-h1"))?;
     if bytes.len() != expected {
         return Err(Malformed("body read differently by async-h1"));
     }
@@ -83,10 +94,7 @@
 }
 
 /// Encodes the head of a request; its body follows unchanged.
-pub async fn encode_request_head(
-    request: &Request,
-    peer: SocketAddr,
-) -> Result<Vec<u8>, EncodeError> {
+pub fn encode_request_head(request: &Request, peer: SocketAddr) -> Result<Vec<u8>, EncodeError> {
     if !is_origin_form(&request.path) {
         return Err("target is not in origin form");
     }
@@ -107,11 +115,11 @@
     }
     let start = format!("{} {} HTTP/1.1\r\n", request.method, request.path);
     let encoder = client::Encoder::new(inner);
-    encode_head(encoder, &start).await
+    encode_head(encoder, &start)
 }
 
 /// Encodes the head of a response to a request of this method; its body follows unchanged, if there is one.
-pub async fn encode_response_head(
+pub fn encode_response_head(
     response: &Response,
     method: Method,
     close: bool,
@@ -138,7 +146,7 @@
     };
     let _ = write!(start, "HTTP/1.1 {} {reason}\r\n", response.status);
     let encoder = server::Encoder::new(inner, method);
-    let mut head = encode_head(encoder, &start).await?;
+    let mut head = encode_head(encoder, &start)?;
     if declared.is_none() {
         remove_line(&mut head, b"\r\ncontent-length: 0\r\n");
     }
@@ -168,16 +176,12 @@
 }
 
 /// Reads the head from an encoder and replaces its start line.
-async fn encode_head(
-    mut encoder: impl AsyncRead + Unpin,
-    start: &str,
-) -> Result<Vec<u8>, EncodeError> {
+fn encode_head(mut encoder: impl AsyncRead + Unpin, start: &str) -> Result<Vec<u8>, EncodeError> {
     let mut head = Vec::with_capacity(512);
     // The placeholder body ends at once, so this reads the head only.
-    encoder
-        .read_to_end(&mut head)
-        .await
-        .map_err(|_| "head not accepted by async-h1")?;
+    ready(encoder.read_to_end(&mut head))
+        .and_then(Result::ok)
+        .ok_or("head not accepted by async-h1")?;
     let end = head.iter().position(|byte| *byte == b'\n');
     let end = end.ok_or("head not accepted by async-h1")?;
     head.splice(..=end, start.bytes());
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -145,9 +145,7 @@
     }
 
     async fn run(&mut self, request: &Request) -> Result<(Response, bool), Cause> {
-        let mut head = encode_request_head(request, self.peer)
-            .await
-            .map_err(Cause::InvalidRequest)?;
+        let mut head = encode_request_head(request, self.peer).map_err(Cause::InvalidRequest)?;
         self.step = Step::Write;
         let joined = request.body.len() <= JOINED_BODY_BYTES;
         if joined {
@@ -194,7 +192,7 @@
             self.step = Step::Body;
             let reusable = !head.close;
             let body = self.reader.body(head.framing).await?;
-            let response = decode_response(head, &body).await?;
+            let response = decode_response(head, &body)?;
             return Ok((response, reusable));
         }
         Err(Refusal::Malformed("too many interim responses").into())
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -146,7 +146,7 @@
 
 /// Whether the text is a token, as names and methods are.
 pub fn is_token(text: &[u8]) -> bool {
-    !text.is_empty() && text.iter().all(|byte| is_token_byte(*byte))
+    !text.is_empty() && text.iter().all(|byte| TOKEN_BYTES[usize::from(*byte)])
 }
 
 /// Whether the bytes can stand in a field value; http-types carries ASCII only.
@@ -167,9 +167,33 @@
     !text.is_empty() && text.bytes().all(allowed)
 }
 
-fn is_token_byte(byte: u8) -> bool {
-    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
-}
+/// The bytes of tokens, as a table, because every byte of every name is looked up.
+const TOKEN_BYTES: [bool; 256] = {
+    let mut table = [false; 256];
+    let mut byte = 0_u8;
+    while byte < 128 {
+        table[byte as usize] = byte.is_ascii_alphanumeric()
+            || matches!(
+                byte,
+                b'!' | b'#'
+                    | b'$'
+                    | b'%'
+                    | b'&'
+                    | b'\''
+                    | b'*'
+                    | b'+'
+                    | b'-'
+                    | b'.'
+                    | b'^'
+                    | b'_'
+                    | b'`'
+                    | b'|'
+                    | b'~'
+            );
+        byte += 1;
+    }
+    table
+};
 
 /// The lines of a head without their ends and without the closing empty line.
 fn lines(bytes: &[u8]) -> Result<impl Iterator<Item = &[u8]>, Refusal> {
--- a/crates/http/src/reader/tests.rs
+++ b/crates/http/src/reader/tests.rs
@@ -71,7 +71,7 @@
     let next = async |reader: &mut MessageReader<Pieces>| {
         let head = reader.request_head().await?;
         let body = reader.body(head.framing).await?;
-        Ok::<_, ReadError>(decode_request(head, &body).await?)
+        Ok::<_, ReadError>(decode_request(head, &body)?)
     };
     let mut found = Vec::new();
     while let Ok(request) = future::block_on(next(&mut reader)) {
@@ -85,7 +85,7 @@
     let response = async {
         let head = reader.response_head(Method::Get).await?;
         let body = reader.body(head.framing).await?;
-        Ok::<_, ReadError>(decode_response(head, &body).await?)
+        Ok::<_, ReadError>(decode_response(head, &body)?)
     };
     future::block_on(response).ok()
 }
@@ -317,7 +317,7 @@
     ) {
         let request = Request::post(path, body.clone()).with_header("host", "a").with_header("x", &*value);
         let peer = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
-        let mut bytes = future::block_on(encode_request_head(&request, peer)).expect("valid");
+        let mut bytes = encode_request_head(&request, peer).expect("valid");
         bytes.extend_from_slice(&body);
         let mut read = guarded_requests(&bytes, &sizes);
         prop_assert_eq!(read.len(), 1);
@@ -326,7 +326,7 @@
         prop_assert_eq!((read.path, read.body), (request.path, request.body));
 
         let response = Response::new(status).with_header("x", &*value).with_body(body.clone());
-        let mut bytes = future::block_on(encode_response_head(&response, Method::Get, false)).expect("valid");
+        let mut bytes = encode_response_head(&response, Method::Get, false).expect("valid");
         bytes.extend_from_slice(&body);
         let read = guarded_response(&bytes, &sizes).expect("valid");
         prop_assert_eq!((read.status, read.headers.get("x")), (status, Some(&*value)));
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -19,9 +19,11 @@
     futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future},
     ragwortreel_runtime::{Logger, Stop, log_event, sleep, sleep_ms, spawn, timeout, timeout_ms},
     std::{
+        future::Future,
         io,
         net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         panic::AssertUnwindSafe,
+        pin::{Pin, pin},
         sync::Arc,
         time::Instant,
     },
@@ -152,7 +154,13 @@
         };
         let mut reader = MessageReader::new(stream, read_limits(&self.shared.limits));
         let mut alarm = Alarm::default();
-        while self.wait(&mut reader, &mut alarm).await {
+        // One future for the whole connection, because each new one registers with the stop signal.
+        let mut stopped = pin!(async {
+            self.stop.requested().await;
+            sleep(self.shared.limits.stop_linger).await;
+            false
+        });
+        while self.wait(&mut reader, &mut alarm, stopped.as_mut()).await {
             if !self.serve_one(&mut reader).await {
                 close(reader.io_mut()).await;
                 return;
@@ -161,14 +169,14 @@
     }
 
     /// Waits for a request; false when the connection is to be closed instead.
-    async fn wait(&self, reader: &mut MessageReader<Stream>, alarm: &mut Alarm) -> bool {
+    async fn wait(
+        &self,
+        reader: &mut MessageReader<Stream>,
+        alarm: &mut Alarm,
+        stopped: Pin<&mut impl Future<Output = bool>>,
+    ) -> bool {
         let limits = &self.shared.limits;
         let request = async { reader.wait().await.is_ok() };
-        let stopped = async {
-            self.stop.requested().await;
-            sleep(limits.stop_linger).await;
-            false
-        };
         // The request comes first: one that has arrived is served even when the time is over.
         let until = Instant::now() + limits.idle_time;
         let next = alarm.limit(until, request.or(stopped)).await;
@@ -205,7 +213,7 @@
         }
         let body = reader.body(head.framing).await?;
         let close = head.close;
-        Ok((decode_request(head, &body).await?, close))
+        Ok((decode_request(head, &body)?, close))
     }
 
     async fn answer(&self, request: Request) -> Response {
@@ -234,13 +242,13 @@
         method: Method,
         close: bool,
     ) -> bool {
-        let encoded = encode_response_head(&response, method, close).await;
+        let encoded = encode_response_head(&response, method, close);
         let (mut head, response) = match encoded {
             Ok(head) => (head, response),
             Err(problem) => {
                 log_event!(self.shared.log, INVALID_RESPONSE; "problem" => problem);
                 let response = Response::text(500, "internal error\n");
-                match encode_response_head(&response, method, close).await {
+                match encode_response_head(&response, method, close) {
                     Ok(head) => (head, response),
                     Err(_) => return false,
                 }
