backend: close the connections beyond a smaller share

Cause: set_max_connections dropped idle entries, but a connection's task keeps a sender of its own channel, so the task, the socket and its permit stayed for good. A connection in use was also offered again though the share was exceeded. Change: the channel is closed, and a connection is offered only within the share. Before: the new test smaller_share_closes_connections found 3 open connections in place of 1. After: cargo test -p ragwortreel-backend passed three times (26 tests).

--- a/crates/backend/src/state.rs
+++ b/crates/backend/src/state.rs
@@ -105,13 +105,16 @@
 }
 
 impl Permit {
-    /// Offers the connection for reuse; false when the pool drains.
+    /// Offers the connection for reuse; false when the pool drains or has more connections than allowed.
     pub fn put_idle(&self, class: WorkClass, job_tx: Sender<Job>) -> bool {
         if self.shared.stop.is_requested() {
             return false;
         }
         let id = self.id;
         let mut state = self.shared.lock();
+        if state.open > self.shared.max_connections.load(Ordering::Relaxed) {
+            return false;
+        }
         state.idle(class).push(Idle { id, job_tx });
         true
     }
@@ -212,9 +215,12 @@
         let excess = state.open.saturating_sub(max_connections);
         let long = excess.min(state.idle_long.len());
         let short = (excess - long).min(state.idle_short.len());
-        // A connection's task ends when its sender is dropped. The front holds the connections not used for longest.
-        state.idle_long.drain(..long);
-        state.idle_short.drain(..short);
+        // The front holds the connections not used for longest. Their tasks keep a sender themselves, so only closing
+        // the channel ends them.
+        let dropped: Vec<Idle> = state.idle_long.drain(..long).collect();
+        for idle in dropped.into_iter().chain(state.idle_short.drain(..short)) {
+            idle.job_tx.close();
+        }
     }
 
     pub fn count_opened(&self) {
--- a/crates/backend/tests/pool.rs
+++ b/crates/backend/tests/pool.rs
@@ -332,3 +332,32 @@
     ));
     assert_eq!(backend.runs("/ok/late"), 0);
 }
+
+// Guards against connections beyond a share that became smaller: idle ones that stay, and used ones that are kept.
+#[test]
+fn smaller_share_closes_connections() {
+    let backend = Backend::start();
+    let pool = Arc::new(backend.pool(PoolLimits {
+        reuse_time: Duration::from_millis(300),
+        ..quick()
+    }));
+    let busy = |target: &'static str| {
+        let pool = Arc::clone(&pool);
+        thread::spawn(move || send(&pool, target))
+    };
+    let slow = busy("/delay/150/slow");
+    for quick in [busy("/delay/50/a"), busy("/delay/50/b")] {
+        assert_eq!(quick.join().expect("thread").outcome(), Outcome::Answered);
+    }
+    pool.set_max_connections(0);
+    thread::sleep(Duration::from_millis(30));
+    assert_eq!((pool.stats().open, pool.stats().idle_short), (1, 0));
+    assert_answered(&slow.join().expect("thread"), "/delay/150/slow");
+    assert_eq!(pool.stats().open, 0);
+    assert!(matches!(
+        send(&pool, "/ok"),
+        SendResult::NotRun(NotRun::Busy { .. })
+    ));
+    pool.set_max_connections(1);
+    assert_answered(&send(&pool, "/ok"), "/ok");
+}
