http: copy messages for async-h1 once

Cause: each message was formatted field by field and then copied again into a shared slice. Change: the bytes are appended directly and shared as they are.

--- a/crates/http/src/codec.rs
+++ b/crates/http/src/codec.rs
@@ -14,7 +14,7 @@
         head::{is_origin_form, is_token},
     },
     async_h1::{client, server},
-    futures_lite::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWrite, io::Cursor},
+    futures_lite::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWrite},
     http_types::{Body, StatusCode, Url},
     std::{
         fmt::Write as _,
@@ -233,20 +233,25 @@
 /// A checked message in memory, in the form that `async-h1` reads.
 #[derive(Debug, Clone)]
 struct Message {
-    bytes: Cursor<Arc<[u8]>>,
+    // Shared, because `async-h1` clones the connection for writing.
+    bytes: Arc<Vec<u8>>,
+    pos: usize,
 }
 
 impl Message {
     fn new(start: String, headers: &Headers, body: &[u8]) -> Self {
-        let mut text = start;
+        let mut bytes = start.into_bytes();
         for (name, value) in headers.iter().filter(|(name, _)| *name != "content-length") {
-            let _ = write!(text, "{name}: {value}\r\n");
+            for part in [name, ": ", value, "\r\n"] {
+                bytes.extend_from_slice(part.as_bytes());
+            }
         }
-        let _ = write!(text, "content-length: {}\r\n\r\n", body.len());
-        let mut bytes = text.into_bytes();
+        let length = format!("content-length: {}\r\n\r\n", body.len());
+        bytes.extend_from_slice(length.as_bytes());
         bytes.extend_from_slice(body);
         Self {
-            bytes: Cursor::new(bytes.into()),
+            bytes: Arc::new(bytes),
+            pos: 0,
         }
     }
 }
@@ -254,10 +259,14 @@
 impl AsyncRead for Message {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        _: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.bytes).poll_read(cx, buf)
+        let unread = &self.bytes[self.pos..];
+        let count = unread.len().min(buf.len());
+        buf[..count].copy_from_slice(&unread[..count]);
+        self.pos += count;
+        Poll::Ready(Ok(count))
     }
 }
 
