bench: check histories of nine processes under seeded faults

Entry ports are taken below the range of outgoing connections: an instance could not bind a port that was free a moment before.

--- /dev/null
+++ b/bench/src/history/run.rs
@@ -0,0 +1,191 @@
+//! One seeded run and its checks.
+
+use {
+    super::{
+        faults::{self, FaultRecord},
+        operators::{self, check},
+    },
+    ragwortreel::{
+        cell::CellPlan,
+        checks::{self, CheckResult},
+        load::{CallRecord, Load, Mix, Seen},
+    },
+    ragwortreel_model::{ServiceName, Team},
+    ragwortreel_processes::{ProcessCell, Program},
+    ragwortreel_runtime::{Stop, sleep_ms, spawn},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Hidden first argument with which the bench program runs an entry instance.
+pub const INSTANCE_ARGUMENT: &str = "instance";
+/// Time under faults.
+const FAULT_TIME: Duration = Duration::from_millis(5_600);
+/// Longest time until a cell is ready at first, and again after the faults.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Longest time until all instances agree and all jobs are found.
+const SETTLE_LIMIT: Duration = Duration::from_secs(15);
+/// Time after which a leaving backend server must get nothing new, in ms.
+const LEAVE_LIMIT_MS: u64 = 3_000;
+
+/// Result of one seed.
+pub struct SeedReport {
+    pub seed: u64,
+    pub faults: Vec<String>,
+    pub checks: Vec<CheckResult>,
+}
+
+/// The program that runs an entry instance: this one, with a hidden argument.
+pub fn program() -> Result<Program, String> {
+    let path = std::env::current_exe().map_err(|err| err.to_string())?;
+    Ok(Program {
+        path,
+        args: vec![INSTANCE_ARGUMENT.to_owned()],
+    })
+}
+
+/// Plan of nine instances in three zones.
+pub fn plan(seed: u64) -> Result<CellPlan, String> {
+    let mut plan = CellPlan::patterns().map_err(|err| err.to_string())?;
+    plan.entries_per_zone = 3;
+    plan.seed = seed;
+    Ok(plan)
+}
+
+/// Quotes, keyed batches and dye matching.
+pub fn mixes() -> Vec<Mix> {
+    let mix = |team: &str, service: &str, path: &str, rate_per_s, deadline_ms, keyed| {
+        Some(Mix {
+            team: Team::new(team).ok()?,
+            service: ServiceName::new(service).ok()?,
+            token: Arc::from(format!("change-me-{team}")),
+            path: Arc::from(path),
+            rate_per_s,
+            deadline_ms,
+            keyed,
+        })
+    };
+    let mixes = [
+        mix("counter", "quotes", "/quotes/price", 60.0, 800, false),
+        mix("patterns", "batches", "/batches/season", 25.0, 3_000, true),
+        mix("dyes", "matching", "/matching/shade", 8.0, 3_000, false),
+    ];
+    mixes.into_iter().flatten().collect()
+}
+
+/// Runs one seed.
+pub async fn run_seed(seed: u64) -> Result<SeedReport, String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut cell = ProcessCell::start(plan(seed)?, program()?).map_err(|err| err.to_string())?;
+    cell.wait_ready(READY_LIMIT).await?;
+    let entries: Vec<SocketAddr> = (0..cell.len()).map(|number| cell.caller(number)).collect();
+    let stop = Stop::new();
+    let begun = Instant::now();
+    let load = Load::start(
+        mixes(),
+        cell.balancer(),
+        FAULT_TIME,
+        seed,
+        &format!("s{seed}"),
+    );
+    let races: Vec<_> = (0..2)
+        .map(|_| spawn(operators::race(entries.clone(), rng.fork(), stop.clone())))
+        .collect();
+    let observers: Vec<_> = entries
+        .iter()
+        .map(|entry| spawn(operators::observe(*entry, stop.clone())))
+        .collect();
+    let submitter = spawn(operators::submit(entries.clone(), rng.fork(), stop.clone()));
+    let record = faults::run(&mut cell, &mut rng, FAULT_TIME).await;
+    let calls = load.finish().await;
+    restart_all(&mut cell).await?;
+    // Observers go on while everything settles, because a reversal could show then.
+    sleep_ms(500).await;
+    stop.request();
+    let (mut accepted, mut observed) = (Vec::new(), Vec::new());
+    for race in races {
+        accepted.extend(race.await);
+    }
+    for observer in observers {
+        observed.extend(observer.await);
+    }
+    let jobs = submitter.await;
+    let mut checks = checks::check_all(&calls, &cell.standins);
+    let restarts: Vec<(SocketAddr, Instant)> = record
+        .restarts
+        .iter()
+        .map(|(number, at)| (entries[*number], *at))
+        .collect();
+    checks.push(operators::single_winners(&accepted));
+    checks.push(operators::no_reversal(&observed));
+    checks.push(operators::fresh_after_restart(
+        &accepted, &observed, &restarts,
+    ));
+    checks.push(operators::all_agree(&entries, &accepted, SETTLE_LIMIT).await);
+    checks.push(operators::jobs_kept(&entries, &jobs, SETTLE_LIMIT).await);
+    checks.push(planned_stops(&calls, &record, begun));
+    checks.push(left_backends(&cell, &record));
+    Ok(SeedReport {
+        seed,
+        faults: record.texts,
+        checks,
+    })
+}
+
+/// Brings back instances that are away, so that the last checks ask all of them.
+async fn restart_all(cell: &mut ProcessCell) -> Result<(), String> {
+    let limit = Instant::now() + READY_LIMIT;
+    for number in 0..cell.len() {
+        while !cell.is_ready(number).await {
+            if cell.has_ended(number).map_err(|err| err.to_string())? {
+                cell.start_entry(number).map_err(|err| err.to_string())?;
+            }
+            if Instant::now() >= limit {
+                return Err(format!(
+                    "entry instance {number} does not become ready: {}",
+                    cell.log(number)
+                ));
+            }
+            sleep_ms(100).await;
+        }
+    }
+    Ok(())
+}
+
+/// No connection of a caller broke at an instance that was stopping gracefully.
+fn planned_stops(calls: &[CallRecord], record: &FaultRecord, begun: Instant) -> CheckResult {
+    let is_cut = |call: &&CallRecord| {
+        let (from, until) = (begun + call.sent, begun + call.sent + call.took);
+        let overlaps = |stop: &&faults::PlannedStop| {
+            stop.entry == call.entry && from <= stop.until && until >= stop.from
+        };
+        call.seen == Seen::Broken && record.stops.iter().any(|stop| overlaps(&stop))
+    };
+    let wrong = calls
+        .iter()
+        .filter(is_cut)
+        .map(|call| format!("{} broke at a stopping instance", call.nonce));
+    check(
+        "a planned stop cuts off no request",
+        record.stops.len(),
+        wrong.collect(),
+    )
+}
+
+/// A leaving backend server got nothing new after the limit.
+fn left_backends(cell: &ProcessCell, record: &FaultRecord) -> CheckResult {
+    let late = record.left.iter().filter_map(|number| {
+        let backend = &cell.standins.backends[*number].state;
+        let last_ms = backend.counts().last_request_after_drain_ms?;
+        (last_ms > LEAVE_LIMIT_MS)
+            .then(|| format!("{} got a request after {last_ms} ms", backend.spec().id))
+    });
+    check(
+        "leaving backend servers get nothing new",
+        record.left.len(),
+        late.collect(),
+    )
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod failover;
 mod fleet;
 mod gang;
+mod history;
 mod hol;
 mod outage;
 mod place;
@@ -43,6 +44,7 @@
     case("retry", "attempts while backend servers fail", retry::run),
     case("balance", "shares of slots while an instance dies and one is cut off", balance::run),
     case("proxy", "latency that the path through our server and pool adds", proxy::run),
+    case("history", "checked histories of nine instances under faults", history::run),
     case("settings", "spread of settings changed by racing operators", || Ok(settings::run())),
     case("failover", "placement after the loss of a pool's owner", || Ok(failover::run())),
     case("outage", "acknowledged writes and requests while the store is down for 30 s", outage::run),
@@ -68,12 +70,16 @@
 }
 
 fn run() -> Result<(), String> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    if let Some((first, rest)) = args.split_first()
+        && first == history::INSTANCE_ARGUMENT
+    {
+        return run_instance(rest);
+    }
     let mut options = Options::new();
     options.optflag("", "json", "print one JSON object a line");
     options.optflag("h", "help", "print this help");
-    let matches = options
-        .parse(std::env::args().skip(1))
-        .map_err(|err| err.to_string())?;
+    let matches = options.parse(&args).map_err(|err| err.to_string())?;
     if matches.opt_present("help") || matches.free.is_empty() {
         println!(
             "{}",
@@ -96,3 +102,12 @@
     }
     Ok(())
 }
+
+/// Runs an entry instance in this process; the cases start such processes.
+fn run_instance(args: &[String]) -> Result<(), String> {
+    let args: Vec<String> = ["serve".to_owned()]
+        .into_iter()
+        .chain(args.iter().cloned())
+        .collect();
+    ragwortreel::run(&args).map_err(|err| err.to_string())
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -4,6 +4,7 @@
 //! match, so that leases of seconds pass in fractions of a second. The bench cases use the same cell at real speed.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod broken;
 mod gate;
 mod network;
 
--- a/crates/processes/src/cell.rs
+++ b/crates/processes/src/cell.rs
@@ -244,19 +244,38 @@
     }
 }
 
-/// Addresses whose ports are free now; all are reserved together, so that they differ.
+/// Ports for entry instances, below those that the operating system gives to outgoing connections: a port that was
+/// free a moment ago could otherwise be the source port of a connection when the instance binds it.
+const PORTS: std::ops::Range<u32> = 10_000..32_000;
+/// Ports between the first ones of two processes that run at the same time.
+const PORTS_PER_PROCESS: u32 = 500;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+fn next_port() -> SocketAddr {
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    let number = first.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::SeqCst));
+    let port = PORTS.start + number % (PORTS.end - PORTS.start);
+    let mut address = any_port();
+    address.set_port(u16::try_from(port).unwrap_or(0));
+    address
+}
+
+fn free_address() -> io::Result<SocketAddr> {
+    for _ in PORTS {
+        let address = next_port();
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::Error::other("no free port"))
+}
+
 fn free_addresses(count: usize) -> io::Result<Vec<EntryAddresses>> {
-    let bind = |_| -> io::Result<(TcpListener, TcpListener)> {
-        Ok((
-            TcpListener::bind(any_port())?,
-            TcpListener::bind(any_port())?,
-        ))
-    };
-    let listeners: io::Result<Vec<_>> = (0..count).map(bind).collect();
-    let addresses = listeners?.into_iter().map(|(caller, entry)| {
+    let addresses = (0..count).map(|_| {
         Ok(EntryAddresses {
-            caller: caller.local_addr()?,
-            entry: entry.local_addr()?,
+            caller: free_address()?,
+            entry: free_address()?,
         })
     });
     addresses.collect()
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -51,6 +51,8 @@
     pub worker: Resources,
     /// Backend servers.
     pub backends: Vec<BackendPlan>,
+    /// Requests that a backend server takes at once; the settings' value when absent.
+    pub backend_slots: Option<u64>,
     /// Settings tree.
     pub settings: Settings,
     /// Seed of random faults.
@@ -131,6 +133,7 @@
             workers_per_zone: 4,
             worker,
             backends: backends.into_iter().flatten().collect(),
+            backend_slots: None,
             settings: Settings::parse(settings.as_bytes())?,
             seed: 1,
         })
@@ -187,7 +190,9 @@
                 zone: zone.clone(),
                 team: plan.team.clone(),
                 service: plan.service.clone(),
-                slots: cell.slots_per_backend.into(),
+                slots: self
+                    .backend_slots
+                    .unwrap_or_else(|| cell.slots_per_backend.into()),
                 connections: cell.connections_per_backend.into(),
                 classes: plan.classes.clone(),
             };
