--- a/crates/control/src/rows.rs
+++ b/crates/control/src/rows.rs
@@ -37,6 +37,13 @@
     pub fenced: bool,
 }
 
+/// A process that owned a pool before and is not proven to have stopped its commands.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct PreviousOwner {
+    pub owner: InstanceId,
+    pub incarnation: Incarnation,
+}
+
 /// Ownership of a pool.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PoolRow {
@@ -45,6 +52,10 @@
     pub epoch: Epoch,
     /// The owner has stopped all its commands and given up the pool.
     pub released: bool,
+    /// Earlier owners whose renewals of tasks may still count. Kept over further changes of the owner, because a zone
+    /// that is cut off may outlast them.
+    #[serde(default)]
+    pub unproven: Vec<PreviousOwner>,
 }
 
 /// Members among which the slots of a zone's backend servers are divided.
@@ -64,13 +75,18 @@
 /// Content of a settings version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ContentRow {
-    /// Unique for each attempt to change, so that its author recognises it.
-    pub change: Arc<str>,
     pub sha256: Arc<str>,
     /// The tree, unless it is too large for a row and stands in the object store.
     pub json: Option<Arc<str>>,
 }
 
+/// Author of a settings version; kept longer than its content.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct AuthorRow {
+    /// Unique for each attempt to change, so that the attempt's instance recognises it.
+    pub change: Arc<str>,
+}
+
 /// A job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct JobRow {
@@ -122,6 +138,10 @@
     format!("settings/v/{version:020}").into()
 }
 
+pub(crate) fn author_key(version: u64) -> Arc<str> {
+    format!("settings/by/{version:020}").into()
+}
+
 pub(crate) fn content_object(sha256: &str) -> String {
     format!("settings/{sha256}")
 }
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -68,8 +68,8 @@
         shape: u32,
         /// Its rank in the shape.
         rank: Rank,
-        /// Submission of its first job, in ms.
-        oldest_ms: u64,
+        /// Time from which its first job may gather room, in ms.
+        gather_ms: u64,
     },
     /// It waits for its team's quota.
     QuotaBlocked,
@@ -92,6 +92,8 @@
     /// Time up to which the lane's starts count as its turn, in ms; it ranks among its team's lanes as if its jobs
     /// had been submitted no earlier.
     pub served_until_ms: u64,
+    /// Plans at which the lane was first in rank and did not start, since its last start.
+    pub passed_over: u64,
     /// Tasks for which room is being made by checkpoints.
     pub claims: u32,
     /// Jobs, queued or not, that belong to the lane.
@@ -102,12 +104,17 @@
     pub place: Place,
 }
 
+/// Room for all tasks of a shape that must start together.
+fn whole(key: &ShapeKey) -> Resources {
+    let tasks = u64::from(key.gang_tasks.max(1));
+    let most = Resources::new(u64::MAX, u64::MAX, u64::MAX);
+    key.need.checked_mul(tasks).unwrap_or(most)
+}
+
 impl Lane {
     /// Room for all tasks that must start together.
     pub fn whole(&self) -> Resources {
-        let tasks = u64::from(self.key.gang_tasks.max(1));
-        let most = Resources::new(u64::MAX, u64::MAX, u64::MAX);
-        self.shape.need.checked_mul(tasks).unwrap_or(most)
+        whole(&self.shape)
     }
 }
 
@@ -116,7 +123,12 @@
 struct Shape {
     key: ShapeKey,
     lanes: BTreeSet<(Rank, u32)>,
+    /// Room for all tasks that must start together.
+    whole: Resources,
     open: bool,
+    /// Rank of its first lane.
+    best: Option<Rank>,
+    /// Rank under which it stands among the ready shapes.
     ready_at: Option<Rank>,
 }
 
@@ -165,6 +177,7 @@
             shape,
             jobs: BTreeSet::new(),
             served_until_ms: 0,
+            passed_over: 0,
             claims: 0,
             members: 1,
             queued: 0,
@@ -191,10 +204,10 @@
         if let Place::Listed {
             shape,
             rank,
-            oldest_ms,
+            gather_ms,
         } = self.lanes[ix].place
         {
-            self.waiting.remove(&(rank.not_urgent, oldest_ms, ix));
+            self.waiting.remove(&(rank.not_urgent, gather_ms, ix));
             self.shapes[shape].lanes.remove(&(rank, ix));
             self.refresh(shape);
             if self.shapes[shape].lanes.is_empty() {
@@ -210,35 +223,37 @@
     }
 
     /// Lists a lane in its shape.
-    pub fn list(&mut self, ix: u32, rank: Rank, oldest_ms: u64) {
+    pub fn list(&mut self, ix: u32, rank: Rank, gather_ms: u64) {
         let key = self.lanes[ix].shape;
         if let Place::Listed {
             shape,
             rank: old,
-            oldest_ms: old_ms,
+            gather_ms: old_ms,
         } = self.lanes[ix].place
             && self.shapes[shape].key == key
         {
-            if (old, old_ms) == (rank, oldest_ms) {
+            if (old, old_ms) == (rank, gather_ms) {
                 return;
             }
-            self.waiting.remove(&(old.not_urgent, old_ms, ix));
+            if (old.not_urgent, old_ms) != (rank.not_urgent, gather_ms) {
+                self.waiting.remove(&(old.not_urgent, old_ms, ix));
+            }
             self.shapes[shape].lanes.remove(&(old, ix));
-            self.insert(ix, shape, rank, oldest_ms);
+            self.insert(ix, shape, rank, gather_ms);
             return;
         }
         self.set_place(ix, Place::Idle);
         let shape = self.shape_of(key);
-        self.insert(ix, shape, rank, oldest_ms);
+        self.insert(ix, shape, rank, gather_ms);
     }
 
-    fn insert(&mut self, ix: u32, shape: u32, rank: Rank, oldest_ms: u64) {
-        self.waiting.insert((rank.not_urgent, oldest_ms, ix));
+    fn insert(&mut self, ix: u32, shape: u32, rank: Rank, gather_ms: u64) {
+        self.waiting.insert((rank.not_urgent, gather_ms, ix));
         self.shapes[shape].lanes.insert((rank, ix));
         self.lanes[ix].place = Place::Listed {
             shape,
             rank,
-            oldest_ms,
+            gather_ms,
         };
         self.refresh(shape);
     }
@@ -250,7 +265,9 @@
         let ix = self.shapes.insert(Shape {
             key,
             lanes: BTreeSet::new(),
+            whole: whole(&key),
             open: true,
+            best: None,
             ready_at: None,
         });
         self.by_shape.insert(key, ix);
@@ -267,8 +284,8 @@
     /// Brings a shape's entry among the ready shapes up to date.
     fn refresh(&mut self, ix: u32) {
         let shape = &mut self.shapes[ix];
-        let best = shape.lanes.first().map(|&(rank, _)| rank);
-        let wanted = best.filter(|_| shape.open);
+        shape.best = shape.lanes.first().map(|&(rank, _)| rank);
+        let wanted = shape.best.filter(|_| shape.open);
         let old = std::mem::replace(&mut shape.ready_at, wanted);
         if old == wanted {
             return;
@@ -287,15 +304,16 @@
         self.shapes[shape].lanes.first().map(|&(_, lane)| lane)
     }
 
-    /// Sets a lane's shape aside until room is freed.
-    pub fn close(&mut self, lane: u32) {
+    /// Sets a lane's shape aside until room is freed, and returns it.
+    pub fn close(&mut self, lane: u32) -> Option<u32> {
         let Place::Listed { shape, .. } = self.lanes[lane].place else {
-            return;
+            return None;
         };
         self.shapes[shape].open = false;
         let cpu = self.shapes[shape].key.need.milli_cores;
         self.closed.insert((cpu, shape));
         self.refresh(shape);
+        Some(shape)
     }
 
     /// Whether the lane waits in a shape that has been set aside.
@@ -320,20 +338,40 @@
         }
     }
 
-    /// Opens the shapes that may fit now that a worker has `free` and the pool has `pool_free`.
+    /// The first closed shape in rank that may fit now that a worker has `free` and the pool has `pool_free`, among
+    /// those that are not `tried`.
+    pub fn best_closed(
+        &self,
+        free: &Resources,
+        pool_free: &Resources,
+        tried: &BTreeSet<u32>,
+    ) -> Option<(Rank, u32)> {
+        let range = self.closed.range(..=(free.milli_cores, u32::MAX));
+        let fits = range.filter_map(|&(_, ix)| {
+            let shape = &self.shapes[ix];
+            let fits = shape.key.need.fits_in(free) && shape.whole.fits_in(pool_free);
+            shape.best.filter(|_| fits).map(|rank| (rank, ix))
+        });
+        fits.filter(|(_, ix)| !tried.contains(ix)).min()
+    }
+
+    /// Opens a shape if it comes before all open ones.
+    pub fn open_if_first(&mut self, rank: Rank, shape: u32) {
+        let is_first = self.ready.first().is_none_or(|&(first, _)| rank < first);
+        if is_first {
+            self.open(shape);
+        }
+    }
+
+    /// Opens the closed shapes that may fit now that a worker has `free` and the pool has `pool_free`.
     pub fn open_fitting(&mut self, free: &Resources, pool_free: &Resources) {
         let range = self.closed.range(..=(free.milli_cores, u32::MAX));
-        let fits = |shape: &&u32| {
-            let key = &self.shapes[**shape].key;
-            let whole = key.need.checked_mul(key.gang_tasks.max(1).into());
-            key.need.fits_in(free) && whole.is_some_and(|whole| whole.fits_in(pool_free))
+        let fits = |ix: &u32| {
+            let shape = &self.shapes[*ix];
+            shape.key.need.fits_in(free) && shape.whole.fits_in(pool_free)
         };
-        let shapes: Vec<u32> = range
-            .map(|(_, shape)| shape)
-            .filter(fits)
-            .copied()
-            .collect();
-        for shape in shapes {
+        let shapes = range.map(|&(_, ix)| ix).filter(fits);
+        for shape in shapes.collect::<Vec<u32>>() {
             self.open(shape);
         }
     }
@@ -345,7 +383,15 @@
         }
     }
 
-    /// Lanes that wait for room, urgent first, then by the age of their first job.
+    /// The first lane in rank, gangs aside, whose shape has been set aside; takes time in proportion to the shapes.
+    pub fn first_closed_single(&self) -> Option<u32> {
+        let closed = self.shapes.iter().map(|(_, shape)| shape);
+        let closed = closed.filter(|shape| !shape.open && shape.key.gang_tasks == 0);
+        let first = closed.filter_map(|shape| shape.lanes.first()).min();
+        first.map(|&(_, lane)| lane)
+    }
+
+    /// Lanes that wait for room, urgent first, then by the time from which they may gather room.
     pub fn waiting(&self) -> impl Iterator<Item = u32> {
         self.waiting.iter().map(|&(_, _, lane)| lane)
     }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -62,12 +62,12 @@
         let status = response
             .ok()
             .and_then(|response| serde_json::from_slice::<JobStatus>(&response.body).ok());
-        if let Some(status) = status.filter(&wanted) {
-            return status;
+        if let Some(status) = status.as_ref().filter(|status| wanted(status)) {
+            return status.clone();
         }
         assert!(
             Instant::now() < limit,
-            "job {id} does not reach the wanted state"
+            "job {id} does not reach the wanted state: {status:?}"
         );
         number += 1;
         sleep_ms(100).await;
@@ -119,11 +119,16 @@
         let load = Load::start(vec![mix], cell.balancer(), Duration::from_secs(4), 7, "t");
         let calls = load.finish().await;
         assert!(calls.len() >= 1_000, "{} requests were sent", calls.len());
-        let answered = calls
+        let other: Vec<_> = calls
             .iter()
-            .filter(|call| call.seen == Seen::Answered(200))
-            .count();
-        assert_eq!(answered, calls.len());
+            .filter(|call| call.seen != Seen::Answered(200))
+            .collect();
+        assert!(
+            other.is_empty(),
+            "{} of {}: {other:?}",
+            other.len(),
+            calls.len()
+        );
         for kind in ["batch", "gang"] {
             let done =
                 wait_for_job(&cell, &format!("job-{kind}"), |job| job.state.is_final()).await;
