standins: give workers of each process an incarnation of their own

A worker that was started again in a new process had incarnation 1 and a clock from 0 again, so it took an echo meant for its predecessor for its own and its lease could outlast the owner's count. Workers behind sockets now take a random incarnation, which also moves the range of their clock values.

--- a/crates/standins/src/cell.rs
+++ b/crates/standins/src/cell.rs
@@ -142,6 +142,8 @@
 fn start_workers(cfg: &StandinConfig, fleet: &FakeFleet) -> io::Result<Vec<Running<FakeWorker>>> {
     let workers = cfg.workers.iter().map(|worker| {
         let state = fleet.make(worker.worker.clone());
+        // Nothing is kept from one process to the next, so a random number tells their workers apart.
+        state.set_incarnation(fastrand::u32(1..u32::MAX));
         let listening = serve_worker(worker.listen, Arc::clone(&state))?;
         fleet.insert(listening.addr(), Arc::clone(&state));
         Ok(Running { state, listening })
--- a/crates/standins/src/worker/fleet.rs
+++ b/crates/standins/src/worker/fleet.rs
@@ -84,6 +84,11 @@
         &self.faults
     }
 
+    /// Takes an incarnation before the first command, in place of 1.
+    pub fn set_incarnation(&self, incarnation: u32) {
+        self.lock().set_incarnation(incarnation);
+    }
+
     /// Loses all tasks and starts again with the next incarnation.
     pub fn restart(&self) {
         self.lock().restart();
--- a/crates/standins/src/worker/machine.rs
+++ b/crates/standins/src/worker/machine.rs
@@ -16,11 +16,13 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
-/// Distance between the clock ranges of two incarnations, in ms (two years).
+/// Distance between the clock ranges of two incarnations, in ms (49 days).
 ///
 /// A restarted worker must not take an echo of its previous incarnation for its own, because the owner counts the lease
 /// of that echo from an earlier moment.
-const INCARNATION_RANGE_MS: u64 = 1 << 36;
+const INCARNATION_RANGE_MS: u64 = 1 << 32;
+/// Incarnation of a worker that was not restarted.
+const FIRST_INCARNATION: u64 = 1;
 /// Time for which an ended or stopped run is remembered after its record is gone.
 ///
 /// A start that was delayed for longer carries an echo older than the lease and is refused for that reason.
@@ -128,7 +130,7 @@
             spec,
             clock,
             history,
-            incarnation: 1,
+            incarnation: FIRST_INCARNATION,
             seen: Epoch::default(),
             lease_from_ms: 0,
             runs: BTreeMap::new(),
@@ -141,6 +143,13 @@
         self.incarnation * INCARNATION_RANGE_MS + now_ms
     }
 
+    /// Takes an incarnation before the first command.
+    ///
+    /// A worker that runs in a process of its own must differ from the one in the process before.
+    pub fn set_incarnation(&mut self, incarnation: u32) {
+        self.incarnation = incarnation.into();
+    }
+
     /// Loses all tasks and starts again, as after a restart of the machine.
     pub fn restart(&mut self) {
         let now_ms = self.settle();
--- a/crates/standins/tests/servers.rs
+++ b/crates/standins/tests/servers.rs
@@ -2,13 +2,14 @@
 
 use {
     ragwortreel_http::{Client, ClientError, ClientLimits, Request, Response, parse_json},
-    ragwortreel_model::{InstanceId, ServiceName, Team, Zone},
+    ragwortreel_model::{Epoch, InstanceId, Pool, ServiceName, Team, Zone},
     ragwortreel_platform::{InstanceList, ListedRole},
     ragwortreel_runtime::{block_on, sleep_ms, spawn},
     ragwortreel_standins::{
         Backend, BackendCounts, BackendSpec, FAULTS_PATH, Faults, Listening, StandinConfig,
         Standins, backend::serve_backend,
     },
+    ragwortreel_worker::{HeartbeatRequest, WorkerConnector},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -181,3 +182,26 @@
         assert_eq!(worker.address, standins.workers[0].listening.addr());
     });
 }
+
+// Guards against a worker that takes an echo of the process before it for its own and outlives the owner's count.
+#[test]
+fn workers_of_two_processes_have_different_incarnations() {
+    let json = r#"{"workers": [{"listen": "127.0.0.1:0", "zone": "riga-a", "rack": "r1",
+        "worker": {"id": "w1", "capacity": {"milli_cores": 32000, "memory_mib": 131072}}}]}"#;
+    let cfg: StandinConfig = serde_json::from_str(json).expect("configuration");
+    let incarnation = || {
+        let standins = Standins::start(&cfg).expect("start");
+        let client = standins.fleet.connect(standins.workers[0].listening.addr());
+        let heartbeat = HeartbeatRequest {
+            pool: Pool::new("p").expect("valid name"),
+            epoch: Epoch(1),
+            echo_ms: None,
+            acknowledged: vec![],
+        };
+        let report = block_on(client.heartbeat(&heartbeat)).expect("report");
+        (report.incarnation, report.clock_ms)
+    };
+    let ((first, clock), (second, other_clock)) = (incarnation(), incarnation());
+    assert_ne!(first, second);
+    assert!(clock.abs_diff(other_clock) > 1 << 31);
+}
