standins: show runs and restart workers over HTTP

Process tests need the history of a worker's runs and its restart, which only the in-process form offered.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,12 @@
 //!
 //! Each stand-in works in process for fast tests and behind a real socket. Both forms share one implementation and
 //! the same fault switches.
+//!
+//! Control endpoints of the servers, which no fault concerns except silent connections and cut responses:
+//! - all roles: `GET` and `POST /standin/faults` read and replace the [`Faults`];
+//! - platform: `GET /standin/counts`;
+//! - worker: `GET /standin/counts`, `GET /standin/runs`, `POST /standin/restart`;
+//! - backend server: `GET /standin/counts`, `GET /standin/records`, `POST /standin/drain`.
 
 pub mod backend;
 mod cell;
--- a/crates/standins/src/worker/fleet.rs
+++ b/crates/standins/src/worker/fleet.rs
@@ -4,7 +4,7 @@
     crate::{
         faults::{FaultSwitch, Outage},
         worker::{
-            history::{RunHistory, Violation},
+            history::{RunHistory, RunRecord, Violation},
             machine::{CommandKind, Fenced, Machine, WorkerCounts, WorkerSpec},
         },
     },
@@ -113,6 +113,14 @@
         machine.free()
     }
 
+    /// All runs that were started here, of all incarnations.
+    #[must_use]
+    pub fn records(&self) -> Vec<RunRecord> {
+        let mut machine = self.lock();
+        machine.settle();
+        machine.records()
+    }
+
     /// Number of running tasks.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/crates/standins/src/worker/history.rs
+++ b/crates/standins/src/worker/history.rs
@@ -3,6 +3,7 @@
 use {
     derive_more::Display,
     ragwortreel_model::{Attempt, TaskId, TaskResult, WorkerId},
+    serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
         sync::{Mutex, MutexGuard, PoisonError},
@@ -10,7 +11,7 @@
 };
 
 /// One run of a task on a worker; times are of the clock that all workers share.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunRecord {
     /// Where.
     pub worker: WorkerId,
--- a/crates/standins/src/worker/machine.rs
+++ b/crates/standins/src/worker/machine.rs
@@ -366,6 +366,14 @@
         })
     }
 
+    /// All runs that were started here, of all incarnations.
+    #[must_use]
+    pub fn records(&self) -> Vec<RunRecord> {
+        let mut runs = self.history.runs();
+        runs.retain(|run| run.worker == self.spec.id);
+        runs
+    }
+
     /// Number of running tasks.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/crates/standins/src/worker/server.rs
+++ b/crates/standins/src/worker/server.rs
@@ -30,11 +30,25 @@
     listen(addr, Arc::new(WorkerRole(worker)))
 }
 
+impl WorkerRole {
+    fn control(&self, req: &Request) -> Response {
+        match (req.method, req.path_only()) {
+            (Method::Get, "/standin/counts") => json(200, &self.0.counts()),
+            (Method::Get, "/standin/runs") => json(200, &self.0.records()),
+            (Method::Post, "/standin/restart") => {
+                self.0.restart();
+                Response::new(204)
+            }
+            _ => Response::new(404),
+        }
+    }
+}
+
 #[async_trait]
 impl Role for WorkerRole {
     async fn answer(&self, req: Request) -> Reply {
-        if req.path_only() == "/standin/counts" {
-            return Reply::Respond(json(200, &self.0.counts()));
+        if req.path_only().starts_with("/standin/") {
+            return Reply::Respond(self.control(&req));
         }
         let call = match to_call(&req) {
             Ok(call) => call,
--- a/crates/worker/tests/http_client.rs
+++ b/crates/worker/tests/http_client.rs
@@ -1,18 +1,24 @@
 //! The HTTP client against the worker stand-in on a real socket.
 
 use {
+    ragwortreel_http::{Client, ClientLimits, Request, parse_json},
     ragwortreel_model::{
-        Assignment, Attempt, Epoch, JobId, Pool, Resources, TaskId, WorkerId, Zone,
+        Assignment, Attempt, Epoch, JobId, Pool, Resources, TaskId, TaskResult, WorkerId, Zone,
     },
     ragwortreel_runtime::{block_on, discard_logger, future},
     ragwortreel_standins::{
-        FakeFleet, FakeWorker, Faults, Listening, Outage, WorkerSpec, worker::serve_worker,
+        FakeFleet, FakeWorker, Faults, Listening, Outage, WorkerSpec,
+        worker::{RunRecord, serve_worker},
     },
     ragwortreel_worker::{
         HeartbeatRequest, HttpWorkerConnector, StartRequest, TaskCommand, WorkerClient,
         WorkerConnector, WorkerError, WorkerTimeouts,
     },
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 struct Setup {
@@ -189,3 +195,31 @@
         client.heartbeat(&heartbeat(1)).await.expect("report");
     });
 }
+
+// Guards against runs of a worker behind a socket that no history check can see.
+#[test]
+fn the_control_endpoints_show_runs_and_restart_the_worker() {
+    block_on(async {
+        let Setup {
+            client,
+            worker,
+            listening,
+            ..
+        } = setup();
+        let report = client.heartbeat(&heartbeat(1)).await.expect("report");
+        client.start(&start(report.clock_ms)).await.expect("start");
+        let control = Client::new(ClientLimits::default());
+        let deadline = Instant::now() + Duration::from_secs(1);
+        let restart = Request::post("/standin/restart", "");
+        let done = control.send(listening.addr(), restart, deadline).await;
+        assert_eq!(done.expect("response").status, 204);
+        let runs = Request::get("/standin/runs");
+        let runs = control.send(listening.addr(), runs, deadline).await;
+        let runs = runs.expect("response").body;
+        let runs: Vec<RunRecord> = parse_json(&runs, 10_000).expect("json");
+        assert_eq!(runs[0].ended.expect("ended").1, TaskResult::Lost);
+        assert_eq!(worker.running(), 0);
+        let again = client.heartbeat(&heartbeat(1)).await.expect("report");
+        assert_ne!(again.incarnation, report.incarnation);
+    });
+}
