--- a/bench/src/history.rs
+++ b/bench/src/history.rs
@@ -10,7 +10,7 @@
 mod operators;
 mod run;
 
-pub use run::INSTANCE_ARGUMENT;
+pub use run::{INSTANCE_ARGUMENT, mixes, plan, program};
 
 use {
     crate::report::{Measure, Unit},
@@ -31,7 +31,7 @@
 /// Variable that selects other seeds.
 const SEEDS_VARIABLE: &str = "RAGWORTREEL_SEEDS";
 /// Cells that run at once; each has 9 processes.
-const PARALLEL: u64 = 5;
+const PARALLEL: u64 = 7;
 /// Executor threads of this process, which carries stand-ins and callers of all parallel cells.
 const THREADS: usize = 4;
 /// Time after which no further seed is begun, so that the case ends within 50 s.
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod churn;
 #[path = "../../crates/control/tests/support/mod.rs"]
 mod control_cell;
+mod drain;
 mod failover;
 mod fleet;
 mod gang;
@@ -47,6 +48,7 @@
     case("history", "checked histories of nine instances under faults", history::run),
     case("settings", "spread of settings changed by racing operators", || Ok(settings::run())),
     case("failover", "placement after the loss of a pool's owner", || Ok(failover::run())),
+    case("drain", "planned stops of entry instances and backend servers", drain::run),
     case("outage", "acknowledged writes and requests while the store is down for 30 s", outage::run),
     case("silent", "open connections go silent while new ones work", silent::run),
 ];
