control: leave no row of a refused job, and tell the scheduler new teams first

A job of a team that was declared within the last 500 ms was written to its row, refused by the scheduler and ended as cancelled, while its caller was told that it was refused; the repeat then found the cancelled row. The owner now tells the scheduler the teams in force before each submission, and removes the row of a job that the scheduler refuses.

--- a/crates/control/src/owner/jobs.rs
+++ b/crates/control/src/owner/jobs.rs
@@ -33,6 +33,8 @@
 
 impl PoolOwner {
     pub fn submit(&mut self, spec: JobSpec, reply: Reply<JobStatus>) {
+        // The scheduler must know the teams of the settings in force before it gets their jobs.
+        self.refresh_teams();
         if let Some(answer) = self.check_submission(&spec) {
             let _ = reply.try_send(answer);
             return;
@@ -48,7 +50,8 @@
         self.submitting
             .insert(spec.id.clone(), (spec.clone(), vec![reply]));
         let row = self.job_row(&spec, JobState::Queued, 0);
-        self.write_row(RowWrite::Submit(spec), &row, 0);
+        let id = spec.id.clone();
+        self.write_row(RowWrite::Submit(spec), Some(&row), &id, 0);
     }
 
     /// The answer to a submission that needs no write.
@@ -109,22 +112,22 @@
     }
 
     /// Writes a job's row under this ownership and sends the outcome to the owner.
-    fn write_row(&self, write: RowWrite, row: &JobRow, version: u64) {
-        let (key, pool_key) = (rows::job_key(&row.spec.id), rows::pool_key(&self.cfg.pool));
+    fn write_row(&self, write: RowWrite, row: Option<&JobRow>, id: &JobId, version: u64) {
+        let (key, pool_key) = (rows::job_key(id), rows::pool_key(&self.cfg.pool));
         let txn = Txn {
             checks: vec![
                 rows::check(&key, version),
                 rows::check(&pool_key, self.row_version),
             ],
-            writes: vec![rows::put(&key, row)],
+            writes: vec![row.map_or_else(|| rows::delete(&key), |row| rows::put(&key, row))],
         };
         let (shared, handle) = (Arc::clone(&self.shared), Arc::clone(&self.handle));
         spawn(async move {
             let keep_on = || !handle.is_dropped() && !shared.stop.is_requested();
             loop {
                 let definite = commit_definite(&*shared.table, &txn, keep_on).await;
-                let is_finish = matches!(write, RowWrite::Finish(..));
-                if is_finish && matches!(definite, Definite::NotDone { .. }) && keep_on() {
+                let is_due = matches!(write, RowWrite::Finish(..) | RowWrite::Undo(..));
+                if is_due && matches!(definite, Definite::NotDone { .. }) && keep_on() {
                     sleep_ms(FINISH_RETRY_MS).await;
                     continue;
                 }
@@ -146,6 +149,28 @@
             RowWrite::Submit(spec) => self.submitted(&spec, definite),
             RowWrite::Cancel(id, reply) => self.cancelled(&id, &reply, definite),
             RowWrite::Finish(id, state) => self.finished(&id, state, &definite),
+            RowWrite::Undo(id, replies, err) => {
+                let answer = if self.is_row_gone(&id, &definite) {
+                    err
+                } else {
+                    JobError::Unknown {
+                        problem: "the job was written and could not be removed".into(),
+                    }
+                };
+                answer_all(&replies, &Err(answer));
+            }
+        }
+    }
+
+    /// Whether the removal of a job's row took effect, perhaps with its first answer lost.
+    fn is_row_gone(&self, id: &JobId, definite: &Definite) -> bool {
+        let key = rows::job_key(id);
+        match definite {
+            Definite::Committed { .. } => true,
+            Definite::Conflict { current } => {
+                !self.is_pool_row_changed(current) && !current.iter().any(|row| row.key == key)
+            }
+            _ => false,
         }
     }
 
@@ -159,19 +184,30 @@
             return;
         };
         let answer = match definite {
-            Definite::Committed { versions } => self.accept(spec, versions.as_deref()),
+            Definite::Committed { versions } => {
+                let row_version = versions.and_then(|versions| versions.first().copied());
+                let row_version = row_version.unwrap_or(1);
+                match self.accept(spec, row_version) {
+                    Ok(status) => Ok(status),
+                    Err(err) => {
+                        let undo = RowWrite::Undo(spec.id.clone(), replies, err);
+                        self.write_row(undo, None, &spec.id, row_version);
+                        return;
+                    }
+                }
+            }
             Definite::Conflict { current } => existing(spec, &current),
             Definite::NotDone { problem } => Err(refused(&problem)),
             Definite::Unknown { problem } => Err(JobError::Unknown { problem }),
         };
-        for reply in replies {
-            let _ = reply.try_send(answer.clone());
-        }
+        answer_all(&replies, &answer);
     }
 
-    fn accept(&mut self, spec: &JobSpec, versions: Option<&[u64]>) -> Result<JobStatus, JobError> {
+    fn accept(&mut self, spec: &JobSpec, row_version: u64) -> Result<JobStatus, JobError> {
         let now_ms = self.shared.now_ms();
-        let row_version = versions.and_then(<[u64]>::first).copied().unwrap_or(1);
+        self.scheduler
+            .submit(spec.clone(), now_ms)
+            .map_err(|err| refused(&err.to_string()))?;
         let job = Job {
             spec: spec.clone(),
             row_version,
@@ -182,13 +218,6 @@
             writing: false,
             closed: false,
         };
-        if let Err(err) = self.scheduler.submit(spec.clone(), now_ms) {
-            // The row is written, so the job is ended by its row too.
-            let row = self.job_row(spec, JobState::Cancelled, 0);
-            let write = RowWrite::Finish(spec.id.clone(), JobState::Cancelled);
-            self.write_row(write, &row, row_version);
-            return Err(refused(&err.to_string()));
-        }
         let status = self.status(&job);
         self.jobs.insert(spec.id.clone(), job);
         self.ask_for_shares(now_ms);
@@ -219,7 +248,12 @@
             Some(job) if job.writing => Err(refused("the job's row is being written")),
             Some(job) => {
                 let row = self.job_row(&job.spec, JobState::Cancelled, job.failures);
-                self.write_row(RowWrite::Cancel(id.clone(), reply), &row, job.row_version);
+                self.write_row(
+                    RowWrite::Cancel(id.clone(), reply),
+                    Some(&row),
+                    id,
+                    job.row_version,
+                );
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.writing = true;
                 }
@@ -296,7 +330,12 @@
             return;
         };
         let row = self.job_row(&job.spec, state, job.failures);
-        self.write_row(RowWrite::Finish(id.clone(), state), &row, job.row_version);
+        self.write_row(
+            RowWrite::Finish(id.clone(), state),
+            Some(&row),
+            id,
+            job.row_version,
+        );
         if let Some(job) = self.jobs.get_mut(id) {
             job.writing = true;
         }
@@ -392,6 +431,12 @@
     }
 }
 
+fn answer_all(replies: &[Reply<JobStatus>], answer: &Result<JobStatus, JobError>) {
+    for reply in replies {
+        let _ = reply.try_send(answer.clone());
+    }
+}
+
 /// The answer to a submission that found a row of its job.
 fn existing(spec: &JobSpec, current: &[Row]) -> Result<JobStatus, JobError> {
     let key = rows::job_key(&spec.id);
--- a/crates/control/src/owner/mod.rs
+++ b/crates/control/src/owner/mod.rs
@@ -45,6 +45,8 @@
     Submit(JobSpec),
     Cancel(JobId, Reply<JobStatus>),
     Finish(JobId, JobState),
+    /// Removes the row of a job that the scheduler did not take after all.
+    Undo(JobId, Vec<Reply<JobStatus>>, JobError),
 }
 
 /// Message to a pool's owner.
--- a/crates/control/src/ownership.rs
+++ b/crates/control/src/ownership.rs
@@ -9,7 +9,7 @@
         store::{Definite, commit_definite},
         view::{Versioned, View},
     },
-    ragwortreel_model::{Epoch, Incarnation, InstanceId, Pool, Zone},
+    ragwortreel_model::{Epoch, InstanceId, Pool, Zone},
     ragwortreel_platform::{InstanceState, Txn},
     ragwortreel_runtime::{log_event, spawn},
     std::{collections::BTreeMap, sync::Arc},
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -220,3 +220,38 @@
         cell.assert_sound();
     });
 }
+
+/// A job that is refused after its row was written must leave no row behind, and one of a team that has just been
+/// declared must not be refused because the scheduler does not know the team yet.
+#[test]
+fn refused_job_leaves_no_row() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a"], 1);
+        cell.max_queued_tasks = 10;
+        cell.start("e1", "riga-a");
+        cell.ready().await;
+        let result = cell.control("e1").submit_job(job("large", 11, None)).await;
+        let is_refused = matches!(result, Err(ragwortreel_control::JobError::Refused { .. }));
+        assert!(is_refused, "{result:?}");
+        assert_eq!(cell.job_state("large"), None);
+        let base = cell.control("e1").settings();
+        let mut settings = base.settings.clone();
+        let beta = support::name(ragwortreel_model::Team::new, "beta");
+        settings
+            .teams
+            .insert(beta.clone(), ragwortreel_model::TeamSettings::default());
+        let change = ragwortreel_control::SettingsChange::Whole(settings);
+        let changed = cell
+            .control("e1")
+            .change_settings(base.version, change)
+            .await;
+        changed.expect("accepted");
+        let mut spec = job("new", 1, Some(50));
+        spec.team = beta;
+        cell.control("e1")
+            .submit_job(spec)
+            .await
+            .expect("accepted at once");
+        cell.until_succeeded("new").await;
+    });
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -89,6 +89,7 @@
     pub workers: Vec<Arc<FakeWorker>>,
     pub timings: Timings,
     pub limits: Limits,
+    pub max_queued_tasks: usize,
     incarnations: AtomicU64,
 }
 
@@ -136,6 +137,7 @@
             workers: Vec::new(),
             timings: timings(speed),
             limits: Limits::default(),
+            max_queued_tasks: Config::default().max_queued_tasks,
             incarnations: AtomicU64::new(1),
         };
         for zone in cell.zones.clone() {
@@ -181,6 +183,10 @@
             })
             .collect();
         let gate = Gate::new();
+        let queue = Config {
+            max_queued_tasks: self.max_queued_tasks,
+            ..Config::default()
+        };
         let platform = self.platform.in_zone(zone.clone());
         let gated = Gated::new(&gate, platform);
         let connections = Connections {
@@ -189,8 +195,8 @@
             list: gated.clone(),
             workers: Arc::new(gate.workers(self.fleet.in_zone(zone.clone()))),
             peers: Arc::new(self.network.connector(address, &gate)),
-            schedulers: Arc::new(|pool: &Pool| {
-                Box::new(Scheduler::new(pool.clone(), Config::default())) as Box<dyn PoolScheduler>
+            schedulers: Arc::new(move |pool: &Pool| {
+                Box::new(Scheduler::new(pool.clone(), queue.clone())) as Box<dyn PoolScheduler>
             }),
         };
         let stop = Stop::new();
@@ -240,12 +246,26 @@
         while !holds(self) {
             assert!(
                 since.elapsed() < Duration::from_secs(20),
-                "not reached: {what}"
+                "not reached: {what}\n{}",
+                self.state()
             );
             sleep_ms(5).await;
         }
     }
 
+    /// Everything that explains why a condition does not come to hold.
+    fn state(&self) -> String {
+        let mut lines = vec![format!("task lease {} ms", self.timings.task_lease_ms)];
+        for (id, instance) in &self.instances {
+            lines.push(format!("{id}: {:?}", instance.control.figures()));
+        }
+        for prefix in ["pool/", "quota/", "instance/", "journal/"] {
+            let rows = self.platform.peek_all(prefix);
+            lines.extend(rows.iter().map(|row| format!("{}: {}", row.key, row.value)));
+        }
+        lines.join("\n")
+    }
+
     /// Waits until all instances are ready and all pools have owners, and declares the team.
     pub async fn ready(&self) {
         self.until("all ready", |cell| {
