control: try the next pool when a pool's owner is silent or does not answer

A job without a zone was handed to the pool with the most room by its last heartbeat, also when its owner was cut off; its submitter waited until the pool was taken over. Pools of silent owners now come last, a hand-over is given half of the call's time, and an open outcome no longer ends the search: a job's row is written at most once, whichever pool takes it.

--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -84,6 +84,7 @@
         }
         return Ok(row_status(row));
     }
+    let mut open = None;
     let mut last = refused("no pool in the job's zone has an owner");
     for pool in pools_by_room(shared, &spec)
         .into_iter()
@@ -99,11 +100,16 @@
                     retry_after_ms,
                 };
             }
-            Err(JobError::Unknown { problem }) => return read_back(shared, &spec, problem).await,
+            // A job exists at most once whatever pools it was handed to, because each owner writes its row only where
+            // there is none. So the next pool may be tried, and the caller hears of the open outcome if all fail.
+            Err(JobError::Unknown { problem }) => open = Some(problem),
             answer => return answer,
         }
     }
-    Err(last)
+    match open {
+        Some(problem) => read_back(shared, &spec, problem).await,
+        None => Err(last),
+    }
 }
 
 async fn submit_to(shared: &Shared, pool: &Pool, spec: &JobSpec) -> Result<JobStatus, JobError> {
@@ -119,7 +125,9 @@
         spec_json: rows::encode(spec).as_bytes().to_vec(),
         pool: pool.to_string(),
     };
-    let statuses = from_reply(&spec.id, client.submit_job(message).await)?;
+    let limit_ms = shared.cfg.timings.call_ms / 2;
+    let call = timeout_ms(limit_ms, client.submit_job(message)).await;
+    let statuses = from_reply(&spec.id, call.map_err(|_| unknown("timeout"))?)?;
     statuses
         .into_iter()
         .next()
@@ -150,12 +158,7 @@
     let allowed = |zone| spec.zone.as_ref().is_none_or(|wanted| wanted == zone);
     let mut pools: Vec<_> = (shared.cfg.pools.iter())
         .filter(|cfg| allowed(&cfg.zone))
-        .map(|cfg| {
-            (
-                rank(spec, summary(shared, &cfg.pool).as_ref()),
-                cfg.pool.clone(),
-            )
-        })
+        .map(|cfg| (rank(shared, spec, &cfg.pool), cfg.pool.clone()))
         .collect();
     pools.sort();
     pools.into_iter().map(|(_, pool)| pool).collect()
@@ -166,21 +169,41 @@
     own.or_else(|| shared.peers.summary(pool).map(|(_, summary)| summary))
 }
 
-fn rank(spec: &JobSpec, summary: Option<&PoolSummary>) -> (bool, u64, Reverse<u64>) {
-    let Some(summary) = summary else {
-        return (true, u64::MAX, Reverse(0));
-    };
+/// Order of a pool for a job; lower ones are tried first.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    owner_is_silent: bool,
+    does_not_fit: bool,
+    queued: u64,
+    free: Reverse<u64>,
+}
+
+fn rank(shared: &Shared, spec: &JobSpec, pool: &Pool) -> Rank {
+    let summary = summary(shared, pool).unwrap_or(PoolSummary {
+        queued_tasks: u64::MAX,
+        ..PoolSummary::default()
+    });
     let free = Resources::new(
         summary.free_milli_cores,
         summary.free_memory_mib,
         summary.free_accelerators,
     );
-    let fits = spec.resources.fits_in(&free);
-    (
-        !fits,
-        summary.queued_tasks,
-        Reverse(summary.free_milli_cores),
-    )
+    Rank {
+        owner_is_silent: is_owner_silent(shared, pool),
+        does_not_fit: !spec.resources.fits_in(&free),
+        queued: summary.queued_tasks,
+        free: Reverse(summary.free_milli_cores),
+    }
+}
+
+/// Whether the pool has no owner, or one that did not answer lately.
+fn is_owner_silent(shared: &Shared, pool: &Pool) -> bool {
+    let Some(owner) = shared.owner_of(pool) else {
+        return true;
+    };
+    let recent_ms = shared.cfg.timings.lease_ms / 2;
+    let link = shared.peers.link(&owner, shared.now_ms(), recent_ms);
+    owner != shared.cfg.instance && !link.answers
 }
 
 /// Cancels a job at the owner of its pool.
