--- a/bench/src/failover.rs
+++ b/bench/src/failover.rs
@@ -1,7 +1,7 @@
 //! Time until placement goes on after the loss of a pool's owner, and tasks that run twice because of it.
 //!
 //! Cells with real intervals and leases run beside each other; in each one the owner is killed, paused and resumed, or
-//! cut off with its zone. The baseline restarts tasks by timeout only: its workers have no epoch fence, and it takes a
+//! cut off with its zone. In the first two, one busy worker goes silent together with the owner. The baseline restarts tasks by timeout only: its workers have no epoch fence, and it takes a
 //! silent worker's tasks for ended at once.
 
 use {
@@ -25,6 +25,8 @@
 const THREADS: usize = 4;
 /// Time that a paused owner is held beyond its takeover, in ms.
 const PAUSE_MS: u64 = 7_000;
+/// Time after the failure at which a silent worker answers again, in ms; above the task lease.
+const SILENT_MS: u64 = 13_000;
 /// Time after the failure at which the histories are checked, in ms; above the task lease.
 const SETTLE_MS: u64 = 24_000;
 /// Time after which a start is given up.
@@ -112,7 +114,9 @@
     sleep_ms(fastrand::u64(0..1_000)).await;
     let mut cell = Cell::with_speed(1, &["riga-a", "riga-b"], 4);
     if naive {
+        // A silent worker's tasks count as ended, whoever may still renew them.
         cell.timings.task_lease_ms = 0;
+        cell.timings.autonomy_ms = 5_000;
     }
     let members = [
         ("e1", "riga-a"),
@@ -142,6 +146,15 @@
     cell.submit(&owner, spec).await;
     sleep_ms(fastrand::u64(200..1_200)).await;
     let begun = Instant::now();
+    let silent = cell.workers[..4].iter().find(|worker| worker.running() > 0);
+    let silent = silent
+        .filter(|_| !matches!(failure, Failure::ZoneCut))
+        .cloned();
+    if let Some(worker) = &silent {
+        worker
+            .faults()
+            .update(|faults| faults.outage = Some(Outage::Silent));
+    }
     let takeover_s = match failure {
         Failure::Killed => {
             cell.kill(&owner);
@@ -166,6 +179,10 @@
             takeover_s
         }
     };
+    sleep_ms(SILENT_MS.saturating_sub(elapsed_ms(begun))).await;
+    if let Some(worker) = &silent {
+        worker.faults().clear();
+    }
     sleep_ms(SETTLE_MS.saturating_sub(elapsed_ms(begun))).await;
     // Named on standard error, because a breach is a fault to be looked into and not only a count.
     let violations = cell.violations();
@@ -211,7 +228,6 @@
     let (near, far) = (cell.zones[0].clone(), cell.zones[1].clone());
     cell.platform.faults().update(|faults| {
         faults.cut_zones.insert(far);
-        faults.outage = None::<Outage>;
     });
     for worker in &cell.workers[4..] {
         let near = near.clone();
