--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -255,3 +255,25 @@
         cell.until_succeeded("new").await;
     });
 }
+
+/// The answer to each commit of a takeover may be lost; the pool must still get one owner, and its tasks go on.
+#[test]
+fn lost_answers_during_a_takeover() {
+    block_on(async {
+        for lost in 1..6 {
+            let mut cell = cell_of_three().await;
+            cell.submit("e1", job("long", 6, Some(6_000))).await;
+            cell.until("six run", |cell| cell.running() == 6).await;
+            let owner = cell.owner("riga-a").expect("an owner");
+            cell.kill(&owner);
+            // Renewals come in between, so the losses begin at different commits of the takeover.
+            sleep_ms(2_500 / support::SPEED).await;
+            for instance in cell.instances.values() {
+                instance.gate.lose_commits(lost * 2);
+            }
+            cell.until_succeeded("long").await;
+            assert_eq!(cell.fleet.history().runs().len(), 6);
+            cell.assert_sound();
+        }
+    });
+}
