Leave one slot to long work, probe only with repeatable requests

The reserve for short work never became zero after its last request, so an instance with one or two slots of a service never started long work. It is rounded down, and of several slots one is always open to long work. A request that may not run twice is not used as the probe of an ejected backend server. A permit can be checked right before the first byte is sent, because the process may have been paused since it was given.

--- a/bench/src/balance.rs
+++ b/bench/src/balance.rs
@@ -79,6 +79,7 @@
     load_max_over_mean: f64,
     back_s: Option<f64>,
     answered: f64,
+    instance_slots: f64,
 }
 
 pub fn run() -> Result<Vec<Measure>, String> {
@@ -105,6 +106,11 @@
         )
         .with_baseline(naive.load_max_over_mean),
         Measure::at_most("dead_instance_slots_back", back_s, Unit::Seconds, 5.0),
+        Measure::info(
+            "instance_slots_max_over_mean",
+            full.instance_slots,
+            Unit::Ratio,
+        ),
         Measure::info("answered_share", full.answered, Unit::Share).with_baseline(naive.answered),
     ])
 }
@@ -127,6 +133,7 @@
         }
     }
     sleep_ms(SETTLE_MS).await;
+    let instance_slots = instance_slots_max_over_mean(&zones);
     let start_ms = zones[0].clock.now_ms();
     let answered = Arc::new([AtomicU64::new(0), AtomicU64::new(0)]);
     let loads: Vec<_> = zones
@@ -149,7 +156,22 @@
         load.await;
     }
     sleep_ms(2 * DEADLINE_MS).await;
-    seen(&zones, back_s, &answered)
+    Seen {
+        instance_slots,
+        ..seen(&zones, back_s, &answered)
+    }
+}
+
+/// Slots of the instance with most of them, relative to the mean, before anything fails.
+fn instance_slots_max_over_mean(zones: &[Arc<ZoneWorld>]) -> f64 {
+    let slots = |entry: &Entry| -> u32 {
+        let figures = entry.router.figures();
+        figures.backends.values().map(|b| b.share.slots).sum()
+    };
+    let entries = || zones.iter().flat_map(|world| &world.entries);
+    let most = entries().map(slots).max().unwrap_or(0);
+    let sum: u32 = entries().map(slots).sum();
+    f64::from(most) * to_f64((ZONES * INSTANCES_PER_ZONE) as u64) / f64::from(sum)
 }
 
 fn seen(zones: &[Arc<ZoneWorld>], back_s: Option<f64>, answered: &[AtomicU64; 2]) -> Seen {
@@ -164,6 +186,7 @@
         load_max_over_mean: to_f64(most) / mean,
         back_s,
         answered: to_f64(answered[0].load(SeqCst)) / to_f64(answered[1].load(SeqCst)),
+        instance_slots: 0.0,
     }
 }
 
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -263,7 +263,27 @@
         run: Duration,
         limit_ms: u64,
     ) -> Call {
-        let request = RequestInfo {
+        let request = self.request(route, class, limit_ms);
+        let start = Instant::now();
+        let mut call = Call::default();
+        let attempts = self.attempts(at, request, run, &mut call);
+        let answered = timeout_ms(limit_ms, attempts).await;
+        call.answered = answered == Ok(true);
+        call.took_us = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        call
+    }
+
+    /// Takes a slot and gives it back.
+    pub async fn admit_and_finish(&self, at: usize) {
+        let request = self.request("short", WorkClass::Short, 1_000);
+        let held = self.admit(at, &request, &[], &mut Call::default()).await;
+        if let Some(Held::Full(permit)) = held {
+            permit.finish(RequestResult::Answered);
+        }
+    }
+
+    fn request(&self, route: &str, class: WorkClass, limit_ms: u64) -> RequestInfo {
+        RequestInfo {
             team: team(),
             service: service(),
             caller: team(),
@@ -272,14 +292,7 @@
             cost_hint_ms: None,
             deadline_ms: self.clock.now_ms() + limit_ms,
             idempotent: true,
-        };
-        let start = Instant::now();
-        let mut call = Call::default();
-        let attempts = self.attempts(at, request, run, &mut call);
-        let answered = timeout_ms(limit_ms, attempts).await;
-        call.answered = answered == Ok(true);
-        call.took_us = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
-        call
+        }
     }
 
     /// Sends attempts until one is answered or no further one is allowed.
--- a/bench/src/surge.rs
+++ b/bench/src/surge.rs
@@ -50,6 +50,7 @@
         (urgent_in_time(&full), urgent_in_time(&naive)),
         (recovery_s(&full), recovery_s(&naive)),
     ];
+    let (admission_us, naive_admission_us) = (admission_us(false), admission_us(true));
     Ok(vec![
         Measure::at_least("goodput_share", measures[0].0, Unit::Share, 0.95)
             .with_baseline(measures[0].1),
@@ -57,9 +58,22 @@
             .with_baseline(measures[1].1),
         Measure::at_most("recovery", measures[2].0, Unit::Seconds, 2.0)
             .with_baseline(measures[2].1),
+        Measure::info("admission_mean", admission_us, Unit::Microseconds)
+            .with_baseline(naive_admission_us),
     ])
 }
 
+/// Time to admit and finish one request on an idle instance with 16 backend servers, in us.
+fn admission_us(is_naive: bool) -> f64 {
+    const REQUESTS: u32 = 100_000;
+    let fleet = Fleet::new(is_naive);
+    let start = std::time::Instant::now();
+    for _ in 0..REQUESTS {
+        block_on(fleet.admit_and_finish(0));
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(REQUESTS)
+}
+
 fn load(at_s: f64) -> f64 {
     match at_s {
         at if !(RISE_S..END_S).contains(&at) => LOW_LOAD,
--- a/crates/routing/src/group.rs
+++ b/crates/routing/src/group.rs
@@ -28,6 +28,14 @@
     pub allowed: u32,
 }
 
+/// What a request needs of a backend server.
+#[derive(Debug, Clone)]
+pub struct Need {
+    pub on_long_slot: bool,
+    pub idempotent: bool,
+    pub avoid: Vec<BackendId>,
+}
+
 /// Backend servers with a free slot, least loaded and longest unused first.
 type LoadIndex = BTreeSet<(u32, WaitId, BackendId)>;
 
@@ -106,13 +114,17 @@
     }
 
     /// The least loaded backend server with a free slot for a request.
-    pub fn choose(&self, on_long_slot: bool, avoid: &[BackendId]) -> Option<&BackendId> {
-        if on_long_slot && !self.long_may_start() {
+    ///
+    /// A request that may not run twice is no probe, unless nothing but probes is left.
+    pub fn choose(&self, need: &Need) -> Option<&BackendId> {
+        if need.on_long_slot && !self.long_may_start() {
             return None;
         }
         let fits = |id: &&BackendId| {
-            let has_room = !on_long_slot || self.backends[*id].has_long_room();
-            has_room && !avoid.contains(*id)
+            let backend = &self.backends[*id];
+            let has_room = !need.on_long_slot || backend.has_long_room();
+            let may_probe = need.idempotent || !backend.health.is_ejected() || self.is_out();
+            has_room && may_probe && !need.avoid.contains(*id)
         };
         self.index.iter().map(|(_, _, id)| id).find(fits)
     }
@@ -135,13 +147,21 @@
         probes.filter_map(|b| b.health.probe_at_ms()).min()
     }
 
-    /// Slots kept for short work: its average use and twice the standard deviation of independent arrivals.
+    /// Slots kept for short work: its average use and twice the standard deviation of independent arrivals. Rounded
+    /// down, because the average of work that has ended never becomes zero.
     fn short_reserve(&self) -> f64 {
-        self.short_load + 2.0 * self.short_load.sqrt()
+        (self.short_load + 2.0 * self.short_load.sqrt()).floor()
+    }
+
+    /// Slots that long work may hold. One of several is always among them, so that rare short work doesn't keep long
+    /// work from an instance with few slots.
+    fn long_slots(&self) -> f64 {
+        let left = f64::from(self.slots) - self.short_reserve();
+        if self.slots >= 2 { left.max(1.0) } else { left }
     }
 
     fn long_may_start(&self) -> bool {
-        f64::from(self.long_in_use + 1) + self.short_reserve() <= f64::from(self.slots)
+        f64::from(self.long_in_use + 1) <= self.long_slots()
     }
 
     /// Slots that requests of a class can count on.
@@ -151,7 +171,7 @@
         }
         let usable = self.backends.values().filter(|b| b.allowed > 0);
         let for_long: u32 = usable.map(|b| b.share.long_slots.min(b.allowed)).sum();
-        f64::from(for_long).min(f64::from(self.slots) - self.short_reserve())
+        f64::from(for_long).min(self.long_slots())
     }
 
     /// Estimated wait of a new request, in ms; `None` when no slot is in sight.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -252,6 +252,14 @@
         self.grant.waited_ms
     }
 
+    /// Whether the slot may still be used. Checked right before the first byte is sent, because the process may have
+    /// been paused since the permit was given.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let now = self.shared.clock.now_ms();
+        self.shared.lock().is_valid(now, self.grant.id)
+    }
+
     /// Waits until this instance has lost the slot: its lease has expired or its share has shrunk for good.
     ///
     /// The request must then be cut off, because another instance will use the slot.
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -5,7 +5,7 @@
         BackendFigures, BackendId, BackendServer, Permit, QueueFigures, Refusal, RefusalReason,
         RequestInfo, RequestResult, RouterConfig, RouterFigures, SlotShares, ZoneLoad,
         budget::{RateLimit, RetryBudget},
-        group::{Backend, CLASSES, Group},
+        group::{Backend, CLASSES, Group, Need},
         learn::{Learned, RouteKey, classify},
         queue::{ClassQueue, Place, WaitId},
     },
@@ -61,9 +61,8 @@
     key: RouteKey,
     caller: Team,
     class: WorkClass,
-    on_long_slot: bool,
+    need: Need,
     place: Place,
-    avoid: Vec<BackendId>,
     since_ms: u64,
     tx: Sender<Verdict>,
 }
@@ -248,12 +247,15 @@
             key,
             caller: request.caller,
             class,
-            on_long_slot,
+            need: Need {
+                on_long_slot,
+                idempotent: request.idempotent,
+                avoid: avoid.to_vec(),
+            },
             place: Place {
                 start_by_ms: latest_ms.max(now),
                 id,
             },
-            avoid: avoid.to_vec(),
             since_ms: now,
             tx,
         };
@@ -304,8 +306,8 @@
         {
             None => (false, false, None, None, 0),
             Some(group) => (
-                group.is_served(&waiting.avoid),
-                group.choose(waiting.on_long_slot, &waiting.avoid).is_some()
+                group.is_served(&waiting.need.avoid),
+                group.choose(&waiting.need).is_some()
                     && group
                         .queues
                         .get(&waiting.class)
@@ -336,7 +338,7 @@
             let excess_ms = wait_ms.saturating_sub(slack_ms);
             return Err(self.refused(RefusalReason::Deadline, excess_ms));
         }
-        if waiting.avoid.is_empty() {
+        if waiting.need.avoid.is_empty() {
             self.check_rate(now, &waiting.caller)?;
         }
         Ok(())
@@ -640,7 +642,7 @@
             };
             let choose = |id: WaitId| {
                 let waiting = waiting.get(&id)?;
-                group.choose(waiting.on_long_slot, &waiting.avoid)
+                group.choose(&waiting.need)
             };
             let popped = queue.pop(|id| choose(id).is_some());
             let chosen = popped.and_then(|id| Some((id, choose(id)?.clone())));
@@ -659,14 +661,14 @@
         let Some(group) = self.groups.get_mut(&waiting.key.group()) else {
             return;
         };
-        if waiting.on_long_slot {
+        if waiting.need.on_long_slot {
             group.long_in_use += 1;
         } else {
             group.short_in_use += 1;
         }
         group.change(now, backend_id, |backend| {
             backend.in_use += 1;
-            backend.long_in_use += u32::from(waiting.on_long_slot);
+            backend.long_in_use += u32::from(waiting.need.on_long_slot);
             backend.last_used = id;
         });
         let backend = &group.backends[backend_id];
@@ -680,7 +682,7 @@
             waited_ms: now - waiting.since_ms,
             revoked,
         };
-        if waiting.avoid.is_empty() {
+        if waiting.need.avoid.is_empty() {
             let percent = self.settings.cell.retry_budget_percent;
             let limits = self.teams.entry(waiting.caller.clone()).or_default();
             limits.retries.earn(percent);
@@ -693,7 +695,7 @@
             key: waiting.key,
             caller: waiting.caller,
             class: waiting.class,
-            on_long_slot: waiting.on_long_slot,
+            on_long_slot: waiting.need.on_long_slot,
             backend: backend_id.clone(),
             since_ms: now,
             revoke,
@@ -705,6 +707,12 @@
         });
     }
 
+    /// Whether a granted slot may still be used.
+    pub fn is_valid(&self, now: u64, id: GrantId) -> bool {
+        let in_flight = self.in_flight.get(&id);
+        now < self.shares.valid_until_ms && in_flight.is_some_and(|f| !f.revoke.is_closed())
+    }
+
     /// Tells requests to leave slots that this instance no longer has, newest first.
     fn revoke_excess(&mut self, now: u64) {
         let is_expired = now >= self.shares.valid_until_ms;
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -264,8 +264,10 @@
     let permit = world.permit(world.request(WorkClass::Short, 60_000));
     let mut waiting = world.admit(world.request(WorkClass::Short, 60_000));
     assert!(poll(&mut waiting).is_none());
+    assert!(permit.is_valid());
     assert!(block_on(poll_once(permit.revoked())).is_none());
     world.clock.advance_ms(3_000);
+    assert!(!permit.is_valid(), "checked at the moment of use");
     let refusal = world.refusal(world.request(WorkClass::Short, 60_000));
     assert_eq!(refusal.reason, RefusalReason::NoLease);
     world.tick();
@@ -297,6 +299,49 @@
     assert!(poll(&mut waiting_urgent).unwrap().is_ok());
 }
 
+/// Guards against long work that never starts where there are few slots and rare short requests.
+#[test]
+fn rare_short_work_does_not_starve_long_work() {
+    for slots in [1, 2] {
+        let world = World::new(1, slots, slots);
+        for _ in 0..40 {
+            let _short = world.permit(world.request(WorkClass::Short, 1_000));
+            world.clock.advance_ms(20);
+            world.tick();
+        }
+        for _ in 0..100 {
+            world.clock.advance_ms(50);
+            world.tick();
+        }
+        drop(world.permit(world.request(WorkClass::Long, 60_000)));
+    }
+}
+
+/// Guards against a request that may not run twice as the probe of a failing backend server.
+#[test]
+fn a_probe_is_a_request_that_may_run_twice() {
+    let world = World::new(2, 1, 1);
+    let bad = world.backends[0].id.clone();
+    while !world.router.figures().backends[&bad].ejected {
+        let permit = world.permit(world.request(WorkClass::Short, 1_000));
+        let is_bad = *permit.backend() == bad;
+        permit.finish(if is_bad {
+            RequestResult::ServerError
+        } else {
+            RequestResult::Answered
+        });
+    }
+    world.clock.advance_ms(1_600);
+    world.tick();
+    let mut once = world.request(WorkClass::Short, 1_000);
+    once.idempotent = false;
+    let first = world.permit(once.clone());
+    assert_ne!(*first.backend(), bad);
+    assert!(world.try_admit(once).is_none());
+    let probe = world.permit(world.request(WorkClass::Short, 1_000));
+    assert_eq!(*probe.backend(), bad);
+}
+
 /// Guards against a wrong declaration that puts long work among short work, or the reverse.
 #[test]
 fn learned_run_times_correct_the_declared_class() {
