--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,10 +3,21 @@
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
 mod balance;
+mod cell;
+mod churn;
+#[path = "../../crates/control/tests/support/mod.rs"]
+mod control_cell;
+mod failover;
 mod fleet;
+mod gang;
 mod hol;
+mod outage;
+mod place;
+mod proxy;
 mod report;
 mod retry;
+mod settings;
+mod silent;
 mod surge;
 
 use {getopts::Options, report::Measure, std::process::ExitCode};
@@ -22,29 +33,30 @@
 }
 
 /// All cases, in the order of the design page.
+#[rustfmt::skip]
 const CASES: &[Case] = &[
-    Case {
-        name: "hol",
-        about: "short work beside long work",
-        run: hol::run,
-    },
-    Case {
-        name: "surge",
-        about: "requests at four times the capacity",
-        run: surge::run,
-    },
-    Case {
-        name: "retry",
-        about: "attempts while backend servers fail",
-        run: retry::run,
-    },
-    Case {
-        name: "balance",
-        about: "shares of slots while an instance dies and one is cut off",
-        run: balance::run,
-    },
+    case("place", "cost and packing of single placements", || Ok(place::run())),
+    case("gang", "jobs whose tasks start together beside small work", || Ok(gang::run())),
+    case("churn", "a wave of cancellations and lost workers", || Ok(churn::run())),
+    case("hol", "short work beside long work", hol::run),
+    case("surge", "requests at four times the capacity", surge::run),
+    case("retry", "attempts while backend servers fail", retry::run),
+    case("balance", "shares of slots while an instance dies and one is cut off", balance::run),
+    case("proxy", "latency that the path through our server and pool adds", proxy::run),
+    case("settings", "spread of settings changed by racing operators", || Ok(settings::run())),
+    case("failover", "placement after the loss of a pool's owner", || Ok(failover::run())),
+    case("outage", "acknowledged writes and requests while the store is down for 30 s", outage::run),
+    case("silent", "open connections go silent while new ones work", silent::run),
 ];
 
+const fn case(
+    name: &'static str,
+    about: &'static str,
+    run: fn() -> Result<Vec<Measure>, String>,
+) -> Case {
+    Case { name, about, run }
+}
+
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,96 @@
-//! Ragwortreel.
+//! The program behind the binary `ragwortreel`: command line, daemon assembly and reports.
+
+mod admin;
+pub mod burn;
+pub mod cell;
+pub mod checks;
+pub mod cli;
+mod client;
+pub mod config;
+pub mod daemon;
+pub mod error;
+pub mod events;
+pub mod exit_codes;
+mod forward;
+mod jobs;
+pub mod load;
+mod local;
+pub mod output;
+mod pooled;
+mod quickstart;
+mod service_call;
+mod settings_api;
+mod shares;
+pub mod telemetry;
+mod transport;
+
+use {
+    cli::Command,
+    config::Config,
+    error::Error,
+    ragwortreel_runtime::{Stop, block_on, json_logger, start_threads, stop_on_signals},
+    std::path::{Path, PathBuf},
+};
+
+/// Carries out a command line.
+///
+/// # Errors
+///
+/// Returns why the command was not, or perhaps not, carried out.
+pub fn run(args: &[String]) -> Result<(), Error> {
+    match cli::parse(args)? {
+        Command::Print(text) => output::print(&text),
+        Command::Check(files) => check(&files),
+        Command::Serve(file) => serve(&file),
+        Command::Standin(file) => standin(&file),
+        Command::Quickstart(options) => quickstart::run(options),
+        Command::Remote(remote, command) => block_on(client::run(&remote, command)),
+    }
+}
+
+fn serve(file: &Path) -> Result<(), Error> {
+    let config = Config::load(file)?;
+    start_threads(config.threads).map_err(|err| Error::start("starting threads", &err))?;
+    let log = json_logger(config.log_level.level());
+    let stop = Stop::new();
+    stop_on_signals(stop.clone())
+        .map_err(|err| Error::start("installing signal handlers", &err))?;
+    block_on(daemon::run(config, log, stop))
+}
+
+fn standin(file: &Path) -> Result<(), Error> {
+    let json = config::read(file)?;
+    let config = ragwortreel_model::parse_json(&json).map_err(|source| Error::Settings {
+        path: file.to_owned(),
+        source,
+    })?;
+    let stop = Stop::new();
+    stop_on_signals(stop.clone())
+        .map_err(|err| Error::start("installing signal handlers", &err))?;
+    block_on(ragwortreel_standins::serve(&config, &stop))
+        .map_err(|err| Error::start("serving stand-ins", &err))
+}
+
+/// Checks each file as a daemon's settings when it has the key `instance`, else as a settings tree.
+fn check(files: &[PathBuf]) -> Result<(), Error> {
+    for file in files {
+        let json = config::read(file)?;
+        let value: serde_json::Value =
+            ragwortreel_model::parse_json(&json).map_err(|source| Error::Settings {
+                path: file.clone(),
+                source,
+            })?;
+        let is_daemon = value.get("instance").is_some();
+        let result = if is_daemon {
+            Config::parse(&json).map(|_| "daemon settings")
+        } else {
+            ragwortreel_model::Settings::parse(&json).map(|_| "settings tree")
+        };
+        let kind = result.map_err(|source| Error::Settings {
+            path: file.clone(),
+            source,
+        })?;
+        output::print(&format!("{}: {kind} is acceptable\n", file.display()))?;
+    }
+    Ok(())
+}
