Count a cut request as a failure only when it was overdue

A caller with deadlines shorter than the run time cut three requests in a row and so ejected a healthy backend server for all callers; its short runs were learned as run times too. A request cut at its deadline now counts, and is learned, only when it ran twice the learned p90 of its route, or the bound of long work while nothing is learned.

cargo test -p ragwortreel-routing: 38 passed.

--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -137,19 +137,9 @@
     ServerError,
     /// The connection failed, was silent or broke.
     ConnectionFailed,
-    /// The deadline passed without an answer.
+    /// The deadline passed without an answer. It counts against the backend server only when the request ran longer than
+    /// its route usually does.
     TimedOut,
     /// The caller went away or the request was given up for another reason that says nothing about the backend server.
     Abandoned,
 }
-
-impl RequestResult {
-    /// Whether the result counts against the backend server.
-    #[must_use]
-    pub fn is_failure(self) -> bool {
-        matches!(
-            self,
-            Self::ServerError | Self::ConnectionFailed | Self::TimedOut
-        )
-    }
-}
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -36,6 +36,8 @@
 const ELSEWHERE_RETRY_MS: u64 = 500;
 /// Weight of one sample in the mean time on a slot.
 const HOLD_WEIGHT: f64 = 0.05;
+/// Multiple of the learned p90 from which a request cut at its deadline counts as a failure.
+const OVERDUE_FACTOR: u64 = 2;
 /// Wait at which another zone is considered, beyond the round trip to it, in ms.
 const SPILL_MARGIN_MS: f64 = 10.0;
 
@@ -388,10 +390,16 @@
         };
         self.counts(&done.caller, done.class).in_flight -= 1;
         let ran_ms = now - done.since_ms;
-        if matches!(result, RequestResult::Answered | RequestResult::TimedOut) {
+        let is_overdue = result == RequestResult::TimedOut && self.is_overdue(&done.key, ran_ms);
+        if result == RequestResult::Answered || is_overdue {
             // A request cut at its deadline ran at least this long.
             self.learned.record(&done.key, ran_ms);
         }
+        let is_failure = is_overdue
+            || matches!(
+                result,
+                RequestResult::ServerError | RequestResult::ConnectionFailed
+            );
         let ratio = self.latency_ratio(&done.key, ran_ms);
         let key = done.key.group();
         if let Some(group) = self.groups.get_mut(&key) {
@@ -410,7 +418,7 @@
                 backend.long_in_use -= u32::from(done.on_long_slot);
                 if result == RequestResult::Answered {
                     recovered = backend.health.answered(now, ratio);
-                } else if result.is_failure() {
+                } else if is_failure {
                     ejected = backend.health.failed(now, rng);
                 }
             });
@@ -432,6 +440,18 @@
         self.serve(now, &key);
     }
 
+    /// Whether a request that was cut off had run longer than its route does. Otherwise its own deadline was short, which
+    /// says nothing about the backend server: a caller with short deadlines must not eject it for the others.
+    fn is_overdue(&self, key: &RouteKey, ran_ms: u64) -> bool {
+        let estimate = self.learned.estimate(key, None);
+        let usual_ms = if estimate.is_learned {
+            estimate.p90_ms * OVERDUE_FACTOR
+        } else {
+            self.config.long_run_ms
+        };
+        ran_ms >= usual_ms
+    }
+
     fn latency_ratio(&self, key: &RouteKey, ran_ms: u64) -> f64 {
         let estimate = self.learned.estimate(key, None);
         if !estimate.is_learned {
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -411,6 +411,28 @@
     assert_eq!(world.router.figures().backends[&bad].limit, 4);
 }
 
+/// Guards against a caller with short deadlines that ejects a backend server for all others, and against a silent one
+/// that stays.
+#[test]
+fn only_overdue_requests_count_as_failures() {
+    let world = World::new(1, 1, 1);
+    world.learn(WorkClass::Short, 100, 20);
+    let cut_after = |ms| {
+        let permit = world.permit(world.request(WorkClass::Short, 10_000));
+        world.clock.advance_ms(ms);
+        permit.finish(RequestResult::TimedOut);
+    };
+    (0..20).for_each(|_| cut_after(1));
+    assert_eq!(world.router.figures().ejections, 0);
+    // The short runs have not been learned either: one request of 100 ms is ahead of this one.
+    let held = world.permit(world.request(WorkClass::Short, 10_000));
+    let refusal = world.refusal(world.request(WorkClass::Short, 90));
+    assert_eq!(refusal.reason, RefusalReason::Deadline);
+    drop(held);
+    (0..3).for_each(|_| cut_after(1_000));
+    assert_eq!(world.router.figures().ejections, 1);
+}
+
 /// Guards against requests that are held back although no backend server can take them.
 #[test]
 fn without_backend_servers_the_answer_comes_at_once() {
