--- a/crates/control/src/owner/jobs.rs
+++ b/crates/control/src/owner/jobs.rs
@@ -33,11 +33,7 @@
 
 impl PoolOwner {
     pub fn submit(&mut self, spec: JobSpec, reply: Reply<JobStatus>) {
-<<<<<<< HEAD
-        // The scheduler refuses a job of a team that it was not told, and the job's row would be written by then.
-=======
         // The scheduler must know the teams of the settings in force before it gets their jobs.
->>>>>>> control
         self.refresh_teams();
         if let Some(answer) = self.check_submission(&spec) {
             let _ = reply.try_send(answer);
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -222,7 +222,6 @@
     });
 }
 
-<<<<<<< HEAD
 /// A job that follows the creation of its team at once must be accepted, not left behind as cancelled.
 #[test]
 fn job_of_a_new_team_is_accepted() {
@@ -239,7 +238,10 @@
             spec.team = new_team;
             let status = control.submit_job(spec).await.expect("the job is accepted");
             assert_eq!(status.state, JobState::Queued);
-=======
+        }
+    });
+}
+
 /// A job that is refused after its row was written must leave no row behind, and one of a team that has just been
 /// declared must not be refused because the scheduler does not know the team yet.
 #[test]
@@ -293,7 +295,6 @@
             cell.until_succeeded("long").await;
             assert_eq!(cell.fleet.history().runs().len(), 6);
             cell.assert_sound();
->>>>>>> control
         }
     });
 }
