--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod balance;
 mod cell;
 mod churn;
+mod control;
 #[path = "../../crates/control/tests/support/mod.rs"]
 mod control_cell;
 mod drain;
@@ -44,6 +45,7 @@
     case("surge", "requests at four times the capacity", surge::run),
     case("retry", "attempts while backend servers fail", retry::run),
     case("balance", "shares of slots while an instance dies and one is cut off", balance::run),
+    case("control", "cost of control of idle and loaded instances", control::run),
     case("proxy", "latency that the path through our server and pool adds", proxy::run),
     case("history", "checked histories of nine instances under faults", history::run),
     case("settings", "spread of settings changed by racing operators", || Ok(settings::run())),
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -6,7 +6,10 @@
     async_lock::Mutex,
     derive_more::{Display, Error},
     hyper::client::conn::http2::{Builder, SendRequest},
-    ragwortreel_runtime::{spawn, timeout_at},
+    ragwortreel_runtime::{
+        spawn, timeout_at,
+        traffic::{Counted, ENTRY_LINK},
+    },
     smol_hyper::rt::{FuturesIo, SmolTimer},
     std::{
         future::Future,
@@ -125,7 +128,7 @@
             .keep_alive_timeout(self.limits.keep_alive_timeout)
             .keep_alive_while_idle(true)
             .max_header_list_size(16 * 1024)
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(Counted::new(stream, &ENTRY_LINK)))
             .await
             .map_err(|err| failed(err.to_string()))?;
         spawn(async move {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -17,7 +17,10 @@
     async_trait::async_trait,
     futures_lite::future,
     hyper::{body::Incoming, server::conn::http2::Builder, service::service_fn},
-    ragwortreel_runtime::{Logger, Stop, log_event, sleep, spawn, timeout},
+    ragwortreel_runtime::{
+        Logger, Stop, log_event, sleep, spawn, timeout,
+        traffic::{Counted, ENTRY_LINK},
+    },
     smol_hyper::rt::{FuturesIo, SmolTimer},
     std::{
         net::{SocketAddr, TcpListener, TcpStream},
@@ -141,7 +144,7 @@
             .keep_alive_interval(KEEP_ALIVE_INTERVAL)
             .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
             .max_header_list_size(16 * 1024)
-            .serve_connection(FuturesIo::new(stream), service)
+            .serve_connection(FuturesIo::new(Counted::new(stream, &ENTRY_LINK)), service)
     );
     let ended = future::or(async { Some(connection.as_mut().await) }, async {
         stop.requested().await;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -10,7 +10,7 @@
     },
     async_io::Async,
     futures_lite::AsyncWriteExt,
-    ragwortreel_runtime::timeout_at,
+    ragwortreel_runtime::{timeout_at, traffic::HTTP_CLIENT},
     std::{
         io, mem,
         net::{SocketAddr, TcpStream},
@@ -56,7 +56,7 @@
         };
         let until = deadline.min(Instant::now() + limits.connect_time);
         let io = match timeout_at(until, Async::<TcpStream>::connect(peer)).await {
-            Ok(io) => io.and_then(Stream::new),
+            Ok(io) => io.and_then(|io| Stream::new(io, &HTTP_CLIENT)),
             Err(_) => return Err(fail(Cause::Deadline)),
         };
         let io = io.map_err(|err| fail(Cause::Io(err)))?;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -17,7 +17,9 @@
     async_lock::{Semaphore, SemaphoreGuardArc},
     async_trait::async_trait,
     futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future},
-    ragwortreel_runtime::{Logger, Stop, log_event, sleep, sleep_ms, spawn, timeout, timeout_ms},
+    ragwortreel_runtime::{
+        Logger, Stop, log_event, sleep, sleep_ms, spawn, timeout, timeout_ms, traffic::HTTP_SERVER,
+    },
     std::{
         future::Future,
         io,
@@ -149,7 +151,7 @@
 impl ConnectionTask {
     async fn run(self, stream: Async<TcpStream>) {
         let _guard = self.stop.guard();
-        let Ok(stream) = Stream::new(stream) else {
+        let Ok(stream) = Stream::new(stream, &HTTP_SERVER) else {
             return;
         };
         let mut reader = MessageReader::new(stream, read_limits(&self.shared.limits));
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -3,6 +3,7 @@
 use {
     async_io::Async,
     futures_lite::{AsyncRead, AsyncWrite},
+    ragwortreel_runtime::traffic::Traffic,
     std::{
         io,
         net::TcpStream,
@@ -39,15 +40,17 @@
 pub struct Stream {
     io: Async<TcpStream>,
     progress: Arc<Progress>,
+    traffic: &'static Traffic,
 }
 
 impl Stream {
     /// Wraps a connected socket; small messages are sent at once.
-    pub fn new(io: Async<TcpStream>) -> io::Result<Self> {
+    pub fn new(io: Async<TcpStream>, traffic: &'static Traffic) -> io::Result<Self> {
         io.get_ref().set_nodelay(true)?;
         Ok(Self {
             io,
             progress: Arc::default(),
+            traffic,
         })
     }
 
@@ -75,6 +78,7 @@
     ) -> Poll<io::Result<usize>> {
         let read = ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
         self.progress.read.fetch_add(read as u64, Ordering::Relaxed);
+        self.traffic.count_received(read);
         Poll::Ready(Ok(read))
     }
 }
@@ -89,6 +93,7 @@
         self.progress
             .written
             .fetch_add(written as u64, Ordering::Relaxed);
+        self.traffic.count_sent(written);
         Poll::Ready(Ok(written))
     }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,6 +7,7 @@
 mod log;
 mod stop;
 mod time;
+pub mod traffic;
 
 pub use async_executor::Task;
 pub use executor::{Spawner, block_on, spawn, start_threads};
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -12,6 +12,7 @@
     prometheus::{Encoder as _, Registry, TextEncoder},
     ragwortreel_model::{JobKind, Outcome, Pool, Team, WorkClass},
     ragwortreel_routing::RouterFigures,
+    ragwortreel_runtime::traffic,
     std::{collections::BTreeMap, fs, time::Duration},
 };
 
@@ -40,6 +41,7 @@
     in_flight: Gauge<u64>,
     settings_version: Gauge<u64>,
     store_calls: Gauge<u64>,
+    traffic: Gauge<u64>,
     cpu_seconds: Gauge<f64>,
     resident_bytes: Gauge<f64>,
 }
@@ -106,6 +108,11 @@
                 .u64_gauge("store_calls")
                 .with_description("calls to the platform's services")
                 .build(),
+            traffic: meter
+                .u64_gauge("link_traffic")
+                .with_unit("By")
+                .with_description("bytes sent and received since the start")
+                .build(),
             cpu_seconds: meter.f64_gauge("process_cpu").with_unit("s").build(),
             resident_bytes: meter.f64_gauge("process_resident").with_unit("By").build(),
             registry,
@@ -189,6 +196,20 @@
             self.cpu_seconds.record(usage.cpu_seconds, &[]);
             self.resident_bytes.record(usage.resident_bytes, &[]);
         }
+        for (link, traffic) in [
+            ("http-client", &traffic::HTTP_CLIENT),
+            ("http-server", &traffic::HTTP_SERVER),
+            ("entry", &traffic::ENTRY_LINK),
+        ] {
+            let label = |direction| {
+                [
+                    KeyValue::new("link", link),
+                    KeyValue::new("direction", direction),
+                ]
+            };
+            self.traffic.record(traffic.sent(), &label("sent"));
+            self.traffic.record(traffic.received(), &label("received"));
+        }
         let mut buf = Vec::new();
         match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
             Ok(()) => buf,
