--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -5,7 +5,7 @@
         BackendFigures, BackendId, BackendServer, Permit, QueueFigures, Refusal, RefusalReason,
         RequestInfo, RequestResult, RouterConfig, RouterFigures, SlotShares, ZoneLoad,
         budget::{RateLimit, RetryBudget},
-        group::{Backend, CLASSES, Group},
+        group::{Backend, CLASSES, Group, Need},
         learn::{Learned, RouteKey, classify},
         queue::{ClassQueue, Place, WaitId},
     },
@@ -36,6 +36,8 @@
 const ELSEWHERE_RETRY_MS: u64 = 500;
 /// Weight of one sample in the mean time on a slot.
 const HOLD_WEIGHT: f64 = 0.05;
+/// Multiple of the learned p90 from which a request cut at its deadline counts as a failure.
+const OVERDUE_FACTOR: u64 = 2;
 /// Wait at which another zone is considered, beyond the round trip to it, in ms.
 const SPILL_MARGIN_MS: f64 = 10.0;
 
@@ -61,9 +63,8 @@
     key: RouteKey,
     caller: Team,
     class: WorkClass,
-    on_long_slot: bool,
+    need: Need,
     place: Place,
-    avoid: Vec<BackendId>,
     since_ms: u64,
     tx: Sender<Verdict>,
 }
@@ -248,12 +249,15 @@
             key,
             caller: request.caller,
             class,
-            on_long_slot,
+            need: Need {
+                on_long_slot,
+                idempotent: request.idempotent,
+                avoid: avoid.to_vec(),
+            },
             place: Place {
                 start_by_ms: latest_ms.max(now),
                 id,
             },
-            avoid: avoid.to_vec(),
             since_ms: now,
             tx,
         };
@@ -304,8 +308,8 @@
         {
             None => (false, false, None, None, 0),
             Some(group) => (
-                group.is_served(&waiting.avoid),
-                group.choose(waiting.on_long_slot, &waiting.avoid).is_some()
+                group.is_served(&waiting.need.avoid),
+                group.choose(&waiting.need).is_some()
                     && group
                         .queues
                         .get(&waiting.class)
@@ -336,7 +340,7 @@
             let excess_ms = wait_ms.saturating_sub(slack_ms);
             return Err(self.refused(RefusalReason::Deadline, excess_ms));
         }
-        if waiting.avoid.is_empty() {
+        if waiting.need.avoid.is_empty() {
             self.check_rate(now, &waiting.caller)?;
         }
         Ok(())
@@ -386,10 +390,16 @@
         };
         self.counts(&done.caller, done.class).in_flight -= 1;
         let ran_ms = now - done.since_ms;
-        if matches!(result, RequestResult::Answered | RequestResult::TimedOut) {
+        let is_overdue = result == RequestResult::TimedOut && self.is_overdue(&done.key, ran_ms);
+        if result == RequestResult::Answered || is_overdue {
             // A request cut at its deadline ran at least this long.
             self.learned.record(&done.key, ran_ms);
         }
+        let is_failure = is_overdue
+            || matches!(
+                result,
+                RequestResult::ServerError | RequestResult::ConnectionFailed
+            );
         let ratio = self.latency_ratio(&done.key, ran_ms);
         let key = done.key.group();
         if let Some(group) = self.groups.get_mut(&key) {
@@ -408,7 +418,7 @@
                 backend.long_in_use -= u32::from(done.on_long_slot);
                 if result == RequestResult::Answered {
                     recovered = backend.health.answered(now, ratio);
-                } else if result.is_failure() {
+                } else if is_failure {
                     ejected = backend.health.failed(now, rng);
                 }
             });
@@ -430,6 +440,18 @@
         self.serve(now, &key);
     }
 
+    /// Whether a request that was cut off had run longer than its route does. Otherwise its own deadline was short, which
+    /// says nothing about the backend server: a caller with short deadlines must not eject it for the others.
+    fn is_overdue(&self, key: &RouteKey, ran_ms: u64) -> bool {
+        let estimate = self.learned.estimate(key, None);
+        let usual_ms = if estimate.is_learned {
+            estimate.p90_ms * OVERDUE_FACTOR
+        } else {
+            self.config.long_run_ms
+        };
+        ran_ms >= usual_ms
+    }
+
     fn latency_ratio(&self, key: &RouteKey, ran_ms: u64) -> f64 {
         let estimate = self.learned.estimate(key, None);
         if !estimate.is_learned {
@@ -640,7 +662,7 @@
             };
             let choose = |id: WaitId| {
                 let waiting = waiting.get(&id)?;
-                group.choose(waiting.on_long_slot, &waiting.avoid)
+                group.choose(&waiting.need)
             };
             let popped = queue.pop(|id| choose(id).is_some());
             let chosen = popped.and_then(|id| Some((id, choose(id)?.clone())));
@@ -659,14 +681,14 @@
         let Some(group) = self.groups.get_mut(&waiting.key.group()) else {
             return;
         };
-        if waiting.on_long_slot {
+        if waiting.need.on_long_slot {
             group.long_in_use += 1;
         } else {
             group.short_in_use += 1;
         }
         group.change(now, backend_id, |backend| {
             backend.in_use += 1;
-            backend.long_in_use += u32::from(waiting.on_long_slot);
+            backend.long_in_use += u32::from(waiting.need.on_long_slot);
             backend.last_used = id;
         });
         let backend = &group.backends[backend_id];
@@ -680,7 +702,7 @@
             waited_ms: now - waiting.since_ms,
             revoked,
         };
-        if waiting.avoid.is_empty() {
+        if waiting.need.avoid.is_empty() {
             let percent = self.settings.cell.retry_budget_percent;
             let limits = self.teams.entry(waiting.caller.clone()).or_default();
             limits.retries.earn(percent);
@@ -693,7 +715,7 @@
             key: waiting.key,
             caller: waiting.caller,
             class: waiting.class,
-            on_long_slot: waiting.on_long_slot,
+            on_long_slot: waiting.need.on_long_slot,
             backend: backend_id.clone(),
             since_ms: now,
             revoke,
@@ -705,6 +727,12 @@
         });
     }
 
+    /// Whether a granted slot may still be used.
+    pub fn is_valid(&self, now: u64, id: GrantId) -> bool {
+        let in_flight = self.in_flight.get(&id);
+        now < self.shares.valid_until_ms && in_flight.is_some_and(|f| !f.revoke.is_closed())
+    }
+
     /// Tells requests to leave slots that this instance no longer has, newest first.
     fn revoke_excess(&mut self, now: u64) {
         let is_expired = now >= self.shares.valid_until_ms;
