control: remove rows of instances and jobs that ended long ago

Instance rows of replaced processes and rows of ended jobs grew without bound, and with them each scan and recovery. A process that finds its row removed gives up what it held, as after a fence.

cargo test -p ragwortreel-control: old_rows_are_removed, autonomy_ends and the earlier tests passed.

--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -118,6 +118,8 @@
     pub list_ms: u64,
     /// Without demand after which a pool returns a part of a quota.
     pub quota_idle_ms: u64,
+    /// Without a renewal after which the row of an instance that no other row names is removed.
+    pub forget_ms: u64,
     /// For a call whose caller waits, such as a submission.
     pub call_ms: u64,
 }
@@ -138,6 +140,7 @@
             snapshot_ms: 60_000,
             list_ms: 1_000,
             quota_idle_ms: 5_000,
+            forget_ms: 10 * 60 * 1_000,
             call_ms: 4_000,
         }
     }
@@ -166,7 +169,7 @@
     pub decisions: usize,
     /// Submissions and cancellations of a pool whose rows are being written.
     pub open_writes: usize,
-    /// Ended jobs that a pool's owner keeps to describe; older ones are read from their rows.
+    /// Ended jobs of a pool whose rows are kept; older ones are removed.
     pub ended_jobs: usize,
     /// Failed runs after which a job fails.
     pub job_failures: u32,
@@ -180,7 +183,7 @@
             snapshot_records: 1_000,
             decisions: 256,
             open_writes: 256,
-            ended_jobs: 2_000,
+            ended_jobs: 1_000,
             job_failures: 100,
             owner_queue: 4_096,
         }
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -38,6 +38,36 @@
         }
         sleep_ms(shared.cfg.timings.renewal_ms).await;
     }
+    if shared.is_leaving() && lock(&shared.owners).is_empty() {
+        remove_own_row(&shared).await;
+    }
+}
+
+/// Removes the row after a planned stop; if this fails the others remove it when it is old.
+async fn remove_own_row(shared: &Shared) {
+    let key = rows::instance_key(&shared.cfg.instance);
+    let version = lock(&shared.lease).version;
+    let txn = Txn {
+        checks: vec![rows::check(&key, version)],
+        writes: vec![rows::delete(&key)],
+    };
+    let _ = limited("remove row", shared.table.commit(txn)).await;
+}
+
+/// Removes the rows of instances that ended long ago and that no other row names.
+async fn remove_old_rows(shared: &Shared) {
+    let now_ms = shared.now_ms();
+    let Some((key, version)) =
+        lock(&shared.view).old_instance(now_ms, shared.cfg.timings.forget_ms)
+    else {
+        return;
+    };
+    let txn = Txn {
+        checks: vec![rows::check(&key, version)],
+        writes: vec![rows::delete(&key)],
+    };
+    // Another instance may remove it first; then the check does not hold.
+    let _ = limited("remove old row", shared.table.commit(txn)).await;
 }
 
 /// Tries once to renew the row; returns whether no further try is of use now.
@@ -83,7 +113,15 @@
 
 /// Finds out from the own row why a renewal conflicted.
 fn adopt_own_row(shared: &Arc<Shared>, current: Option<&Row>) {
+    let started = lock(&shared.lease).joined_ms.is_some();
     let Some(row) = current else {
+        if started {
+            // The row was removed as that of a process that ended long ago, which others take for the proof that it
+            // holds nothing.
+            shared.counters.fences.add(1);
+            log_event!(shared.log, FENCED);
+            give_up_everything(shared);
+        }
         lock(&shared.lease).version = 0;
         return;
     };
@@ -92,7 +130,6 @@
         .as_ref()
         .is_some_and(|content| content.incarnation == shared.cfg.incarnation);
     let fenced = content.is_some_and(|content| content.fenced);
-    let started = lock(&shared.lease).joined_ms.is_some();
     if started && !own {
         log_event!(shared.log, REPLACED);
         lock(&shared.lease).replaced = true;
@@ -155,6 +192,7 @@
     settings::follow_head(shared, head.as_ref()).await;
     ownership::check_pools(shared);
     slots::check(shared, begun_ms);
+    remove_old_rows(shared).await;
 }
 
 /// Reads the platform's list until the stop.
--- a/crates/control/src/owner/jobs.rs
+++ b/crates/control/src/owner/jobs.rs
@@ -9,7 +9,7 @@
             pool::{Job, PoolOwner, task},
         },
         rows::{self, JobRow},
-        store::{Definite, commit_definite},
+        store::{Definite, commit_definite, limited},
     },
     ragwortreel_model::{
         JobId, JobKind, JobSpec, JobState, JobStatus, SpecError, Team, WaitReason,
@@ -21,6 +21,8 @@
 
 /// Time after which a caller may try again when the owner was busy or the table did not answer, in ms.
 const RETRY_AFTER_MS: u64 = 1_000;
+/// Ended jobs whose rows are removed in one transaction.
+const REMOVED_JOBS: usize = 90;
 /// Wait before a refused write of a final row is repeated, in ms.
 const FINISH_RETRY_MS: u64 = 500;
 
@@ -367,13 +369,33 @@
     fn forget_job(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get(id) {
             let status = self.status(job);
-            self.ended_jobs.push_back(status);
+            self.keep_ended(status);
         }
         self.jobs.remove(id);
         self.scheduler.forget(id);
-        if self.ended_jobs.len() > self.shared.cfg.limits.ended_jobs {
-            self.ended_jobs.pop_front();
+    }
+
+    /// Keeps an ended job to describe it, and removes the rows of the oldest when there are too many.
+    pub fn keep_ended(&mut self, status: JobStatus) {
+        self.ended_jobs.push_back(status);
+        if self.ended_jobs.len() <= self.shared.cfg.limits.ended_jobs + REMOVED_JOBS {
+            return;
         }
+        let removed = self.ended_jobs.drain(..REMOVED_JOBS);
+        let keys: Vec<_> = removed.map(|ended| rows::job_key(&ended.spec.id)).collect();
+        let txn = Txn {
+            checks: vec![rows::check(
+                &rows::pool_key(&self.cfg.pool),
+                self.row_version,
+            )],
+            writes: keys.iter().map(rows::delete).collect(),
+        };
+        let shared = Arc::clone(&self.shared);
+        spawn(async move {
+            // Rows that remain after a failure are found and removed by the pool's next owner.
+            let _ = limited("remove ended jobs", shared.table.commit(txn)).await;
+        })
+        .detach();
     }
 
     pub fn describe(&self, team: Option<&Team>, id: Option<&JobId>) -> Vec<JobStatus> {
--- a/crates/control/src/owner/pool.rs
+++ b/crates/control/src/owner/pool.rs
@@ -6,8 +6,8 @@
         config::PoolConfig,
         events::RECOVERED,
         owner::{
-            Message, OwnerHandle, Reply, journal::Journal, ledger::Record, link::RunCommand,
-            recovery::Read, shares::Shares, workers::Worker,
+            Message, OwnerHandle, Reply, jobs::row_status, journal::Journal, ledger::Record,
+            link::RunCommand, recovery::Read, shares::Shares, workers::Worker,
         },
         rows::{PreviousOwner, RunKey},
         shared::{Shared, lock},
@@ -139,6 +139,9 @@
             upkept_ms: 0,
         };
         owner.restore(read.jobs);
+        for row in read.ended {
+            owner.keep_ended(row_status(row));
+        }
         owner
     }
 
--- a/crates/control/src/owner/recovery.rs
+++ b/crates/control/src/owner/recovery.rs
@@ -20,6 +20,8 @@
     pub journal: Recovered,
     /// Jobs of the pool that are not final, with the versions of their rows.
     pub jobs: BTreeMap<JobId, (JobRow, u64)>,
+    /// Jobs of the pool that are final.
+    pub ended: Vec<JobRow>,
 }
 
 /// Reads a pool; the takeover has fenced all writes of earlier owners.
@@ -49,10 +51,15 @@
             ledger.apply(record);
         }
     }
-    let mut jobs = BTreeMap::new();
+    let (mut jobs, mut ended) = (BTreeMap::new(), Vec::new());
     for row in found.iter().filter(|row| row.key.starts_with(JOBS)) {
         let (job, version) = read_row::<JobRow>(row)?;
-        if job.pool == *pool && !job.state.is_final() {
+        if job.pool != *pool {
+            continue;
+        }
+        if job.state.is_final() {
+            ended.push(job);
+        } else {
             jobs.insert(job.spec.id.clone(), (job, version));
         }
     }
@@ -63,6 +70,7 @@
             snapshot: at,
         },
         jobs,
+        ended,
     })
 }
 
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -10,7 +10,10 @@
     },
     ragwortreel_model::{Incarnation, InstanceId, Pool, WorkerId, Zone},
     ragwortreel_platform::Row,
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 /// An instance's row and when it last changed.
@@ -104,6 +107,20 @@
         })
     }
 
+    /// Key and version of the row of an instance that has not renewed it for a long time and that no row names.
+    pub fn old_instance(&self, now_ms: u64, forget_ms: u64) -> Option<(Arc<str>, u64)> {
+        let mut named = BTreeSet::new();
+        for Versioned { row, .. } in self.pools.values() {
+            named.extend(row.unproven.iter().map(|previous| &previous.owner));
+            named.insert(&row.owner);
+        }
+        named.extend(self.slots.values().flat_map(|found| &found.row.members));
+        let is_old = |seen: &Observed| now_ms.saturating_sub(seen.changed_ms) >= forget_ms;
+        let mut rows = self.instances.iter();
+        let (id, seen) = rows.find(|(id, seen)| is_old(seen) && !named.contains(id))?;
+        Some((rows::instance_key(id), seen.version))
+    }
+
     /// Whether the process of that name and incarnation has certainly ended or given up everything.
     pub fn is_gone(&self, id: &InstanceId, incarnation: Incarnation) -> bool {
         self.read_ms.is_some()
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -428,3 +428,41 @@
         cell.assert_sound();
     });
 }
+
+/// Rows of instances that ended long ago must not pile up, and a process that returns to find its row removed must
+/// give up what it held, because the others take the missing row for the proof that it holds nothing.
+#[test]
+fn old_rows_are_removed() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a"], 0);
+        cell.timings.forget_ms = 6_000;
+        for id in ["e1", "e2", "e3"] {
+            cell.start(id, "riga-a");
+        }
+        cell.ready().await;
+        // The owner's row stays while its pool's row names it.
+        let owner = cell.owner("riga-a").expect("an owner");
+        let others: Vec<_> = cell
+            .instances
+            .keys()
+            .filter(|id| **id != owner)
+            .cloned()
+            .collect();
+        let (killed, other) = (others[0].clone(), others[1].clone());
+        cell.kill(&killed);
+        cell.instances[&other].gate.pause();
+        let is_gone =
+            |cell: &Cell, id: &str| cell.platform.peek(&format!("instance/{id}")).is_none();
+        cell.until("both rows removed", |cell| {
+            is_gone(cell, &killed) && is_gone(cell, &other)
+        })
+        .await;
+        assert_eq!(cell.owner("riga-a"), Some(owner));
+        cell.instances[&other].gate.resume();
+        cell.until("it joins again", |cell| {
+            let control = cell.control(&other);
+            control.figures().fences >= 1 && control.is_ready() && !is_gone(cell, &other)
+        })
+        .await;
+    });
+}
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -277,3 +277,25 @@
         }
     });
 }
+
+/// An owner without the store renews tasks only for the time that others count on; after that they end by their lease.
+#[test]
+fn autonomy_ends() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a"], 2);
+        cell.timings.autonomy_ms = 5_000;
+        cell.start("e1", "riga-a");
+        cell.ready().await;
+        cell.submit("e1", job("j", 4, Some(25_000))).await;
+        cell.until("four run", |cell| cell.running() == 4).await;
+        cell.platform
+            .faults()
+            .update(|faults| faults.outage = Some(Outage::Refuse));
+        cell.until("all leases expire", |cell| cell.running() == 0)
+            .await;
+        cell.platform.faults().clear();
+        cell.until_succeeded("j").await;
+        assert_eq!(cell.fleet.history().runs().len(), 8);
+        cell.assert_sound();
+    });
+}
