control: settle earlier owners once they are proven gone

A pool's row named a dead earlier owner until it was listed as terminated at a takeover, so each later owner waited for its autonomy again. The owner now writes settled/<pool> when all earlier owners are proven gone or their autonomy is over.

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -5,7 +5,7 @@
         backends,
         events::{FENCED, LIST_FAILED, RENEWAL_FAILED, REPLACED, ROW_UNREADABLE, SCAN_FAILED},
         ownership, peers,
-        rows::{self, DRAINS, INSTANCES, InstanceRow, POOLS, SETTINGS_HEAD, SLOTS},
+        rows::{self, DRAINS, INSTANCES, InstanceRow, POOLS, SETTINGS_HEAD, SETTLED, SLOTS},
         settings,
         shared::{Shared, lock},
         slots,
@@ -167,7 +167,7 @@
 
 async fn scan(shared: &Arc<Shared>) {
     let begun_ms = shared.now_ms();
-    let prefixes = [INSTANCES, POOLS, SLOTS, SETTINGS_HEAD, DRAINS];
+    let prefixes = [INSTANCES, POOLS, SETTLED, SLOTS, SETTINGS_HEAD, DRAINS];
     let read = limited("scan", shared.table.scan(&prefixes)).await;
     let rows = match read {
         Ok(rows) => rows,
--- a/crates/control/src/owner/workers.rs
+++ b/crates/control/src/owner/workers.rs
@@ -7,12 +7,13 @@
             link::{self, Link},
             pool::PoolOwner,
         },
-        ownership,
+        ownership, rows,
         shared::lock,
+        store::limited,
     },
     ragwortreel_model::{Rack, Resources, TaskResult, WorkerId},
     ragwortreel_placement::{WorkerSpec, WorkerState},
-    ragwortreel_platform::{InstanceState, ListedInstance, ListedRole},
+    ragwortreel_platform::{InstanceState, ListedInstance, ListedRole, Txn},
     ragwortreel_runtime::{log_event, spawn},
     std::sync::Arc,
 };
@@ -215,8 +216,16 @@
             let (shared, taken_ms) = (Arc::clone(&self.shared), self.taken_ms);
             self.previous
                 .retain(|previous| !ownership::is_proven_gone(&shared, previous, taken_ms));
+            let timings = &self.shared.cfg.timings;
+            let autonomy_over_ms = self.taken_ms + timings.autonomy_ms + timings.expired_task_ms();
             if self.previous.is_empty() {
                 self.proven_ms = Some(now_ms);
+                self.write_settled();
+            } else if now_ms >= autonomy_over_ms {
+                // Nothing that they renewed can run any more.
+                self.previous.clear();
+                self.proven_ms = Some(self.taken_ms + self.shared.cfg.timings.autonomy_ms);
+                self.write_settled();
             }
         }
         let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
@@ -231,6 +240,24 @@
         }
     }
 
+    /// Tells later owners that the owners before this one need not be reckoned with any more.
+    fn write_settled(&self) {
+        let (key, pool_key) = (
+            rows::settled_key(&self.cfg.pool),
+            rows::pool_key(&self.cfg.pool),
+        );
+        let txn = Txn {
+            checks: vec![rows::check(&pool_key, self.row_version)],
+            writes: vec![rows::put(&key, &self.handle.epoch())],
+        };
+        let shared = Arc::clone(&self.shared);
+        spawn(async move {
+            // Without the row, later owners wait longer than they need to.
+            let _ = limited("settle earlier owners", shared.table.commit(txn)).await;
+        })
+        .detach();
+    }
+
     /// When everything that a silent worker held has certainly ended; absent while it answers.
     ///
     /// A worker that has reported under this epoch refuses earlier owners, and its lease counts from a report that
--- a/crates/control/src/ownership.rs
+++ b/crates/control/src/ownership.rs
@@ -77,8 +77,8 @@
             unproven: Vec::new(),
         });
     };
-    let unproven = row
-        .unproven
+    let unproven = view
+        .unproven(pool)
         .iter()
         .filter(|earlier| !is_gone(shared, view, earlier));
     let free = Vacancy {
--- a/crates/control/src/rows.rs
+++ b/crates/control/src/rows.rs
@@ -14,6 +14,8 @@
 pub(crate) const INSTANCES: &str = "instance/";
 /// Prefix of the rows of pools.
 pub(crate) const POOLS: &str = "pool/";
+/// Prefix of the rows that say up to which epoch a pool's earlier owners have certainly stopped.
+pub(crate) const SETTLED: &str = "settled/";
 /// Prefix of the rows of slot epochs.
 pub(crate) const SLOTS: &str = "slots/";
 /// Prefix of the rows of jobs.
@@ -118,6 +120,10 @@
     format!("{POOLS}{pool}").into()
 }
 
+pub(crate) fn settled_key(pool: &Pool) -> Arc<str> {
+    format!("{SETTLED}{pool}").into()
+}
+
 pub(crate) fn slots_key(zone: &Zone) -> Arc<str> {
     format!("{SLOTS}{zone}").into()
 }
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -6,9 +6,10 @@
 
 use {
     crate::rows::{
-        self, HeadRow, INSTANCES, InstanceRow, POOLS, PoolRow, SETTINGS_HEAD, SLOTS, SlotsRow,
+        self, HeadRow, INSTANCES, InstanceRow, POOLS, PoolRow, PreviousOwner, SETTINGS_HEAD,
+        SETTLED, SLOTS, SlotsRow,
     },
-    ragwortreel_model::{Incarnation, InstanceId, Pool, WorkerId, Zone},
+    ragwortreel_model::{Epoch, Incarnation, InstanceId, Pool, WorkerId, Zone},
     ragwortreel_platform::Row,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -36,6 +37,8 @@
 pub(crate) struct View {
     pub instances: BTreeMap<InstanceId, Observed>,
     pub pools: BTreeMap<Pool, Versioned<PoolRow>>,
+    /// Epochs whose unproven earlier owners have certainly stopped since.
+    pub settled: BTreeMap<Pool, Epoch>,
     pub slots: BTreeMap<Zone, Versioned<SlotsRow>>,
     pub head: Option<HeadRow>,
     pub drained: BTreeSet<WorkerId>,
@@ -87,6 +90,11 @@
                 return false;
             };
             self.pools.insert(pool, Versioned { row, version });
+        } else if let Some(pool) = named(SETTLED).and_then(|name| Pool::new(name).ok()) {
+            let Ok(epoch) = rows::decode(row) else {
+                return false;
+            };
+            self.settled.insert(pool, epoch);
         } else if let Some(zone) = named(SLOTS).and_then(|name| Zone::new(name).ok()) {
             let Ok(row) = rows::decode(row) else {
                 return false;
@@ -107,12 +115,24 @@
         })
     }
 
+    /// Earlier owners of a pool that may still renew its tasks, by the rows alone.
+    pub fn unproven(&self, pool: &Pool) -> &[PreviousOwner] {
+        let Some(found) = self.pools.get(pool) else {
+            return &[];
+        };
+        let is_settled = self
+            .settled
+            .get(pool)
+            .is_some_and(|epoch| *epoch >= found.row.epoch);
+        if is_settled { &[] } else { &found.row.unproven }
+    }
+
     /// Key and version of the row of an instance that has not renewed it for a long time and that no row names.
     pub fn old_instance(&self, now_ms: u64, forget_ms: u64) -> Option<(Arc<str>, u64)> {
         let mut named = BTreeSet::new();
-        for Versioned { row, .. } in self.pools.values() {
-            named.extend(row.unproven.iter().map(|previous| &previous.owner));
-            named.insert(&row.owner);
+        for (pool, found) in &self.pools {
+            named.extend(self.unproven(pool).iter().map(|previous| &previous.owner));
+            named.insert(&found.row.owner);
         }
         named.extend(self.slots.values().flat_map(|found| &found.row.members));
         let is_old = |seen: &Observed| now_ms.saturating_sub(seen.changed_ms) >= forget_ms;
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -5,6 +5,7 @@
 use {
     ragwortreel_control::{SettingsChange, SlotShares},
     ragwortreel_model::{InstanceId, Resources, TeamSettings},
+    ragwortreel_platform::{InstanceState, ListedInstance, ListedRole},
     ragwortreel_runtime::{block_on, sleep_ms},
     ragwortreel_standins::Outage,
     std::collections::BTreeMap,
@@ -457,12 +458,25 @@
             is_gone(cell, &killed) && is_gone(cell, &other)
         })
         .await;
-        assert_eq!(cell.owner("riga-a"), Some(owner));
+        assert_eq!(cell.owner("riga-a"), Some(owner.clone()));
         cell.instances[&other].gate.resume();
         cell.until("it joins again", |cell| {
             let control = cell.control(&other);
             control.figures().fences >= 1 && control.is_ready() && !is_gone(cell, &other)
         })
         .await;
+        // Once the platform lists the owner as terminated, the next one settles it and its row is not needed any more.
+        let address = cell.instances[&owner].address;
+        cell.kill(&owner);
+        cell.platform.put_instance(ListedInstance {
+            id: name(InstanceId::new, &owner),
+            zone: cell.zones[0].clone(),
+            address,
+            state: InstanceState::Terminated,
+            role: ListedRole::Entry,
+        });
+        cell.until("the owner's row is removed", |cell| is_gone(cell, &owner))
+            .await;
+        assert_eq!(cell.owner("riga-a"), Some(other));
     });
 }
