--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -2,17 +2,17 @@
 
 use {
     crate::{
-        Cause, ClientError, ClientLimits, Method, ReadError, Refusal, Request, Response, Sent,
-        Step,
+        Alarm, Cause, ClientError, ClientLimits, Method, ReadError, Refusal, Request, Response,
+        Sent, Step,
         codec::{decode_response, encode_request_head},
         reader::{MessageReader, ReadLimits},
         stream::{Progress, Stream},
     },
     async_io::Async,
     futures_lite::AsyncWriteExt,
-    ragwortreel_runtime::timeout_at,
+    ragwortreel_runtime::{timeout_at, traffic::HTTP_CLIENT},
     std::{
-        io,
+        io, mem,
         net::{SocketAddr, TcpStream},
         sync::Arc,
         time::Instant,
@@ -30,6 +30,7 @@
 #[derive(Debug)]
 pub struct Connection {
     reader: MessageReader<Stream>,
+    alarm: Alarm,
     peer: SocketAddr,
     usable: bool,
     step: Step,
@@ -55,7 +56,7 @@
         };
         let until = deadline.min(Instant::now() + limits.connect_time);
         let io = match timeout_at(until, Async::<TcpStream>::connect(peer)).await {
-            Ok(io) => io.and_then(Stream::new),
+            Ok(io) => io.and_then(|io| Stream::new(io, &HTTP_CLIENT)),
             Err(_) => return Err(fail(Cause::Deadline)),
         };
         let io = io.map_err(|err| fail(Cause::Io(err)))?;
@@ -66,6 +67,7 @@
         };
         Ok(Self {
             reader: MessageReader::new(io, limits),
+            alarm: Alarm::default(),
             peer,
             usable: true,
             step: Step::Encode,
@@ -105,6 +107,12 @@
         self.usable && quiet && !self.reader.has_buffered()
     }
 
+    /// Waits on an idle connection until the server sends something or closes it.
+    pub async fn disturbed(&self) {
+        // An error is a disturbance as well.
+        let _ = self.reader.io().readable().await;
+    }
+
     /// Sends a request and reads its whole response.
     ///
     /// # Errors
@@ -122,7 +130,11 @@
         }
         // Set again at the end, so that a dropped future leaves the connection unusable.
         self.usable = false;
-        match timeout_at(deadline, self.run(request)).await {
+        // Taken out, because the exchange borrows the connection; a dropped future leaves an unused one behind.
+        let mut alarm = mem::take(&mut self.alarm);
+        let result = alarm.limit(deadline, self.run(request)).await;
+        self.alarm = alarm;
+        match result {
             Ok(Ok((response, reusable))) => {
                 self.usable = reusable && !self.reader.has_buffered();
                 Ok(response)
@@ -133,9 +145,7 @@
     }
 
     async fn run(&mut self, request: &Request) -> Result<(Response, bool), Cause> {
-        let mut head = encode_request_head(request, self.peer)
-            .await
-            .map_err(Cause::InvalidRequest)?;
+        let mut head = encode_request_head(request, self.peer).map_err(Cause::InvalidRequest)?;
         self.step = Step::Write;
         let joined = request.body.len() <= JOINED_BODY_BYTES;
         if joined {
@@ -182,7 +192,7 @@
             self.step = Step::Body;
             let reusable = !head.close;
             let body = self.reader.body(head.framing).await?;
-            let response = decode_response(head, &body).await?;
+            let response = decode_response(head, &body)?;
             return Ok((response, reusable));
         }
         Err(Refusal::Malformed("too many interim responses").into())
--- a/crates/placement/src/decide.rs
+++ b/crates/placement/src/decide.rs
@@ -33,6 +33,7 @@
         if self.plan_reservation() {
             self.place_waiting(&mut out, limit);
         }
+        self.flush_stops(&mut out, limit);
         out
     }
 
@@ -42,6 +43,7 @@
             if out.len() >= limit {
                 return;
             }
+            self.open_for_freed();
             let Some(lane) = self.queue.first() else {
                 return;
             };
@@ -53,7 +55,12 @@
             } else if self.make_room(lane) {
                 self.flush_stops(out, limit);
             } else {
-                self.queue.close(lane);
+                self.tried.extend(self.queue.close(lane));
+                // Later work must not take the room that a gang could gather.
+                if self.queue.lane(lane).key.gang_tasks > 0 && self.reservation.is_none() {
+                    self.next_plan_ms = self.retry_plan_ms;
+                    self.plan_reservation();
+                }
             }
         }
     }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -61,12 +61,14 @@
             .change(|state, _| state.update_instances(instances));
     }
 
-    /// Takes over the load of entry instances in other zones.
+    /// Takes over the load of other entry instances.
     pub fn update_zones(&self, zones: Vec<ZoneLoad>) {
         self.shared.change(|state, _| state.update_zones(zones));
     }
 
-    /// Suggests an instance of another zone when it answers sooner than a slot here would be free.
+    /// Suggests another instance, of this zone or another, when it answers sooner than a slot here would be free.
+    ///
+    /// A forwarded request is not forwarded again.
     #[must_use]
     pub fn spill(&self, request: &RequestInfo) -> Option<InstanceId> {
         self.shared.lock().spill(request)
@@ -250,6 +252,14 @@
         self.grant.waited_ms
     }
 
+    /// Whether the slot may still be used. Checked right before the first byte is sent, because the process may have
+    /// been paused since the permit was given.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let now = self.shared.clock.now_ms();
+        self.shared.lock().is_valid(now, self.grant.id)
+    }
+
     /// Waits until this instance has lost the slot: its lease has expired or its share has shrunk for good.
     ///
     /// The request must then be cut off, because another instance will use the slot.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -36,7 +36,7 @@
     ragwortreel_worker::{HttpWorkerConnector, WorkerTimeouts},
     std::{
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, atomic::AtomicBool},
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
 };
@@ -105,6 +105,7 @@
         stop,
         serving: Stop::new(),
         linked,
+        can_route: Arc::default(),
     };
     let services = core.services(config, &platform);
     let auth = Arc::new(Authenticator::new());
@@ -143,16 +144,18 @@
     serving: Stop,
     /// Ends the entry link and control.
     linked: Stop,
+    /// Set once requests can be routed.
+    can_route: Arc<AtomicBool>,
 }
 
 impl Core {
     /// Makes the routing of requests and lets other instances use it.
-    fn services(&self, config: &Config, platform: &Platform) -> Arc<ServiceRouter> {
+    fn services(&self, config: &Config, platform: &Platform) -> ServiceRouter {
         let forwarder = Arc::new(PeerForwarder::default());
         forwarder.connect(self.control.clone());
         let parts = Parts {
             router: self.router.clone(),
-            transport: Arc::new(PooledTransport::new()),
+            transport: Arc::new(PooledTransport::new(self.log.clone())),
             once: OnceClaims::new(
                 Arc::clone(&platform.claims),
                 config.instance.as_str(),
@@ -164,10 +167,10 @@
             burn: Arc::clone(&self.burn),
             stop: self.serving.clone(),
         };
-        let services = Arc::new(ServiceRouter::new(parts, self.control.settings()));
+        let services = ServiceRouter::new(parts, self.control.settings());
         let local = LocalService::new(
             config.instance.clone(),
-            Arc::clone(&services),
+            services.clone(),
             self.router.clone(),
             self.control.clone(),
         );
@@ -180,18 +183,19 @@
         &self,
         config: &Config,
         auth: &Arc<Authenticator>,
-        services: &Arc<ServiceRouter>,
+        services: &ServiceRouter,
     ) -> Result<Server, Error> {
         let admin = DaemonAdmin::new(
             config.instance.clone(),
             self.control.clone(),
             Arc::clone(&self.telemetry),
             Arc::clone(&self.burn),
+            Arc::clone(&self.can_route),
             self.stop.clone(),
         );
         let handler = ApiHandler::new(
             Arc::clone(auth),
-            Arc::clone(services) as Arc<_>,
+            Arc::new(services.clone()),
             Arc::new(DaemonJobs::new(self.control.clone())),
             Arc::new(DaemonSettings::new(self.control.clone())),
             Arc::new(admin),
@@ -212,7 +216,7 @@
         config: &Config,
         platform: Platform,
         auth: Arc<Authenticator>,
-        services: Arc<ServiceRouter>,
+        services: ServiceRouter,
     ) {
         let (control, router, linked) = (&self.control, &self.router, &self.linked);
         let place = Place {
@@ -228,6 +232,7 @@
         .detach();
         spawn(follow_shares(
             place,
+            Arc::clone(&self.can_route),
             control.clone(),
             router.clone(),
             linked.clone(),
@@ -408,7 +413,7 @@
 async fn follow_settings(
     control: Control,
     auth: Arc<Authenticator>,
-    services: Arc<ServiceRouter>,
+    services: ServiceRouter,
     log: Logger,
 ) {
     let changes = control.subscribe_settings();
