Skip idle services at a tick

At the design size an instance knows 185 services of its zone, and each tick went through all of them, 20 to 200 times a second. A service without requests, load average and recovering backend servers is now skipped.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -206,6 +206,33 @@
     router
 }
 
+/// A router that knows many services of one backend server each, and holds slots of all.
+pub fn router_of_services(count: u16) -> Router {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let router = Router::new(RouterConfig::new(instance(0), zone(0), 0), clock);
+    let server = |number: u16| BackendServer {
+        id: format!("backend-{number}").into(),
+        zone: zone(0),
+        address: ([127, 0, 0, 1], 9).into(),
+        team: team(),
+        service: ServiceName::new(&format!("service-{number}")).expect("a name"),
+        leaving: false,
+    };
+    let servers: Vec<BackendServer> = (0..count).map(server).collect();
+    let share = |server: &BackendServer| {
+        let shares = slot_shares(&[instance(0)], &server.id, LIMITS);
+        (server.id.clone(), shares[&instance(0)])
+    };
+    let by_backend = servers.iter().map(share).collect();
+    router.update_backends(servers);
+    router.update_shares(SlotShares {
+        by_backend,
+        valid_until_ms: u64::MAX,
+        excess_until_ms: None,
+    });
+    router
+}
+
 impl Fleet {
     /// A zone whose instances hold their shares for the whole run.
     pub fn new(is_naive: bool) -> Arc<Self> {
--- a/bench/src/surge.rs
+++ b/bench/src/surge.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        fleet::{Call, Fleet, INSTANCES_PER_ZONE, ZONE_SLOTS, arrivals, run_time, to_f64},
+        fleet::{
+            Call, Fleet, INSTANCES_PER_ZONE, ZONE_SLOTS, arrivals, router_of_services, run_time,
+            to_f64,
+        },
         report::{Measure, Unit},
     },
     fastrand::Rng,
@@ -60,6 +63,7 @@
             .with_baseline(measures[2].1),
         Measure::info("admission_mean", admission_us, Unit::Microseconds)
             .with_baseline(naive_admission_us),
+        Measure::info("idle_tick_mean", idle_tick_us(), Unit::Microseconds),
     ])
 }
 
@@ -74,6 +78,18 @@
     start.elapsed().as_secs_f64() * 1e6 / f64::from(REQUESTS)
 }
 
+/// Time of one tick of an instance with the services of a zone at the design size, none of them called, in us.
+fn idle_tick_us() -> f64 {
+    const SERVICES: u16 = 185;
+    const TICKS: u32 = 10_000;
+    let router = router_of_services(SERVICES);
+    let start = std::time::Instant::now();
+    for _ in 0..TICKS {
+        std::hint::black_box(router.tick());
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(TICKS)
+}
+
 fn load(at_s: f64) -> f64 {
     match at_s {
         at if !(RISE_S..END_S).contains(&at) => LOW_LOAD,
--- a/crates/routing/src/group.rs
+++ b/crates/routing/src/group.rs
@@ -15,6 +15,11 @@
 /// Time over which the slots in use by short work are averaged, in ms.
 const SHORT_LOAD_MS: f64 = 1_000.0;
 
+/// Longest time that one sample of the load stands for, in ms.
+const MAX_SAMPLE_MS: f64 = 100.0;
+/// Average load below which a service counts as idle.
+const IDLE_LOAD: f64 = 0.001;
+
 /// A backend server as this instance uses it.
 #[derive(Debug)]
 pub struct Backend {
@@ -52,6 +57,8 @@
     /// Average number of short and urgent requests in flight or waiting.
     short_load: f64,
     averaged_ms: u64,
+    /// Whether a backend server may be ejected or limited by latency, which changes with time.
+    is_recovering: bool,
     /// Mean time that a request holds a slot, in ms.
     pub hold_ms: f64,
 }
@@ -89,6 +96,7 @@
         self.slots -= backend.allowed;
         change(backend);
         backend.health.settle(backend.share.slots);
+        self.is_recovering |= backend.health.is_recovering();
         backend.allowed = if backend.server.leaving {
             0
         } else {
@@ -204,6 +212,14 @@
         self.backends.values().map(free).sum()
     }
 
+    /// Whether time changes nothing here: no request, no average to decay and no backend server that recovers.
+    pub fn is_idle(&self) -> bool {
+        self.short_in_use + self.long_in_use == 0
+            && self.short_load < IDLE_LOAD
+            && !self.is_recovering
+            && self.queues.values().all(ClassQueue::is_empty)
+    }
+
     /// Brings the average use of short work up to date.
     pub fn average(&mut self, now_ms: u64) {
         let waiting: usize = [WorkClass::Urgent, WorkClass::Short]
@@ -215,13 +231,19 @@
         let load = f64::from(self.short_in_use.saturating_add(waiting));
         #[allow(clippy::cast_precision_loss, reason = "times are below 2^52 ms")]
         let passed_ms = now_ms.saturating_sub(self.averaged_ms) as f64;
-        self.short_load += (load - self.short_load) * (1.0 - (-passed_ms / SHORT_LOAD_MS).exp());
+        // After an idle time the present load does not stand for all of it.
+        let sample_ms = passed_ms.min(MAX_SAMPLE_MS);
+        self.short_load += (load - self.short_load) * (1.0 - (-sample_ms / SHORT_LOAD_MS).exp());
         self.averaged_ms = now_ms;
         self.refresh(now_ms, passed_ms);
     }
 
     /// Brings limits that change with time up to date: those shrunk by latency, and ejections whose probe is due.
     fn refresh(&mut self, now_ms: u64, passed_ms: f64) {
+        if !self.is_recovering {
+            return;
+        }
+        self.is_recovering = false;
         let mut changed = Vec::new();
         for (id, backend) in &mut self.backends {
             // The index key depends on `allowed`, which only `change` sets.
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -86,6 +86,11 @@
         matches!(self.phase, Phase::Ejected { .. })
     }
 
+    /// Whether time alone changes what is allowed.
+    pub fn is_recovering(&self) -> bool {
+        self.is_ejected() || self.part < 1.0
+    }
+
     /// Time of the next probe, in ms, while ejected.
     pub fn probe_at_ms(&self) -> Option<u64> {
         match self.phase {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -212,7 +212,9 @@
     pub fn tick(&mut self, now: u64) -> u64 {
         self.revoke_excess(now);
         self.count_stragglers(now);
-        let keys: Vec<GroupKey> = self.groups.keys().cloned().collect();
+        // At the design size most services are idle at any moment.
+        let active = self.groups.iter().filter(|(_, group)| !group.is_idle());
+        let keys: Vec<GroupKey> = active.map(|(key, _)| key.clone()).collect();
         for key in keys {
             self.refuse_late(now, &key);
             if let Some(group) = self.groups.get_mut(&key) {
