Change only the shares that differ

The daemon hands over the shares four times a second to extend the lease, and each call went through the index of every backend server and served every service. Only changed shares and active services are touched now. This follows from the tick's measurement; the call itself was not measured.

--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -193,10 +193,15 @@
 
     pub fn update_shares(&mut self, now: u64, shares: SlotShares) {
         self.shares = shares;
+        let by_backend = &self.shares.by_backend;
         for group in self.groups.values_mut() {
-            let ids: Vec<BackendId> = group.backends.keys().cloned().collect();
-            for id in ids {
-                let share = self.shares.by_backend.get(&id).copied().unwrap_or_default();
+            // Most calls only extend the lease.
+            let shares = group.backends.iter().filter_map(|(id, backend)| {
+                let share = by_backend.get(id).copied().unwrap_or_default();
+                (share != backend.share).then(|| (id.clone(), share))
+            });
+            let changed: Vec<_> = shares.collect();
+            for (id, share) in changed {
                 group.change(now, &id, |backend| backend.share = share);
             }
         }
@@ -212,10 +217,7 @@
     pub fn tick(&mut self, now: u64) -> u64 {
         self.revoke_excess(now);
         self.count_stragglers(now);
-        // At the design size most services are idle at any moment.
-        let active = self.groups.iter().filter(|(_, group)| !group.is_idle());
-        let keys: Vec<GroupKey> = active.map(|(key, _)| key.clone()).collect();
-        for key in keys {
+        for key in self.active_groups() {
             self.refuse_late(now, &key);
             if let Some(group) = self.groups.get_mut(&key) {
                 group.average(now);
@@ -635,12 +637,17 @@
     }
 
     fn serve_all(&mut self, now: u64) {
-        let keys: Vec<GroupKey> = self.groups.keys().cloned().collect();
-        for key in keys {
+        for key in self.active_groups() {
             self.serve(now, &key);
         }
     }
 
+    /// Services that time or a free slot may change. At the design size most services are idle at any moment.
+    fn active_groups(&self) -> Vec<GroupKey> {
+        let active = self.groups.iter().filter(|(_, group)| !group.is_idle());
+        active.map(|(key, _)| key.clone()).collect()
+    }
+
     /// Gives free slots to waiting requests of a service.
     fn serve(&mut self, now: u64, key: &GroupKey) {
         if now >= self.shares.valid_until_ms {
