--- a/crates/standins/src/worker/fleet.rs
+++ b/crates/standins/src/worker/fleet.rs
@@ -4,7 +4,7 @@
     crate::{
         faults::{FaultSwitch, Outage},
         worker::{
-            history::{RunHistory, Violation},
+            history::{RunHistory, RunRecord, Violation},
             machine::{CommandKind, Fenced, Machine, WorkerCounts, WorkerSpec},
         },
     },
@@ -84,6 +84,11 @@
         &self.faults
     }
 
+    /// Takes an incarnation before the first command, in place of 1.
+    pub fn set_incarnation(&self, incarnation: u32) {
+        self.lock().set_incarnation(incarnation);
+    }
+
     /// Loses all tasks and starts again with the next incarnation.
     pub fn restart(&self) {
         self.lock().restart();
@@ -108,6 +113,14 @@
         machine.free()
     }
 
+    /// All runs that were started here, of all incarnations.
+    #[must_use]
+    pub fn records(&self) -> Vec<RunRecord> {
+        let mut machine = self.lock();
+        machine.settle();
+        machine.records()
+    }
+
     /// Number of running tasks.
     #[must_use]
     pub fn running(&self) -> usize {
