--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -15,6 +15,7 @@
 mod history;
 mod hol;
 mod outage;
+mod outage_routing;
 mod place;
 mod proxy;
 mod report;
--- a/bench/src/outage.rs
+++ b/bench/src/outage.rs
@@ -6,6 +6,7 @@
 //! its own, with an outage of only 8 s, which is to its advantage.
 
 use {
+    crate::outage_routing,
     crate::report::{Measure, Unit},
     ragwortreel_model::{Team, Zone},
     ragwortreel_platform::{
@@ -435,7 +436,10 @@
     start_threads(4).map_err(|err| err.to_string())?;
     block_on(async {
         let naive = spawn(run_scene(Kind::Naive, BASELINE));
+        let routing = spawn(outage_routing::run());
         let full = run_scene(Kind::Resilient, FULL).await?;
-        Ok(to_measures(&full, &naive.await?))
+        let mut measures = to_measures(&full, &naive.await?);
+        measures.extend(routing.await?);
+        Ok(measures)
     })
 }
