--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,7 +90,7 @@
             path: file.clone(),
             source,
         })?;
-        output::print(&format!("{}: {kind} is acceptable\n", file.display()))?;
+        output::print(&format!("{}: {kind} accepted\n", file.display()))?;
     }
     Ok(())
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -72,7 +72,7 @@
     surplus_argument: ["quickstart", "now"] => 2 "unexpected argument 'now'";
     bad_address: ["jobs", "--address", "localhost"] => 2 "'localhost' is not IP:PORT";
     bad_name: ["describe", "a/b"] => 2 "a/b";
-    check_accepts: ["check", "tree.json"] => 0 "tree.json: settings tree is acceptable";
+    check_accepts: ["check", "tree.json"] => 0 "tree.json: settings tree accepted";
     check_names_the_path: ["check", "tree.json", "bad.json"] => 3 "teams.alpha.wait: unknown field `wait`";
     check_of_absent_file: ["check", "none.json"] => 1 "reading none.json";
     set_without_base: ["settings", "set", "tree.json"] => 2 "--base is missing";
