Remove doubled logic: replacement of silent connections, process figures, counted streams

The platform and worker clients each replaced their HTTP client after a passed deadline; the HTTP client now gives up an address's idle connections itself. /proc was read by two copies of the same function, and two stream types counted bytes. Behaviour is unchanged, the tests are as before.

--- a/bench/src/control.rs
+++ b/bench/src/control.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         history::{plan, program},
-        report::{Measure, Unit},
+        report::{Measure, Unit, count},
     },
     ragwortreel::cell::CellPlan,
     ragwortreel_http::Method,
@@ -318,7 +318,3 @@
         Measure::info(&format!("{what}: reads"), cost.reads_per_s, Unit::PerSecond),
     ]
 }
-
-fn count(number: usize) -> f64 {
-    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
-}
--- a/bench/src/drain.rs
+++ b/bench/src/drain.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         history::{mixes, plan, program},
-        report::{Measure, Unit},
+        report::{Measure, Unit, count},
     },
     ragwortreel::load::{CallRecord, Load, Seen},
     ragwortreel_model::InstanceId,
@@ -123,10 +123,6 @@
         .last_request_after_drain_ms
 }
 
-fn count(number: usize) -> f64 {
-    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
-}
-
 /// Requests whose connection broke or whose outcome is unknown.
 fn cut(calls: &[CallRecord]) -> f64 {
     let is_cut = |call: &&CallRecord| matches!(call.seen, Seen::Broken | Seen::Unknown);
--- a/bench/src/outage_routing.rs
+++ b/bench/src/outage_routing.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         history::{mixes, plan, program},
-        report::{Measure, Unit},
+        report::{Measure, Unit, count},
     },
     ragwortreel::load::{CallRecord, Load, Seen},
     ragwortreel_processes::ProcessCell,
@@ -60,7 +60,3 @@
         .filter(|call| matches!(call.seen, Seen::Answered(status) if status < 500));
     count(answered.count()) / count(calls.len().max(1))
 }
-
-fn count(number: usize) -> f64 {
-    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
-}
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -133,3 +133,8 @@
         )
     }
 }
+
+/// A number of things as a value; counts beyond 2^32 do not occur.
+pub fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,7 +1,7 @@
 //! Client with a small pool of idle connections.
 
 use {
-    crate::{ClientError, ClientLimits, Connection, Request, Response, Sent},
+    crate::{Cause, ClientError, ClientLimits, Connection, Request, Response, Sent},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -16,7 +16,8 @@
 /// HTTP/1.1 client; shared by reference.
 ///
 /// It keeps at most `max_idle_per_address` idle connections for each address. A request is never sent twice unless
-/// no byte of it was sent the first time.
+/// no byte of it was sent the first time. After a passed deadline the address's idle connections are given up, because
+/// whatever silenced one open connection may have silenced the others.
 #[derive(Debug)]
 pub struct Client {
     limits: ClientLimits,
@@ -62,6 +63,10 @@
         self.exchange(connection, &req, deadline).await
     }
 
+    fn give_up_idle(&self, addr: SocketAddr) {
+        self.lock().remove(&addr);
+    }
+
     /// Number of idle connections to an address.
     #[must_use]
     pub fn idle_connections(&self, addr: SocketAddr) -> usize {
@@ -74,7 +79,11 @@
         req: &Request,
         deadline: Instant,
     ) -> Result<Response, ClientError> {
-        let response = connection.exchange(req, deadline).await?;
+        let result = connection.exchange(req, deadline).await;
+        if matches!(&result, Err(err) if matches!(err.cause, Cause::Deadline)) {
+            self.give_up_idle(connection.peer());
+        }
+        let response = result?;
         if connection.is_usable() {
             self.put(connection);
         }
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -3,7 +3,7 @@
 use {
     async_io::Async,
     futures_lite::{AsyncRead, AsyncWrite},
-    ragwortreel_runtime::traffic::Traffic,
+    ragwortreel_runtime::traffic::{Counted, Traffic},
     std::{
         io,
         net::TcpStream,
@@ -38,9 +38,8 @@
 /// A connected socket.
 #[derive(Debug)]
 pub struct Stream {
-    io: Async<TcpStream>,
+    io: Counted<Async<TcpStream>>,
     progress: Arc<Progress>,
-    traffic: &'static Traffic,
 }
 
 impl Stream {
@@ -48,20 +47,19 @@
     pub fn new(io: Async<TcpStream>, traffic: &'static Traffic) -> io::Result<Self> {
         io.get_ref().set_nodelay(true)?;
         Ok(Self {
-            io,
+            io: Counted::new(io, traffic),
             progress: Arc::default(),
-            traffic,
         })
     }
 
     /// The socket.
     pub fn socket(&self) -> &TcpStream {
-        self.io.get_ref()
+        self.io.get_ref().get_ref()
     }
 
     /// Waits until bytes have arrived or the peer has closed the connection.
     pub async fn readable(&self) -> io::Result<()> {
-        self.io.readable().await
+        self.io.get_ref().readable().await
     }
 
     /// Count of the bytes that moved.
@@ -78,7 +76,6 @@
     ) -> Poll<io::Result<usize>> {
         let read = ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
         self.progress.read.fetch_add(read as u64, Ordering::Relaxed);
-        self.traffic.count_received(read);
         Poll::Ready(Ok(read))
     }
 }
@@ -93,7 +90,6 @@
         self.progress
             .written
             .fetch_add(written as u64, Ordering::Relaxed);
-        self.traffic.count_sent(written);
         Poll::Ready(Ok(written))
     }
 
--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -12,7 +12,7 @@
     async_trait::async_trait,
     percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
     ragwortreel_http::{
-        Cause, Client, ClientError, ClientLimits, Method, Request, Response, Sent, parse_json,
+        Client, ClientError, ClientLimits, Method, Request, Response, Sent, parse_json,
     },
     ragwortreel_model::Zone,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -61,8 +61,7 @@
     addr: SocketAddr,
     zone: Zone,
     time_limit: Duration,
-    /// Replaced by a client without connections after a time limit.
-    client: Mutex<Arc<Client>>,
+    client: Client,
     /// Last list with its entity tag; an unchanged list is not sent again.
     list: Mutex<Option<CachedList>>,
 }
@@ -73,13 +72,6 @@
     instances: Vec<ListedInstance>,
 }
 
-fn new_client() -> Arc<Client> {
-    Arc::new(Client::new(ClientLimits {
-        max_body_bytes: MAX_RESPONSE_BYTES,
-        ..ClientLimits::default()
-    }))
-}
-
 impl HttpPlatform {
     /// Makes a client of an instance in a zone; connections are opened on use.
     #[must_use]
@@ -88,34 +80,19 @@
             addr,
             zone,
             time_limit,
-            client: Mutex::new(new_client()),
+            client: Client::new(ClientLimits {
+                max_body_bytes: MAX_RESPONSE_BYTES,
+                ..ClientLimits::default()
+            }),
             list: Mutex::default(),
         }
     }
 
-    fn client(&self) -> Arc<Client> {
-        let client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(&client)
-    }
-
-    // Gives up the idle connections, unless another call has done so already.
-    fn drop_connections(&self, used: &Arc<Client>) {
-        let mut client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
-        if Arc::ptr_eq(&client, used) {
-            *client = new_client();
-        }
-    }
-
     async fn send(&self, step: &'static str, req: Request) -> Result<Response, PlatformError> {
-        let client = self.client();
         let req = req.with_header(ZONE_HEADER, self.zone.as_str());
         let deadline = Instant::now() + self.time_limit;
-        let response = client.send(self.addr, req, deadline).await.map_err(|err| {
-            if matches!(err.cause, Cause::Deadline) {
-                self.drop_connections(&client);
-            }
-            self.client_error(step, &err)
-        })?;
+        let response = self.client.send(self.addr, req, deadline).await;
+        let response = response.map_err(|err| self.client_error(step, &err))?;
         match response.status {
             200..=299 | 304 | 404 => Ok(response),
             400..=429 | 503 => Err(self.not_done(step, &status_problem(&response))),
--- a/crates/processes/src/cell.rs
+++ b/crates/processes/src/cell.rs
@@ -1,10 +1,11 @@
 //! A whole cell: stand-ins in this process, entry instances as child processes.
 
 use {
-    crate::child::{Entry, Program, Usage},
+    crate::child::{Entry, Program},
     ragwortreel::{
         cell::{CellPlan, EntryAddresses, any_port},
         load::Balancer,
+        telemetry::ProcessUsage,
     },
     ragwortreel_http::{Client, ClientLimits, Method, Request},
     ragwortreel_runtime::sleep_ms,
@@ -169,7 +170,7 @@
 
     /// What an entry instance's process has used.
     #[must_use]
-    pub fn usage(&self, number: usize) -> Option<Usage> {
+    pub fn usage(&self, number: usize) -> Option<ProcessUsage> {
         self.entries[number].usage()
     }
 
--- a/crates/processes/src/child.rs
+++ b/crates/processes/src/child.rs
@@ -1,21 +1,19 @@
 //! One entry instance in a process of its own.
 
 use {
-    ragwortreel::cell::EntryAddresses,
+    ragwortreel::{
+        cell::EntryAddresses,
+        telemetry::{ProcessUsage, process_usage},
+    },
     rustix::process::{Pid, Signal, kill_process},
     std::{
-        fs::{self, File},
+        fs::File,
         io,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
     },
 };
 
-/// Clock ticks a second in `/proc/PID/stat`; fixed at 100 on Linux.
-const TICKS_PER_S: f64 = 100.0;
-/// Page size that `/proc/PID/statm` counts in, in bytes.
-const PAGE_BYTES: f64 = 4_096.0;
-
 /// How an entry instance is started.
 #[derive(Debug, Clone)]
 pub struct Program {
@@ -25,15 +23,6 @@
     pub args: Vec<String>,
 }
 
-/// What a process has used.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Usage {
-    /// Processor time in s.
-    pub cpu_seconds: f64,
-    /// Resident memory in bytes.
-    pub resident_bytes: f64,
-}
-
 /// An entry instance's process.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -102,8 +91,8 @@
         Ok(true)
     }
 
-    pub fn usage(&self) -> Option<Usage> {
-        usage(&Path::new("/proc").join(self.child.as_ref()?.id().to_string()))
+    pub fn usage(&self) -> Option<ProcessUsage> {
+        process_usage(&Path::new("/proc").join(self.child.as_ref()?.id().to_string()))
     }
 }
 
@@ -112,17 +101,3 @@
         let _ = self.kill();
     }
 }
-
-fn usage(dir: &Path) -> Option<Usage> {
-    let stat = fs::read_to_string(dir.join("stat")).ok()?;
-    // The command's name is in parentheses and may hold spaces; utime and stime are the 12th and 13th field after it.
-    let (_, rest) = stat.rsplit_once(") ")?;
-    let fields: Vec<&str> = rest.split(' ').collect();
-    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
-    let statm = fs::read_to_string(dir.join("statm")).ok()?;
-    let pages: f64 = statm.split(' ').nth(1)?.parse().ok()?;
-    Some(Usage {
-        cpu_seconds: ticks / TICKS_PER_S,
-        resident_bytes: pages * PAGE_BYTES,
-    })
-}
--- a/crates/processes/src/lib.rs
+++ b/crates/processes/src/lib.rs
@@ -8,5 +8,5 @@
 
 pub use {
     cell::{ProcessCell, StartError},
-    child::{Program, Usage},
+    child::Program,
 };
--- a/crates/runtime/src/traffic.rs
+++ b/crates/runtime/src/traffic.rs
@@ -67,6 +67,11 @@
     pub const fn new(io: S, traffic: &'static Traffic) -> Self {
         Self { io, traffic }
     }
+
+    /// The stream.
+    pub const fn get_ref(&self) -> &S {
+        &self.io
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
--- a/crates/worker/src/http_client.rs
+++ b/crates/worker/src/http_client.rs
@@ -14,14 +14,14 @@
     },
     async_trait::async_trait,
     ragwortreel_http::{
-        Cause, Client, ClientError, ClientLimits, Method, Response, Sent, json_request, parse_json,
+        Client, ClientError, ClientLimits, Method, Response, Sent, json_request, parse_json,
     },
     ragwortreel_model::{Epoch, Zone},
     ragwortreel_runtime::{Logger, log_event},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -77,7 +77,12 @@
         Arc::new(HttpWorker {
             connector: self.clone(),
             peer: address,
-            client: Mutex::new(new_client()),
+            client: Client::new(ClientLimits {
+                max_body_bytes: MAX_RESPONSE_BYTES,
+                max_idle_per_address: MAX_IDLE,
+                idle_time: IDLE_TIME,
+                ..ClientLimits::default()
+            }),
         })
     }
 }
@@ -85,17 +90,7 @@
 struct HttpWorker {
     connector: HttpWorkerConnector,
     peer: SocketAddr,
-    /// Replaced by a client without connections after a time limit.
-    client: Mutex<Arc<Client>>,
-}
-
-fn new_client() -> Arc<Client> {
-    Arc::new(Client::new(ClientLimits {
-        max_body_bytes: MAX_RESPONSE_BYTES,
-        max_idle_per_address: MAX_IDLE,
-        idle_time: IDLE_TIME,
-        ..ClientLimits::default()
-    }))
+    client: Client,
 }
 
 /// Body of a response with status 409.
@@ -123,19 +118,6 @@
         }
     }
 
-    fn client(&self) -> Arc<Client> {
-        let client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(&client)
-    }
-
-    // Gives up the idle connections, unless another call has done so already.
-    fn drop_connections(&self, used: &Arc<Client>) {
-        let mut client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
-        if Arc::ptr_eq(&client, used) {
-            *client = new_client();
-        }
-    }
-
     async fn send<T: Serialize + Sync>(
         &self,
         call: Call,
@@ -164,13 +146,8 @@
             .map_err(|err| self.not_done(call, &err.to_string()))?;
         let req = req.with_header(ZONE_HEADER, self.connector.zone.as_str());
         let deadline = Instant::now() + call.limit;
-        let client = self.client();
-        let response = client.send(self.peer, req, deadline).await.map_err(|err| {
-            if matches!(err.cause, Cause::Deadline) {
-                self.drop_connections(&client);
-            }
-            self.client_error(call, &err)
-        })?;
+        let response = self.client.send(self.peer, req, deadline).await;
+        let response = response.map_err(|err| self.client_error(call, &err))?;
         match response.status {
             200..=299 => Ok(response),
             409 => Err(self.fenced(call, &response)),
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -13,7 +13,7 @@
     ragwortreel_model::{JobKind, Outcome, Pool, Team, WorkClass},
     ragwortreel_routing::RouterFigures,
     ragwortreel_runtime::traffic,
-    std::{collections::BTreeMap, fs, time::Duration},
+    std::{collections::BTreeMap, fs, path::Path, time::Duration},
 };
 
 /// Bucket bounds of request times in s.
@@ -192,7 +192,7 @@
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
-        if let Some(usage) = process_usage() {
+        if let Some(usage) = process_usage(Path::new("/proc/self")) {
             self.cpu_seconds.record(usage.cpu_seconds, &[]);
             self.resident_bytes.record(usage.resident_bytes, &[]);
         }
@@ -222,7 +222,7 @@
     KeyValue::new(key, value.to_string())
 }
 
-/// What this process has used.
+/// What a process has used.
 #[derive(Debug, Clone, Copy)]
 pub struct ProcessUsage {
     /// Processor time in s.
@@ -231,15 +231,15 @@
     pub resident_bytes: f64,
 }
 
-/// Reads what this process has used from `/proc`.
+/// Reads what a process has used from its directory in `/proc`.
 #[must_use]
-pub fn process_usage() -> Option<ProcessUsage> {
-    let stat = fs::read_to_string("/proc/self/stat").ok()?;
+pub fn process_usage(dir: &Path) -> Option<ProcessUsage> {
+    let stat = fs::read_to_string(dir.join("stat")).ok()?;
     // The command's name is in parentheses and may hold spaces; the fields after it are utime and stime at 12 and 13.
     let (_, rest) = stat.rsplit_once(") ")?;
     let fields: Vec<&str> = rest.split(' ').collect();
     let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
-    let statm = fs::read_to_string("/proc/self/statm").ok()?;
+    let statm = fs::read_to_string(dir.join("statm")).ok()?;
     let pages: f64 = statm.split(' ').nth(1)?.parse().ok()?;
     Some(ProcessUsage {
         cpu_seconds: ticks / TICKS_PER_S,
