Give control and claims rate limits that fit several pools at one instance

An instance that owned three pools after failures needed 31 writes a second for renewals and journals but had 12.6. The limits follow the number of live instances.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -43,10 +43,11 @@
 
 /// Time limit of one call to a service of the platform.
 const PLATFORM_CALL: Duration = Duration::from_secs(1);
-/// Writes a second that claims and control of all instances may each send; together half of the service's rate.
-const WRITES_PER_S: f64 = 125.0;
-/// Reads a second that claims and control of all instances may each send; together half of the service's rate.
-const READS_PER_S: f64 = 500.0;
+/// Calls a second that the control parts of all instances may send: writes and reads. With the claims' they stay below
+/// the 500 writes and 2,000 reads a second that the platform takes.
+const CONTROL_RATES: (f64, f64) = (250.0, 900.0);
+/// Calls a second that claims of all instances may send: writes and reads.
+const CLAIM_RATES: (f64, f64) = (200.0, 900.0);
 /// Time between two samples of gauges, in ms.
 const SAMPLE_MS: u64 = 5_000;
 /// Time between two tries to write the initial settings, in ms.
@@ -328,10 +329,10 @@
             ))
         };
         // Control and claims have queues of their own, so that a burst of claims never delays a lease renewal.
-        let resilient = || {
+        let resilient = |(writes_per_s, reads_per_s)| {
             let cfg = ResilientConfig {
-                writes_per_s: WRITES_PER_S,
-                reads_per_s: READS_PER_S,
+                writes_per_s,
+                reads_per_s,
                 ..ResilientConfig::default()
             };
             Arc::new(ResilientTable::new(
@@ -340,7 +341,7 @@
                 log.clone(),
             ))
         };
-        let (control, claims) = (resilient(), resilient());
+        let (control, claims) = (resilient(CONTROL_RATES), resilient(CLAIM_RATES));
         Self {
             figures: [Arc::clone(&control), Arc::clone(&claims)],
             control,
@@ -446,6 +447,12 @@
             let share = pool.stats.reserved.dominant_share_ppm(&pool.stats.capacity);
             telemetry.pool(&pool.pool, share, pool.stats.queued);
         }
+        let instances = u32::try_from(figures.live_members)
+            .unwrap_or(u32::MAX)
+            .max(1);
+        for table in &tables {
+            table.set_instances(instances);
+        }
         telemetry.routing(&router.figures());
         let sums = tables.iter().map(|table| table.figures());
         let (reads, writes) = sums.fold((0, 0), |(r, w), figures| {
