--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -447,11 +447,13 @@
             let share = pool.stats.reserved.dominant_share_ppm(&pool.stats.capacity);
             telemetry.pool(&pool.pool, share, pool.stats.queued);
         }
-        let instances = u32::try_from(figures.live_members)
-            .unwrap_or(u32::MAX)
-            .max(1);
-        for table in &tables {
-            table.set_instances(instances);
+        // Known instances, not live ones: while the store is down all others look dead, and after its return each
+        // instance would use the whole rate.
+        let instances = u32::try_from(control.members().len()).unwrap_or(u32::MAX);
+        if instances > 0 {
+            tables
+                .iter()
+                .for_each(|table| table.set_instances(instances));
         }
         telemetry.routing(&router.figures());
         let sums = tables.iter().map(|table| table.figures());
