--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -451,9 +451,9 @@
         // instance would use the whole rate.
         let instances = u32::try_from(control.members().len()).unwrap_or(u32::MAX);
         if instances > 0 {
-            tables
-                .iter()
-                .for_each(|table| table.set_instances(instances));
+            for table in &tables {
+                table.set_instances(instances);
+            }
         }
         telemetry.routing(&router.figures());
         let sums = tables.iter().map(|table| table.figures());
