--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -120,6 +120,37 @@
     });
 }
 
+/// A member that resumes and renews its row before it reads the new epoch must not use its old share.
+#[test]
+fn dropped_member_cannot_renew_its_old_share() {
+    block_on(async {
+        let cell = three_members().await;
+        // A member without a pool, so that only the change of the slot epoch fences it.
+        let owner = cell.owner("riga-a").expect("an owner");
+        let id = cell
+            .instances
+            .keys()
+            .find(|id| **id != owner)
+            .expect("another")
+            .clone();
+        let gate = &cell.instances[&id].gate;
+        gate.hold_scans(true);
+        sleep_ms(200).await;
+        gate.pause();
+        watch(&cell, "all slots used by the others", |users| {
+            all_used(users) && !users.iter().any(|users| users[0] == id)
+        })
+        .await;
+        gate.resume();
+        watch_for(&cell, "while it cannot read the epoch", 800).await;
+        gate.hold_scans(false);
+        watch(&cell, "it has a share again", |users| {
+            all_used(users) && users.iter().any(|users| users[0] == id)
+        })
+        .await;
+    });
+}
+
 /// While the table is down the members confirm each other, so routing goes on.
 #[test]
 fn members_confirm_each_other_without_the_table() {
--- a/crates/control/tests/support/gate.rs
+++ b/crates/control/tests/support/gate.rs
@@ -33,6 +33,8 @@
     lose_commits: AtomicU32,
     /// Starts whose answers are lost after they took effect.
     lose_starts: AtomicU32,
+    /// Holds back readings of the control rows.
+    hold_scans: AtomicBool,
     /// Holds back starts on their way to workers.
     hold_starts: AtomicBool,
     /// Breaks the fence: workers are told one and the same epoch by all owners.
@@ -54,6 +56,10 @@
         self.paused.store(false, Ordering::SeqCst);
     }
 
+    pub fn hold_scans(&self, hold: bool) {
+        self.hold_scans.store(hold, Ordering::SeqCst);
+    }
+
     pub fn hold_starts(&self, hold: bool) {
         self.hold_starts.store(hold, Ordering::SeqCst);
     }
@@ -173,6 +179,9 @@
     }
 
     async fn scan(&self, prefixes: &[&str]) -> Result<Vec<Row>, PlatformError> {
+        while self.gate.hold_scans.load(Ordering::SeqCst) {
+            sleep_ms(2).await;
+        }
         let platform = Arc::clone(&self.platform);
         let prefixes: Vec<String> = prefixes.iter().map(ToString::to_string).collect();
         self.gate
