--- a/crates/control/tests/support/broken.rs
+++ b/crates/control/tests/support/broken.rs
@@ -26,12 +26,8 @@
     sleep_ms(400).await;
     gate.hold_starts(true);
     cell.submit(&owner, job("j", 4, None)).await;
-    cell.until("the starts are in the journal", |cell| {
-        let rows = cell.platform.peek_all("journal/riga-a/");
-        rows.iter().any(|row| row.value.contains("start"))
-    })
-    .await;
-    sleep_ms(50).await;
+    cell.until("the starts are on their way", |_| gate.held_starts() > 0)
+        .await;
     gate.pause();
     // The next owner uses other workers, so that a late start would run the task in a second place.
     for row in cell.platform.peek_all("journal/riga-a/") {
--- a/crates/control/tests/support/gate.rs
+++ b/crates/control/tests/support/gate.rs
@@ -37,6 +37,7 @@
     hold_scans: AtomicBool,
     /// Holds back starts on their way to workers.
     hold_starts: AtomicBool,
+    held_starts: AtomicU32,
     /// Breaks the fence: workers are told one and the same epoch by all owners.
     pub fence_off: AtomicBool,
     /// Breaks compare-and-set: settings are written without their conditions.
@@ -64,6 +65,11 @@
         self.hold_starts.store(hold, Ordering::SeqCst);
     }
 
+    /// Starts that were held back so far.
+    pub fn held_starts(&self) -> u32 {
+        self.held_starts.load(Ordering::SeqCst)
+    }
+
     fn epoch(&self, epoch: Epoch) -> Epoch {
         if self.fence_off.load(Ordering::SeqCst) {
             return Epoch(1);
@@ -271,6 +277,9 @@
         );
         req.epoch = gate.epoch(req.epoch);
         let start = async move {
+            if gate.hold_starts.load(Ordering::SeqCst) {
+                gate.held_starts.fetch_add(1, Ordering::SeqCst);
+            }
             while gate.hold_starts.load(Ordering::SeqCst) {
                 sleep_ms(2).await;
             }
