--- a/crates/control/tests/support/gate.rs
+++ b/crates/control/tests/support/gate.rs
@@ -33,8 +33,11 @@
     lose_commits: AtomicU32,
     /// Starts whose answers are lost after they took effect.
     lose_starts: AtomicU32,
+    /// Holds back readings of the control rows.
+    hold_scans: AtomicBool,
     /// Holds back starts on their way to workers.
     hold_starts: AtomicBool,
+    held_starts: AtomicU32,
     /// Breaks the fence: workers are told one and the same epoch by all owners.
     pub fence_off: AtomicBool,
     /// Breaks compare-and-set: settings are written without their conditions.
@@ -54,10 +57,19 @@
         self.paused.store(false, Ordering::SeqCst);
     }
 
+    pub fn hold_scans(&self, hold: bool) {
+        self.hold_scans.store(hold, Ordering::SeqCst);
+    }
+
     pub fn hold_starts(&self, hold: bool) {
         self.hold_starts.store(hold, Ordering::SeqCst);
     }
 
+    /// Starts that were held back so far.
+    pub fn held_starts(&self) -> u32 {
+        self.held_starts.load(Ordering::SeqCst)
+    }
+
     fn epoch(&self, epoch: Epoch) -> Epoch {
         if self.fence_off.load(Ordering::SeqCst) {
             return Epoch(1);
@@ -173,6 +185,9 @@
     }
 
     async fn scan(&self, prefixes: &[&str]) -> Result<Vec<Row>, PlatformError> {
+        while self.gate.hold_scans.load(Ordering::SeqCst) {
+            sleep_ms(2).await;
+        }
         let platform = Arc::clone(&self.platform);
         let prefixes: Vec<String> = prefixes.iter().map(ToString::to_string).collect();
         self.gate
@@ -262,6 +277,9 @@
         );
         req.epoch = gate.epoch(req.epoch);
         let start = async move {
+            if gate.hold_starts.load(Ordering::SeqCst) {
+                gate.held_starts.fetch_add(1, Ordering::SeqCst);
+            }
             while gate.hold_starts.load(Ordering::SeqCst) {
                 sleep_ms(2).await;
             }
