--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -9,7 +9,7 @@
         backends, change,
         config::{ControlConfig, SchedulerFactory},
         events::POOL_RELEASED,
-        figures::Counters,
+        figures::{Counters, Placement, Placements},
         membership,
         owner::Message,
         peers::Peers,
@@ -94,6 +94,7 @@
             backends: Mutex::default(),
             local: RwLock::new(None),
             counters: Counters::default(),
+            placements: Placements::default(),
         });
         spawn(membership::renew_loop(Arc::clone(&shared))).detach();
         spawn(membership::scan_loop(Arc::clone(&shared))).detach();
@@ -306,6 +307,12 @@
         }
     }
 
+    /// First starts of tasks on the pools of this instance, each read by one reader.
+    #[must_use]
+    pub fn placements(&self) -> Receiver<Placement> {
+        self.shared.placements.reader()
+    }
+
     /// Figures for metrics.
     #[must_use]
     pub fn figures(&self) -> Figures {
--- a/crates/control/src/figures.rs
+++ b/crates/control/src/figures.rs
@@ -1,6 +1,48 @@
 //! Counters for metrics.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use {
+    async_channel::{Receiver, Sender},
+    ragwortreel_model::{JobKind, Team},
+    std::sync::atomic::{AtomicU64, Ordering},
+};
+
+/// Placements that wait to be read; further ones are left out of the metrics.
+const PLACEMENT_QUEUE: usize = 4_096;
+
+/// First start of a task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// Team of the job.
+    pub team: Team,
+    /// Kind of the job.
+    pub kind: JobKind,
+    /// Time from the job's acceptance to the worker's confirmation.
+    pub waited_ms: u64,
+}
+
+/// Placements on their way to whoever records them.
+#[derive(Debug)]
+pub(crate) struct Placements {
+    tx: Sender<Placement>,
+    rx: Receiver<Placement>,
+}
+
+impl Default for Placements {
+    fn default() -> Self {
+        let (tx, rx) = async_channel::bounded(PLACEMENT_QUEUE);
+        Self { tx, rx }
+    }
+}
+
+impl Placements {
+    pub fn report(&self, placement: Placement) {
+        let _ = self.tx.try_send(placement);
+    }
+
+    pub fn reader(&self) -> Receiver<Placement> {
+        self.rx.clone()
+    }
+}
 
 /// Counts since the start.
 #[derive(Debug, Default)]
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,4 +31,5 @@
     },
     config::{ControlConfig, Limits, PoolConfig, SchedulerFactory, Timings, ZoneConfig, pools_of},
     control::{Connections, Control},
+    figures::Placement,
 };
--- a/crates/control/src/owner/jobs.rs
+++ b/crates/control/src/owner/jobs.rs
@@ -217,6 +217,7 @@
             succeeded: BTreeSet::new(),
             failures: 0,
             running: BTreeSet::new(),
+            since_ms: now_ms,
             writing: false,
             closed: false,
         };
--- a/crates/control/src/owner/pool.rs
+++ b/crates/control/src/owner/pool.rs
@@ -65,6 +65,8 @@
     pub succeeded: BTreeSet<u32>,
     pub failures: u32,
     pub running: BTreeSet<u32>,
+    /// When this owner took the job over or accepted it.
+    pub since_ms: u64,
     /// A write of the row is under way.
     pub writing: bool,
     /// The row says that the job is final.
@@ -172,6 +174,7 @@
                 succeeded: done.succeeded,
                 failures: done.failures,
                 running: done.runs.keys().copied().collect(),
+                since_ms: now_ms,
                 writing: false,
                 closed: false,
             };
--- a/crates/control/src/owner/report.rs
+++ b/crates/control/src/owner/report.rs
@@ -3,14 +3,16 @@
 use {
     crate::{
         events::ORPHAN_STOPPED,
+        figures::Placement,
         owner::{
             link::{RunCommand, StartOutcome},
-            pool::{Phase, PoolOwner},
+            pool::{Job, Phase, PoolOwner},
             workers::Worker,
         },
         rows::RunKey,
+        shared::Shared,
     },
-    ragwortreel_model::{Assignment, JobKind, TaskId, TaskResult, WorkerId},
+    ragwortreel_model::{Assignment, Attempt, JobId, JobKind, TaskId, TaskResult, WorkerId},
     ragwortreel_runtime::log_event,
     ragwortreel_worker::{HeartbeatReply, ReportedTask, TaskPhase},
     std::{collections::BTreeMap, sync::Arc},
@@ -76,6 +78,7 @@
         let (worker, key) = (run.worker.clone(), (id.clone(), run.attempt));
         if run.phase != Phase::Running {
             run.phase = Phase::Running;
+            count_placement(&self.shared, &self.jobs, (id, key.1), now_ms);
             self.scheduler.started(id, key.1, now_ms);
         }
         let is_over = !found.used.fits_in(&run.resources);
@@ -175,6 +178,7 @@
                 StartOutcome::Answered(taken) if taken[index] => {
                     let stopping = run.stopping;
                     run.phase = Phase::Running;
+                    count_placement(&self.shared, &self.jobs, (id, *attempt), now_ms);
                     self.scheduler.started(id, *attempt, now_ms);
                     if stopping {
                         self.command(worker, (id.clone(), *attempt), RunCommand::Stop);
@@ -190,3 +194,22 @@
         }
     }
 }
+
+/// Reports how long a task has waited for its first start.
+fn count_placement(
+    shared: &Shared,
+    jobs: &BTreeMap<JobId, Job>,
+    (id, attempt): (&TaskId, Attempt),
+    now_ms: u64,
+) {
+    if attempt != Attempt(1) {
+        return;
+    }
+    if let Some(job) = jobs.get(&id.job) {
+        shared.placements.report(Placement {
+            team: job.spec.team.clone(),
+            kind: job.spec.kind,
+            waited_ms: now_ms.saturating_sub(job.since_ms),
+        });
+    }
+}
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -4,7 +4,7 @@
     crate::{
         api::{Backend, LocalRequests, Member},
         config::{ControlConfig, SchedulerFactory},
-        figures::Counters,
+        figures::{Counters, Placements},
         owner::OwnerHandle,
         ownership::Vacancies,
         peers::Peers,
@@ -63,6 +63,7 @@
     pub backends: Mutex<Arc<Vec<Backend>>>,
     pub local: RwLock<Option<Arc<dyn LocalRequests>>>,
     pub counters: Counters,
+    pub placements: Placements,
 }
 
 /// Locks a mutex; a panic of another holder does not spread.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -249,6 +249,8 @@
             linked.clone(),
         ))
         .detach();
+        let placements = record_placements(control.clone(), Arc::clone(&self.telemetry));
+        spawn(placements).detach();
         spawn(run_sweeps(
             platform.claims,
             self.log.clone(),
@@ -465,6 +467,17 @@
     }
 }
 
+async fn record_placements(control: Control, telemetry: Arc<Telemetry>) {
+    let placements = control.placements();
+    while let Ok(placement) = placements.recv().await {
+        telemetry.placed(
+            &placement.team,
+            placement.kind,
+            Duration::from_millis(placement.waited_ms),
+        );
+    }
+}
+
 /// Writes the tree of the daemon's settings when the table holds none yet.
 async fn write_initial(control: Control, tree: Settings, log: Logger, stop: Stop) {
     while !stop.is_requested() {
