--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -74,6 +74,56 @@
     }
 }
 
+/// Metrics that docs/operators.md names, each with a label that shows that it was recorded.
+const METRICS: &[(&str, &str)] = &[
+    ("placement_wait_seconds_count", "kind=\"gang\""),
+    ("placement_wait_seconds_count", "team=\"patterns\""),
+    ("pool_reserved_share", "pool="),
+    ("process_cpu_seconds", ""),
+    ("process_resident_bytes", ""),
+    ("store_calls", "kind=\"write\""),
+    ("link_traffic_bytes", "link=\"entry\""),
+    ("request_duration_seconds_count", "outcome=\"answered\""),
+    ("request_queue_duration_seconds_count", "class=\"short\""),
+    ("queue_length", "pool="),
+    ("request_attempts_total", "result=\"answered\""),
+    ("settings_version", ""),
+];
+
+/// An operator's dashboard must find each documented metric at some instance; gauges appear with the next sample.
+async fn check_metrics(cell: &ProcessCell) {
+    let limit = Instant::now() + LIMIT;
+    loop {
+        let text = metrics(cell).await;
+        let is_there = |name: &str, label: &str| {
+            text.lines()
+                .any(|line| line.starts_with(name) && line.contains(label))
+        };
+        let missing: Vec<_> = METRICS
+            .iter()
+            .filter(|(name, label)| !is_there(name, label))
+            .collect();
+        if missing.is_empty() {
+            return;
+        }
+        assert!(Instant::now() < limit, "missing metrics: {missing:?}");
+        sleep_ms(200).await;
+    }
+}
+
+async fn metrics(cell: &ProcessCell) -> String {
+    let mut text = String::new();
+    for number in 0..cell.len() {
+        let response = cell
+            .ask(number, Method::Get, "/metrics", "", &[], b"")
+            .await;
+        text.push_str(&String::from_utf8_lossy(
+            &response.expect("the instance answers").body,
+        ));
+    }
+    text
+}
+
 /// Guards the whole path over real processes: jobs of each kind are placed by whichever instance owns the pool, and
 /// requests at any instance are answered whole.
 #[test]
@@ -135,6 +185,7 @@
             assert_eq!(done.state, JobState::Succeeded);
         }
         wait_for_job(&cell, "job-service", |job| job.running == 3).await;
+        check_metrics(&cell).await;
         for check in check_all(&calls, &cell.standins) {
             assert_eq!(check.violations, 0, "{check:?}");
         }
