Drain any instance and report burn of the whole cell through any instance

Operators reach instances through the platform's balancer only. A drain is passed on over the entry link, and the burn counts of all reachable instances are added.

--- a/crates/caller/src/api.rs
+++ b/crates/caller/src/api.rs
@@ -149,8 +149,8 @@
 pub trait Admin: Send + Sync {
     /// Lets a worker or an instance finish what it has and gives it nothing new.
     async fn drain(&self, target: DrainTarget) -> Result<(), Refusal>;
-    /// Counts for the service-level-burn report, as JSON.
-    fn burn(&self) -> Vec<u8>;
+    /// Counts of all reachable instances for the service-level-burn report, as JSON.
+    async fn burn(&self) -> Vec<u8>;
     /// Metrics in the Prometheus text format.
     fn metrics(&self) -> Vec<u8>;
     /// Whether this instance may be given requests.
--- a/crates/caller/src/handler.rs
+++ b/crates/caller/src/handler.rs
@@ -117,14 +117,18 @@
             Route::ChangeSettings(team) => self.change_settings(team, req, principal).await,
             Route::DrainWorker(id) => self.drain(DrainTarget::Worker(id), principal).await,
             Route::DrainInstance(id) => self.drain(DrainTarget::Instance(id), principal).await,
-            Route::Burn => {
-                operator_only(principal).map(|()| reply::raw_json(200, self.admin.burn()))
-            }
+            Route::Burn => self.burn(principal).await,
+
             Route::Health | Route::Ready | Route::Metrics => Err(not_allowed()),
         };
         result.unwrap_or_else(|refusal| reply::refusal(&refusal))
     }
 
+    async fn burn(&self, principal: &Principal) -> Result<Response, Refusal> {
+        operator_only(principal)?;
+        Ok(reply::raw_json(200, self.admin.burn().await))
+    }
+
     fn ready(&self) -> Response {
         match self.admin.ready() {
             Ok(()) => reply::raw_json(200, b"{}".to_vec()),
--- a/crates/caller/tests/api.rs
+++ b/crates/caller/tests/api.rs
@@ -102,7 +102,7 @@
         ))
     }
 
-    fn burn(&self) -> Vec<u8> {
+    async fn burn(&self) -> Vec<u8> {
         b"{}".to_vec()
     }
 
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -217,6 +217,10 @@
     fn still_held(&self, epoch: u64) -> BTreeMap<String, u32>;
     /// Load now.
     fn load(&self) -> Load;
+    /// Begins a graceful stop of the instance.
+    fn drain(&self);
+    /// Counts for the service-level-burn report, as JSON.
+    fn burn_counts(&self) -> Vec<u8>;
 }
 
 /// Figures of a pool that this instance owns.
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -10,9 +10,10 @@
     ragwortreel_entry::{
         EntryService,
         generated::{
-            ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
-            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
-            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion, job_reply,
+            BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply, ConfirmSlotEpochRequest,
+            DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse, HeartbeatReply,
+            HeartbeatRequest, JobMessage, JobReference, JobReply, ReleaseSlotsReply,
+            ReleaseSlotsRequest, SettingsTree, SettingsVersion, job_reply,
         },
     },
     ragwortreel_model::{JobId, JobSpec, Pool, Team},
@@ -69,6 +70,23 @@
         }
     }
 
+    async fn drain(&self, req: DrainRequest) -> DrainReply {
+        let is_own = req.instance == self.0.cfg.instance.as_str();
+        let local = self.0.local().filter(|_| is_own);
+        let accepted = local.is_some();
+        if let Some(local) = local {
+            local.drain();
+        }
+        DrainReply { accepted }
+    }
+
+    async fn burn_counts(&self, _req: BurnCountsRequest) -> BurnCountsReply {
+        let local = self.0.local();
+        BurnCountsReply {
+            counts_json: local.map(|local| local.burn_counts()).unwrap_or_default(),
+        }
+    }
+
     async fn submit_job(&self, message: JobMessage) -> JobReply {
         let spec = serde_json::from_slice::<JobSpec>(&message.spec_json);
         let (Ok(spec), Ok(pool)) = (spec, Pool::new(&message.pool)) else {
--- a/crates/control/tests/support/network.rs
+++ b/crates/control/tests/support/network.rs
@@ -6,9 +6,10 @@
     ragwortreel_entry::{
         EntryError, EntryPeer, EntryService, PeerConnector,
         generated::{
-            ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
-            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
-            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+            BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply, ConfirmSlotEpochRequest,
+            DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse, HeartbeatReply,
+            HeartbeatRequest, JobMessage, JobReference, JobReply, ReleaseSlotsReply,
+            ReleaseSlotsRequest, SettingsTree, SettingsVersion,
         },
     },
     std::{
@@ -138,4 +139,6 @@
     submit_job(JobMessage) -> JobReply;
     cancel_job(JobReference) -> JobReply;
     describe_job(JobReference) -> JobReply;
+    drain(DrainRequest) -> DrainReply;
+    burn_counts(BurnCountsRequest) -> BurnCountsReply;
 }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::generated::{
-        ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
-        HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply, ReleaseSlotsReply,
+        BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply, ConfirmSlotEpochRequest,
+        DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse, HeartbeatReply,
+        HeartbeatRequest, JobMessage, JobReference, JobReply, ReleaseSlotsReply,
         ReleaseSlotsRequest, SettingsTree, SettingsVersion,
     },
     async_trait::async_trait,
@@ -87,6 +88,10 @@
     cancel_job(JobReference) -> JobReply;
     /// Describes jobs at the owner of their pool.
     describe_job(JobReference) -> JobReply;
+    /// Asks the receiver to stop gracefully.
+    drain(DrainRequest) -> DrainReply;
+    /// Returns the receiver's counts for the service-level-burn report.
+    burn_counts(BurnCountsRequest) -> BurnCountsReply;
 }
 
 /// Makes clients for other entry instances.
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -6,10 +6,10 @@
         api::{EntryError, EntryPeer, PeerConnector},
         connection::{ConnectError, Connection, OneCall},
         generated::{
-            ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
-            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
-            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
-            entry_client::EntryClient as Stub,
+            BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply, ConfirmSlotEpochRequest,
+            DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse, HeartbeatReply,
+            HeartbeatRequest, JobMessage, JobReference, JobReply, ReleaseSlotsReply,
+            ReleaseSlotsRequest, SettingsTree, SettingsVersion, entry_client::EntryClient as Stub,
         },
     },
     async_trait::async_trait,
@@ -182,4 +182,8 @@
         -> JobReply;
     describe_job("describe job", JobReference, |limits, _| limits.call, MAX_MESSAGE_BYTES)
         -> JobReply;
+    drain("drain", DrainRequest, |limits, _| limits.call, MAX_MESSAGE_BYTES)
+        -> DrainReply;
+    burn_counts("burn counts", BurnCountsRequest, |limits, _| limits.short_call, MAX_MESSAGE_BYTES)
+        -> BurnCountsReply;
 }
--- a/crates/entry/src/generated.rs
+++ b/crates/entry/src/generated.rs
@@ -229,6 +229,24 @@
         }
     }
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DrainRequest {
+    /// Instance that is meant; another one refuses.
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DrainReply {
+    #[prost(bool, tag = "1")]
+    pub accepted: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BurnCountsRequest {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BurnCountsReply {
+    #[prost(bytes = "vec", tag = "1")]
+    pub counts_json: ::prost::alloc::vec::Vec<u8>,
+}
 /// Generated client implementations.
 pub mod entry_client {
     #![allow(
@@ -465,6 +483,37 @@
                 .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "DescribeJob"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks the receiver to stop gracefully.
+        pub async fn drain(
+            &mut self,
+            request: impl tonic::IntoRequest<super::DrainRequest>,
+        ) -> std::result::Result<tonic::Response<super::DrainReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/Drain");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "Drain"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Returns the receiver's counts for the service-level-burn report.
+        pub async fn burn_counts(
+            &mut self,
+            request: impl tonic::IntoRequest<super::BurnCountsRequest>,
+        ) -> std::result::Result<tonic::Response<super::BurnCountsReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Entry/BurnCounts");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("ragwortreel.entry.v1.Entry", "BurnCounts"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -525,6 +574,16 @@
             &self,
             request: tonic::Request<super::JobReference>,
         ) -> std::result::Result<tonic::Response<super::JobReply>, tonic::Status>;
+        /// Asks the receiver to stop gracefully.
+        async fn drain(
+            &self,
+            request: tonic::Request<super::DrainRequest>,
+        ) -> std::result::Result<tonic::Response<super::DrainReply>, tonic::Status>;
+        /// Returns the receiver's counts for the service-level-burn report.
+        async fn burn_counts(
+            &self,
+            request: tonic::Request<super::BurnCountsRequest>,
+        ) -> std::result::Result<tonic::Response<super::BurnCountsReply>, tonic::Status>;
     }
     /// Calls between entry instances.
     #[derive(Debug)]
@@ -944,6 +1003,81 @@
                     };
                     Box::pin(fut)
                 }
+                "/ragwortreel.entry.v1.Entry/Drain" => {
+                    #[allow(non_camel_case_types)]
+                    struct DrainSvc<T: Entry>(pub Arc<T>);
+                    impl<T: Entry> tonic::server::UnaryService<super::DrainRequest> for DrainSvc<T> {
+                        type Response = super::DrainReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::DrainRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Entry>::drain(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = DrainSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/ragwortreel.entry.v1.Entry/BurnCounts" => {
+                    #[allow(non_camel_case_types)]
+                    struct BurnCountsSvc<T: Entry>(pub Arc<T>);
+                    impl<T: Entry> tonic::server::UnaryService<super::BurnCountsRequest> for BurnCountsSvc<T> {
+                        type Response = super::BurnCountsReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::BurnCountsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Entry>::burn_counts(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = BurnCountsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,9 +7,10 @@
         connection::HyperExecutor,
         events::{ACCEPT_FAILED, CONNECTION_BROKEN, CONNECTION_REFUSED},
         generated::{
-            ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
-            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
-            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+            BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply, ConfirmSlotEpochRequest,
+            DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse, HeartbeatReply,
+            HeartbeatRequest, JobMessage, JobReference, JobReply, ReleaseSlotsReply,
+            ReleaseSlotsRequest, SettingsTree, SettingsVersion,
             entry_server::{Entry, EntryServer as Generated},
         },
     },
@@ -178,4 +179,6 @@
     submit_job(JobMessage) -> JobReply;
     cancel_job(JobReference) -> JobReply;
     describe_job(JobReference) -> JobReply;
+    drain(DrainRequest) -> DrainReply;
+    burn_counts(BurnCountsRequest) -> BurnCountsReply;
 }
--- a/crates/entry/tests/link.rs
+++ b/crates/entry/tests/link.rs
@@ -7,9 +7,10 @@
     ragwortreel_entry::{
         ClientLimits, EntryClient, EntryError, EntryPeer, EntryServer, EntryService,
         generated::{
-            ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ForwardedRequest, ForwardedResponse,
-            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
-            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+            BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply, ConfirmSlotEpochRequest,
+            DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse, HeartbeatReply,
+            HeartbeatRequest, JobMessage, JobReference, JobReply, ReleaseSlotsReply,
+            ReleaseSlotsRequest, SettingsTree, SettingsVersion,
         },
     },
     ragwortreel_runtime::{Stop, block_on, discard_logger, sleep_ms, spawn},
@@ -77,6 +78,12 @@
     async fn describe_job(&self, _: JobReference) -> JobReply {
         JobReply::default()
     }
+    async fn drain(&self, _: DrainRequest) -> DrainReply {
+        DrainReply::default()
+    }
+    async fn burn_counts(&self, _: BurnCountsRequest) -> BurnCountsReply {
+        BurnCountsReply::default()
+    }
 }
 
 struct Server {
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -5,8 +5,9 @@
     async_trait::async_trait,
     ragwortreel_caller::{Admin, DrainTarget, Refusal, RefusalKind},
     ragwortreel_control::Control,
+    ragwortreel_entry::generated::{BurnCountsRequest, DrainRequest},
     ragwortreel_model::InstanceId,
-    ragwortreel_runtime::Stop,
+    ragwortreel_runtime::{Stop, spawn},
     std::sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -45,6 +46,24 @@
     }
 }
 
+impl DaemonAdmin {
+    async fn drain_other(&self, instance: &InstanceId) -> Result<(), Refusal> {
+        let not_found = || Refusal::new(RefusalKind::NotFound, format!("no instance {instance}"));
+        let peer = self.control.peer(instance).ok_or_else(not_found)?;
+        let req = DrainRequest {
+            instance: instance.to_string(),
+        };
+        match peer.drain(req).await {
+            Ok(reply) if reply.accepted => Ok(()),
+            Ok(_) => Err(not_found()),
+            Err(err) if err.is_not_run() => {
+                Err(Refusal::new(RefusalKind::Unavailable, err.to_string()))
+            }
+            Err(err) => Err(Refusal::new(RefusalKind::Unknown, err.to_string())),
+        }
+    }
+}
+
 #[async_trait]
 impl Admin for DaemonAdmin {
     async fn drain(&self, target: DrainTarget) -> Result<(), Refusal> {
@@ -58,18 +77,30 @@
                 self.stop.request();
                 Ok(())
             }
-            DrainTarget::Instance(instance) => {
-                let problem = format!(
-                    "this is instance {}, send the command to {instance}",
-                    self.instance
-                );
-                Err(Refusal::new(RefusalKind::NotFound, problem))
-            }
+            DrainTarget::Instance(instance) => self.drain_other(&instance).await,
         }
     }
 
-    fn burn(&self) -> Vec<u8> {
-        serde_json::to_vec(&self.burn.counts()).unwrap_or_default()
+    async fn burn(&self) -> Vec<u8> {
+        let mut counts = self.burn.counts();
+        let members = self.control.members();
+        let others = members
+            .iter()
+            .filter(|member| !member.is_self && member.link.answers);
+        // All are asked at once, so a silent one costs no more than one time limit.
+        let asked: Vec<_> = others
+            .filter_map(|member| self.control.peer(&member.instance))
+            .map(|peer| spawn(async move { peer.burn_counts(BurnCountsRequest {}).await }))
+            .collect();
+        for reply in asked {
+            let theirs = reply.await.ok();
+            if let Some(theirs) =
+                theirs.and_then(|reply| serde_json::from_slice(&reply.counts_json).ok())
+            {
+                counts.merge(&theirs);
+            }
+        }
+        serde_json::to_vec(&counts).unwrap_or_default()
     }
 
     fn metrics(&self) -> Vec<u8> {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -43,8 +43,8 @@
 /// Where and how to reach an entry instance.
 #[derive(Debug, Clone)]
 pub struct Remote {
-    /// Addresses; all commands but `burn` use the first.
-    pub addresses: Vec<SocketAddr>,
+    /// Address for callers of any entry instance.
+    pub address: SocketAddr,
     /// Bearer token.
     pub token: Option<String>,
     /// Longest time to wait for the answer.
@@ -216,7 +216,7 @@
 
 fn remote_options() -> Options {
     let mut options = Options::new();
-    options.optmulti(
+    options.optopt(
         "a",
         "address",
         "entry instance (default 127.0.0.1:8080)",
@@ -239,14 +239,10 @@
 }
 
 fn remote(matches: &Matches) -> Result<Remote, Error> {
-    let mut addresses = matches.opt_strs("address");
-    if addresses.is_empty() {
-        addresses.push(DEFAULT_ADDRESS.to_owned());
-    }
-    let addresses = addresses.iter().map(|text| {
-        text.parse()
-            .map_err(|_| Error::usage(format!("--address: '{text}' is not IP:PORT")))
-    });
+    let address = matches
+        .opt_str("address")
+        .unwrap_or_else(|| DEFAULT_ADDRESS.to_owned());
+    let bad_address = |_| Error::usage(format!("--address: '{address}' is not IP:PORT"));
     let token = match matches.opt_str("token-file") {
         Some(file) => {
             let text = crate::config::read(&PathBuf::from(file))?;
@@ -255,7 +251,7 @@
         None => env::var(TOKEN_VARIABLE).ok(),
     };
     Ok(Remote {
-        addresses: addresses.collect::<Result<_, _>>()?,
+        address: address.parse().map_err(bad_address)?,
         token,
         timeout: Duration::from_millis(number(matches, "timeout-ms", DEFAULT_TIMEOUT_MS)?),
         json: matches.opt_present("json"),
--- a/src/client.rs
+++ b/src/client.rs
@@ -188,14 +188,11 @@
     }
 
     async fn burn(&self) -> Result<(), Error> {
-        let mut counts = BurnCounts::default();
-        for &address in &self.remote.addresses {
-            let step = "reading burn counts";
-            let response = self
-                .send_to(address, step, Method::Get, "/v1/burn", None, Vec::new())
-                .await?;
-            counts.merge(&self.parse(step, &response)?);
-        }
+        let step = "reading burn counts";
+        let response = self
+            .send(step, Method::Get, "/v1/burn", None, Vec::new())
+            .await?;
+        let counts: BurnCounts = self.parse(step, &response)?;
         let report = burn::report(&counts);
         if self.remote.json {
             let json =
@@ -213,19 +210,7 @@
         base: Option<u64>,
         body: Vec<u8>,
     ) -> Result<Response, Error> {
-        self.send_to(self.remote.addresses[0], step, method, path, base, body)
-            .await
-    }
-
-    async fn send_to(
-        &self,
-        address: SocketAddr,
-        step: &'static str,
-        method: Method,
-        path: &str,
-        base: Option<u64>,
-        body: Vec<u8>,
-    ) -> Result<Response, Error> {
+        let address = self.remote.address;
         let mut headers = Headers::new();
         headers.insert("host", address.to_string());
         if let Some(token) = &self.remote.token {
@@ -271,7 +256,7 @@
     ) -> Result<T, Error> {
         serde_json::from_slice(&response.body).map_err(|err| Error::Refused {
             step,
-            peer: self.remote.addresses[0].to_string(),
+            peer: self.remote.address.to_string(),
             problem: format!("unreadable answer: {err}"),
             exit: Exit::Failure,
         })
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -174,6 +174,8 @@
             services.clone(),
             self.router.clone(),
             self.control.clone(),
+            Arc::clone(&self.burn),
+            self.stop.clone(),
         );
         self.control.set_local_requests(Arc::new(local));
         services
--- a/src/local.rs
+++ b/src/local.rs
@@ -1,13 +1,14 @@
 //! What other entry instances ask of this instance's request routing.
 
 use {
-    crate::{forward, service_call::ServiceRouter},
+    crate::{burn::BurnCounter, forward, service_call::ServiceRouter},
     async_trait::async_trait,
     ragwortreel_caller::CallReply,
     ragwortreel_control::{Control, Load, LocalRequests},
     ragwortreel_entry::generated::{ForwardedRequest, ForwardedResponse},
     ragwortreel_model::{InstanceId, Outcome},
     ragwortreel_routing::{Router, RouterFigures, SlotLimits, slot_shares},
+    ragwortreel_runtime::Stop,
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -17,6 +18,8 @@
     services: ServiceRouter,
     router: Router,
     control: Control,
+    burn: Arc<BurnCounter>,
+    stop: Stop,
 }
 
 impl LocalService {
@@ -27,12 +30,16 @@
         services: ServiceRouter,
         router: Router,
         control: Control,
+        burn: Arc<BurnCounter>,
+        stop: Stop,
     ) -> Self {
         Self {
             instance,
             services,
             router,
             control,
+            burn,
+            stop,
         }
     }
 }
@@ -88,6 +95,14 @@
             .collect()
     }
 
+    fn drain(&self) {
+        self.stop.request();
+    }
+
+    fn burn_counts(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.burn.counts()).unwrap_or_default()
+    }
+
     fn load(&self) -> Load {
         let figures = self.router.figures();
         Load {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -2,6 +2,7 @@
 
 use {
     ragwortreel::{
+        burn::BurnCounts,
         cell::CellPlan,
         checks::check_all,
         load::{Load, Mix, Seen},
@@ -17,6 +18,8 @@
     },
 };
 
+/// Token of the operators in the example settings.
+const OPERATOR: &str = "change-me-operator";
 /// Longest time until a state is reached; far above the usual one, so that a slow machine does not fail the test.
 const LIMIT: Duration = Duration::from_mins(1);
 
@@ -124,6 +127,21 @@
     text
 }
 
+/// Requests of one service in the burn counts that an instance reports for the whole cell.
+async fn burnt_requests(cell: &ProcessCell, number: usize) -> u64 {
+    let response = cell
+        .ask(number, Method::Get, "/v1/burn", OPERATOR, &[], b"")
+        .await;
+    let counts = serde_json::from_slice(&response.expect("the instance answers").body);
+    let counts: BurnCounts = counts.expect("burn counts");
+    counts
+        .services
+        .iter()
+        .flat_map(|service| &service.minutes)
+        .map(|minute| minute.total)
+        .sum()
+}
+
 /// Guards the whole path over real processes: jobs of each kind are placed by whichever instance owns the pool, and
 /// requests at any instance are answered whole.
 #[test]
@@ -186,8 +204,39 @@
         }
         wait_for_job(&cell, "job-service", |job| job.running == 3).await;
         check_metrics(&cell).await;
+        assert_eq!(burnt_requests(&cell, 4).await, calls.len() as u64);
         for check in check_all(&calls, &cell.standins) {
             assert_eq!(check.violations, 0, "{check:?}");
         }
     });
 }
+
+/// An operator reaches instances through the balancer only, so any of them must pass a drain on to the one that is meant.
+#[test]
+fn instance_is_drained_through_another_one() {
+    let mut cell = start();
+    block_on(async {
+        let path = "/v1/instances/entry-riga-b-0/drain";
+        let response = cell
+            .ask(0, Method::Post, path, OPERATOR, &[], b"")
+            .await
+            .expect("the instance answers");
+        assert_eq!(
+            response.status,
+            202,
+            "{}",
+            String::from_utf8_lossy(&response.body)
+        );
+        let limit = Instant::now() + LIMIT;
+        while !cell.has_ended(1).expect("the process can be asked") {
+            assert!(Instant::now() < limit, "the drained instance does not end");
+            sleep_ms(50).await;
+        }
+        let path = "/v1/instances/entry-nowhere/drain";
+        let response = cell
+            .ask(0, Method::Post, path, OPERATOR, &[], b"")
+            .await
+            .expect("the instance answers");
+        assert_eq!(response.status, 404);
+    });
+}
