routing: end requests in flight when their slot is lost

Cause: the daemon never looked at Permit::revoked and Permit::is_valid, so a request went on after the lease or the excess time had ended, while another instance already used its slot. Dropping a send did not end its exchange either. Change: the connection's task checks the slot right before the first byte and races the exchange against the loss of the slot. The result is not-run when no byte was sent, else unknown, and comes after the connection has closed. A lost slot does not count against the backend server's health. Conclusion: an exchange ends with its slot.

--- a/crates/backend/src/outcome.rs
+++ b/crates/backend/src/outcome.rs
@@ -53,6 +53,12 @@
         /// Address of the backend server.
         peer: SocketAddr,
     },
+    /// The slot was lost before the first byte was sent.
+    #[display("{peer}: the slot was lost before the request was sent")]
+    Revoked {
+        /// Address of the backend server.
+        peer: SocketAddr,
+    },
     /// No connection could be opened.
     #[display("{_0}")]
     Connect(ClientError),
@@ -78,6 +84,12 @@
     /// The connection broke, or the response was not acceptable.
     #[display("{_0}")]
     Broken(ClientError),
+    /// The slot was lost after the first byte was sent.
+    #[display("{peer}: the slot was lost while the request ran")]
+    Revoked {
+        /// Address of the backend server.
+        peer: SocketAddr,
+    },
     /// The connection's task ended without a result.
     #[display("{peer}: task of the connection ended")]
     TaskEnded {
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        NotRun, PoolLimits, PoolStats, SendResult, Terms, Unknown,
+        NotRun, PoolLimits, PoolStats, SendResult, Slot, Terms, Unknown,
         state::{Job, Place, Shared},
         task::ConnectionTask,
     },
@@ -51,11 +51,33 @@
     /// not queued here; when all connections are in use it ends at once. Dropping the future does not end the
     /// exchange.
     pub async fn send(&self, request: Request, terms: Terms) -> SendResult {
+        self.send_job(request, terms, None).await
+    }
+
+    /// Like [`BackendPool::send`], but ends the exchange and closes its connection when the slot is lost.
+    ///
+    /// The result comes after the connection no longer counts as open.
+    pub async fn send_in_slot(
+        &self,
+        request: Request,
+        terms: Terms,
+        slot: Arc<dyn Slot>,
+    ) -> SendResult {
+        self.send_job(request, terms, Some(slot)).await
+    }
+
+    async fn send_job(
+        &self,
+        request: Request,
+        terms: Terms,
+        slot: Option<Arc<dyn Slot>>,
+    ) -> SendResult {
         let peer = self.shared.peer;
         let (reply, reply_rx) = async_channel::bounded(1);
         let job = Job {
             request,
             terms,
+            slot,
             reply,
         };
         loop {
--- a/crates/backend/src/state.rs
+++ b/crates/backend/src/state.rs
@@ -1,7 +1,7 @@
 //! State that a pool shares with the tasks of its connections.
 
 use {
-    crate::{PoolLimits, SendResult, Terms, latency::Latency},
+    crate::{PoolLimits, SendResult, Slot, Terms, latency::Latency},
     async_channel::Sender,
     ragwortreel_http::Request,
     ragwortreel_model::WorkClass,
@@ -23,6 +23,8 @@
 pub struct Job {
     pub request: Request,
     pub terms: Terms,
+    /// Absent for requests that need no slot.
+    pub slot: Option<Arc<dyn Slot>>,
     pub reply: Sender<SendResult>,
 }
 
--- a/crates/backend/src/task.rs
+++ b/crates/backend/src/task.rs
@@ -45,6 +45,7 @@
 enum End {
     Done(Result<Response, ClientError>),
     Silent(Duration),
+    Revoked,
 }
 
 /// What an idle connection does next.
@@ -104,7 +105,16 @@
                 result => return (result, Some(open)),
             }
         }
-        match self.connect(job.terms.deadline).await {
+        let connect = async { Some(self.connect(job.terms.deadline).await) };
+        let lost = async {
+            revoked(&job).await;
+            None
+        };
+        let Some(connected) = future::or(connect, lost).await else {
+            let peer = self.shared.peer;
+            return (SendResult::NotRun(NotRun::Revoked { peer }), None);
+        };
+        match connected {
             Ok(mut open) => (self.exchange(&mut open, &job, false).await, Some(open)),
             Err(err) => {
                 log_event!(self.shared.log, CONNECT_FAILED; "error" => err.to_string());
@@ -189,9 +199,14 @@
     }
 
     async fn exchange(&self, open: &mut Open, job: &Job, reused: bool) -> SendResult {
+        let peer = self.shared.peer;
+        // The process may have been paused since the slot was given, so this is the last step before the first byte.
+        if job.slot.as_ref().is_some_and(|slot| !slot.is_valid()) {
+            return SendResult::NotRun(NotRun::Revoked { peer });
+        }
         let started = Instant::now();
         let progress = open.connection.progress();
-        let read_before = progress.read();
+        let (read_before, written_before) = (progress.read(), progress.written());
         let exchange = async {
             End::Done(
                 open.connection
@@ -203,7 +218,11 @@
             let waited = self.watch(&mut open.alarm, &progress, job.terms, started);
             End::Silent(waited.await)
         };
-        match future::or(exchange, watch).await {
+        let lost = async {
+            revoked(job).await;
+            End::Revoked
+        };
+        match future::or(exchange, future::or(watch, lost)).await {
             End::Done(Ok(response)) => {
                 open.last_sign = Instant::now();
                 self.shared
@@ -212,13 +231,16 @@
             }
             End::Done(Err(err)) => self.failed(err, reused && progress.read() == read_before),
             End::Silent(waited) => {
-                let peer = self.shared.peer;
                 log_event!(self.shared.log, CONNECTION_SILENT; "peer" => peer.to_string(),
                     "waited_ms" => u64::try_from(waited.as_millis()).unwrap_or(u64::MAX));
                 self.shared.record_silent(job.terms.class, waited);
                 self.shared.found_silent();
                 SendResult::Unknown(Unknown::Silent { peer, waited })
             }
+            End::Revoked if progress.written() == written_before => {
+                SendResult::NotRun(NotRun::Revoked { peer })
+            }
+            End::Revoked => SendResult::Unknown(Unknown::Revoked { peer }),
         }
     }
 
@@ -270,6 +292,14 @@
     }
 }
 
+/// Waits until the request's slot is lost; forever for a request without one.
+async fn revoked(job: &Job) {
+    match &job.slot {
+        Some(slot) => slot.revoked().await,
+        None => future::pending().await,
+    }
+}
+
 /// Whether the connection, not the request or its deadline, was the cause.
 fn is_broken(err: &ClientError) -> bool {
     matches!(err.cause, Cause::Io(_) | Cause::Closed)
--- a/crates/backend/tests/pool.rs
+++ b/crates/backend/tests/pool.rs
@@ -4,7 +4,9 @@
 
 use {
     common::{Backend, terms},
-    ragwortreel_backend::{BackendPool, NotRun, PoolLimits, PoolStats, Probe, SendResult, Unknown},
+    ragwortreel_backend::{
+        BackendPool, NotRun, PoolLimits, PoolStats, Probe, SendResult, Slot, Unknown,
+    },
     ragwortreel_http::{Request, Sent},
     ragwortreel_model::{Outcome, WorkClass},
     ragwortreel_runtime::{block_on, discard_logger, sleep_ms, spawn},
@@ -379,3 +381,53 @@
     pool.set_max_connections(1);
     assert_answered(&send(&pool, "/ok"), "/ok");
 }
+
+/// A slot that is lost when the test closes the channel.
+struct Lost(async_channel::Receiver<()>);
+
+#[async_trait::async_trait]
+impl Slot for Lost {
+    fn is_valid(&self) -> bool {
+        !self.0.is_closed()
+    }
+
+    async fn revoked(&self) {
+        let _ = self.0.recv().await;
+    }
+}
+
+// Guards against a request that outlives the lease or share of its slot, which another instance then uses as well.
+#[test]
+fn lost_slot_ends_the_exchange() {
+    let backend = Backend::start();
+    let pool = Arc::new(backend.pool(PoolLimits::default()));
+    let (revoke, lost) = async_channel::bounded::<()>(1);
+    thread::spawn(move || {
+        thread::sleep(Duration::from_millis(100));
+        revoke.close();
+    });
+    let started = Instant::now();
+    let terms = terms(WorkClass::Short, 5000);
+    let request = Request::get("/delay/2000");
+    let result = block_on(pool.send_in_slot(request, terms, Arc::new(Lost(lost))));
+    assert!(matches!(
+        result,
+        SendResult::Unknown(Unknown::Revoked { .. })
+    ));
+    assert!(started.elapsed() < Duration::from_secs(1));
+    // The connection has closed before the result, so it does not count against the share any more.
+    assert_eq!(pool.stats().open, 0);
+}
+
+// Guards against sending in a slot that was lost while the process was paused before the first byte.
+#[test]
+fn nothing_is_sent_in_a_lost_slot() {
+    let backend = Backend::start();
+    let pool = backend.pool(quick());
+    let (revoke, lost) = async_channel::bounded::<()>(1);
+    revoke.close();
+    let terms = terms(WorkClass::Short, 5000);
+    let result = block_on(pool.send_in_slot(Request::get("/ok"), terms, Arc::new(Lost(lost))));
+    assert!(matches!(result, SendResult::NotRun(NotRun::Revoked { .. })));
+    assert_eq!(backend.runs("/ok"), 0);
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,7 +23,7 @@
         BackendId, BackendServer, Refusal, RefusalReason, RequestInfo, RequestResult, RouterConfig,
         ZoneLoad,
     },
-    router::{Permit, Router},
+    router::{Permit, Router, SlotWatch},
     shares::{Share, SlotLimits, SlotShares, inherits, slot_shares},
     state::GrantId,
 };
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -178,6 +178,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn is_valid(&self, id: GrantId) -> bool {
+        let now = self.clock.now_ms();
+        self.lock().is_valid(now, id)
+    }
+
     /// Changes the state, then hands out what the change decided, outside of the lock.
     fn change(self: &Arc<Self>, change: impl FnOnce(&mut State, u64)) {
         let now = self.clock.now_ms();
@@ -256,8 +261,7 @@
     /// been paused since the permit was given.
     #[must_use]
     pub fn is_valid(&self) -> bool {
-        let now = self.shared.clock.now_ms();
-        self.shared.lock().is_valid(now, self.grant.id)
+        self.shared.is_valid(self.grant.id)
     }
 
     /// Waits until this instance has lost the slot: its lease has expired or its share has shrunk for good.
@@ -267,6 +271,16 @@
         let _ = self.grant.revoked.recv().await;
     }
 
+    /// A view of the slot for the task that sends the request.
+    #[must_use]
+    pub fn watch(&self) -> SlotWatch {
+        SlotWatch {
+            shared: Arc::clone(&self.shared),
+            id: self.grant.id,
+            revoked: self.grant.revoked.clone(),
+        }
+    }
+
     /// Frees the slot and records how the request ended.
     pub fn finish(mut self, result: RequestResult) {
         self.result = result;
@@ -279,6 +293,27 @@
     }
 }
 
+/// Tells whether a permit's slot may still be used.
+#[derive(Clone)]
+pub struct SlotWatch {
+    shared: Arc<Shared>,
+    id: GrantId,
+    revoked: Receiver<()>,
+}
+
+impl SlotWatch {
+    /// Like [`Permit::is_valid`].
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.shared.is_valid(self.id)
+    }
+
+    /// Like [`Permit::revoked`]; also ends when the permit is given back.
+    pub async fn revoked(&self) {
+        let _ = self.revoked.recv().await;
+    }
+}
+
 impl std::fmt::Debug for Permit {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Permit")
--- a/src/pooled.rs
+++ b/src/pooled.rs
@@ -3,8 +3,9 @@
 use {
     crate::transport::{Reply, Target, Transport},
     async_trait::async_trait,
-    ragwortreel_backend::{BackendPool, PoolLimits, SendResult, Terms},
+    ragwortreel_backend::{BackendPool, PoolLimits, SendResult, Slot, Terms},
     ragwortreel_http::Request,
+    ragwortreel_routing::SlotWatch,
     ragwortreel_runtime::Logger,
     std::{
         collections::BTreeMap,
@@ -83,16 +84,40 @@
     usize::try_from(connections).unwrap_or(usize::MAX)
 }
 
+/// A slot that the router gave.
+struct Held(SlotWatch);
+
+#[async_trait]
+impl Slot for Held {
+    fn is_valid(&self) -> bool {
+        self.0.is_valid()
+    }
+
+    async fn revoked(&self) {
+        self.0.revoked().await;
+    }
+}
+
 #[async_trait]
 impl Transport for PooledTransport {
-    async fn send(&self, target: Target, mut req: Request, deadline: Instant) -> Reply {
+    async fn send(
+        &self,
+        target: Target,
+        mut req: Request,
+        deadline: Instant,
+        slot: SlotWatch,
+    ) -> Reply {
         req.headers.insert("host", target.address.to_string());
         let terms = Terms {
             class: target.class,
             deadline,
             resendable: target.resendable,
         };
-        match self.pool(&target).send(req, terms).await {
+        match self
+            .pool(&target)
+            .send_in_slot(req, terms, Arc::new(Held(slot)))
+            .await
+        {
             SendResult::Answered(response) => Reply::Answered(response),
             SendResult::NotRun(reason) => Reply::NotRun(Arc::from(reason.to_string())),
             SendResult::Unknown(reason) => Reply::Unknown(Arc::from(reason.to_string())),
--- a/src/service_call.rs
+++ b/src/service_call.rs
@@ -273,7 +273,7 @@
         let reply = self
             .parts
             .transport
-            .send(target, request_of(call), *deadline)
+            .send(target, request_of(call), *deadline, permit.watch())
             .await;
         attempts.count += 1;
         let (result, label, proven_not_run) = match reply {
@@ -288,21 +288,17 @@
             }
             Reply::NotRun(reason) => {
                 attempts.reason = reason;
-                (RequestResult::ConnectionFailed, "not-run", true)
+                let result = if permit.is_valid() {
+                    RequestResult::ConnectionFailed
+                } else {
+                    RequestResult::Abandoned
+                };
+                (result, "not-run", true)
             }
             Reply::Unknown(reason) => {
                 attempts.reason = reason;
                 attempts.may_have_run = true;
-                let is_late = Instant::now() >= *deadline;
-                (
-                    if is_late {
-                        RequestResult::TimedOut
-                    } else {
-                        RequestResult::ConnectionFailed
-                    },
-                    "unknown",
-                    false,
-                )
+                (failure(&permit, *deadline), "unknown", false)
             }
         };
         permit.finish(result);
@@ -425,6 +421,17 @@
         .into()
 }
 
+/// How an attempt without a known outcome ended, as far as it tells about the backend server.
+fn failure(permit: &Permit, deadline: Instant) -> RequestResult {
+    if !permit.is_valid() {
+        RequestResult::Abandoned
+    } else if Instant::now() >= deadline {
+        RequestResult::TimedOut
+    } else {
+        RequestResult::ConnectionFailed
+    }
+}
+
 fn request_of(call: &ServiceCall) -> Request {
     Request {
         method: call.method,
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -4,6 +4,7 @@
     async_trait::async_trait,
     ragwortreel_http::{Request, Response},
     ragwortreel_model::WorkClass,
+    ragwortreel_routing::SlotWatch,
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -40,6 +41,7 @@
 /// Sends requests to backend servers.
 #[async_trait]
 pub trait Transport: Send + Sync {
-    /// Sends one request and waits for its whole response until the deadline.
-    async fn send(&self, target: Target, req: Request, deadline: Instant) -> Reply;
+    /// Sends one request and waits for its whole response until the deadline, or until the slot is lost.
+    async fn send(&self, target: Target, req: Request, deadline: Instant, slot: SlotWatch)
+    -> Reply;
 }
