--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -10,11 +10,8 @@
     },
     ragwortreel_placement::PoolStats,
     ragwortreel_platform::InstanceState,
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
-        sync::Arc,
-    },
+    ragwortreel_routing::{BackendId, InUse, SlotShares},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
 
 /// A settings tree and its version.
@@ -152,34 +149,6 @@
     pub link: LinkState,
 }
 
-/// Earlier slot epoch of which some members may still use their slots.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EarlierSlots {
-    /// Its members.
-    pub members: Vec<InstanceId>,
-    /// Those whose slots of that epoch must not be used by others yet.
-    pub unreleased: BTreeSet<InstanceId>,
-}
-
-/// What the division of slots among the entry instances of a zone depends on.
-///
-/// A slot may be used when the division over `members` gives it to this instance, `lease_until_ms` has not passed, no
-/// entry of `earlier` gives it to an unreleased member, and the division without this instance gives it to no member
-/// of `withheld_for`.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct SlotShares {
-    /// Epoch; 0 before the zone has one.
-    pub epoch: u64,
-    /// Members in order of their names.
-    pub members: Vec<InstanceId>,
-    /// Until when the share may be used, on the clock given at the start.
-    pub lease_until_ms: u64,
-    /// Members that did not confirm the epoch and whose port does not refuse connections.
-    pub withheld_for: BTreeSet<InstanceId>,
-    /// Earlier epochs that are not fully released.
-    pub earlier: Vec<EarlierSlots>,
-}
-
 /// A backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Backend {
@@ -213,8 +182,10 @@
 pub trait LocalRequests: Send + Sync {
     /// Serves a request that another zone forwarded.
     async fn forward(&self, req: ForwardedRequest) -> ForwardedResponse;
-    /// Backend servers on which slots beyond the share of this epoch are in use.
-    fn still_held(&self, epoch: u64) -> BTreeMap<String, u32>;
+    /// Takes over what may be used of each backend server; called before the release is reported.
+    fn apply_shares(&self, shares: &SlotShares);
+    /// What is in use of each backend server.
+    fn in_use(&self) -> BTreeMap<BackendId, InUse>;
     /// Load now.
     fn load(&self) -> Load;
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -4,7 +4,7 @@
     crate::{
         api::{
             Backend, ChangeError, Figures, JobError, LocalRequests, Member, SettingsChange,
-            SlotShares, VersionedSettings,
+            VersionedSettings,
         },
         backends, change,
         config::{ControlConfig, SchedulerFactory},
@@ -18,13 +18,14 @@
         service::Service,
         settings::SettingsStore,
         shared::{Shared, lock},
-        slots,
+        slots::{self, SlotState},
         store::{Definite, commit_definite, limited},
     },
     async_channel::Receiver,
     ragwortreel_entry::{EntryPeer, EntryService, PeerConnector},
     ragwortreel_model::{Clock, InstanceId, JobId, JobSpec, JobStatus, Team, WorkerId},
     ragwortreel_platform::{InstanceList, ObjectStore, TableService, Txn},
+    ragwortreel_routing::SlotShares,
     ragwortreel_runtime::{Logger, Stop, log_event, sleep_ms, spawn, timeout_ms},
     ragwortreel_worker::WorkerConnector,
     std::{
@@ -71,6 +72,7 @@
         log: Logger,
         stop: Stop,
     ) -> Self {
+        let slots = Mutex::new(SlotState::new(cfg.instance.clone()));
         let shared = Arc::new(Shared {
             cfg,
             table: connections.table,
@@ -87,7 +89,7 @@
             view: Mutex::default(),
             peers: Peers::default(),
             settings: SettingsStore::new(),
-            slots: Mutex::default(),
+            slots,
             owners: Mutex::default(),
             vacancies: Mutex::default(),
             listed: Mutex::default(),
@@ -196,16 +198,16 @@
         self.shared.members()
     }
 
-    /// The inputs of the division of slots, as of now.
+    /// Hands what may be used now of each backend server to the part that serves requests, and returns it.
     #[must_use]
-    pub fn slot_shares_input(&self) -> SlotShares {
-        slots::shares(&self.shared)
+    pub fn refresh_shares(&self) -> SlotShares {
+        slots::refresh(&self.shared)
     }
 
-    /// A message after each change of members, releases or confirmations; the lease itself is read at use.
+    /// Members of the newest slot epoch of the own zone.
     #[must_use]
-    pub fn subscribe_slot_shares(&self) -> Receiver<()> {
-        lock(&self.shared.slots).subscribe()
+    pub fn slot_members(&self) -> Vec<InstanceId> {
+        lock(&self.shared.slots).members().to_vec()
     }
 
     /// Backend servers of all zones.
@@ -315,7 +317,7 @@
         Figures {
             is_ready: self.is_ready(),
             settings_version: shared.settings.current().version,
-            slot_epoch: lock(&shared.slots).epoch(),
+            slot_epoch: lock(&shared.slots).epoch().0,
             pools: owners.iter().filter_map(|owner| owner.figures()).collect(),
             live_members: shared
                 .members()
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,8 +26,8 @@
 
 pub use {
     api::{
-        Backend, ChangeError, EarlierSlots, Figures, JobError, LinkState, Load, LocalRequests,
-        Member, PoolFigures, SettingsChange, SlotShares, VersionedSettings,
+        Backend, ChangeError, Figures, JobError, LinkState, Load, LocalRequests, Member,
+        PoolFigures, SettingsChange, VersionedSettings,
     },
     config::{ControlConfig, Limits, PoolConfig, SchedulerFactory, Timings, ZoneConfig, pools_of},
     control::{Connections, Control},
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -35,6 +35,7 @@
             .is_none_or(|until_ms| until_ms <= begun_ms + shared.cfg.timings.lease_ms / 2)
         {
             slots::confirm_by_members(&shared).await;
+            slots::ask_releases(&shared);
         }
         sleep_ms(shared.cfg.timings.renewal_ms).await;
     }
@@ -97,6 +98,8 @@
             lease.version = versions.first().copied().unwrap_or(version + 1);
             lease.renewed_ms = Some(sent_ms);
             lease.joined_ms.get_or_insert(sent_ms);
+            drop(lease);
+            slots::renewed(shared, sent_ms);
             true
         }
         Ok(TxnOutcome::Conflict { current }) => {
@@ -154,7 +157,7 @@
         lease.joined_ms = None;
     }
     ownership::drop_all(shared);
-    lock(&shared.slots).drop_share();
+    slots::drop_share(shared);
 }
 
 /// Reads the control rows until the stop and hands them to those who act on them.
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -80,14 +80,6 @@
         }
     }
 
-    /// Whether the peer's port refused our last connection.
-    pub fn was_refused(&self, id: &InstanceId) -> bool {
-        let known = lock(&self.known);
-        known
-            .get(id)
-            .is_some_and(|peer| peer.refused_ms > peer.answered_ms)
-    }
-
     /// The newest summary of a pool that any peer sent.
     pub fn summary(&self, pool: &Pool) -> Option<(InstanceId, PoolSummary)> {
         let known = lock(&self.known);
@@ -251,7 +243,7 @@
         incarnation: shared.cfg.incarnation.0,
         zone: shared.cfg.zone.to_string(),
         settings_version: shared.settings.current().version,
-        slot_epoch: lock(&shared.slots).epoch(),
+        slot_epoch: lock(&shared.slots).epoch().0,
         leaving: shared.is_leaving(),
         pools: owners.iter().map(|owner| owner.summary()).collect(),
         in_flight: load.in_flight,
--- a/crates/control/src/rows.rs
+++ b/crates/control/src/rows.rs
@@ -63,8 +63,11 @@
 /// Members among which the slots of a zone's backend servers are divided.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct SlotsRow {
-    pub epoch: u64,
+    pub epoch: Epoch,
     pub members: Vec<InstanceId>,
+    /// Member lists of the epochs before, oldest first, for a member that missed some.
+    #[serde(default)]
+    pub recent: Vec<Vec<InstanceId>>,
 }
 
 /// Newest settings version.
--- a/crates/control/src/slots.rs
+++ b/crates/control/src/slots.rs
@@ -1,24 +1,23 @@
-//! Slot epochs of the own zone: members, leases, confirmations and releases.
+//! Slot epochs of the own zone: the table row, the messages and the tasks that feed the [`ShareLedger`].
 
 use {
     crate::{
-        api::{EarlierSlots, SlotShares},
         events::SLOT_EPOCH,
         rows::{self, SlotsRow},
         shared::{Shared, lock},
         store::{Definite, commit_definite},
         view::{Versioned, View},
     },
-    async_channel::{Receiver, Sender},
     ragwortreel_entry::{
         EntryError,
         generated::{
             ConfirmSlotEpochReply, ConfirmSlotEpochRequest, ReleaseSlotsReply, ReleaseSlotsRequest,
         },
     },
-    ragwortreel_model::{Incarnation, InstanceId},
-    ragwortreel_platform::{Check, Txn, Write},
-    ragwortreel_runtime::{log_event, spawn},
+    ragwortreel_model::{Epoch, InstanceId},
+    ragwortreel_platform::{Check, InstanceState, Txn, Write},
+    ragwortreel_routing::{BackendId, ReleaseReport, ShareLedger, SlotLimits, SlotShares},
+    ragwortreel_runtime::{Task, log_event, spawn},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -27,345 +26,319 @@
 
 /// Most members removed in one transaction, which is bounded in rows.
 const MAX_REMOVED: usize = 32;
-/// Most earlier epochs kept while their slots are not released; the oldest are merged.
-const MAX_EARLIER: usize = 16;
+/// Member lists kept in the row beside the newest. A member uses nothing while it does not know an epoch between the
+/// oldest release of another member and the newest.
+const RECENT_EPOCHS: usize = 16;
 
-#[derive(Default)]
 pub(crate) struct SlotState {
     row: SlotsRow,
-    version: u64,
-    adopted_ms: u64,
+    ledger: ShareLedger,
     /// The share may not be used until the row was read again after a fence.
     dropped: bool,
-    /// Lease by confirmations of the other members, and those that were silent.
-    confirmed_until_ms: u64,
-    silent: BTreeSet<InstanceId>,
-    earlier: Vec<Earlier>,
-    /// Until when this instance has promised each member not to change the epoch.
-    promised: BTreeMap<InstanceId, u64>,
-    /// A change of the epoch by this instance is under way.
+    /// The task that changes the epoch runs; at most one at a time.
+    checking: bool,
+    /// A change of the epoch by this instance may take effect, so no epoch is confirmed.
     changing: bool,
-    subscribers: Vec<Sender<()>>,
-}
-
-struct Earlier {
-    members: Vec<InstanceId>,
-    unreleased: BTreeMap<InstanceId, Holder>,
-    since_ms: u64,
-}
-
-/// Process whose slots of an earlier epoch are not released yet.
-struct Holder {
-    incarnation: Option<Incarnation>,
 }
 
 impl SlotState {
-    pub fn epoch(&self) -> u64 {
-        self.row.epoch
+    pub fn new(me: InstanceId) -> Self {
+        Self {
+            row: SlotsRow::default(),
+            ledger: ShareLedger::new(me),
+            dropped: false,
+            checking: false,
+            changing: false,
+        }
     }
 
-    pub fn has_member(&self, id: &InstanceId) -> bool {
-        self.row.members.contains(id)
+    pub fn epoch(&self) -> Epoch {
+        self.ledger.epoch()
     }
 
-    /// Stops the use of the share until the row was read again.
-    pub fn drop_share(&mut self) {
-        self.dropped = true;
-        self.confirmed_until_ms = 0;
-        self.notify();
+    pub fn members(&self) -> &[InstanceId] {
+        self.ledger.members()
     }
 
-    pub fn subscribe(&mut self) -> Receiver<()> {
-        let (tx, rx) = async_channel::bounded(1);
-        self.subscribers.push(tx);
-        rx
+    pub fn has_member(&self, id: &InstanceId) -> bool {
+        self.members().contains(id)
     }
 
-    fn notify(&mut self) {
-        self.subscribers.retain(|tx| !tx.is_closed());
-        for tx in &self.subscribers {
-            let _ = tx.try_send(());
+    /// Takes over the row with the member lists of epochs that were missed.
+    fn adopt(&mut self, shared: &Shared, row: &SlotsRow, now_ms: u64) {
+        if row.epoch <= self.ledger.epoch() {
+            return;
         }
+        let first = row.epoch.0.saturating_sub(row.recent.len() as u64);
+        let lists = row.recent.iter().chain([&row.members]);
+        for (epoch, members) in (first..).zip(lists) {
+            self.ledger.apply_epoch(now_ms, Epoch(epoch), members);
+        }
+        self.row = row.clone();
+        log_event!(shared.log, SLOT_EPOCH; "epoch" => row.epoch.0, "members" => row.members.len());
     }
 }
 
-/// The inputs of the division of slots, as of now.
-pub(crate) fn shares(shared: &Shared) -> SlotShares {
-    let row_lease_ms = shared.lease_until_ms().unwrap_or(0);
-    let state = lock(&shared.slots);
-    let is_member = state.row.members.contains(&shared.cfg.instance);
-    let by_row = row_lease_ms >= state.confirmed_until_ms;
-    let lease_until_ms = if state.dropped || !is_member {
-        0
-    } else {
-        row_lease_ms.max(state.confirmed_until_ms)
-    };
-    SlotShares {
-        epoch: state.row.epoch,
-        members: state.row.members.clone(),
-        lease_until_ms,
-        withheld_for: if by_row {
-            BTreeSet::new()
-        } else {
-            state.silent.clone()
-        },
-        earlier: state
-            .earlier
-            .iter()
-            .map(|earlier| EarlierSlots {
-                members: earlier.members.clone(),
-                unreleased: earlier.unreleased.keys().cloned().collect(),
-            })
-            .collect(),
+/// Hands what may be used now to the part that serves requests, and returns it.
+pub(crate) fn refresh(shared: &Shared) -> SlotShares {
+    apply(shared, &mut lock(&shared.slots))
+}
+
+/// The lock is held meanwhile, so that older shares never replace newer ones whose release was reported.
+fn apply(shared: &Shared, state: &mut SlotState) -> SlotShares {
+    let now_ms = shared.now_ms();
+    let limits = SlotLimits::of(&shared.settings.current().settings.cell);
+    let backends = Arc::clone(&lock(&shared.backends));
+    let own = backends.iter().filter(|b| b.zone == shared.cfg.zone);
+    let ids: Vec<BackendId> = own.map(|b| Arc::from(b.id.as_str())).collect();
+    let mut usable = state.ledger.usable(now_ms, &ids, limits);
+    if state.dropped {
+        usable.valid_until_ms = 0;
+    }
+    if let Some(local) = shared.local() {
+        local.apply_shares(&usable);
     }
+    usable
+}
+
+/// The own row was renewed by a write sent at `sent_ms`.
+pub(crate) fn renewed(shared: &Shared, sent_ms: u64) {
+    let mut state = lock(&shared.slots);
+    state.ledger.renewed_by_table(sent_ms);
+    apply(shared, &mut state);
+}
+
+/// Stops the use of the share until the row was read again.
+pub(crate) fn drop_share(shared: &Shared) {
+    let mut state = lock(&shared.slots);
+    state.dropped = true;
+    apply(shared, &mut state);
 }
 
 /// Takes over the zone's row and changes it when members came or went; follows each scan.
 pub(crate) fn check(shared: &Arc<Shared>, begun_ms: u64) {
     let view = lock(&shared.view).clone();
     let now_ms = shared.now_ms();
-    let row = view.slots.get(&shared.cfg.zone);
     let joined_ms = lock(&shared.lease).joined_ms;
-    {
+    let may_change = {
         let mut state = lock(&shared.slots);
-        if let Some(found) = row {
-            adopt(shared, &mut state, found, &view, now_ms);
+        if let Some(found) = view.slots.get(&shared.cfg.zone) {
+            state.adopt(shared, &found.row, now_ms);
+        }
+        for (id, seen) in &view.instances {
+            state.ledger.peer_seen(seen.changed_ms, id);
         }
         // Only a reading that began after the row was rewritten shows whether the fence came with a new epoch.
         if joined_ms.is_some_and(|joined_ms| begun_ms >= joined_ms) {
             state.dropped = false;
         }
-    }
-    expire_earlier(shared, &view, now_ms);
+        apply(shared, &mut state);
+        !state.checking && shared.is_lease_valid()
+    };
     ask_releases(shared);
-    if let Some((txn, members)) = next_change(shared, &view, now_ms) {
-        lock(&shared.slots).changing = true;
-        spawn(write(Arc::clone(shared), txn, members)).detach();
+    let change = Change::due(shared, &view, now_ms);
+    if let Some(change) = change.filter(|_| may_change) {
+        lock(&shared.slots).checking = true;
+        let shared = Arc::clone(shared);
+        spawn(async move {
+            change.make(&shared, &view).await;
+            lock(&shared.slots).checking = false;
+        })
+        .detach();
     }
 }
 
-fn adopt(
-    shared: &Shared,
-    state: &mut SlotState,
-    found: &Versioned<SlotsRow>,
-    view: &View,
-    now_ms: u64,
-) {
-    state.version = found.version;
-    if found.row.epoch <= state.row.epoch {
-        return;
+/// Asks the other members to whose shares they have shrunk.
+pub(crate) fn ask_releases(shared: &Arc<Shared>) {
+    let ids = lock(&shared.slots).ledger.unreleased();
+    for id in ids {
+        let call = ask_release(shared, &id);
+        spawn(async move {
+            let _ = call.await;
+        })
+        .detach();
     }
-    let holder = |id: &InstanceId| Holder {
-        incarnation: view.instances.get(id).map(|seen| seen.row.incarnation),
-    };
-    let unreleased = (state.row.members.iter())
-        .filter(|id| **id != shared.cfg.instance)
-        .map(|id| (id.clone(), holder(id)))
-        .collect();
-    let earlier = Earlier {
-        members: std::mem::take(&mut state.row.members),
-        unreleased,
-        since_ms: now_ms,
+}
+
+/// Asks one member for its release; the answer also shows that it is alive.
+fn ask_release(shared: &Arc<Shared>, id: &InstanceId) -> Task<Result<(), Silence>> {
+    let (shared, id) = (Arc::clone(shared), id.clone());
+    let req = ReleaseSlotsRequest {
+        instance: shared.cfg.instance.to_string(),
+        zone: shared.cfg.zone.to_string(),
+        epoch: lock(&shared.slots).epoch().0,
     };
-    if !earlier.unreleased.is_empty() && state.earlier.len() < MAX_EARLIER {
-        state.earlier.push(earlier);
-    }
-    state.row = found.row.clone();
-    state.adopted_ms = now_ms;
-    state.confirmed_until_ms = 0;
-    state.silent.clear();
-    log_event!(shared.log, SLOT_EPOCH; "epoch" => state.row.epoch,
-        "members" => state.row.members.len());
-    state.notify();
+    spawn(async move {
+        let client = shared.peers.client(&id).ok_or(Silence::NoAnswer)?;
+        let reply = match client.release_slots(req).await {
+            Ok(reply) if reply.instance == id.as_str() => reply,
+            // Another process listens at the address, so this one does not.
+            Ok(_) | Err(EntryError::Refused { .. }) => return Err(Silence::Refused),
+            Err(_) => return Err(Silence::NoAnswer),
+        };
+        let held = reply.still_held.iter().map(|id| BackendId::from(&**id));
+        let report = ReleaseReport {
+            epoch: Epoch(reply.epoch),
+            still_held: held.collect(),
+        };
+        let mut state = lock(&shared.slots);
+        state.ledger.peer_seen(shared.now_ms(), &id);
+        state.ledger.peer_released(&id, &report);
+        apply(&shared, &mut state);
+        Ok(())
+    })
 }
 
-/// Drops holders whose process is gone or whose lease has expired.
-fn expire_earlier(shared: &Shared, view: &View, now_ms: u64) {
-    let lease_ms = shared.cfg.timings.lease_ms;
-    let mut state = lock(&shared.slots);
-    let state = &mut *state;
-    let (promised, members) = (&state.promised, &state.row.members);
-    let mut changed = false;
-    for earlier in &mut state.earlier {
-        let since_ms = earlier.since_ms;
-        earlier.unreleased.retain(|id, holder| {
-            let gone = holder
-                .incarnation
-                .is_none_or(|incarnation| view.is_gone(id, incarnation));
-            // A member that is in the new epoch too may renew its lease and must confirm the release. One that was
-            // dropped can only use up the lease that it had, by its row or by our promise.
-            let expired = !members.contains(id)
-                && now_ms >= since_ms + lease_ms
-                && promised.get(id).is_none_or(|until_ms| now_ms >= *until_ms);
-            let dead = !members.contains(id)
-                && !view.is_live(id, now_ms, lease_ms)
-                && promised.get(id).is_none_or(|until_ms| now_ms >= *until_ms);
-            let keep = !(gone || expired || dead);
-            changed |= !keep;
-            keep
-        });
-    }
-    state
-        .earlier
-        .retain(|earlier| !earlier.unreleased.is_empty());
-    if changed {
-        state.notify();
-    }
+/// Why a member gave no answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Silence {
+    NoAnswer,
+    /// Its port refuses connections.
+    Refused,
 }
 
-/// Asks holders of earlier epochs whether their requests on slots that they lost have ended.
-fn ask_releases(shared: &Arc<Shared>) {
-    let (epoch, holders) = {
-        let state = lock(&shared.slots);
-        let holders: BTreeSet<InstanceId> = (state.earlier.iter())
-            .flat_map(|earlier| earlier.unreleased.keys().cloned())
+/// A change of the members that is due by the rows.
+struct Change {
+    found: Versioned<SlotsRow>,
+    joins: bool,
+    leaves: bool,
+    /// Members whose rows have not changed for the lease time.
+    suspects: Vec<InstanceId>,
+}
+
+impl Change {
+    fn due(shared: &Shared, view: &View, now_ms: u64) -> Option<Self> {
+        let own = &shared.cfg.instance;
+        let lease_ms = shared.cfg.timings.lease_ms;
+        let found = view.slots.get(&shared.cfg.zone).cloned();
+        let found = found.unwrap_or_else(|| Versioned {
+            row: SlotsRow::default(),
+            version: 0,
+        });
+        let is_member = found.row.members.contains(own);
+        let others = found.row.members.iter().filter(|id| *id != own);
+        let suspects: Vec<_> = others
+            .filter(|id| !view.is_live(id, now_ms, lease_ms))
+            .take(MAX_REMOVED)
+            .cloned()
             .collect();
-        (state.row.epoch, holders)
-    };
-    for id in holders {
-        let Some(client) = shared.peers.client(&id) else {
-            continue;
+        let change = Self {
+            joins: !is_member && !shared.is_leaving(),
+            leaves: is_member && shared.is_leaving(),
+            suspects,
+            found,
         };
-        let shared = Arc::clone(shared);
-        let req = ReleaseSlotsRequest {
-            instance: shared.cfg.instance.to_string(),
-            zone: shared.cfg.zone.to_string(),
-            epoch,
-        };
-        spawn(async move {
-            let Ok(reply) = client.release_slots(req).await else {
-                return;
-            };
-            if reply.epoch_known && reply.still_held.is_empty() {
-                released(&shared, &id, epoch);
-            }
-        })
-        .detach();
+        let is_due = change.joins || change.leaves || !change.suspects.is_empty();
+        is_due.then_some(change)
     }
-}
 
-fn released(shared: &Shared, id: &InstanceId, epoch: u64) {
-    let mut state = lock(&shared.slots);
-    if state.row.epoch != epoch {
-        return;
+    /// Asks the suspects themselves, then writes the epoch without those that may be removed.
+    async fn make(self, shared: &Arc<Shared>, view: &View) {
+        let asked = self.suspects.iter();
+        let calls: Vec<_> = asked.map(|id| (id, ask_release(shared, id))).collect();
+        let mut silent = Vec::new();
+        for (id, call) in calls {
+            if let Err(silence) = call.await {
+                silent.push((id, silence == Silence::Refused || is_terminated(shared, id)));
+            }
+        }
+        let Some((txn, row)) = self.begin(shared, view, &silent) else {
+            return;
+        };
+        // An open outcome would let the change come into effect after a promise, so it is followed to its end.
+        let keep_on = || !shared.stop.is_requested();
+        let definite = commit_definite(&*shared.table, &txn, keep_on).await;
+        let mut state = lock(&shared.slots);
+        state.changing = false;
+        if matches!(definite, Definite::Committed { .. }) {
+            let now_ms = shared.now_ms();
+            state.adopt(shared, &row, now_ms);
+            apply(shared, &mut state);
+        }
     }
-    for earlier in &mut state.earlier {
-        earlier.unreleased.remove(id);
+
+    /// The transaction, if a change is still due and no promise is open.
+    fn begin(
+        &self,
+        shared: &Shared,
+        view: &View,
+        silent: &[(&InstanceId, bool)],
+    ) -> Option<(Txn, SlotsRow)> {
+        let own = &shared.cfg.instance;
+        let row = &self.found.row;
+        let mut state = lock(&shared.slots);
+        let now_ms = shared.now_ms();
+        let is_promised = now_ms < state.ledger.promised_until_ms();
+        if is_promised || state.epoch() != row.epoch || !shared.is_lease_valid() {
+            return None;
+        }
+        let may_remove =
+            |(id, is_gone): &&(&InstanceId, bool)| state.ledger.may_remove(now_ms, id, *is_gone);
+        let gone: BTreeSet<_> = silent
+            .iter()
+            .filter(may_remove)
+            .map(|(id, _)| *id)
+            .collect();
+        if gone.is_empty() && !self.joins && !self.leaves {
+            return None;
+        }
+        let members: BTreeSet<_> = (row.members.iter())
+            .filter(|id| !gone.contains(id) && *id != own)
+            .chain((!self.leaves).then_some(own))
+            .cloned()
+            .collect();
+        let mut recent = row.recent.clone();
+        if row.epoch > Epoch(0) {
+            recent.push(row.members.clone());
+        }
+        recent.drain(..recent.len().saturating_sub(RECENT_EPOCHS));
+        let next = SlotsRow {
+            epoch: Epoch(row.epoch.0 + 1),
+            members: members.into_iter().collect(),
+            recent,
+        };
+        let key = rows::slots_key(&shared.cfg.zone);
+        let mut txn = Txn {
+            checks: vec![rows::check(&key, self.found.version)],
+            writes: vec![rows::put(&key, &next)],
+        };
+        for id in gone {
+            let (check, write) = fence(view, id);
+            txn.checks.push(check);
+            txn.writes.extend(write);
+        }
+        state.changing = true;
+        Some((txn, next))
     }
-    state
-        .earlier
-        .retain(|earlier| !earlier.unreleased.is_empty());
-    state.notify();
 }
 
-/// The transaction that brings the zone's members up to date, if one is due and no promise is open.
-fn next_change(shared: &Shared, view: &View, now_ms: u64) -> Option<(Txn, SlotsRow)> {
-    let own = &shared.cfg.instance;
-    let mut state = lock(&shared.slots);
-    state.promised.retain(|_, until_ms| now_ms < *until_ms);
-    if state.changing || !state.promised.is_empty() || !shared.is_lease_valid() {
-        return None;
-    }
-    let lease_ms = shared.cfg.timings.lease_ms;
-    let row = view
-        .slots
-        .get(&shared.cfg.zone)
-        .map(|found| found.row.clone())
-        .unwrap_or_default();
-    let stays = |id: &InstanceId| {
-        let seen = view.instances.get(id);
-        id == own
-            || seen.is_some_and(|seen| !seen.row.leaving && view.is_live(id, now_ms, lease_ms))
-    };
-    let gone: Vec<_> = row
-        .members
-        .iter()
-        .filter(|id| !stays(id))
-        .take(MAX_REMOVED)
-        .collect();
-    let joins = !row.members.contains(own) && !shared.is_leaving();
-    if gone.is_empty() && !joins {
-        return None;
-    }
-    let mut members: BTreeSet<_> = row
-        .members
-        .iter()
-        .filter(|id| !gone.contains(id))
-        .cloned()
-        .collect();
-    if joins {
-        members.insert(own.clone());
-    }
-    let next = SlotsRow {
-        epoch: row.epoch + 1,
-        members: members.into_iter().collect(),
-    };
-    let key = rows::slots_key(&shared.cfg.zone);
-    let mut txn = Txn {
-        checks: vec![rows::check(
-            &key,
-            view.slots
-                .get(&shared.cfg.zone)
-                .map_or(0, |found| found.version),
-        )],
-        writes: vec![rows::put(&key, &next)],
-    };
-    for id in gone {
-        let (check, write) = fence(view, id);
-        txn.checks.push(check);
-        txn.writes.extend(write);
-    }
-    Some((txn, next))
+/// Whether the platform lists an instance as ended; an absent one may only be too new for the list.
+fn is_terminated(shared: &Shared, id: &InstanceId) -> bool {
+    let listed = lock(&shared.listed);
+    let mut entries = listed.iter().filter(|entry| entry.id == *id);
+    entries.any(|entry| entry.state == InstanceState::Terminated)
 }
 
-/// Fences a dropped member's row, so that it gives up its share before it renews its lease again.
+/// Fences a removed member's row, so that it gives up its share before it renews its lease again.
 fn fence(view: &View, id: &InstanceId) -> (Check, Option<Write>) {
     let key = rows::instance_key(id);
     let Some(seen) = view.instances.get(id) else {
         return (rows::check(&key, 0), None);
     };
     let mut row = seen.row.clone();
-    let write = (!row.leaving && !row.fenced).then(|| {
+    let write = (!row.fenced).then(|| {
         row.fenced = true;
         rows::put(&key, &row)
     });
     (rows::check(&key, seen.version), write)
 }
 
-async fn write(shared: Arc<Shared>, txn: Txn, row: SlotsRow) {
-    // An open outcome would let the change come into effect after a promise, so it is followed to its end.
-    let keep_on = || !shared.stop.is_requested();
-    let definite = commit_definite(&*shared.table, &txn, keep_on).await;
-    let version = match definite {
-        Definite::Committed {
-            versions: Some(versions),
-        } => versions.first().copied(),
-        _ => None,
-    };
-    let view = lock(&shared.view).clone();
-    let now_ms = shared.now_ms();
-    let mut state = lock(&shared.slots);
-    state.changing = false;
-    if let Some(version) = version {
-        adopt(
-            &shared,
-            &mut state,
-            &Versioned { row, version },
-            &view,
-            now_ms,
-        );
-    }
-}
-
 /// Extends the lease by the other members' word while the table does not answer.
 pub(crate) async fn confirm_by_members(shared: &Arc<Shared>) {
     let (epoch, members, usable) = {
         let state = lock(&shared.slots);
-        (
-            state.row.epoch,
-            state.row.members.clone(),
-            !state.dropped && !state.changing,
-        )
+        let usable = !state.dropped && !state.changing;
+        (state.epoch(), state.members().to_vec(), usable)
     };
     let own = &shared.cfg.instance;
     let joined = lock(&shared.lease).joined_ms.is_some();
@@ -376,40 +349,36 @@
         instance: own.to_string(),
         incarnation: shared.cfg.incarnation.0,
         zone: shared.cfg.zone.to_string(),
-        epoch,
+        epoch: epoch.0,
     };
     let sent_ms = shared.now_ms();
-    let calls: Vec<_> = (members.iter())
-        .filter(|id| *id != own)
-        .map(|id| {
-            let (client, req) = (shared.peers.client(id), req.clone());
-            let call = spawn(async move {
-                match client {
-                    Some(client) => Some(client.confirm_slot_epoch(req).await),
-                    None => None,
-                }
-            });
-            (id.clone(), call)
-        })
-        .collect();
-    let mut silent = BTreeSet::new();
+    let call = |id: &InstanceId| {
+        let (client, req) = (shared.peers.client(id), req.clone());
+        let call = spawn(async move { Some(client?.confirm_slot_epoch(req).await) });
+        (id.clone(), call)
+    };
+    let others = members.iter().filter(|id| *id != own);
+    let calls: Vec<_> = others.map(call).collect();
+    let (mut confirmed, mut refusing) = (BTreeMap::new(), BTreeSet::new());
     for (id, call) in calls {
         match call.await {
-            Some(Ok(reply)) if reply.confirmed => {}
+            Some(Ok(reply)) if reply.instance != id.as_str() => {}
+            Some(Ok(reply)) if reply.confirmed => {
+                confirmed.insert(id, reply.table_lease_ms);
+            }
             // The epoch has changed and the new one is not known here, so the share must not be used.
-            Some(Ok(reply)) if reply.newest_epoch > epoch => return,
-            Some(Err(EntryError::Refused { .. })) => {}
-            _ if shared.peers.was_refused(&id) => {}
-            _ => {
-                silent.insert(id);
+            Some(Ok(reply)) if reply.newest_epoch > epoch.0 => return,
+            Some(Err(EntryError::Refused { .. })) => {
+                refusing.insert(id);
             }
+            _ => {}
         }
     }
     let mut state = lock(&shared.slots);
-    if state.row.epoch == epoch && !state.dropped {
-        state.confirmed_until_ms = sent_ms + shared.cfg.timings.held_lease_ms();
-        state.silent = silent;
-        state.notify();
+    if !state.dropped && !state.changing {
+        let ledger = &mut state.ledger;
+        ledger.renewed_by_peers(sent_ms, epoch, &confirmed, &refusing);
+        apply(shared, &mut state);
     }
 }
 
@@ -417,33 +386,36 @@
 pub(crate) fn confirm(shared: &Shared, req: &ConfirmSlotEpochRequest) -> ConfirmSlotEpochReply {
     let now_ms = shared.now_ms();
     let mut state = lock(&shared.slots);
-    let asker = InstanceId::new(&req.instance).ok();
-    let is_member = asker
-        .as_ref()
-        .is_some_and(|id| state.row.members.contains(id));
-    let confirmed = is_member
-        && !state.changing
-        && req.zone == shared.cfg.zone.as_str()
-        && req.epoch == state.row.epoch;
-    if let Some(id) = asker.filter(|_| confirmed) {
-        state
-            .promised
-            .insert(id, now_ms + shared.cfg.timings.lease_ms);
-    }
+    let may_confirm = !state.changing && !state.dropped && req.zone == shared.cfg.zone.as_str();
+    let asking = InstanceId::new(&req.instance).ok().filter(|_| may_confirm);
+    let confirmed = asking.is_some_and(|id| state.ledger.confirm(now_ms, &id, Epoch(req.epoch)));
     ConfirmSlotEpochReply {
         confirmed,
-        newest_epoch: state.row.epoch,
+        newest_epoch: state.epoch().0,
+        table_lease_ms: state.ledger.table_lease_ms(now_ms),
+        instance: shared.cfg.instance.to_string(),
     }
 }
 
-/// Answers a member that gained slots which this instance may still use.
+/// Answers a member that asks to whose shares this instance has shrunk.
 pub(crate) fn release(shared: &Shared, req: &ReleaseSlotsRequest) -> ReleaseSlotsReply {
-    let epoch_known = lock(&shared.slots).row.epoch >= req.epoch;
-    let local = shared.local().filter(|_| epoch_known);
+    let instance = shared.cfg.instance.to_string();
+    if req.zone != shared.cfg.zone.as_str() {
+        return ReleaseSlotsReply {
+            instance,
+            ..ReleaseSlotsReply::default()
+        };
+    }
+    let mut state = lock(&shared.slots);
+    // What is in use is looked at after the shares are in force, so that it cannot grow beyond the report again.
+    apply(shared, &mut state);
+    let in_use = shared.local().map(|local| local.in_use());
+    let limits = SlotLimits::of(&shared.settings.current().settings.cell);
+    let now_ms = shared.now_ms();
+    let report = (state.ledger).release_report(now_ms, &in_use.unwrap_or_default(), limits);
     ReleaseSlotsReply {
-        still_held: local
-            .map(|local| local.still_held(req.epoch))
-            .unwrap_or_default(),
-        epoch_known,
+        still_held: report.still_held.iter().map(ToString::to_string).collect(),
+        epoch: report.epoch.0,
+        instance,
     }
 }
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -3,102 +3,242 @@
 mod support;
 
 use {
-    ragwortreel_control::{SettingsChange, SlotShares},
-    ragwortreel_model::{InstanceId, Resources, TeamSettings},
+    async_trait::async_trait,
+    ragwortreel_control::{Load, LocalRequests, SettingsChange},
+    ragwortreel_entry::generated::{ForwardedRequest, ForwardedResponse, ReleaseSlotsRequest},
+    ragwortreel_model::{Clock as _, InstanceId, Resources, ServiceName, TeamSettings},
     ragwortreel_platform::{InstanceState, ListedInstance, ListedRole},
+    ragwortreel_routing::{BackendId, InUse, SlotShares},
     ragwortreel_runtime::{block_on, sleep_ms},
     ragwortreel_standins::Outage,
-    std::collections::BTreeMap,
-    support::{Cell, job, name, team},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+    },
+    support::{Cell, FastClock, job, name, team},
 };
 
-const SLOTS: usize = 24;
+const BACKENDS: [&str; 3] = ["b1", "b2", "b3"];
+const SLOTS: u32 = 8;
+const ALL_SLOTS: u32 = 24;
 
-/// A simple division for the tests: slots go round the members.
-fn holder(members: &[InstanceId], slot: usize) -> Option<&InstanceId> {
-    members.get(slot % members.len().max(1))
+/// What the instances use of each backend server.
+///
+/// It is checked with each change, before the instance reports its release, so a slot with two users is found however
+/// short the time.
+#[derive(Default)]
+struct Usage {
+    by_instance: BTreeMap<String, Used>,
+    overused: Vec<String>,
 }
 
-/// Whether an instance would use a slot now.
-fn uses(shares: &SlotShares, own: &InstanceId, slot: usize, now_ms: u64) -> bool {
-    let others: Vec<_> = shares
-        .members
-        .iter()
-        .filter(|id| *id != own)
-        .cloned()
-        .collect();
-    let unreleased = shares.earlier.iter().any(|earlier| {
-        holder(&earlier.members, slot).is_some_and(|id| earlier.unreleased.contains(id))
-    });
-    let withheld = holder(&others, slot).is_some_and(|id| shares.withheld_for.contains(id));
-    holder(&shares.members, slot) == Some(own)
-        && now_ms < shares.lease_until_ms
-        && !unreleased
-        && !withheld
+#[derive(Default)]
+struct Used {
+    shares: SlotShares,
+    /// Requests in flight that have not ended, on each backend server.
+    in_flight: u32,
+}
+
+impl Used {
+    fn slots(&self, backend: &str, now_ms: u64) -> u32 {
+        let is_valid = now_ms < self.shares.valid_until_ms;
+        let share = self.shares.by_backend.get(backend).filter(|_| is_valid);
+        share.map_or(0, |share| share.slots).max(self.in_flight)
+    }
+
+    fn all_slots(&self, now_ms: u64) -> u32 {
+        BACKENDS.iter().map(|id| self.slots(id, now_ms)).sum()
+    }
+}
+
+impl Usage {
+    fn check(&mut self, now_ms: u64) {
+        for backend in BACKENDS {
+            let slots = |(id, used): (&String, &Used)| (id.clone(), used.slots(backend, now_ms));
+            let used: BTreeMap<_, _> = self.by_instance.iter().map(slots).collect();
+            if used.values().sum::<u32>() > SLOTS {
+                self.overused.push(format!("{backend}: {used:?}"));
+            }
+        }
+    }
+}
+
+/// The request part of one process; it takes every slot that it may use.
+struct Local {
+    id: String,
+    clock: Arc<FastClock>,
+    usage: Arc<Mutex<Usage>>,
+    gate: Arc<support::Gate>,
 }
 
-/// The instances that would use each slot now.
-fn users(cell: &Cell) -> Vec<Vec<String>> {
-    use ragwortreel_model::Clock as _;
-    let shares: BTreeMap<_, _> = (cell.instances.iter())
-        .map(|(id, instance)| (id, (&instance.id, instance.control.slot_shares_input())))
-        .collect();
-    let now_ms = cell.clock.now_ms();
-    let user = |slot| {
-        let using = shares
+#[async_trait]
+impl LocalRequests for Local {
+    async fn forward(&self, _: ForwardedRequest) -> ForwardedResponse {
+        ForwardedResponse::default()
+    }
+
+    fn apply_shares(&self, shares: &SlotShares) {
+        let mut usage = self.usage.lock().unwrap();
+        if !self.gate.is_killed() {
+            let used = usage.by_instance.entry(self.id.clone()).or_default();
+            used.shares = shares.clone();
+            usage.check(self.clock.now_ms());
+        }
+    }
+
+    fn in_use(&self) -> BTreeMap<BackendId, InUse> {
+        let usage = self.usage.lock().unwrap();
+        let in_flight = usage.by_instance.get(&self.id).map_or(0, |u| u.in_flight);
+        let in_use = InUse {
+            slots: in_flight,
+            connections: in_flight,
+        };
+        BACKENDS
             .iter()
-            .filter(|(_, (own, shares))| uses(shares, own, slot, now_ms));
-        using.map(|(id, _)| (*id).clone()).collect()
-    };
-    (0..SLOTS).map(user).collect()
+            .map(|id| (BackendId::from(*id), in_use))
+            .collect()
+    }
+
+    fn load(&self) -> Load {
+        Load::default()
+    }
 }
 
-/// Watches for a time that no slot has two users, until a condition holds.
-async fn watch(cell: &Cell, what: &str, holds: impl Fn(&[Vec<String>]) -> bool) {
-    cell.until(what, |cell| {
-        let users = users(cell);
-        assert!(
-            users.iter().all(|users| users.len() <= 1),
-            "{what}: {users:?}"
-        );
-        holds(&users)
-    })
-    .await;
+/// A zone with backend servers, whose instances' use is recorded.
+struct Members {
+    cell: Cell,
+    usage: Arc<Mutex<Usage>>,
 }
 
-async fn watch_for(cell: &Cell, what: &str, real_ms: u64) {
-    let since = std::time::Instant::now();
-    let limit = std::time::Duration::from_millis(real_ms);
-    watch(cell, what, |_| since.elapsed() > limit).await;
+impl Members {
+    fn new() -> Self {
+        let cell = Cell::new(&["riga-a"], 0);
+        for (id, port) in BACKENDS.iter().zip(2_000..) {
+            cell.platform.put_instance(ListedInstance {
+                id: name(InstanceId::new, id),
+                zone: cell.zones[0].clone(),
+                address: SocketAddr::from(([127, 0, 0, 1], port)),
+                state: InstanceState::Live,
+                role: ListedRole::Backend {
+                    team: team(),
+                    service: name(ServiceName::new, "quotes"),
+                },
+            });
+        }
+        Self {
+            cell,
+            usage: Arc::default(),
+        }
+    }
+
+    fn start(&mut self, id: &str) {
+        self.cell.start(id, "riga-a");
+        let instance = &self.cell.instances[id];
+        instance.control.set_local_requests(Arc::new(Local {
+            id: id.to_owned(),
+            clock: Arc::clone(&self.cell.clock),
+            usage: Arc::clone(&self.usage),
+            gate: Arc::clone(&instance.gate),
+        }));
+    }
+
+    /// Ends a process, and with it its requests.
+    fn kill(&mut self, id: &str) {
+        self.cell.kill(id);
+        self.usage.lock().unwrap().by_instance.remove(id);
+    }
+
+    fn set_in_flight(&self, id: &str, in_flight: u32) {
+        let mut usage = self.usage.lock().unwrap();
+        let used = usage.by_instance.get_mut(id).expect("has a share");
+        used.in_flight = in_flight;
+    }
+
+    /// Slots that each instance uses now, over all backend servers.
+    fn used(&self, what: &str) -> BTreeMap<String, u32> {
+        let now_ms = self.cell.clock.now_ms();
+        let mut usage = self.usage.lock().unwrap();
+        usage.check(now_ms);
+        assert!(usage.overused.is_empty(), "{what}: {:?}", usage.overused);
+        let used = usage.by_instance.iter();
+        used.map(|(id, used)| (id.clone(), used.all_slots(now_ms)))
+            .collect()
+    }
+
+    fn has_lease(&self, id: &str) -> bool {
+        let now_ms = self.cell.clock.now_ms();
+        let usage = self.usage.lock().unwrap();
+        now_ms < usage.by_instance[id].shares.valid_until_ms
+    }
+
+    /// Watches that no slot has two users, until a condition holds.
+    async fn watch(&self, what: &str, holds: impl Fn(&BTreeMap<String, u32>) -> bool) {
+        let holds = |_: &Cell| holds(&self.used(what));
+        self.cell.until(what, holds).await;
+    }
+
+    async fn watch_for(&self, what: &str, real_ms: u64) {
+        let since = std::time::Instant::now();
+        let limit = std::time::Duration::from_millis(real_ms);
+        self.watch(what, |_| since.elapsed() > limit).await;
+    }
+
+    fn address(&self, id: &str) -> SocketAddr {
+        self.cell.instances[id].address
+    }
+
+    fn cut(&self, one: &str, two: &str) {
+        let (one, two) = (self.address(one), self.address(two));
+        self.cell.network.cut(one, two);
+        self.cell.network.cut(two, one);
+    }
+
+    fn set_outage(&self) {
+        self.cell
+            .platform
+            .faults()
+            .update(|faults| faults.outage = Some(Outage::Refuse));
+    }
 }
 
-fn all_used(users: &[Vec<String>]) -> bool {
-    users.iter().all(|users| users.len() == 1)
+fn all_used(used: &BTreeMap<String, u32>) -> bool {
+    used.values().sum::<u32>() == ALL_SLOTS
 }
 
-async fn three_members() -> Cell {
-    let mut cell = Cell::new(&["riga-a"], 0);
+async fn three_members() -> Members {
+    let mut members = Members::new();
     for id in ["e1", "e2", "e3"] {
-        cell.start(id, "riga-a");
+        members.start(id);
     }
-    watch(&cell, "all slots used", all_used).await;
-    let members = |cell: &Cell| cell.any().slot_shares_input().members.len();
-    cell.until("three members", |cell| members(cell) == 3).await;
-    watch(&cell, "all slots used by three", all_used).await;
-    cell.ready().await;
-    cell
+    members.watch("all slots used", all_used).await;
+    let count = |cell: &Cell| cell.any().slot_members().len();
+    members
+        .cell
+        .until("three members", |cell| count(cell) == 3)
+        .await;
+    let by_three = |used: &BTreeMap<_, _>| all_used(used) && used.values().all(|used| *used > 0);
+    members.watch("all slots used by three", by_three).await;
+    members.cell.ready().await;
+    members
 }
 
 /// A dead member's slots must come back, and at no time may two members use one.
 #[test]
 fn slots_of_a_dead_member_come_back() {
     block_on(async {
-        let mut cell = three_members().await;
-        cell.kill("e2");
-        watch(&cell, "all slots used by the others", all_used).await;
-        cell.start("e2", "riga-a");
-        let is_back = |users: &[Vec<String>]| all_used(users) && users[1] == ["e2"];
-        watch(&cell, "the restarted member has its share", is_back).await;
+        let mut members = three_members().await;
+        members.kill("e2");
+        members
+            .watch("all slots used by the others", all_used)
+            .await;
+        members.start("e2");
+        let is_back = |used: &BTreeMap<String, u32>| {
+            all_used(used) && used.get("e2").is_some_and(|used| *used > 0)
+        };
+        members
+            .watch("the restarted member has its share", is_back)
+            .await;
     });
 }
 
@@ -106,17 +246,19 @@
 #[test]
 fn paused_member_loses_its_slots() {
     block_on(async {
-        let cell = three_members().await;
-        cell.instances["e2"].gate.pause();
-        watch(&cell, "all slots used by the others", |users| {
-            all_used(users) && !users.iter().any(|users| users[0] == "e2")
-        })
-        .await;
-        cell.instances["e2"].gate.resume();
-        watch(&cell, "it has a share again", |users| {
-            all_used(users) && users.iter().any(|users| users[0] == "e2")
-        })
-        .await;
+        let members = three_members().await;
+        members.cell.instances["e2"].gate.pause();
+        members
+            .watch("all slots used by the others", |used| {
+                all_used(used) && used["e2"] == 0
+            })
+            .await;
+        members.cell.instances["e2"].gate.resume();
+        members
+            .watch("it has a share again", |used| {
+                all_used(used) && used["e2"] > 0
+            })
+            .await;
     });
 }
 
@@ -124,21 +266,17 @@
 #[test]
 fn members_confirm_each_other_without_the_table() {
     block_on(async {
-        let cell = three_members().await;
-        cell.platform
-            .faults()
-            .update(|faults| faults.outage = Some(Outage::Refuse));
+        let members = three_members().await;
+        members.set_outage();
         sleep_ms(1_000).await;
         let mut used = 0;
         for _ in 0..50 {
-            let users = users(&cell);
-            assert!(users.iter().all(|users| users.len() <= 1), "{users:?}");
-            used += usize::from(all_used(&users));
+            used += usize::from(all_used(&members.used("during the outage")));
             sleep_ms(10).await;
         }
         assert!(used > 0, "no member confirms");
-        cell.platform.faults().clear();
-        watch(&cell, "all used after the outage", all_used).await;
+        members.cell.platform.faults().clear();
+        members.watch("all used after the outage", all_used).await;
     });
 }
 
@@ -146,22 +284,103 @@
 #[test]
 fn slots_are_withheld_for_a_silent_member() {
     block_on(async {
-        let cell = three_members().await;
-        let address = |id: &str| cell.instances[id].address;
-        cell.network.cut(address("e1"), address("e2"));
-        cell.network.cut(address("e2"), address("e1"));
-        cell.platform
-            .faults()
-            .update(|faults| faults.outage = Some(Outage::Refuse));
-        cell.until("e1 withholds for e2", |cell| {
-            let shares = cell.control("e1").slot_shares_input();
-            shares.withheld_for.contains(&name(InstanceId::new, "e2"))
-        })
-        .await;
-        watch_for(&cell, "during the outage", 1_000).await;
-        cell.platform.faults().clear();
-        cell.network.heal();
-        watch(&cell, "all used after the outage", all_used).await;
+        let members = three_members().await;
+        let before = members.used("before")["e1"];
+        members.cut("e1", "e2");
+        members.set_outage();
+        members
+            .watch("e1 withholds for e2", |used| {
+                used["e1"] < before && members.has_lease("e1")
+            })
+            .await;
+        members.watch_for("during the outage", 1_000).await;
+        members.cell.platform.faults().clear();
+        members.cell.network.heal();
+        members.watch("all used after the outage", all_used).await;
+    });
+}
+
+/// Two members without the table confirm each other, while the third one removes both; withholding only the gain from
+/// one's own removal would leave slots with two users.
+#[test]
+fn silent_member_may_remove_all_others() {
+    block_on(async {
+        let members = three_members().await;
+        for id in ["e1", "e2"] {
+            members.cut(id, "e3");
+            members.cell.instances[id].gate.cut_table(true);
+        }
+        members
+            .watch("e3 uses all", |used| used["e3"] == ALL_SLOTS)
+            .await;
+        members.watch_for("after the removal", 500).await;
+        for id in ["e1", "e2"] {
+            members.cell.instances[id].gate.cut_table(false);
+        }
+        members.cell.network.heal();
+        let by_three =
+            |used: &BTreeMap<_, _>| all_used(used) && used.values().all(|used| *used > 0);
+        members.watch("all used by three", by_three).await;
+    });
+}
+
+/// A member that reads two epochs at once must report the newest one, and must not report a release while it uses
+/// more than its share of it.
+#[test]
+fn member_that_missed_an_epoch_reports_the_newest() {
+    block_on(async {
+        let mut members = Members::new();
+        members.start("e1");
+        members.watch("e1 uses all", all_used).await;
+        members.set_in_flight("e1", SLOTS);
+        let gate = Arc::clone(&members.cell.instances["e1"].gate);
+        gate.cut_table(true);
+        members.start("e2");
+        members.start("e3");
+        let joined = |id: &str| {
+            let found = members.cell.control(id).slot_members();
+            found.len() == 3
+        };
+        members
+            .cell
+            .until("two epochs passed", |_| joined("e2") && joined("e3"))
+            .await;
+        gate.cut_table(false);
+        members
+            .cell
+            .until("e1 reads the newest", |_| joined("e1"))
+            .await;
+        // Its share of the second epoch is four slots, of the third at most three.
+        members.set_in_flight("e1", 4);
+        let service = members.cell.control("e1").entry_service();
+        let req = ReleaseSlotsRequest {
+            instance: "e2".into(),
+            zone: "riga-a".into(),
+            epoch: 2,
+        };
+        let reply = service.release_slots(req).await;
+        assert_eq!(reply.epoch, 3);
+        assert_eq!(reply.still_held, BACKENDS);
+        members.watch_for("while requests are in flight", 500).await;
+        members.set_in_flight("e1", 0);
+        let by_three =
+            |used: &BTreeMap<_, _>| all_used(used) && used.values().all(|used| *used > 0);
+        members.watch("all used by three", by_three).await;
+    });
+}
+
+/// A member whose row stands still because it alone cannot reach the table answers over the entry link, so it must not
+/// be removed.
+#[test]
+fn member_that_answers_is_not_removed() {
+    block_on(async {
+        let members = three_members().await;
+        let epoch = members.cell.control("e1").figures().slot_epoch;
+        members.cell.instances["e2"].gate.cut_table(true);
+        members.watch_for("without the table", 2_000).await;
+        let figures = members.cell.control("e1").figures();
+        assert_eq!(figures.slot_epoch, epoch);
+        assert!(members.used("without the table")["e2"] > 0);
     });
 }
 
@@ -169,7 +388,7 @@
 #[test]
 fn one_way_loss_is_told_apart() {
     block_on(async {
-        let cell = three_members().await;
+        let cell = three_members().await.cell;
         let owner = cell.owner("riga-a").expect("an owner");
         let before = cell.control(&owner).figures().takeovers;
         cell.network
@@ -341,13 +560,7 @@
         })
         .await;
         let left = name(InstanceId::new, &owner);
-        assert!(
-            !cell
-                .control(&owner)
-                .slot_shares_input()
-                .members
-                .contains(&left)
-        );
+        assert!(!cell.control(&owner).slot_members().contains(&left));
         assert!(!cell.control(&owner).is_ready());
         cell.kill(&owner);
         cell.until_succeeded("j").await;
--- a/crates/control/tests/support/gate.rs
+++ b/crates/control/tests/support/gate.rs
@@ -35,6 +35,8 @@
     lose_starts: AtomicU32,
     /// Holds back starts on their way to workers.
     hold_starts: AtomicBool,
+    /// Fails all calls to the table before they are sent.
+    table_cut: AtomicBool,
     /// Breaks the fence: workers are told one and the same epoch by all owners.
     pub fence_off: AtomicBool,
     /// Breaks compare-and-set: settings are written without their conditions.
@@ -54,6 +56,21 @@
         self.paused.store(false, Ordering::SeqCst);
     }
 
+    pub fn cut_table(&self, cut: bool) {
+        self.table_cut.store(cut, Ordering::SeqCst);
+    }
+
+    fn reach_table(&self, step: &'static str) -> Result<(), PlatformError> {
+        if !self.table_cut.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        Err(PlatformError::Unknown {
+            step,
+            peer: "test".into(),
+            problem: "the table is cut off".into(),
+        })
+    }
+
     pub fn hold_starts(&self, hold: bool) {
         self.hold_starts.store(hold, Ordering::SeqCst);
     }
@@ -143,6 +160,7 @@
 #[async_trait]
 impl TableService for Gated {
     async fn commit(&self, mut txn: Txn) -> Result<TxnOutcome, PlatformError> {
+        self.gate.reach_table("commit")?;
         let is_settings = txn
             .writes
             .iter()
@@ -166,6 +184,7 @@
     }
 
     async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        self.gate.reach_table("get")?;
         let (platform, key) = (Arc::clone(&self.platform), key.to_owned());
         self.gate
             .carry(async move { TableService::get(&*platform, &key).await })
@@ -173,6 +192,7 @@
     }
 
     async fn scan(&self, prefixes: &[&str]) -> Result<Vec<Row>, PlatformError> {
+        self.gate.reach_table("scan")?;
         let platform = Arc::clone(&self.platform);
         let prefixes: Vec<String> = prefixes.iter().map(ToString::to_string).collect();
         self.gate
--- a/crates/entry/src/generated.rs
+++ b/crates/entry/src/generated.rs
@@ -87,12 +87,18 @@
     #[prost(uint64, tag = "4")]
     pub epoch: u64,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfirmSlotEpochReply {
     #[prost(bool, tag = "1")]
     pub confirmed: bool,
     #[prost(uint64, tag = "2")]
     pub newest_epoch: u64,
+    /// Rest of the sender's lease through the table, in ms; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub table_lease_ms: u64,
+    /// Name of the sender.
+    #[prost(string, tag = "4")]
+    pub instance: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReleaseSlotsRequest {
@@ -103,13 +109,17 @@
     #[prost(uint64, tag = "3")]
     pub epoch: u64,
 }
-#[derive(Clone, PartialEq, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReleaseSlotsReply {
-    /// Backend servers on which the receiver still uses slots beyond its share of the epoch.
-    #[prost(btree_map = "string, uint32", tag = "1")]
-    pub still_held: ::prost::alloc::collections::BTreeMap<::prost::alloc::string::String, u32>,
-    #[prost(bool, tag = "2")]
-    pub epoch_known: bool,
+    /// Backend servers on which the sender still uses more than its share of `epoch`.
+    #[prost(string, repeated, tag = "1")]
+    pub still_held: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Epoch to whose shares the sender has shrunk; 0 for none.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Name of the sender.
+    #[prost(string, tag = "3")]
+    pub instance: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Header {
@@ -381,7 +391,7 @@
             ));
             self.inner.unary(req, path, codec).await
         }
-        /// Asks a previous holder whether its requests in flight on gained slots have ended.
+        /// Asks a member to whose shares it has shrunk.
         pub async fn release_slots(
             &mut self,
             request: impl tonic::IntoRequest<super::ReleaseSlotsRequest>,
@@ -500,7 +510,7 @@
             &self,
             request: tonic::Request<super::ConfirmSlotEpochRequest>,
         ) -> std::result::Result<tonic::Response<super::ConfirmSlotEpochReply>, tonic::Status>;
-        /// Asks a previous holder whether its requests in flight on gained slots have ended.
+        /// Asks a member to whose shares it has shrunk.
         async fn release_slots(
             &self,
             request: tonic::Request<super::ReleaseSlotsRequest>,
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -110,6 +110,15 @@
         self.epochs.last_key_value().map_or(&[], |(_, list)| list)
     }
 
+    /// Members that may still use shares of an epoch before the newest, to be asked for their release.
+    #[must_use]
+    pub fn unreleased(&self) -> Vec<InstanceId> {
+        let newest = self.epoch();
+        let peers = self.peers.iter();
+        let open = peers.filter(|(_, peer)| peer.released < newest || !peer.held.is_empty());
+        open.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Takes over an epoch; older ones than the newest known are ignored.
     ///
     /// Nothing is used while an epoch is missing between the oldest release of another member and the newest, so the
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,7 +16,7 @@
         pooled::PooledTransport,
         service_call::{Parts, ServiceRouter},
         settings_api::DaemonSettings,
-        shares::{Place, follow_shares},
+        shares::follow_shares,
         telemetry::Telemetry,
     },
     ragwortreel_caller::{ApiHandler, Authenticator},
@@ -153,9 +153,10 @@
     fn services(&self, config: &Config, platform: &Platform) -> ServiceRouter {
         let forwarder = Arc::new(PeerForwarder::default());
         forwarder.connect(self.control.clone());
+        let transport = Arc::new(PooledTransport::new(self.log.clone()));
         let parts = Parts {
             router: self.router.clone(),
-            transport: Arc::new(PooledTransport::new(self.log.clone())),
+            transport: Arc::clone(&transport) as Arc<_>,
             once: OnceClaims::new(
                 Arc::clone(&platform.claims),
                 config.instance.as_str(),
@@ -169,10 +170,11 @@
         };
         let services = ServiceRouter::new(parts, self.control.settings());
         let local = LocalService::new(
-            config.instance.clone(),
             services.clone(),
             self.router.clone(),
+            transport,
             self.control.clone(),
+            Arc::clone(&self.clock),
         );
         self.control.set_local_requests(Arc::new(local));
         services
@@ -219,10 +221,6 @@
         services: ServiceRouter,
     ) {
         let (control, router, linked) = (&self.control, &self.router, &self.linked);
-        let place = Place {
-            instance: config.instance.clone(),
-            zone: config.zone.clone(),
-        };
         spawn(follow_settings(
             control.clone(),
             auth,
@@ -231,7 +229,6 @@
         ))
         .detach();
         spawn(follow_shares(
-            place,
             Arc::clone(&self.can_route),
             control.clone(),
             router.clone(),
--- a/src/local.rs
+++ b/src/local.rs
@@ -1,38 +1,41 @@
 //! What other entry instances ask of this instance's request routing.
 
 use {
-    crate::{forward, service_call::ServiceRouter},
+    crate::{forward, pooled::PooledTransport, service_call::ServiceRouter},
     async_trait::async_trait,
     ragwortreel_caller::CallReply,
-    ragwortreel_control::{Control, Load, LocalRequests},
+    ragwortreel_control::{Backend, Control, Load, LocalRequests},
     ragwortreel_entry::generated::{ForwardedRequest, ForwardedResponse},
-    ragwortreel_model::{InstanceId, Outcome},
-    ragwortreel_routing::{Router, RouterFigures, SlotLimits, slot_shares},
+    ragwortreel_model::{Clock, Outcome},
+    ragwortreel_routing::{BackendId, InUse, Router, RouterFigures, SlotShares},
     std::{collections::BTreeMap, sync::Arc},
 };
 
 /// Request routing as seen by other entry instances.
 pub struct LocalService {
-    instance: InstanceId,
     services: ServiceRouter,
     router: Router,
+    transport: Arc<PooledTransport>,
     control: Control,
+    clock: Arc<dyn Clock>,
 }
 
 impl LocalService {
     /// Makes the view.
     #[must_use]
     pub fn new(
-        instance: InstanceId,
         services: ServiceRouter,
         router: Router,
+        transport: Arc<PooledTransport>,
         control: Control,
+        clock: Arc<dyn Clock>,
     ) -> Self {
         Self {
-            instance,
             services,
             router,
+            transport,
             control,
+            clock,
         }
     }
 }
@@ -71,21 +74,34 @@
         forward::encode_reply(reply)
     }
 
-    fn still_held(&self, _epoch: u64) -> BTreeMap<String, u32> {
-        let limits = SlotLimits::of(&self.control.settings().settings.cell);
-        let members = self.control.slot_shares_input().members;
-        let excess = |(backend, used): (&Arc<str>, &u32)| {
-            let share = slot_shares(&members, backend, limits)
-                .get(&self.instance)
-                .copied()
-                .unwrap_or_default();
-            (*used > share.slots).then(|| (backend.to_string(), used - share.slots))
+    fn apply_shares(&self, shares: &SlotShares) {
+        self.router.update_shares(shares.clone());
+        let is_valid = self.clock.now_ms() < shares.valid_until_ms;
+        let limit = |backend: &Backend| {
+            let share = shares.by_backend.get(backend.id.as_str());
+            let connections = share
+                .filter(|_| is_valid)
+                .map_or(0, |share| share.connections);
+            (backend.address, connections)
         };
-        self.router
-            .slots_in_use()
-            .iter()
-            .filter_map(excess)
-            .collect()
+        let backends = self.control.backends();
+        self.transport
+            .set_limits(backends.iter().map(limit).collect());
+    }
+
+    fn in_use(&self) -> BTreeMap<BackendId, InUse> {
+        let mut in_use: BTreeMap<BackendId, InUse> = BTreeMap::new();
+        for (id, slots) in self.router.slots_in_use() {
+            in_use.entry(id).or_default().slots = slots;
+        }
+        let open = self.transport.open_connections();
+        for backend in self.control.backends().iter() {
+            if let Some(connections) = open.get(&backend.address) {
+                let id = BackendId::from(backend.id.as_str());
+                in_use.entry(id).or_default().connections = *connections;
+            }
+        }
+        in_use
     }
 
     fn load(&self) -> Load {
--- a/src/pooled.rs
+++ b/src/pooled.rs
@@ -10,7 +10,7 @@
     std::{
         collections::BTreeMap,
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
 };
@@ -18,18 +18,24 @@
 /// Time without progress that long work is allowed. Long work sends nothing until it is done, so only the operating
 /// system's keepalive tells a silent connection from a busy one.
 const LONG_SILENCE: Duration = Duration::from_hours(24);
-/// Pools that are kept; pools of backend servers that were not used for longest are closed beyond it.
+/// Pools that are kept; beyond it the one without connections that was not used for longest is dropped.
 const MAX_POOLS: usize = 1_024;
 
 /// Transport over pools of connections.
 pub struct PooledTransport {
-    pools: Mutex<BTreeMap<SocketAddr, Entry>>,
+    state: Mutex<State>,
     log: Logger,
 }
 
+#[derive(Default)]
+struct State {
+    pools: BTreeMap<SocketAddr, Entry>,
+    /// Most connections to each backend server; none to others.
+    limits: BTreeMap<SocketAddr, u32>,
+}
+
 struct Entry {
     pool: Arc<BackendPool>,
-    connections: u32,
     used: Instant,
 }
 
@@ -38,35 +44,64 @@
     #[must_use]
     pub fn new(log: Logger) -> Self {
         Self {
-            pools: Mutex::default(),
+            state: Mutex::default(),
             log,
         }
     }
 
+    /// Takes over the most connections to each backend server. Idle connections beyond them close at once, those in
+    /// use with their requests.
+    pub fn set_limits(&self, limits: BTreeMap<SocketAddr, u32>) {
+        let mut state = self.lock();
+        if state.limits == limits {
+            return;
+        }
+        for (address, entry) in &state.pools {
+            let connections = limits.get(address).copied().unwrap_or(0);
+            entry.pool.set_max_connections(limit(connections));
+        }
+        state.limits = limits;
+    }
+
+    /// Open connections to each backend server, those being closed included.
+    pub fn open_connections(&self) -> BTreeMap<SocketAddr, u32> {
+        let state = self.lock();
+        let open = |(address, entry): (&SocketAddr, &Entry)| {
+            let open = u32::try_from(entry.pool.stats().open).unwrap_or(u32::MAX);
+            (*address, open)
+        };
+        state.pools.iter().map(open).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn pool(&self, target: &Target) -> Arc<BackendPool> {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let entry = pools
+        let mut state = self.lock();
+        let connections = state.limits.get(&target.address).copied().unwrap_or(0);
+        let entry = state
+            .pools
             .entry(target.address)
-            .or_insert_with(|| self.open(target));
+            .or_insert_with(|| self.open(target, connections));
         entry.used = Instant::now();
-        if entry.connections != target.connections {
-            entry.connections = target.connections;
-            entry.pool.set_max_connections(limit(target.connections));
-        }
         let pool = Arc::clone(&entry.pool);
-        if pools.len() > MAX_POOLS {
-            let oldest = pools
-                .iter()
+        if state.pools.len() > MAX_POOLS {
+            // A pool with connections is kept, because they count against this instance's share.
+            let unused = state.pools.iter().filter(|(address, entry)| {
+                **address != target.address && entry.pool.stats().open == 0
+            });
+            let oldest = unused
                 .min_by_key(|(_, entry)| entry.used)
                 .map(|(address, _)| *address);
-            oldest.and_then(|address| pools.remove(&address));
+            oldest.and_then(|address| state.pools.remove(&address));
         }
         pool
     }
 
-    fn open(&self, target: &Target) -> Entry {
+    fn open(&self, target: &Target, connections: u32) -> Entry {
         let limits = PoolLimits {
-            max_connections: limit(target.connections),
+            max_connections: limit(connections),
             silence_time: Some(target.silent_after),
             long_silence_time: LONG_SILENCE,
             ..PoolLimits::default()
@@ -74,7 +109,6 @@
         let pool = BackendPool::new(target.address, limits, self.log.clone());
         Entry {
             pool: Arc::new(pool),
-            connections: target.connections,
             used: Instant::now(),
         }
     }
--- a/src/service_call.rs
+++ b/src/service_call.rs
@@ -264,7 +264,6 @@
         );
         let target = Target {
             address: permit.address(),
-            connections: permit.connection_limit(),
             class,
             silent_after: planned.silent_after,
             resendable: info.idempotent,
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -1,13 +1,10 @@
-//! Turns the zone's slot epoch into what this instance may use of each backend server.
+//! Keeps the router's backend servers and shares up to date.
 
 use {
-    ragwortreel_control::{Backend, Control, SlotShares as Epochs},
-    ragwortreel_model::{InstanceId, Zone},
+    ragwortreel_control::{Backend, Control},
     ragwortreel_platform::InstanceState,
-    ragwortreel_routing::{
-        BackendId, BackendServer, Router, Share, SlotLimits, SlotShares, inherits, slot_shares,
-    },
-    ragwortreel_runtime::{Stop, future, sleep_ms},
+    ragwortreel_routing::{BackendServer, Router},
+    ragwortreel_runtime::{Stop, sleep_ms},
     std::{
         sync::{
             Arc,
@@ -17,32 +14,23 @@
     },
 };
 
-/// Time between two looks at the lease and the list of backend servers, in ms; a lease lasts 3000 ms.
-const REFRESH_MS: u64 = 250;
+/// Time between two looks at the lease and the list of backend servers, in ms. After the lease's end connections are
+/// closed within it and the 50 ms that the router needs to end requests fit into the 100 ms that other members allow.
+const REFRESH_MS: u64 = 50;
 
 /// Time after which an empty list of backend servers is taken for a cell without any.
 const NO_BACKENDS: Duration = Duration::from_secs(3);
 
-/// Where this instance stands.
-#[derive(Debug, Clone)]
-pub struct Place {
-    /// Name of this instance.
-    pub instance: InstanceId,
-    /// Its zone.
-    pub zone: Zone,
-}
-
-/// Keeps the router's shares and backend servers up to date until the stop is requested.
+/// Keeps the router's backend servers, shares and number of instances up to date until the stop is requested.
 ///
+/// Control hands over changed shares itself; the calls here pass on the end of the lease and new backend servers.
 /// `can_route` is set once this instance holds slots and knows the backend servers, and stays set.
 pub async fn follow_shares(
-    place: Place,
     can_route: Arc<AtomicBool>,
     control: Control,
     router: Router,
     stop: Stop,
 ) {
-    let changes = control.subscribe_slot_shares();
     let begun = Instant::now();
     let mut known: Arc<Vec<Backend>> = Arc::default();
     while !stop.is_requested() {
@@ -51,60 +39,23 @@
             router.update_backends(backends.iter().map(backend_server).collect());
             known = backends;
         }
-        let shares = usable(&place, &control, &known);
+        router.update_instances(live_instances(&control));
+        let shares = control.refresh_shares();
         let is_listed = !known.is_empty() || begun.elapsed() >= NO_BACKENDS;
         if shares.valid_until_ms > 0 && is_listed {
             can_route.store(true, Ordering::Release);
         }
-        router.update_shares(shares);
-        let next_change = async {
-            let _ = changes.recv().await;
-        };
-        future::or(next_change, sleep_ms(REFRESH_MS)).await;
+        sleep_ms(REFRESH_MS).await;
     }
 }
 
-/// What this instance may use now.
-fn usable(place: &Place, control: &Control, backends: &[Backend]) -> SlotShares {
-    let limits = SlotLimits::of(&control.settings().settings.cell);
-    let epochs = control.slot_shares_input();
-    let own = backends.iter().filter(|backend| backend.zone == place.zone);
-    let share = |backend: &Backend| {
-        let id: BackendId = Arc::from(backend.id.as_str());
-        let share = share_of(&epochs, &place.instance, &id, limits);
-        (id, share)
-    };
-    SlotShares {
-        by_backend: own.map(share).collect(),
-        valid_until_ms: epochs.lease_until_ms,
-        excess_until_ms: None,
-    }
-}
-
-/// The smallest share over all epochs whose holders may still use theirs, without what silent members could take.
-fn share_of(epochs: &Epochs, me: &InstanceId, backend: &BackendId, limits: SlotLimits) -> Share {
-    let share_in = |members: &[InstanceId]| {
-        slot_shares(members, backend, limits)
-            .get(me)
-            .copied()
-            .unwrap_or_default()
-    };
-    let earlier = epochs
-        .earlier
-        .iter()
-        .filter(|earlier| !earlier.unreleased.is_empty());
-    let share = earlier.fold(share_in(&epochs.members), |share, earlier| {
-        share.min(share_in(&earlier.members))
-    });
-    if epochs.withheld_for.is_empty() {
-        return share;
-    }
-    let gains = inherits(&epochs.members, std::slice::from_ref(me), backend, limits);
-    let of_silent = epochs
-        .withheld_for
-        .iter()
-        .filter_map(|member| gains.get(member));
-    share.less(of_silent.fold(Share::default(), |sum, gain| sum.plus(*gain)))
+/// Entry instances that callers reach, this one included. While the table is down only the links show them.
+fn live_instances(control: &Control) -> u32 {
+    let members = control.members();
+    let is_live = |link: ragwortreel_control::LinkState| link.answers || link.calls_us;
+    let others = members.iter().filter(|member| !member.is_self);
+    let live = others.filter(|member| member.is_live || is_live(member.link));
+    u32::try_from(live.count() + 1).unwrap_or(u32::MAX)
 }
 
 fn backend_server(backend: &Backend) -> BackendServer {
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -17,8 +17,6 @@
 pub struct Target {
     /// Address of the backend server.
     pub address: SocketAddr,
-    /// Most open connections that this instance may have to it.
-    pub connections: u32,
     /// Class of the request; short and long requests do not share idle connections.
     pub class: WorkClass,
     /// Time without progress after which a connection counts as silent.
