--- a/src/transport.rs
+++ b/src/transport.rs
@@ -4,6 +4,7 @@
     async_trait::async_trait,
     ragwortreel_http::{Request, Response},
     ragwortreel_model::WorkClass,
+    ragwortreel_routing::SlotWatch,
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -16,8 +17,6 @@
 pub struct Target {
     /// Address of the backend server.
     pub address: SocketAddr,
-    /// Most open connections that this instance may have to it.
-    pub connections: u32,
     /// Class of the request; short and long requests do not share idle connections.
     pub class: WorkClass,
     /// Time without progress after which a connection counts as silent.
@@ -40,6 +39,7 @@
 /// Sends requests to backend servers.
 #[async_trait]
 pub trait Transport: Send + Sync {
-    /// Sends one request and waits for its whole response until the deadline.
-    async fn send(&self, target: Target, req: Request, deadline: Instant) -> Reply;
+    /// Sends one request and waits for its whole response until the deadline, or until the slot is lost.
+    async fn send(&self, target: Target, req: Request, deadline: Instant, slot: SlotWatch)
+    -> Reply;
 }
