pooled: test that a smaller share closes idle connections at once

Cause: shares reached a pool only with its next request, so idle connections beyond a smaller share stayed open. Conclusion: a regression shows in the unit tests of the transport.

--- a/src/pooled.rs
+++ b/src/pooled.rs
@@ -15,6 +15,9 @@
     },
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Time without progress that long work is allowed. Long work sends nothing until it is done, so only the operating
 /// system's keepalive tells a silent connection from a busy one.
 const LONG_SILENCE: Duration = Duration::from_hours(24);
