routing: let the router suggest the instance that takes a request

Cause: the daemon told the router nothing about other instances, and src/forward.rs chose a peer itself, without the way to it and only after a refusal. Change: the daemon passes on the load and round trip of the instances that answer, and forwards what Router::spill suggests, before admission and after a refusal. Suggested slots stay counted until the instance reports again. Without a lease the wait here counts as endless. Permit::connection_limit is removed, because limits reach the pools directly. Conclusion: one place chooses where a request goes.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -124,6 +124,10 @@
     pub in_flight: u64,
     /// Requests that wait there, by its last heartbeat.
     pub queued: u64,
+    /// Round trip of the last answered heartbeat, in ms.
+    pub round_trip_ms: u64,
+    /// Number of heartbeats and answers received from it.
+    pub reports: u64,
 }
 
 /// An entry instance.
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -35,6 +35,8 @@
     heard_ms: Option<u64>,
     refused_ms: Option<u64>,
     heartbeat: Heartbeat,
+    round_trip_ms: u64,
+    reports: u64,
     pulling: bool,
 }
 
@@ -77,6 +79,8 @@
             settings_version: peer.heartbeat.settings_version,
             in_flight: peer.heartbeat.in_flight,
             queued: peer.heartbeat.queued,
+            round_trip_ms: peer.round_trip_ms,
+            reports: peer.reports,
         }
     }
 
@@ -133,6 +137,8 @@
             heard_ms: None,
             refused_ms: None,
             heartbeat: Heartbeat::default(),
+            round_trip_ms: 0,
+            reports: 0,
             pulling: false,
         };
         known.insert(id.clone(), peer);
@@ -147,10 +153,11 @@
         current.is_some_and(|current| Arc::ptr_eq(&current, &client))
     };
     while !shared.stop.is_requested() && is_current() {
+        let sent_ms = shared.now_ms();
         let result = client.heartbeat(request(&shared)).await;
         let now_ms = shared.now_ms();
         match result {
-            Ok(reply) => take_reply(&shared, &id, reply, now_ms),
+            Ok(reply) => take_reply(&shared, &id, reply, sent_ms),
             Err(EntryError::Refused { .. }) => {
                 shared
                     .peers
@@ -162,7 +169,8 @@
     }
 }
 
-fn take_reply(shared: &Arc<Shared>, id: &InstanceId, reply: HeartbeatReply, now_ms: u64) {
+fn take_reply(shared: &Arc<Shared>, id: &InstanceId, reply: HeartbeatReply, sent_ms: u64) {
+    let now_ms = shared.now_ms();
     if reply.instance != id.as_str() {
         // Another instance listens at the address; its own row tells where it belongs.
         return;
@@ -170,6 +178,8 @@
     let version = reply.settings_version;
     shared.peers.update(id, |peer| {
         peer.answered_ms = Some(now_ms);
+        peer.round_trip_ms = now_ms.saturating_sub(sent_ms);
+        peer.reports += 1;
         peer.heartbeat = Heartbeat {
             incarnation: Incarnation(reply.incarnation),
             settings_version: version,
@@ -189,6 +199,7 @@
     if let Ok(id) = InstanceId::new(&req.instance) {
         shared.peers.update(&id, |peer| {
             peer.heard_ms = Some(now_ms);
+            peer.reports += 1;
             peer.heartbeat = Heartbeat {
                 incarnation: Incarnation(req.incarnation),
                 settings_version: version,
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -68,6 +68,8 @@
     pub instance: InstanceId,
     /// Its zone.
     pub zone: Zone,
+    /// Number of the report; slots that were suggested since an unchanged one stay counted as taken.
+    pub report: u64,
     /// Round trip to it, in ms.
     pub round_trip_ms: f64,
     /// Its free slots by team and service.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -71,7 +71,8 @@
     /// A forwarded request is not forwarded again.
     #[must_use]
     pub fn spill(&self, request: &RequestInfo) -> Option<InstanceId> {
-        self.shared.lock().spill(request)
+        let now = self.shared.clock.now_ms();
+        self.shared.lock().spill(now, request)
     }
 
     /// Refuses all waiting requests and every later one; requests in flight go on.
@@ -239,12 +240,6 @@
         self.grant.address
     }
 
-    /// Most open connections that this instance may have to it.
-    #[must_use]
-    pub fn connection_limit(&self) -> u32 {
-        self.grant.connections
-    }
-
     /// Class that the request was given.
     #[must_use]
     pub fn class(&self) -> WorkClass {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -47,7 +47,6 @@
     pub id: GrantId,
     pub backend: BackendId,
     pub address: SocketAddr,
-    pub connections: u32,
     pub class: WorkClass,
     pub waited_ms: u64,
     pub revoked: async_channel::Receiver<()>,
@@ -157,7 +156,16 @@
     }
 
     pub fn update_zones(&mut self, zones: Vec<ZoneLoad>) {
-        self.zones = zones;
+        let known = std::mem::take(&mut self.zones);
+        let same = |new: &ZoneLoad| {
+            let mut known = known.iter();
+            let found = known.find(|old| old.instance == new.instance && old.report == new.report);
+            found.cloned()
+        };
+        self.zones = zones
+            .into_iter()
+            .map(|new| same(&new).unwrap_or(new))
+            .collect();
     }
 
     pub fn update_backends(&mut self, now: u64, servers: Vec<BackendServer>) {
@@ -485,11 +493,15 @@
     }
 
     /// Another instance, of this zone or another, that can answer sooner although the way to it is longer.
-    pub fn spill(&mut self, request: &RequestInfo) -> Option<InstanceId> {
+    pub fn spill(&mut self, now: u64, request: &RequestInfo) -> Option<InstanceId> {
         let key = (request.team.clone(), request.service.clone());
         let weight = self.weight(&request.caller);
         let class = request.class.unwrap_or(self.declared(request).class);
-        let group = self.groups.get(&key).filter(|g| g.is_served(&[]));
+        let has_lease = now < self.shares.valid_until_ms;
+        let group = self
+            .groups
+            .get(&key)
+            .filter(|g| has_lease && g.is_served(&[]));
         let wait_ms = group
             .and_then(|group| group.wait_ms(class, &request.caller, weight))
             .unwrap_or(f64::INFINITY);
@@ -706,7 +718,6 @@
             id,
             backend: backend_id.clone(),
             address: backend.server.address,
-            connections: backend.share.connections,
             class: waiting.class,
             waited_ms: now - waiting.since_ms,
             revoked,
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -573,15 +573,43 @@
     let load = ZoneLoad {
         instance: InstanceId::new("entry-9").unwrap(),
         zone: zone("jelgava"),
+        report: 1,
         round_trip_ms: 3.0,
         free_slots: BTreeMap::from([((team("alpha"), service()), 1)]),
     };
-    world.router.update_zones(vec![load]);
+    world.router.update_zones(vec![load.clone()]);
     let request = world.request(WorkClass::Short, 1_000);
     assert_eq!(world.router.spill(&request), None);
     let _held = world.permit(request.clone());
     assert_eq!(world.router.spill(&request).unwrap().as_str(), "entry-9");
     assert_eq!(world.router.spill(&request), None);
+    // The slot stays taken until the instance reports again.
+    world.router.update_zones(vec![load.clone()]);
+    assert_eq!(world.router.spill(&request), None);
+    world
+        .router
+        .update_zones(vec![ZoneLoad { report: 2, ..load }]);
+    assert_eq!(world.router.spill(&request).unwrap().as_str(), "entry-9");
+}
+
+/// Guards against requests that wait for slots of an expired lease while another instance has free ones.
+#[test]
+fn another_instance_is_suggested_without_a_lease() {
+    let world = World::new(1, 1, 1);
+    world.router.update_zones(vec![ZoneLoad {
+        instance: InstanceId::new("entry-9").unwrap(),
+        zone: zone("jelgava"),
+        report: 1,
+        round_trip_ms: 3.0,
+        free_slots: BTreeMap::from([((team("alpha"), service()), 1)]),
+    }]);
+    let request = world.request(WorkClass::Short, 1_000);
+    assert_eq!(world.router.spill(&request), None);
+    world.router.update_shares(SlotShares {
+        valid_until_ms: 0,
+        ..shares(&world.backends, 1, 1)
+    });
+    assert_eq!(world.router.spill(&request).unwrap().as_str(), "entry-9");
 }
 
 /// Guards against a second attempt at the backend server that has just failed, and against one that may run twice.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -1,15 +1,12 @@
-//! Requests that an instance of another zone carries out.
+//! Requests that another instance carries out.
 
 use {
     async_trait::async_trait,
     ragwortreel_caller::{CallReply, ServiceCall},
-    ragwortreel_control::{Control, Member},
-    ragwortreel_entry::{
-        EntryPeer,
-        generated::{ForwardedRequest, ForwardedResponse, Header},
-    },
+    ragwortreel_control::Control,
+    ragwortreel_entry::generated::{ForwardedRequest, ForwardedResponse, Header},
     ragwortreel_http::{Headers, Method, Response},
-    ragwortreel_model::{Outcome, ServiceName, Team},
+    ragwortreel_model::{InstanceId, Outcome, ServiceName, Team},
     std::{
         str::FromStr,
         sync::{Arc, OnceLock},
@@ -20,14 +17,19 @@
 /// Shortest time left for which forwarding is worth a try.
 const MIN_LEFT: Duration = Duration::from_millis(5);
 
-/// Sends requests to other zones.
+/// Sends requests to other instances.
 #[async_trait]
 pub trait Forwarder: Send + Sync {
-    /// Has a request carried out in another zone; `None` when no instance there took it.
-    async fn forward(&self, call: &ServiceCall, deadline: Instant) -> Option<CallReply>;
+    /// Has a request carried out by another instance; `None` when that did not run it.
+    async fn forward(
+        &self,
+        to: &InstanceId,
+        call: &ServiceCall,
+        deadline: Instant,
+    ) -> Option<CallReply>;
 }
 
-/// Forwards over the entry link to the live member with the most free slots for the service.
+/// Forwards over the entry link.
 #[derive(Default)]
 pub struct PeerForwarder {
     control: OnceLock<Control>,
@@ -43,13 +45,17 @@
 
 #[async_trait]
 impl Forwarder for PeerForwarder {
-    async fn forward(&self, call: &ServiceCall, deadline: Instant) -> Option<CallReply> {
+    async fn forward(
+        &self,
+        to: &InstanceId,
+        call: &ServiceCall,
+        deadline: Instant,
+    ) -> Option<CallReply> {
         let control = self.control.get()?;
         let left = deadline
             .checked_duration_since(Instant::now())
             .filter(|left| *left >= MIN_LEFT)?;
-        let service = format!("{}/{}", call.team, call.service);
-        let peer = choose_peer(control, &service)?;
+        let peer = control.peer(to)?;
         let req = encode(call, left);
         match peer.forward_request(req).await {
             Ok(res) => decode(res),
@@ -64,30 +70,6 @@
     }
 }
 
-/// The live member with the most free slots for a service; members of the own zone share its backend servers.
-fn choose_peer(control: &Control, service: &str) -> Option<Arc<dyn EntryPeer>> {
-    let members = control.members();
-    let own_zone = members.iter().find(|member| member.is_self)?.zone.clone();
-    let usable = |member: &&Member| {
-        member.zone != own_zone && member.link.answers && !member.is_leaving && !member.link.refused
-    };
-    let free = |member: &Member| {
-        control
-            .free_slots_of(&member.instance)
-            .get(service)
-            .copied()
-            .unwrap_or(0)
-    };
-    let ranked = members
-        .iter()
-        .filter(usable)
-        .map(|member| (free(member), member));
-    let (_, best) = ranked
-        .filter(|(free, _)| *free > 0)
-        .max_by_key(|(free, _)| *free)?;
-    control.peer(&best.instance)
-}
-
 fn encode(call: &ServiceCall, left: Duration) -> ForwardedRequest {
     let headers = call.headers.iter().map(|(name, value)| Header {
         name: name.to_owned(),
@@ -111,7 +93,7 @@
     }
 }
 
-/// The reply of the other zone; `None` when it did not run the request, so that the own refusal stands.
+/// The reply of the other instance; `None` when it did not run the request, so that the own refusal stands.
 fn decode(res: ForwardedResponse) -> Option<CallReply> {
     let outcome = match res.outcome.as_str() {
         "answered" => Outcome::Answered,
--- a/src/service_call.rs
+++ b/src/service_call.rs
@@ -39,7 +39,7 @@
     pub transport: Arc<dyn Transport>,
     /// Claims of non-idempotent requests.
     pub once: OnceClaims,
-    /// Requests to other zones.
+    /// Requests to other instances.
     pub forwarder: Arc<dyn Forwarder>,
     /// Clock of the router.
     pub clock: Arc<dyn Clock>,
@@ -219,9 +219,21 @@
         reply
     }
 
-    /// Attempts a request at backend servers of this zone, and in other zones when none here can take it.
+    /// Has another instance carry out a request when the router suggests one; `None` when that did not run it.
+    async fn forward(&self, planned: &Planned) -> Option<CallReply> {
+        let to = self.parts.router.spill(&planned.info)?;
+        let forwarder = &self.parts.forwarder;
+        forwarder
+            .forward(&to, &planned.call, planned.deadline)
+            .await
+    }
+
+    /// Attempts a request at backend servers of this zone, and at other instances when they answer sooner.
     async fn attempt(&self, planned: &Planned, may_forward: bool) -> CallReply {
         let mut attempts = Attempts::default();
+        if may_forward && let Some(reply) = self.forward(planned).await {
+            return reply;
+        }
         loop {
             let admitted = if attempts.count == 0 {
                 self.parts.router.admit(planned.info.clone()).await
@@ -323,20 +335,17 @@
         refusal: &Refusal,
         may_forward: bool,
     ) -> CallReply {
-        let other_zone_may_help = matches!(
+        let other_may_help = matches!(
             refusal.reason,
             RefusalReason::NoBackend | RefusalReason::NoLease | RefusalReason::Deadline
         );
         let is_open = !attempts.may_have_run && attempts.last_answer.is_none();
-        if may_forward && other_zone_may_help && is_open {
-            let forwarded = self
-                .parts
-                .forwarder
-                .forward(&planned.call, planned.deadline)
-                .await;
-            if let Some(reply) = forwarded {
-                return reply;
-            }
+        if may_forward
+            && other_may_help
+            && is_open
+            && let Some(reply) = self.forward(planned).await
+        {
+            return reply;
         }
         if attempts.reason.is_empty() {
             attempts.reason = Arc::from(refusal.to_string());
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -1,9 +1,10 @@
 //! Keeps the router's backend servers and shares up to date.
 
 use {
-    ragwortreel_control::{Backend, Control},
+    ragwortreel_control::{Backend, Control, Member},
+    ragwortreel_model::{ServiceName, Team},
     ragwortreel_platform::InstanceState,
-    ragwortreel_routing::{BackendServer, Router},
+    ragwortreel_routing::{BackendServer, Router, ZoneLoad},
     ragwortreel_runtime::{Stop, sleep_ms},
     std::{
         sync::{
@@ -21,7 +22,7 @@
 /// Time after which an empty list of backend servers is taken for a cell without any.
 const NO_BACKENDS: Duration = Duration::from_secs(3);
 
-/// Keeps the router's backend servers, shares and number of instances up to date until the stop is requested.
+/// Keeps the router's backend servers, shares and knowledge of other instances up to date until the stop is requested.
 ///
 /// Control hands over changed shares itself; the calls here pass on the end of the lease and new backend servers.
 /// `can_route` is set once this instance holds slots and knows the backend servers, and stays set.
@@ -39,7 +40,10 @@
             router.update_backends(backends.iter().map(backend_server).collect());
             known = backends;
         }
-        router.update_instances(live_instances(&control));
+        let members = control.members();
+        router.update_instances(live_instances(&members));
+        let reached = members.iter().filter(|member| may_take(member));
+        router.update_zones(reached.map(|member| load_of(&control, member)).collect());
         let shares = control.refresh_shares();
         let is_listed = !known.is_empty() || begun.elapsed() >= NO_BACKENDS;
         if shares.valid_until_ms > 0 && is_listed {
@@ -50,14 +54,37 @@
 }
 
 /// Entry instances that callers reach, this one included. While the table is down only the links show them.
-fn live_instances(control: &Control) -> u32 {
-    let members = control.members();
-    let is_live = |link: ragwortreel_control::LinkState| link.answers || link.calls_us;
+fn live_instances(members: &[Member]) -> u32 {
+    let is_live = |member: &&Member| member.is_live || member.link.answers || member.link.calls_us;
     let others = members.iter().filter(|member| !member.is_self);
-    let live = others.filter(|member| member.is_live || is_live(member.link));
+    let live = others.filter(is_live);
     u32::try_from(live.count() + 1).unwrap_or(u32::MAX)
 }
 
+/// Whether requests may be forwarded to an instance.
+fn may_take(member: &Member) -> bool {
+    !member.is_self && !member.is_leaving && member.link.answers && !member.link.refused
+}
+
+/// Load of another instance by its last heartbeat.
+fn load_of(control: &Control, member: &Member) -> ZoneLoad {
+    let free = control.free_slots_of(&member.instance);
+    let service = |(name, free): (&String, &u32)| {
+        let (team, service) = name.split_once('/')?;
+        let key = (Team::new(team).ok()?, ServiceName::new(service).ok()?);
+        Some((key, *free))
+    };
+    #[allow(clippy::cast_precision_loss, reason = "round trips are below 2^52 ms")]
+    let round_trip_ms = member.link.round_trip_ms as f64;
+    ZoneLoad {
+        instance: member.instance.clone(),
+        zone: member.zone.clone(),
+        report: member.link.reports,
+        round_trip_ms,
+        free_slots: free.iter().filter_map(service).collect(),
+    }
+}
+
 fn backend_server(backend: &Backend) -> BackendServer {
     BackendServer {
         id: Arc::from(backend.id.as_str()),
