worker: report only the tasks that changed since the last report

Cause: each heartbeat reply listed all tasks of the worker, although on an idle cell none changes from one report to the next.

Change: a heartbeat names the last report that its sender processed under its epoch (incarnation and number). The reply lists the tasks that changed in phase or by a sixteenth of their reservation and the runs forgotten since that report. The first report under an epoch, and the reply to an unknown base, are complete. The owner's link applies each reply to its copy of the worker's tasks (KnownTasks) and hands the owner the whole copy, so recovery and the proof that a worker does not run a task rest on the same list as before. A lost reply leaves the base as it was; a reply that does not continue the copy is refused and the next one is complete. Workers that know no numbers go on sending complete reports.

The comment on StartRequest no longer names a field that does not exist.

--- a/crates/control/src/owner/link.rs
+++ b/crates/control/src/owner/link.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        owner::{Message, OwnerHandle},
+        owner::{Message, OwnerHandle, WorkerReport},
         rows::RunKey,
         shared::{Shared, lock},
     },
@@ -10,7 +10,8 @@
     ragwortreel_model::{Assignment, WorkerId},
     ragwortreel_runtime::{timeout_at, timeout_ms},
     ragwortreel_worker::{
-        HeartbeatReply, HeartbeatRequest, StartRequest, TaskCommand, WorkerClient, WorkerError,
+        HeartbeatReply, HeartbeatRequest, KnownTasks, StartRequest, TaskCommand, WorkerClient,
+        WorkerError,
     },
     std::{
         collections::BTreeMap,
@@ -129,6 +130,7 @@
         link,
         tx,
         echo_ms: None,
+        known: KnownTasks::default(),
     };
     let interval = Duration::from_millis(task.shared.cfg.timings.worker_heartbeat_ms);
     let mut next_beat = Instant::now();
@@ -156,6 +158,8 @@
     link: Arc<Link>,
     tx: Sender<Message>,
     echo_ms: Option<u64>,
+    /// The worker's tasks; a link serves one epoch, so a new owner starts from a complete report.
+    known: KnownTasks,
 }
 
 impl LinkTask {
@@ -170,6 +174,7 @@
             epoch: self.handle.epoch(),
             echo_ms: self.echo_ms,
             acknowledged,
+            base: self.known.base(),
         };
         let result = timeout_ms(CALL_LIMIT_MS, self.link.client.heartbeat(&req)).await;
         match result {
@@ -181,10 +186,21 @@
     }
 
     async fn report(&mut self, reply: HeartbeatReply) {
-        self.echo_ms = Some(reply.clock_ms);
+        let (incarnation, clock_ms) = (reply.incarnation, reply.clock_ms);
         let received_ms = self.shared.now_ms();
-        let message = Message::Report { reply, received_ms };
-        let _ = self.tx.send(message).await;
+        // A report that does not continue the last one counts as no answer; the next heartbeat asks for a complete one.
+        let Ok(tasks) = self.known.apply(reply) else {
+            return;
+        };
+        self.echo_ms = Some(clock_ms);
+        let report = WorkerReport {
+            worker: self.link.worker.clone(),
+            incarnation,
+            clock_ms,
+            tasks,
+            received_ms,
+        };
+        let _ = self.tx.send(Message::Report(report)).await;
     }
 
     fn fenced(&self) {
--- a/crates/control/src/owner/mod.rs
+++ b/crates/control/src/owner/mod.rs
@@ -26,7 +26,7 @@
     ragwortreel_entry::generated::PoolSummary,
     ragwortreel_model::{Epoch, JobId, JobSpec, JobState, JobStatus, Pool, Team, WorkerId},
     ragwortreel_runtime::{log_event, sleep_ms, spawn},
-    ragwortreel_worker::HeartbeatReply,
+    ragwortreel_worker::TaskTable,
     std::sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -49,6 +49,16 @@
     Undo(JobId, Vec<Reply<JobStatus>>, JobError),
 }
 
+/// What a worker holds, with all its tasks.
+pub(crate) struct WorkerReport {
+    pub worker: WorkerId,
+    pub incarnation: u64,
+    /// The worker's own clock.
+    pub clock_ms: u64,
+    pub tasks: Arc<TaskTable>,
+    pub received_ms: u64,
+}
+
 /// Message to a pool's owner.
 pub(crate) enum Message {
     Submit {
@@ -69,10 +79,7 @@
         write: RowWrite,
         definite: Definite,
     },
-    Report {
-        reply: HeartbeatReply,
-        received_ms: u64,
-    },
+    Report(WorkerReport),
     StartDone {
         worker: WorkerId,
         runs: Vec<RunKey>,
--- a/crates/control/src/owner/pool.rs
+++ b/crates/control/src/owner/pool.rs
@@ -259,7 +259,7 @@
                 let _ = reply.try_send(Ok(self.describe(team.as_ref(), job.as_ref())));
             }
             Message::RowWritten { write, definite } => self.row_written(write, definite),
-            Message::Report { reply, received_ms } => self.report(&reply, received_ms),
+            Message::Report(report) => self.report(&report),
             Message::StartDone {
                 worker,
                 runs,
--- a/crates/control/src/owner/report.rs
+++ b/crates/control/src/owner/report.rs
@@ -4,6 +4,7 @@
     crate::{
         events::ORPHAN_STOPPED,
         owner::{
+            WorkerReport,
             link::{RunCommand, StartOutcome},
             pool::{Phase, PoolOwner},
             workers::Worker,
@@ -12,27 +13,24 @@
     },
     ragwortreel_model::{Assignment, JobKind, TaskId, TaskResult, WorkerId},
     ragwortreel_runtime::log_event,
-    ragwortreel_worker::{HeartbeatReply, ReportedTask, TaskPhase},
-    std::{collections::BTreeMap, sync::Arc},
+    ragwortreel_worker::{ReportedTask, TaskPhase, TaskTable},
+    std::sync::Arc,
 };
 
 /// Reports in a row over its reservation after which patient work is checkpointed; it is throttled at once.
 const CHECKPOINT_AFTER_OVER: u32 = 5;
 
 impl PoolOwner {
-    pub fn report(&mut self, reply: &HeartbeatReply, received_ms: u64) {
-        let id = reply.worker.clone();
+    pub fn report(&mut self, report: &WorkerReport) {
+        let id = report.worker.clone();
         let Some(worker) = self.workers.get_mut(&id) else {
             return;
         };
-        worker.reported_ms = Some(received_ms);
-        let restarted = worker.incarnation != 0 && worker.incarnation != reply.incarnation;
-        worker.incarnation = reply.incarnation;
-        let reported: BTreeMap<RunKey, &ReportedTask> = (reply.tasks.iter())
-            .map(|task| ((task.task.clone(), task.attempt), task))
-            .collect();
-        self.check_own_runs(&id, &reported, reply.clock_ms, restarted);
-        let has_orphans = self.check_orphans(&id, &reported);
+        worker.reported_ms = Some(report.received_ms);
+        let restarted = worker.incarnation != 0 && worker.incarnation != report.incarnation;
+        worker.incarnation = report.incarnation;
+        self.check_own_runs(&id, &report.tasks, report.clock_ms, restarted);
+        let has_orphans = self.check_orphans(&id, &report.tasks);
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.has_orphans = has_orphans;
         }
@@ -43,7 +41,7 @@
     fn check_own_runs(
         &mut self,
         worker: &WorkerId,
-        reported: &BTreeMap<RunKey, &ReportedTask>,
+        reported: &TaskTable,
         clock_ms: u64,
         restarted: bool,
     ) {
@@ -133,11 +131,7 @@
     }
 
     /// Stops reported runs that are not in the journal, or are of cancelled jobs; returns whether there are any.
-    fn check_orphans(
-        &mut self,
-        worker: &WorkerId,
-        reported: &BTreeMap<RunKey, &ReportedTask>,
-    ) -> bool {
+    fn check_orphans(&mut self, worker: &WorkerId, reported: &TaskTable) -> bool {
         let mut found = false;
         for (key, task) in reported {
             let known = (self.runs.get(&key.0))
--- a/crates/standins/src/worker/machine.rs
+++ b/crates/standins/src/worker/machine.rs
@@ -9,11 +9,14 @@
         Assignment, Attempt, Clock, Epoch, Resources, TaskId, TaskResult, WorkerId,
     },
     ragwortreel_worker::{
-        HeartbeatReply, HeartbeatRequest, ReportedTask, StartReply, StartRequest, TASK_LEASE_MS,
-        TaskCommand, TaskPhase,
+        HeartbeatReply, HeartbeatRequest, ReportBase, ReportedTask, StartReply, StartRequest,
+        TASK_LEASE_MS, TaskCommand, TaskPhase,
     },
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+    },
 };
 
 /// Distance between the clock ranges of two incarnations, in ms (49 days).
@@ -28,6 +31,11 @@
 /// A start that was delayed for longer carries an echo older than the lease and is refused for that reason.
 const REMEMBER_MS: u64 = 2 * TASK_LEASE_MS;
 
+/// Most forgotten runs whose removal can be reported; a base before the oldest of them gets a complete report.
+const MAX_FORGOTTEN: usize = 256;
+/// Part of the reservation by which a usage must differ from the reported one to be reported again.
+const USAGE_STEP_PART: u64 = 16;
+
 /// What a task's payload tells the stand-in to simulate.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -98,6 +106,15 @@
     ended: Option<TaskResult>,
     throttled: bool,
     record: usize,
+    /// Usage and end as last reported, with the number of the report that first named them.
+    reported: Option<Reported>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    number: u64,
+    used: Resources,
+    ended: Option<TaskResult>,
 }
 
 /// Run that is remembered so that a delayed start cannot repeat it.
@@ -119,6 +136,14 @@
     lease_from_ms: u64,
     runs: BTreeMap<(TaskId, Attempt), Run>,
     remembered: BTreeMap<TaskId, Remembered>,
+    /// Number of the last report.
+    number: u64,
+    /// Epoch under which a complete report was given; an owner's first report is always complete.
+    complete_for: Option<Epoch>,
+    /// Forgotten runs with the number of the report that first left them out, in the order of these numbers.
+    forgotten: VecDeque<(u64, (TaskId, Attempt))>,
+    /// Number of the newest removal that is no longer in `forgotten`.
+    forgotten_before: u64,
     /// Commands so far.
     pub counts: WorkerCounts,
 }
@@ -135,6 +160,10 @@
             lease_from_ms: 0,
             runs: BTreeMap::new(),
             remembered: BTreeMap::new(),
+            number: 0,
+            complete_for: None,
+            forgotten: VecDeque::new(),
+            forgotten_before: 0,
             counts: WorkerCounts::default(),
         }
     }
@@ -159,6 +188,10 @@
         }
         self.runs.clear();
         self.incarnation += 1;
+        self.number = 0;
+        self.complete_for = None;
+        self.forgotten.clear();
+        self.forgotten_before = 0;
     }
 
     /// Ends all runs that are due and returns the time.
@@ -214,25 +247,71 @@
         if let Some(echo_ms) = req.echo_ms {
             self.renew(echo_ms, now_ms);
         }
+        self.number += 1;
         for run in &req.acknowledged {
             self.forget(run, now_ms);
         }
-        let tasks = self
-            .runs
-            .iter()
-            .map(|(id, run)| self.report(id, run, now_ms));
+        self.note_changes(now_ms);
+        let since = self.usable_base(req);
+        self.complete_for = Some(req.epoch);
+        let changed = |number: u64| since.is_none_or(|since| number > since);
+        let tasks = self.runs.iter().filter_map(|(id, run)| {
+            let reported = run.reported.filter(|reported| changed(reported.number))?;
+            Some(report(id, run, &reported))
+        });
+        let forgotten = self.forgotten.iter().filter(|_| since.is_some());
+        let forgotten = forgotten.filter(|(number, _)| changed(*number));
         Ok(HeartbeatReply {
             worker: self.spec.id.clone(),
             incarnation: self.incarnation,
             clock_ms: self.clock_ms(now_ms),
+            number: Some(self.number),
+            since,
+            forgotten: forgotten.map(|(_, run)| run.clone()).collect(),
             tasks: tasks.collect(),
         })
     }
 
+    // Number of the report that the reply may name the changes since.
+    fn usable_base(&self, req: &HeartbeatRequest) -> Option<u64> {
+        let ReportBase {
+            incarnation,
+            number,
+        } = req.base?;
+        let is_usable = incarnation == self.incarnation
+            && self.complete_for == Some(req.epoch)
+            && number < self.number
+            && number >= self.forgotten_before;
+        is_usable.then_some(number)
+    }
+
+    // Marks the runs whose end or usage differs from what was last reported.
+    fn note_changes(&mut self, now_ms: u64) {
+        let lag_ms = self.spec.usage_lag_ms;
+        for run in self.runs.values_mut() {
+            let used = reported_usage(run, lag_ms, now_ms);
+            let is_known = run.reported.is_some_and(|reported| {
+                reported.ended == run.ended && is_near(&reported.used, &used, &run.reserved)
+            });
+            if !is_known {
+                run.reported = Some(Reported {
+                    number: self.number,
+                    used,
+                    ended: run.ended,
+                });
+            }
+        }
+    }
+
     fn forget(&mut self, run: &(TaskId, Attempt), now_ms: u64) {
         if self.runs.get(run).is_some_and(|run| run.ended.is_some()) {
             self.runs.remove(run);
             self.remember(run, true, now_ms);
+            self.forgotten.push_back((self.number, run.clone()));
+            if self.forgotten.len() > MAX_FORGOTTEN {
+                let oldest = self.forgotten.pop_front();
+                self.forgotten_before = oldest.map_or(self.number, |(number, _)| number);
+            }
         }
     }
 
@@ -249,35 +328,6 @@
         self.remembered.insert(task.clone(), run);
     }
 
-    fn report(&self, id: &(TaskId, Attempt), run: &Run, now_ms: u64) -> ReportedTask {
-        let phase = match run.ended {
-            Some(result) => TaskPhase::Ended { result },
-            None => TaskPhase::Running,
-        };
-        ReportedTask {
-            task: id.0.clone(),
-            attempt: id.1,
-            reserved: run.reserved,
-            used: self.reported_usage(run, now_ms),
-            phase,
-        }
-    }
-
-    fn reported_usage(&self, run: &Run, now_ms: u64) -> Resources {
-        if run.ended.is_some() || run.started_ms + self.spec.usage_lag_ms > now_ms {
-            return Resources::ZERO;
-        }
-        let used = run.simulated.used.unwrap_or(run.reserved);
-        if !run.throttled {
-            return used;
-        }
-        Resources {
-            milli_cores: used.milli_cores.min(run.reserved.milli_cores),
-            memory_mib: used.memory_mib.min(run.reserved.memory_mib),
-            accelerators: used.accelerators.min(run.reserved.accelerators),
-        }
-    }
-
     /// Starts runs.
     ///
     /// # Errors
@@ -352,6 +402,7 @@
             ended: None,
             throttled: false,
             record,
+            reported: None,
         };
         self.runs.insert((run.task.clone(), run.attempt), state);
         true
@@ -411,6 +462,48 @@
     }
 }
 
+fn report(id: &(TaskId, Attempt), run: &Run, reported: &Reported) -> ReportedTask {
+    let phase = match reported.ended {
+        Some(result) => TaskPhase::Ended { result },
+        None => TaskPhase::Running,
+    };
+    ReportedTask {
+        task: id.0.clone(),
+        attempt: id.1,
+        reserved: run.reserved,
+        used: reported.used,
+        phase,
+    }
+}
+
+fn reported_usage(run: &Run, lag_ms: u64, now_ms: u64) -> Resources {
+    if run.ended.is_some() || run.started_ms + lag_ms > now_ms {
+        return Resources::ZERO;
+    }
+    let used = run.simulated.used.unwrap_or(run.reserved);
+    if !run.throttled {
+        return used;
+    }
+    Resources {
+        milli_cores: used.milli_cores.min(run.reserved.milli_cores),
+        memory_mib: used.memory_mib.min(run.reserved.memory_mib),
+        accelerators: used.accelerators.min(run.reserved.accelerators),
+    }
+}
+
+// Whether a usage need not be reported again. A usage that comes to exceed the reservation, or no longer does, always
+// is, because the owner throttles and checkpoints by it.
+fn is_near(reported: &Resources, used: &Resources, reserved: &Resources) -> bool {
+    let near = |reported: u64, used: u64, reserved: u64| {
+        reported == used || reported.abs_diff(used) < reserved / USAGE_STEP_PART
+    };
+    reported.fits_in(reserved) == used.fits_in(reserved)
+        && (*reported == Resources::ZERO) == (*used == Resources::ZERO)
+        && near(reported.milli_cores, used.milli_cores, reserved.milli_cores)
+        && near(reported.memory_mib, used.memory_mib, reserved.memory_mib)
+        && reported.accelerators == used.accelerators
+}
+
 // Brings the end of a run forward.
 fn end_by(run: &mut Run, at_ms: u64, result: TaskResult) {
     if run.due.is_none_or(|(due_ms, _)| at_ms < due_ms) {
--- a/crates/standins/tests/fake_worker.rs
+++ b/crates/standins/tests/fake_worker.rs
@@ -54,6 +54,7 @@
         epoch: Epoch(epoch),
         echo_ms,
         acknowledged: vec![],
+        base: None,
     }
 }
 
--- a/crates/standins/tests/servers.rs
+++ b/crates/standins/tests/servers.rs
@@ -197,6 +197,7 @@
             epoch: Epoch(1),
             echo_ms: None,
             acknowledged: vec![],
+            base: None,
         };
         let report = block_on(client.heartbeat(&heartbeat)).expect("report");
         (report.incarnation, report.clock_ms)
--- a/crates/worker/src/api.rs
+++ b/crates/worker/src/api.rs
@@ -17,6 +17,15 @@
 /// Time that a worker runs tasks without a renewal, in ms.
 pub const TASK_LEASE_MS: u64 = 10_000;
 
+/// A worker's report that the owner has processed; the next report may name only what changed since.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportBase {
+    /// Incarnation of the worker that sent it.
+    pub incarnation: u64,
+    /// Its number.
+    pub number: u64,
+}
+
 /// Renews leases and asks for a report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatRequest {
@@ -28,6 +37,9 @@
     pub echo_ms: Option<u64>,
     /// Ended runs of earlier reports that the owner has recorded; the worker may forget them.
     pub acknowledged: Vec<(TaskId, Attempt)>,
+    /// Last report that the sender has processed under this epoch; absent to ask for a complete report.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<ReportBase>,
 }
 
 /// What a task does.
@@ -67,11 +79,21 @@
     pub incarnation: u64,
     /// The worker's own clock.
     pub clock_ms: u64,
-    /// All its tasks.
+    /// Number of this report, which never decreases within an incarnation; absent when the worker sends only complete
+    /// reports.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub number: Option<u64>,
+    /// Number of the report that this one names the changes since; absent when this report is complete.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub since: Option<u64>,
+    /// Runs that the worker has forgotten since the base; empty in a complete report.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub forgotten: Vec<(TaskId, Attempt)>,
+    /// All its tasks, or those that changed since the base.
     pub tasks: Vec<ReportedTask>,
 }
 
-/// Starts tasks; each is taken or refused by itself unless `all_or_nothing` is set.
+/// Starts tasks; each is taken or refused by itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartRequest {
     /// Pool that the worker belongs to.
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -3,12 +3,14 @@
 mod api;
 pub mod events;
 mod http_client;
+mod known;
 mod visitors;
 
 pub use {
     api::{
-        HeartbeatReply, HeartbeatRequest, ReportedTask, StartReply, StartRequest, TASK_LEASE_MS,
-        TaskCommand, TaskPhase, WorkerClient, WorkerConnector, WorkerError,
+        HeartbeatReply, HeartbeatRequest, ReportBase, ReportedTask, StartReply, StartRequest,
+        TASK_LEASE_MS, TaskCommand, TaskPhase, WorkerClient, WorkerConnector, WorkerError,
     },
     http_client::{HttpWorkerConnector, WorkerTimeouts},
+    known::{KnownTasks, ReportError, TaskTable},
 };
--- a/crates/worker/src/visitors.rs
+++ b/crates/worker/src/visitors.rs
@@ -1,6 +1,6 @@
 //! Hand-written deserialisation of the heartbeat's reply.
 //!
-//! Each owner parses one reply a second for every worker, with all its tasks. The derived form of [`TaskPhase`], an
+//! Each owner parses the replies of all workers of its pool; a complete one has all tasks of the worker. The derived form of [`TaskPhase`], an
 //! enum tagged from within, first copies its fields into an intermediate tree; these visitors read it in one pass. They
 //! judge every object as the derived form does, which a test compares. Arrays in place of objects, which the derived
 //! form also accepts, are refused.
@@ -43,7 +43,15 @@
     };
 }
 
-field_names!(ReplyField { Worker = "worker", Incarnation = "incarnation", ClockMs = "clock_ms", Tasks = "tasks" });
+field_names!(ReplyField {
+    Worker = "worker",
+    Incarnation = "incarnation",
+    ClockMs = "clock_ms",
+    Number = "number",
+    Since = "since",
+    Forgotten = "forgotten",
+    Tasks = "tasks"
+});
 field_names!(TaskField {
     Task = "task",
     Attempt = "attempt",
@@ -83,6 +91,7 @@
             fn visit_map<M: MapAccess<'de>>(self, mut map: M) -> Result<HeartbeatReply, M::Error> {
                 let (mut worker, mut incarnation, mut clock_ms, mut tasks) =
                     (None, None, None, None);
+                let (mut number, mut since, mut forgotten) = (None, None, None);
                 while let Some(field) = map.next_key()? {
                     match field {
                         ReplyField::Worker => read(&mut map, &mut worker, "worker")?,
@@ -90,6 +99,9 @@
                             read(&mut map, &mut incarnation, "incarnation")?;
                         }
                         ReplyField::ClockMs => read(&mut map, &mut clock_ms, "clock_ms")?,
+                        ReplyField::Number => read(&mut map, &mut number, "number")?,
+                        ReplyField::Since => read(&mut map, &mut since, "since")?,
+                        ReplyField::Forgotten => read(&mut map, &mut forgotten, "forgotten")?,
                         ReplyField::Tasks => read(&mut map, &mut tasks, "tasks")?,
                         ReplyField::Other => {
                             map.next_value::<IgnoredAny>()?;
@@ -100,6 +112,10 @@
                     worker: need(worker, "worker")?,
                     incarnation: need(incarnation, "incarnation")?,
                     clock_ms: need(clock_ms, "clock_ms")?,
+                    // These three are absent in the replies of workers that send only complete reports.
+                    number: number.flatten(),
+                    since: since.flatten(),
+                    forgotten: forgotten.unwrap_or_default(),
                     tasks: need(tasks, "tasks")?,
                 })
             }
--- a/crates/worker/tests/http_client.rs
+++ b/crates/worker/tests/http_client.rs
@@ -59,6 +59,7 @@
         epoch: Epoch(epoch),
         echo_ms: None,
         acknowledged: vec![],
+        base: None,
     }
 }
 
--- a/crates/worker/tests/visitors.rs
+++ b/crates/worker/tests/visitors.rs
@@ -31,6 +31,10 @@
     worker: WorkerId,
     incarnation: u64,
     clock_ms: u64,
+    number: Option<u64>,
+    since: Option<u64>,
+    #[serde(default)]
+    forgotten: Vec<(TaskId, Attempt)>,
     tasks: Vec<DerivedTask>,
 }
 
@@ -51,6 +55,9 @@
             worker: reply.worker,
             incarnation: reply.incarnation,
             clock_ms: reply.clock_ms,
+            number: reply.number,
+            since: reply.since,
+            forgotten: reply.forgotten,
             tasks: tasks.collect(),
         }
     }
@@ -90,14 +97,26 @@
         "[a-z]{1,8}",
         any::<u64>(),
         any::<u64>(),
+        any::<(Option<u64>, Option<u64>)>(),
+        prop::collection::vec(any::<u32>(), 0..3),
         prop::collection::vec(task, 0..4),
     );
-    parts.prop_map(|(worker, incarnation, clock_ms, tasks)| HeartbeatReply {
-        worker: WorkerId::new(&worker).expect("valid name"),
-        incarnation,
-        clock_ms,
-        tasks,
-    })
+    parts.prop_map(
+        |(worker, incarnation, clock_ms, (number, since), forgotten, tasks)| HeartbeatReply {
+            worker: WorkerId::new(&worker).expect("valid name"),
+            incarnation,
+            clock_ms,
+            number,
+            since,
+            forgotten: forgotten.into_iter().map(run).collect(),
+            tasks,
+        },
+    )
+}
+
+fn run(index: u32) -> (TaskId, Attempt) {
+    let job = JobId::new("j").expect("valid name");
+    (TaskId { job, index }, Attempt(1))
 }
 
 fn config() -> Config {
@@ -151,6 +170,11 @@
 
 // Guards against a difference in unknown, repeated and missing fields.
 judged_alike! {
+    complete_report: r#"{"worker":"w","incarnation":1,"clock_ms":2,"number":3,"tasks":[]}"#;
+    report_of_changes: r#"{"worker":"w","incarnation":1,"clock_ms":2,"number":3,"since":1,"forgotten":[[{"job":"j","index":0},1]],"tasks":[]}"#;
+    absent_numbers: r#"{"worker":"w","incarnation":1,"clock_ms":2,"number":null,"since":null,"tasks":[]}"#;
+    forgotten_is_null: r#"{"worker":"w","incarnation":1,"clock_ms":2,"forgotten":null,"tasks":[]}"#;
+    repeated_number: r#"{"worker":"w","incarnation":1,"clock_ms":2,"number":3,"number":3,"tasks":[]}"#;
     unknown_fields: r#"{"worker":"w","incarnation":1,"clock_ms":2,"tasks":[],"new":{"a":[1]}}"#;
     repeated_field: r#"{"worker":"w","incarnation":1,"incarnation":1,"clock_ms":2,"tasks":[]}"#;
     missing_field: r#"{"worker":"w","incarnation":1,"tasks":[]}"#;
@@ -163,7 +187,7 @@
 // Guards against a report without field names, which the derived parser takes by position.
 #[test]
 fn an_array_is_not_a_report() {
-    let json = r#"["w",1,2,[]]"#;
+    let json = r#"["w",1,2,null,null,[],[]]"#;
     assert!(serde_json::from_str::<DerivedReply>(json).is_ok());
     assert!(serde_json::from_str::<HeartbeatReply>(json).is_err());
 }
