control: fewer heartbeats to workers on which nothing changes

Cause: each worker got a heartbeat a second, whatever happened on it.

Change: the interval grows with a quarter of the time since the last change (command, start, acknowledgement or reported change), from 1 s up to 2 s, and is short again after a change. An unanswered heartbeat is repeated after the short interval. A new owner sends the second heartbeat at once, because only one with an echo renews the tasks that it took over. 2 s rather than 2.5 s: a heartbeat lost after 2.5 s ends at 3.5 s, when the worker counts as silent, and the lease after it (10 s less two intervals) leaves 5 s for a takeover of 4.8 s. A test computes both bounds from the timings. An end on a worker that was quiet for 8 s is noticed up to 1 s later than before.

--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -104,7 +104,7 @@
     pub rank_wait_ms: u64,
     /// That an owner renews running tasks after its last successful renewal.
     pub autonomy_ms: u64,
-    /// Between two heartbeats to each worker.
+    /// Between two heartbeats to each worker while something changes on it.
     pub worker_heartbeat_ms: u64,
     /// Without an answer after which a worker gets no new tasks.
     pub worker_silent_ms: u64,
@@ -153,6 +153,16 @@
         self.lease_ms - self.lease_ms / 20
     }
 
+    /// Longest time between two heartbeats to a worker on which nothing changes, in ms.
+    ///
+    /// With 2 s a lost heartbeat, which is given up after 1 s, is repeated before the worker counts as silent (3.5 s).
+    /// A takeover of 4.8 s that begins right before a heartbeat is due still renews the tasks in time: their lease
+    /// ends 8 s after the last heartbeat, because it counts from the report before. With 2.5 s neither holds.
+    #[must_use]
+    pub const fn quiet_heartbeat_ms(&self) -> u64 {
+        2 * self.worker_heartbeat_ms
+    }
+
     /// Time after which a worker's tasks have certainly ended without a renewal, with 5% for the drift of its clock.
     #[must_use]
     pub const fn expired_task_ms(&self) -> u64 {
--- a/crates/control/src/owner/link.rs
+++ b/crates/control/src/owner/link.rs
@@ -30,6 +30,9 @@
 /// Most acknowledged runs in one heartbeat; the others follow with the next.
 const MAX_ACKNOWLEDGED: usize = 512;
 
+/// Part of the time without a change that the interval may reach; an end is noticed later by no more than that part.
+const QUIET_PART: u32 = 4;
+
 /// A command that concerns one run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunCommand {
@@ -131,6 +134,7 @@
         tx,
         echo_ms: None,
         known: KnownTasks::default(),
+        changed: Instant::now(),
     };
     let interval = Duration::from_millis(task.shared.cfg.timings.worker_heartbeat_ms);
     let mut next_beat = Instant::now();
@@ -141,9 +145,19 @@
         if task.handle.may_command(&task.shared) {
             task.send_commands().await;
             task.send_starts().await;
+            if task.changed.elapsed() < interval {
+                next_beat = next_beat.min(task.changed + interval);
+            }
             if Instant::now() >= next_beat && task.handle.may_command(&task.shared) {
-                next_beat = Instant::now() + interval;
-                task.beat().await;
+                let begun = Instant::now();
+                let is_first = task.echo_ms.is_none();
+                next_beat = begun
+                    + match task.beat().await {
+                        // Only a heartbeat with an echo renews the tasks that an earlier owner started.
+                        true if is_first => Duration::ZERO,
+                        true => task.interval(interval),
+                        false => interval,
+                    };
             }
         } else {
             next_beat = Instant::now() + interval;
@@ -160,15 +174,27 @@
     echo_ms: Option<u64>,
     /// The worker's tasks; a link serves one epoch, so a new owner starts from a complete report.
     known: KnownTasks,
+    /// When something was last sent to the worker or reported by it, other than that all is as before.
+    changed: Instant,
 }
 
 impl LinkTask {
-    async fn beat(&mut self) {
+    /// Time from the start of an answered heartbeat to the next one.
+    fn interval(&self, shortest: Duration) -> Duration {
+        let longest = Duration::from_millis(self.shared.cfg.timings.quiet_heartbeat_ms());
+        (self.changed.elapsed() / QUIET_PART).clamp(shortest, longest)
+    }
+
+    /// Sends a heartbeat; returns whether it was answered.
+    async fn beat(&mut self) -> bool {
         let acknowledged: Vec<RunKey> = {
             let mut outbox = lock(&self.link.outbox);
             let count = outbox.acknowledged.len().min(MAX_ACKNOWLEDGED);
             outbox.acknowledged.drain(..count).collect()
         };
+        if !acknowledged.is_empty() {
+            self.changed = Instant::now();
+        }
         let req = HeartbeatRequest {
             pool: self.handle.pool.clone(),
             epoch: self.handle.epoch(),
@@ -179,18 +205,25 @@
         let result = timeout_ms(CALL_LIMIT_MS, self.link.client.heartbeat(&req)).await;
         match result {
             Ok(Ok(reply)) if reply.worker == self.link.worker => self.report(reply).await,
-            Ok(Err(WorkerError::Fenced { .. })) => self.fenced(),
+            Ok(Err(WorkerError::Fenced { .. })) => {
+                self.fenced();
+                false
+            }
             // Acknowledgements need not be repeated: the worker reports the run again, which is acknowledged again.
-            _ => {}
+            _ => false,
         }
     }
 
-    async fn report(&mut self, reply: HeartbeatReply) {
+    /// Hands a report to the owner; returns whether it could be used.
+    async fn report(&mut self, reply: HeartbeatReply) -> bool {
+        if reply.since.is_none() || !(reply.tasks.is_empty() && reply.forgotten.is_empty()) {
+            self.changed = Instant::now();
+        }
         let (incarnation, clock_ms) = (reply.incarnation, reply.clock_ms);
         let received_ms = self.shared.now_ms();
         // A report that does not continue the last one counts as no answer; the next heartbeat asks for a complete one.
         let Ok(tasks) = self.known.apply(reply) else {
-            return;
+            return false;
         };
         self.echo_ms = Some(clock_ms);
         let report = WorkerReport {
@@ -201,6 +234,7 @@
             received_ms,
         };
         let _ = self.tx.send(Message::Report(report)).await;
+        true
     }
 
     fn fenced(&self) {
@@ -209,6 +243,9 @@
 
     async fn send_commands(&mut self) {
         let commands = mem::take(&mut lock(&self.link.outbox).commands);
+        if !commands.is_empty() {
+            self.changed = Instant::now();
+        }
         for ((task, attempt), command) in commands {
             let req = TaskCommand {
                 pool: self.handle.pool.clone(),
@@ -241,6 +278,7 @@
         if runs.is_empty() || self.handle.is_dropped() {
             return;
         }
+        self.changed = Instant::now();
         self.shared.counters.starts.add(runs.len());
         let req = StartRequest {
             pool: self.handle.pool.clone(),
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use {
-    ragwortreel_control::SettingsChange,
+    ragwortreel_control::{SettingsChange, Timings},
     ragwortreel_model::{JobState, Team, TeamSettings},
     ragwortreel_runtime::{block_on, sleep_ms},
     ragwortreel_standins::Outage,
+    ragwortreel_worker::WorkerTimeouts,
     support::{Cell, job},
 };
 
@@ -19,6 +20,46 @@
     cell
 }
 
+/// Most time for a takeover, in ms.
+const TAKEOVER_MS: u64 = 4_800;
+
+/// Guards against an interval at which one lost heartbeat makes a worker silent, or at which tasks end while their
+/// pool's owner is replaced.
+#[test]
+fn quiet_heartbeats_leave_time_for_a_repeat_and_a_takeover() {
+    let timings = Timings::default();
+    let quiet_ms = timings.quiet_heartbeat_ms();
+    let limit = WorkerTimeouts::default().heartbeat;
+    let repeated_ms = quiet_ms + u64::try_from(limit.as_millis()).expect("short");
+    assert!(repeated_ms < timings.worker_silent_ms);
+    // The last heartbeat renews from the report before it, and the next one would have been due when the owner died.
+    let lease_left_ms = timings.task_lease_ms - 2 * quiet_ms;
+    assert!(lease_left_ms > TAKEOVER_MS);
+}
+
+/// Guards against heartbeats that stay as frequent when nothing changes, that let a lease expire, or that miss the
+/// runs which follow a quiet time.
+#[test]
+fn a_quiet_worker_gets_fewer_heartbeats() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a"], 1);
+        cell.start("e1", "riga-a");
+        cell.ready().await;
+        cell.submit("e1", job("long", 1, Some(60_000))).await;
+        cell.until("one runs", |cell| cell.running() == 1).await;
+        let beats = |cell: &Cell| cell.workers[0].counts().heartbeats;
+        sleep_ms(12 * cell.timings.worker_heartbeat_ms).await;
+        let before = beats(&cell);
+        sleep_ms(8 * cell.timings.worker_heartbeat_ms).await;
+        let count = beats(&cell) - before;
+        assert!(count <= 6, "{count} heartbeats in eight short intervals");
+        cell.submit("e1", job("next", 2, Some(300))).await;
+        cell.until_succeeded("next").await;
+        assert_eq!(cell.workers[0].counts().expired_runs, 0);
+        cell.assert_sound();
+    });
+}
+
 #[test]
 fn jobs_run_to_their_end() {
     block_on(async {
