--- a/crates/control/src/owner/report.rs
+++ b/crates/control/src/owner/report.rs
@@ -16,7 +16,7 @@
     ragwortreel_model::{Assignment, Attempt, JobId, JobKind, TaskId, TaskResult, WorkerId},
     ragwortreel_runtime::log_event,
     ragwortreel_worker::{ReportedTask, TaskPhase, TaskTable},
-    std::sync::Arc,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// Reports in a row over its reservation after which patient work is checkpointed; it is throttled at once.
