Report ready only once the instance holds slots

Cause: an instance with a lease counted as ready while the releases of the other members were still missing, and its share of every backend server was then empty. Change: readiness also needs a slot, or a share that no member keeps back (it may be empty with more members than slots). No test is about this rule alone. Conclusion: callers are sent to an instance only when it can route.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -205,6 +205,14 @@
         slots::refresh(&self.shared)
     }
 
+    /// Whether this instance is in the newest slot epoch of its zone and no earlier share of a member keeps slots from
+    /// it.
+    #[must_use]
+    pub fn is_share_settled(&self) -> bool {
+        let slots = lock(&self.shared.slots);
+        slots.has_member(&self.shared.cfg.instance) && slots.is_settled()
+    }
+
     /// Members of the newest slot epoch of the own zone.
     #[must_use]
     pub fn slot_members(&self) -> Vec<InstanceId> {
--- a/crates/control/src/slots.rs
+++ b/crates/control/src/slots.rs
@@ -60,6 +60,10 @@
         self.ledger.members()
     }
 
+    pub fn is_settled(&self) -> bool {
+        self.ledger.unreleased().is_empty()
+    }
+
     pub fn has_member(&self, id: &InstanceId) -> bool {
         self.members().contains(id)
     }
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -46,7 +46,10 @@
         router.update_zones(reached.map(|member| load_of(&control, member)).collect());
         let shares = control.refresh_shares();
         let is_listed = !known.is_empty() || begun.elapsed() >= NO_BACKENDS;
-        if shares.valid_until_ms > 0 && is_listed {
+        // With more members than slots a settled share may be empty.
+        let has_slots = shares.by_backend.values().any(|share| share.slots > 0);
+        let holds_share = shares.valid_until_ms > 0 && (has_slots || control.is_share_settled());
+        if holds_share && is_listed {
             can_route.store(true, Ordering::Release);
         }
         sleep_ms(REFRESH_MS).await;
