control, routing: no timers while nothing is queued

Cause: the daemon ticked the router each 50 ms and the loop of a pool's owner turned each 100 ms although no request waited and no task was queued.

Change: Router::busy waits until a change makes time matter again: a request waits or is in flight, the average of the load decays, or a backend server recovers. The daemon waits there between ticks, and a request that enters an idle router now wakes it at once.

--- a/crates/control/src/owner/pool.rs
+++ b/crates/control/src/owner/pool.rs
@@ -26,7 +26,7 @@
     },
 };
 
-/// Longest wait of the loop, in ms; bounds how late a decision that depends on time is taken.
+/// Longest wait of the loop while something is queued, in ms; bounds how late a decision that depends on time is taken.
 const TURN_MS: u64 = 100;
 /// Messages handled before the next decisions are taken.
 const MESSAGES_A_TURN: usize = 1_024;
@@ -206,7 +206,7 @@
             self.finish_job_if_done(id);
         }
         while !self.handle.is_dropped() && !self.shared.stop.is_requested() {
-            let received = timeout_ms(TURN_MS, self.rx.recv()).await;
+            let received = timeout_ms(self.longest_wait_ms(), self.rx.recv()).await;
             match received {
                 Ok(Ok(message)) => self.handle_message(message),
                 Ok(Err(_)) => break,
@@ -223,6 +223,19 @@
         self.workers.values().for_each(Worker::close);
     }
 
+    /// Longest wait for a message: while no task is queued and no record waits, time matters only to the upkeep.
+    fn longest_wait_ms(&self) -> u64 {
+        let scan_ms = self.shared.cfg.timings.scan_ms;
+        let is_idle = self.scheduler.stats().queued == 0
+            && self.journal.is_idle()
+            && self.releasing.is_none();
+        if is_idle {
+            scan_ms.max(TURN_MS)
+        } else {
+            TURN_MS
+        }
+    }
+
     fn turn(&mut self) {
         let now_ms = self.shared.now_ms();
         if now_ms >= self.upkept_ms + self.shared.cfg.timings.scan_ms {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -7,12 +7,15 @@
         queue::WaitId,
         state::{Delivery, Grant, GrantId, State, Verdict},
     },
-    async_channel::Receiver,
+    async_channel::{Receiver, Sender},
     ragwortreel_model::{Clock, InstanceId, ServiceName, Settings, Team, WorkClass},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
     },
 };
 
@@ -25,6 +28,10 @@
 struct Shared {
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
+    /// Whether [`Router::busy`] waits for a change after which time matters again.
+    sleeping: AtomicBool,
+    wake_tx: Sender<()>,
+    wake_rx: Receiver<()>,
 }
 
 impl Router {
@@ -32,8 +39,15 @@
     #[must_use]
     pub fn new(config: RouterConfig, clock: Arc<dyn Clock>) -> Self {
         let state = Mutex::new(State::new(config));
+        let (wake_tx, wake_rx) = async_channel::bounded(1);
         Self {
-            shared: Arc::new(Shared { clock, state }),
+            shared: Arc::new(Shared {
+                clock,
+                state,
+                sleeping: AtomicBool::new(false),
+                wake_tx,
+                wake_rx,
+            }),
         }
     }
 
@@ -81,7 +95,7 @@
 
     /// Gives their final answer to waiting requests that can no longer be in time, and slots to those that can.
     ///
-    /// Returns the time until the next call is due, in ms. The daemon calls it in a loop.
+    /// Returns the time until the next call is due, in ms. The daemon calls it in a loop with [`Router::busy`].
     #[must_use]
     pub fn tick(&self) -> u64 {
         let mut wait_ms = 0;
@@ -89,6 +103,20 @@
         wait_ms
     }
 
+    /// Waits while the router is idle, so that [`Router::tick`] would change nothing. One task may wait at a time.
+    pub async fn busy(&self) {
+        let is_idle = {
+            let state = self.shared.lock();
+            let is_idle = state.is_idle();
+            // Set under the lock, so that no change between the check and the wait goes unnoticed.
+            self.shared.sleeping.store(is_idle, Ordering::SeqCst);
+            is_idle
+        };
+        if is_idle {
+            let _ = self.shared.wake_rx.recv().await;
+        }
+    }
+
     /// Waits for a slot of a backend server.
     ///
     /// # Errors
@@ -184,6 +212,10 @@
         let deliveries = {
             let mut state = self.lock();
             change(&mut state, now);
+            if self.sleeping.load(Ordering::SeqCst) && !state.is_idle() {
+                self.sleeping.store(false, Ordering::SeqCst);
+                let _ = self.wake_tx.try_send(());
+            }
             state.take_deliveries()
         };
         for delivery in deliveries {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -214,6 +214,13 @@
         self.refuse_all(RefusalReason::Stopping);
     }
 
+    /// Whether time changes nothing: no request waits or is in flight, and every service is idle.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty()
+            && self.in_flight.is_empty()
+            && self.groups.values().all(Group::is_idle)
+    }
+
     pub fn tick(&mut self, now: u64) -> u64 {
         self.revoke_excess(now);
         self.count_stragglers(now);
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -167,6 +167,29 @@
     assert_eq!(world.router.figures().in_flight, 0);
 }
 
+/// Guards against a timer that runs while nothing can change, and against a request that an idle router does not serve
+/// until something else happens.
+#[test]
+fn an_idle_router_waits_for_a_request() {
+    let world = World::new(1, 1, 1);
+    world.tick();
+    let router = world.router.clone();
+    let mut busy = async move { router.busy().await }.boxed();
+    assert!(block_on(poll_once(&mut busy)).is_none());
+    world.router.update_settings(&world.settings);
+    assert!(block_on(poll_once(&mut busy)).is_none());
+    let held = world.permit(world.request(WorkClass::Short, 1_000));
+    assert!(block_on(poll_once(&mut busy)).is_some());
+    // Neither while a request is in flight nor while the average of the load decays.
+    assert!(block_on(poll_once(world.router.busy())).is_some());
+    held.finish(RequestResult::Answered);
+    for _ in 0..1_000 {
+        world.clock.advance_ms(50);
+        world.tick();
+    }
+    assert!(block_on(poll_once(world.router.busy())).is_none());
+}
+
 /// Guards against a team that fills the queue of the whole instance.
 #[test]
 fn a_team_s_queue_is_bounded() {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -32,7 +32,7 @@
         once::{OnceClaims, run_sweeps},
     },
     ragwortreel_routing::{Router, RouterConfig},
-    ragwortreel_runtime::{Logger, Stop, Task, log_event, sleep_ms, spawn, timeout_ms},
+    ragwortreel_runtime::{Logger, Stop, Task, future, log_event, sleep_ms, spawn, timeout_ms},
     ragwortreel_worker::{HttpWorkerConnector, WorkerTimeouts},
     std::{
         net::SocketAddr,
@@ -429,6 +429,7 @@
     while !stop.is_requested() {
         let wait_ms = router.tick().max(1);
         sleep_ms(wait_ms).await;
+        future::or(router.busy(), stop.requested()).await;
     }
 }
 
