--- a/crates/control/src/owner/report.rs
+++ b/crates/control/src/owner/report.rs
@@ -3,18 +3,20 @@
 use {
     crate::{
         events::ORPHAN_STOPPED,
+        figures::Placement,
         owner::{
             WorkerReport,
             link::{RunCommand, StartOutcome},
-            pool::{Phase, PoolOwner},
+            pool::{Job, Phase, PoolOwner},
             workers::Worker,
         },
         rows::RunKey,
+        shared::Shared,
     },
-    ragwortreel_model::{Assignment, JobKind, TaskId, TaskResult, WorkerId},
+    ragwortreel_model::{Assignment, Attempt, JobId, JobKind, TaskId, TaskResult, WorkerId},
     ragwortreel_runtime::log_event,
     ragwortreel_worker::{ReportedTask, TaskPhase, TaskTable},
-    std::sync::Arc,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// Reports in a row over its reservation after which patient work is checkpointed; it is throttled at once.
@@ -74,6 +76,7 @@
         let (worker, key) = (run.worker.clone(), (id.clone(), run.attempt));
         if run.phase != Phase::Running {
             run.phase = Phase::Running;
+            count_placement(&self.shared, &self.jobs, (id, key.1), now_ms);
             self.scheduler.started(id, key.1, now_ms);
         }
         let is_over = !found.used.fits_in(&run.resources);
@@ -169,6 +172,7 @@
                 StartOutcome::Answered(taken) if taken[index] => {
                     let stopping = run.stopping;
                     run.phase = Phase::Running;
+                    count_placement(&self.shared, &self.jobs, (id, *attempt), now_ms);
                     self.scheduler.started(id, *attempt, now_ms);
                     if stopping {
                         self.command(worker, (id.clone(), *attempt), RunCommand::Stop);
@@ -184,3 +188,22 @@
         }
     }
 }
+
+/// Reports how long a task has waited for its first start.
+fn count_placement(
+    shared: &Shared,
+    jobs: &BTreeMap<JobId, Job>,
+    (id, attempt): (&TaskId, Attempt),
+    now_ms: u64,
+) {
+    if attempt != Attempt(1) {
+        return;
+    }
+    if let Some(job) = jobs.get(&id.job) {
+        shared.placements.report(Placement {
+            team: job.spec.team.clone(),
+            kind: job.spec.kind,
+            waited_ms: now_ms.saturating_sub(job.since_ms),
+        });
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,7 +16,7 @@
         pooled::PooledTransport,
         service_call::{Parts, ServiceRouter},
         settings_api::DaemonSettings,
-        shares::{Place, follow_shares},
+        shares::follow_shares,
         telemetry::Telemetry,
     },
     ragwortreel_caller::{ApiHandler, Authenticator},
@@ -43,10 +43,11 @@
 
 /// Time limit of one call to a service of the platform.
 const PLATFORM_CALL: Duration = Duration::from_secs(1);
-/// Writes a second that claims and control of all instances may each send; together half of the service's rate.
-const WRITES_PER_S: f64 = 125.0;
-/// Reads a second that claims and control of all instances may each send; together half of the service's rate.
-const READS_PER_S: f64 = 500.0;
+/// Calls a second that the control parts of all instances may send: writes and reads. With the claims' they stay below
+/// the 500 writes and 2,000 reads a second that the platform takes.
+const CONTROL_RATES: (f64, f64) = (250.0, 900.0);
+/// Calls a second that claims of all instances may send: writes and reads.
+const CLAIM_RATES: (f64, f64) = (200.0, 900.0);
 /// Time between two samples of gauges, in ms.
 const SAMPLE_MS: u64 = 5_000;
 /// Time between two tries to write the initial settings, in ms.
@@ -153,9 +154,10 @@
     fn services(&self, config: &Config, platform: &Platform) -> ServiceRouter {
         let forwarder = Arc::new(PeerForwarder::default());
         forwarder.connect(self.control.clone());
+        let transport = Arc::new(PooledTransport::new(self.log.clone()));
         let parts = Parts {
             router: self.router.clone(),
-            transport: Arc::new(PooledTransport::new(self.log.clone())),
+            transport: Arc::clone(&transport) as Arc<_>,
             once: OnceClaims::new(
                 Arc::clone(&platform.claims),
                 config.instance.as_str(),
@@ -169,10 +171,13 @@
         };
         let services = ServiceRouter::new(parts, self.control.settings());
         let local = LocalService::new(
-            config.instance.clone(),
             services.clone(),
             self.router.clone(),
+            transport,
             self.control.clone(),
+            Arc::clone(&self.burn),
+            self.stop.clone(),
+            Arc::clone(&self.clock),
         );
         self.control.set_local_requests(Arc::new(local));
         services
@@ -219,10 +224,6 @@
         services: ServiceRouter,
     ) {
         let (control, router, linked) = (&self.control, &self.router, &self.linked);
-        let place = Place {
-            instance: config.instance.clone(),
-            zone: config.zone.clone(),
-        };
         spawn(follow_settings(
             control.clone(),
             auth,
@@ -231,7 +232,6 @@
         ))
         .detach();
         spawn(follow_shares(
-            place,
             Arc::clone(&self.can_route),
             control.clone(),
             router.clone(),
@@ -248,6 +248,8 @@
             linked.clone(),
         ))
         .detach();
+        let placements = record_placements(control.clone(), Arc::clone(&self.telemetry));
+        spawn(placements).detach();
         spawn(run_sweeps(
             platform.claims,
             self.log.clone(),
@@ -328,10 +330,10 @@
             ))
         };
         // Control and claims have queues of their own, so that a burst of claims never delays a lease renewal.
-        let resilient = || {
+        let resilient = |(writes_per_s, reads_per_s)| {
             let cfg = ResilientConfig {
-                writes_per_s: WRITES_PER_S,
-                reads_per_s: READS_PER_S,
+                writes_per_s,
+                reads_per_s,
                 ..ResilientConfig::default()
             };
             Arc::new(ResilientTable::new(
@@ -340,7 +342,7 @@
                 log.clone(),
             ))
         };
-        let (control, claims) = (resilient(), resilient());
+        let (control, claims) = (resilient(CONTROL_RATES), resilient(CLAIM_RATES));
         Self {
             figures: [Arc::clone(&control), Arc::clone(&claims)],
             control,
@@ -447,6 +449,14 @@
             let share = pool.stats.reserved.dominant_share_ppm(&pool.stats.capacity);
             telemetry.pool(&pool.pool, share, pool.stats.queued);
         }
+        // Known instances, not live ones: while the store is down all others look dead, and after its return each
+        // instance would use the whole rate.
+        let instances = u32::try_from(control.members().len()).unwrap_or(u32::MAX);
+        if instances > 0 {
+            for table in &tables {
+                table.set_instances(instances);
+            }
+        }
         telemetry.routing(&router.figures());
         let sums = tables.iter().map(|table| table.figures());
         let (reads, writes) = sums.fold((0, 0), |(r, w), figures| {
@@ -457,6 +467,17 @@
     }
 }
 
+async fn record_placements(control: Control, telemetry: Arc<Telemetry>) {
+    let placements = control.placements();
+    while let Ok(placement) = placements.recv().await {
+        telemetry.placed(
+            &placement.team,
+            placement.kind,
+            Duration::from_millis(placement.waited_ms),
+        );
+    }
+}
+
 /// Writes the tree of the daemon's settings when the table holds none yet.
 async fn write_initial(control: Control, tree: Settings, log: Logger, stop: Stop) {
     while !stop.is_requested() {
--- a/src/service_call.rs
+++ b/src/service_call.rs
@@ -39,7 +39,7 @@
     pub transport: Arc<dyn Transport>,
     /// Claims of non-idempotent requests.
     pub once: OnceClaims,
-    /// Requests to other zones.
+    /// Requests to other instances.
     pub forwarder: Arc<dyn Forwarder>,
     /// Clock of the router.
     pub clock: Arc<dyn Clock>,
@@ -219,9 +219,21 @@
         reply
     }
 
-    /// Attempts a request at backend servers of this zone, and in other zones when none here can take it.
+    /// Has another instance carry out a request when the router suggests one; `None` when that did not run it.
+    async fn forward(&self, planned: &Planned) -> Option<CallReply> {
+        let to = self.parts.router.spill(&planned.info)?;
+        let forwarder = &self.parts.forwarder;
+        forwarder
+            .forward(&to, &planned.call, planned.deadline)
+            .await
+    }
+
+    /// Attempts a request at backend servers of this zone, and at other instances when they answer sooner.
     async fn attempt(&self, planned: &Planned, may_forward: bool) -> CallReply {
         let mut attempts = Attempts::default();
+        if may_forward && let Some(reply) = self.forward(planned).await {
+            return reply;
+        }
         loop {
             let admitted = if attempts.count == 0 {
                 self.parts.router.admit(planned.info.clone()).await
@@ -264,7 +276,6 @@
         );
         let target = Target {
             address: permit.address(),
-            connections: permit.connection_limit(),
             class,
             silent_after: planned.silent_after,
             resendable: info.idempotent,
@@ -273,7 +284,7 @@
         let reply = self
             .parts
             .transport
-            .send(target, request_of(call), *deadline)
+            .send(target, request_of(call), *deadline, permit.watch())
             .await;
         attempts.count += 1;
         let (result, label, proven_not_run) = match reply {
@@ -288,21 +299,17 @@
             }
             Reply::NotRun(reason) => {
                 attempts.reason = reason;
-                (RequestResult::ConnectionFailed, "not-run", true)
+                let result = if permit.is_valid() {
+                    RequestResult::ConnectionFailed
+                } else {
+                    RequestResult::Abandoned
+                };
+                (result, "not-run", true)
             }
             Reply::Unknown(reason) => {
                 attempts.reason = reason;
                 attempts.may_have_run = true;
-                let is_late = Instant::now() >= *deadline;
-                (
-                    if is_late {
-                        RequestResult::TimedOut
-                    } else {
-                        RequestResult::ConnectionFailed
-                    },
-                    "unknown",
-                    false,
-                )
+                (failure(&permit, *deadline), "unknown", false)
             }
         };
         permit.finish(result);
@@ -328,20 +335,17 @@
         refusal: &Refusal,
         may_forward: bool,
     ) -> CallReply {
-        let other_zone_may_help = matches!(
+        let other_may_help = matches!(
             refusal.reason,
             RefusalReason::NoBackend | RefusalReason::NoLease | RefusalReason::Deadline
         );
         let is_open = !attempts.may_have_run && attempts.last_answer.is_none();
-        if may_forward && other_zone_may_help && is_open {
-            let forwarded = self
-                .parts
-                .forwarder
-                .forward(&planned.call, planned.deadline)
-                .await;
-            if let Some(reply) = forwarded {
-                return reply;
-            }
+        if may_forward
+            && other_may_help
+            && is_open
+            && let Some(reply) = self.forward(planned).await
+        {
+            return reply;
         }
         if attempts.reason.is_empty() {
             attempts.reason = Arc::from(refusal.to_string());
@@ -425,6 +429,17 @@
         .into()
 }
 
+/// How an attempt without a known outcome ended, as far as it tells about the backend server.
+fn failure(permit: &Permit, deadline: Instant) -> RequestResult {
+    if !permit.is_valid() {
+        RequestResult::Abandoned
+    } else if Instant::now() >= deadline {
+        RequestResult::TimedOut
+    } else {
+        RequestResult::ConnectionFailed
+    }
+}
+
 fn request_of(call: &ServiceCall) -> Request {
     Request {
         method: call.method,
