processes: lock the port range of a process

Cause: two processes whose numbers are equal modulo 44 took entry ports from the same range. Each process now holds a listener that locks its range.

--- a/crates/processes/src/cell.rs
+++ b/crates/processes/src/cell.rs
@@ -15,7 +15,10 @@
         env, fs, io,
         net::{SocketAddr, TcpListener},
         path::PathBuf,
-        sync::atomic::{AtomicU32, Ordering},
+        sync::{
+            Mutex, PoisonError,
+            atomic::{AtomicU32, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -247,29 +250,54 @@
 
 /// Ports for entry instances, below those that the operating system gives to outgoing connections: a port that was
 /// free a moment ago could otherwise be the source port of a connection when the instance binds it.
-const PORTS: std::ops::Range<u32> = 10_000..32_000;
-/// Ports between the first ones of two processes that run at the same time.
-const PORTS_PER_PROCESS: u32 = 500;
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// Ports of one range; the first one is the range's lock.
+const PORTS_PER_RANGE: u16 = 500;
 
-static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+/// Ports that no other process uses. An instance that is down for a moment leaves its port unbound, and an instance of
+/// another process's cell could take it; callers would then reach the wrong cell.
+struct PortRange {
+    /// Bound for as long as this process lives.
+    _lock: TcpListener,
+    free: std::ops::Range<u16>,
+}
+
+static RANGES: Mutex<Vec<PortRange>> = Mutex::new(Vec::new());
+
+impl PortRange {
+    fn claim() -> io::Result<Self> {
+        let starts = PORTS.step_by(usize::from(PORTS_PER_RANGE));
+        for first in starts.take_while(|first| PORTS.end - first >= PORTS_PER_RANGE) {
+            if let Ok(lock) = TcpListener::bind(with_port(first)) {
+                return Ok(Self {
+                    _lock: lock,
+                    free: first + 1..first + PORTS_PER_RANGE,
+                });
+            }
+        }
+        Err(io::Error::other("all port ranges are in use"))
+    }
+}
 
-fn next_port() -> SocketAddr {
-    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
-    let number = first.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::SeqCst));
-    let port = PORTS.start + number % (PORTS.end - PORTS.start);
+fn with_port(port: u16) -> SocketAddr {
     let mut address = any_port();
-    address.set_port(u16::try_from(port).unwrap_or(0));
+    address.set_port(port);
     address
 }
 
 fn free_address() -> io::Result<SocketAddr> {
-    for _ in PORTS {
-        let address = next_port();
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
+    let mut ranges = RANGES.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        if let Some(port) = ranges.last_mut().and_then(|range| range.free.next()) {
+            let address = with_port(port);
+            if TcpListener::bind(address).is_ok() {
+                return Ok(address);
+            }
+        } else {
+            // A range that is used up stays locked, because its instances may be restarted.
+            ranges.push(PortRange::claim()?);
         }
     }
-    Err(io::Error::other("no free port"))
 }
 
 fn free_addresses(count: usize) -> io::Result<Vec<EntryAddresses>> {
