--- a/crates/control/src/owner/report.rs
+++ b/crates/control/src/owner/report.rs
@@ -19,7 +19,7 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
-/// Reports in a row over its reservation after which patient work is checkpointed; it is throttled at once.
+/// Reports in a row over its reservation after which best-effort work is checkpointed; it is throttled at once.
 const CHECKPOINT_AFTER_OVER: u32 = 5;
 
 impl PoolOwner {
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -35,7 +35,7 @@
     /// Long-lived tasks, spread over racks.
     #[display("service")]
     Service,
-    /// Patient tasks, packed tightly.
+    /// Tasks that may wait, packed tightly.
     #[display("batch")]
     Batch,
     /// Tasks that all start together or not at all.
@@ -50,13 +50,13 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Priority {
     /// May wait and may be interrupted.
-    #[display("patient")]
-    Patient,
+    #[display("best-effort")]
+    BestEffort,
     /// Takes its fair share.
     #[default]
     #[display("normal")]
     Normal,
-    /// Starts within seconds, if need be in place of patient work.
+    /// Starts within seconds, if need be in place of best-effort work.
     #[display("urgent")]
     Urgent,
 }
--- a/crates/placement/src/api.rs
+++ b/crates/placement/src/api.rs
@@ -50,7 +50,7 @@
     Start(Assignment),
     /// Start all tasks of a gang, all or nothing.
     StartGang(Vec<Assignment>),
-    /// Checkpoint a patient task to make room; it returns to the queue when [`PoolScheduler::ended`] is called.
+    /// Checkpoint a best-effort task to make room; it returns to the queue when [`PoolScheduler::ended`] is called.
     Checkpoint(Assignment),
 }
 
--- a/crates/placement/src/gather.rs
+++ b/crates/placement/src/gather.rs
@@ -391,7 +391,7 @@
         self.now_ms.saturating_add(more_ms)
     }
 
-    /// Where the tasks fit when patient batch runs are checkpointed.
+    /// Where the tasks fit when best-effort batch runs are checkpointed.
     fn plan_checkpoints(&self, need: &Resources, tasks: u32) -> Option<Plan> {
         let mut rooms = Rooms::new(*need, tasks);
         self.workers.visit_reclaimable(need, &mut |worker, _| {
--- a/crates/placement/src/reclaim.rs
+++ b/crates/placement/src/reclaim.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Has patient batch runs checkpointed for the first task of a lane, if it may; returns whether it did.
+    /// Has best-effort batch runs checkpointed for the first task of a lane, if it may; returns whether it did.
     pub(crate) fn make_room(&mut self, lane: u32) -> bool {
         let entry = self.queue.lane(lane);
         let is_single = entry.key.gang_tasks == 0;
@@ -98,7 +98,7 @@
         true
     }
 
-    /// Has patient batch runs on a worker checkpointed until `tasks` tasks fit.
+    /// Has best-effort batch runs on a worker checkpointed until `tasks` tasks fit.
     pub(crate) fn reclaim_for_gang(&mut self, worker: u32, need: &Resources, tasks: u32) {
         let Some(whole) = need.checked_mul(u64::from(tasks)) else {
             return;
@@ -137,7 +137,7 @@
         (normal, victims.iter().map(run_time_ms).sum())
     }
 
-    /// Runs on a worker whose end makes room for `need`: patient ones first, then the youngest.
+    /// Runs on a worker whose end makes room for `need`: best-effort ones first, then the youngest.
     fn victims(&self, worker: u32, need: &Resources) -> Option<Vec<RunKey>> {
         let entry = self.workers.get(worker);
         let runs = entry.runs.iter().copied();
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -25,8 +25,8 @@
 const AGING_PER_MS: u64 = 1_667;
 /// Freed workers that are compared with the closed shapes one by one; with more, all shapes that fit are opened.
 const MAX_FREED: usize = 8;
-/// Wait that puts a patient lane level with a normal one, in ms.
-const PATIENT_DELAY_MS: u64 = 600_000;
+/// Wait that puts a best-effort lane level with a normal one, in ms.
+const BEST_EFFORT_DELAY_MS: u64 = 600_000;
 /// Run time assumed for services, in ms (100 years); they end only on request.
 const SERVICE_RUN_TIME_MS: u64 = 3_155_760_000_000;
 
@@ -187,10 +187,10 @@
         let &(oldest_ms, _, first) = lane.jobs.first()?;
         let team = self.teams.get(lane.key.team);
         let since_ms = lane.served_until_ms.max(oldest_ms);
-        // A team that is served regularly does not age, so its backlog cannot displace other teams. A patient lane
+        // A team that is served regularly does not age, so its backlog cannot displace other teams. A best-effort lane
         // ages by its own starts, so that it is served in the end beside the same team's normal work.
         let aged_ms = match lane.key.priority {
-            Priority::Patient => since_ms + PATIENT_DELAY_MS,
+            Priority::BestEffort => since_ms + BEST_EFFORT_DELAY_MS,
             Priority::Normal | Priority::Urgent => team.last_start_ms.max(oldest_ms),
         };
         let share = team.weighted_share(&self.total);
--- a/crates/placement/src/workers.rs
+++ b/crates/placement/src/workers.rs
@@ -387,7 +387,7 @@
         self.held.visit(need, order, f);
     }
 
-    /// Visits workers that have room when patient batch runs are checkpointed.
+    /// Visits workers that have room when best-effort batch runs are checkpointed.
     pub fn visit_reclaimable(&self, need: &Resources, f: &mut dyn FnMut(u32, &Resources) -> Visit) {
         self.reclaim.visit(need, SearchOrder::Tightest, f);
     }
--- a/crates/placement/tests/behaviour.rs
+++ b/crates/placement/tests/behaviour.rs
@@ -185,13 +185,13 @@
         |world| world.set_team(team("a", 100, cores(4)));
 }
 
-/// Guards against urgent work that waits behind patient work, and against more checkpoints than it needs.
+/// Guards against urgent work that waits behind best-effort work, and against more checkpoints than it needs.
 #[test]
-fn urgent_work_takes_the_place_of_patient_batch() {
+fn urgent_work_takes_the_place_of_best_effort_batch() {
     let mut world = world(&[4, 4]);
-    let mut patient = batch("patient", 4, 1, 3_600 * SECOND_MS);
-    patient.priority = Priority::Patient;
-    world.submit(patient);
+    let mut best_effort = batch("best-effort", 4, 1, 3_600 * SECOND_MS);
+    best_effort.priority = Priority::BestEffort;
+    world.submit(best_effort);
     world.submit(batch("normal", 4, 1, 3_600 * SECOND_MS));
     assert_eq!(starts(&world.decide(10)).len(), 8);
     let mut urgent = job("urgent", "b", JobKind::Service, 1, cores(2));
@@ -199,7 +199,7 @@
     world.submit(urgent);
     let stopped = checkpoints(&world.decide(10));
     assert_eq!(stopped.len(), 2, "just enough room is made");
-    assert!(stopped.iter().all(|run| run.task.job.as_str() == "patient"));
+    assert!(stopped.iter().all(|run| run.task.job.as_str() == "best-effort"));
     assert!(world.decide(10).is_empty(), "room is made once");
     world.now_ms += 10 * SECOND_MS;
     let again = checkpoints(&world.decide(10));
@@ -236,9 +236,9 @@
     );
 }
 
-/// Guards against an urgent gang that waits for the ends of patient work.
+/// Guards against an urgent gang that waits for the ends of best-effort work.
 #[test]
-fn urgent_gang_takes_the_place_of_patient_batch() {
+fn urgent_gang_takes_the_place_of_best_effort_batch() {
     let mut world = world(&[4, 4, 4]);
     world.submit(batch("normal", 12, 1, 3_600 * SECOND_MS));
     assert_eq!(starts(&world.decide(20)).len(), 12);
@@ -337,7 +337,7 @@
     world.submit(batch("small", 4, 1, 100 * SECOND_MS));
     let small = starts(&world.decide(10));
     let mut large = batch("large", 1, 4, 100 * SECOND_MS);
-    large.priority = Priority::Patient;
+    large.priority = Priority::BestEffort;
     world.submit(large.clone());
     // Its patience makes the first one gather; the second one has a better rank once it does.
     for _ in 0..12 {
--- a/crates/placement/tests/random_histories.rs
+++ b/crates/placement/tests/random_histories.rs
@@ -51,7 +51,7 @@
         Just(JobKind::Gang)
     ];
     let priority = prop_oneof![
-        Just(Priority::Patient),
+        Just(Priority::BestEffort),
         Just(Priority::Normal),
         Just(Priority::Urgent)
     ];
