entry: probe connections from the client's side only each second

Cause: both ends of each connection between entry instances probed it each second, so an instance woke four times a second for each other one on that account alone.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -37,10 +37,11 @@
 const MAX_CONNECTIONS: usize = 128;
 /// Most calls in flight on a connection.
 const MAX_STREAMS: u32 = 256;
-/// Time between two probes of a connection.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two probes of a connection. Silence is found by the client's probes each second; these only end the
+/// connections of peers that are gone.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(15);
 /// Time without an answer to a probe after which a connection is closed.
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time that calls in flight get to end after a stop was requested.
 const DRAIN_LIMIT: Duration = Duration::from_secs(10);
 /// Wait after a failed accept, which most often means that no file descriptor is free.
