--- a/crates/placement/tests/behaviour.rs
+++ b/crates/placement/tests/behaviour.rs
@@ -199,7 +199,11 @@
     world.submit(urgent);
     let stopped = checkpoints(&world.decide(10));
     assert_eq!(stopped.len(), 2, "just enough room is made");
-    assert!(stopped.iter().all(|run| run.task.job.as_str() == "best-effort"));
+    assert!(
+        stopped
+            .iter()
+            .all(|run| run.task.job.as_str() == "best-effort")
+    );
     assert!(world.decide(10).is_empty(), "room is made once");
     world.now_ms += 10 * SECOND_MS;
     let again = checkpoints(&world.decide(10));
