--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -157,7 +157,8 @@
     ///
     /// With 2 s a lost heartbeat, which is given up after 1 s, is repeated before the worker counts as silent (3.5 s).
     /// A takeover of 4.8 s that begins right before a heartbeat is due still renews the tasks in time: their lease
-    /// ends 8 s after the last heartbeat, because it counts from the report before. With 2.5 s neither holds.
+    /// ends 8 s after the last heartbeat, because it counts from the report before. With 2.5 s the lost heartbeat would be
+    /// given up only at the silent limit, and the takeover would be in time by 0.2 s only.
     #[must_use]
     pub const fn quiet_heartbeat_ms(&self) -> u64 {
         2 * self.worker_heartbeat_ms
