--- /dev/null
+++ b/crates/caller/tests/routes.rs
@@ -0,0 +1,41 @@
+//! Property tests of the paths of the HTTP interface.
+
+use {
+    proptest::{prelude::*, test_runner::RngSeed},
+    ragwortreel_caller::{Route, parse_route},
+};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// No target may crash an instance.
+    #[test]
+    fn any_target_is_parsed_or_refused(method in "[A-Z]{1,8}", target in "\\PC{0,200}") {
+        let _ = parse_route(&method, &target);
+    }
+
+    /// A path within a service must reach the backend server unchanged, or two routes could be confused.
+    #[test]
+    fn path_of_a_service_is_kept(
+        team in "[a-z0-9._-]{1,20}",
+        service in "[a-z0-9._-]{1,20}",
+        path in "(/[a-zA-Z0-9%./-]{0,30})?(\\?[a-z=&0-9]{0,20})?",
+    ) {
+        let route = parse_route("POST", &format!("/v1/services/{team}/{service}{path}"));
+        let Ok(Route::Service { team: found_team, service: found_service, path: found }) = route else {
+            return Err(TestCaseError::fail(format!("{route:?}")));
+        };
+        prop_assert_eq!(found_team.as_str(), team);
+        prop_assert_eq!(found_service.as_str(), service);
+        let expected = if path.starts_with('/') { path } else { format!("/{path}") };
+        prop_assert_eq!(&*found, expected);
+    }
+}
