Copy a request's body no more than its attempts need, and remove a dead conversion

Each call was cloned whole, with its body, only so that a request to an unknown service could still be recorded. The service is now looked up first and the call is moved. The conversion of a refusal into a call's reply was not used. Behaviour is unchanged.

--- a/crates/caller/src/handler.rs
+++ b/crates/caller/src/handler.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         api::{
-            Admin, CallReply, DrainTarget, JobCalls, Refusal, RefusalKind, ServiceCall,
-            ServiceCalls, SettingsCalls, SettingsChange,
+            Admin, DrainTarget, JobCalls, Refusal, RefusalKind, ServiceCall, ServiceCalls,
+            SettingsCalls, SettingsChange,
         },
         auth::{Authenticator, Principal},
         reply::{self, DEADLINE_HEADER, IDEMPOTENCY_HEADER},
@@ -348,18 +348,3 @@
         .map(|option| option.trim().to_ascii_lowercase())
         .collect()
 }
-
-impl From<Refusal> for CallReply {
-    fn from(refusal: Refusal) -> Self {
-        let outcome = match refusal.kind {
-            RefusalKind::Unknown => Outcome::Unknown,
-            _ => Outcome::NotRun,
-        };
-        Self {
-            outcome,
-            response: None,
-            reason: Arc::from(refusal.problem),
-            retry_after_ms: None,
-        }
-    }
-}
--- a/src/service_call.rs
+++ b/src/service_call.rs
@@ -109,8 +109,11 @@
     /// Carries out a request that another zone forwarded; it is not forwarded again.
     pub async fn call_here(&self, call: ServiceCall) -> CallReply {
         self.detached(|shared| async move {
-            match shared.plan(call) {
-                Ok(planned) => shared.attempt(&planned, false).await,
+            match shared.service_of(&call) {
+                Ok((service, silent_after)) => {
+                    let planned = shared.plan(call, service, silent_after);
+                    shared.attempt(&planned, false).await
+                }
                 Err(reply) => reply,
             }
         })
@@ -146,16 +149,19 @@
 }
 
 impl Shared {
-    fn plan(&self, call: ServiceCall) -> Result<Planned, CallReply> {
+    /// Settings of the called service, and the time after which its connections count as silent.
+    fn service_of(&self, call: &ServiceCall) -> Result<(ServiceSettings, Duration), CallReply> {
         let settings = Arc::clone(&self.settings.read().unwrap_or_else(PoisonError::into_inner));
         let team = settings.settings.teams.get(&call.team);
-        let service = team
-            .and_then(|team| team.services.get(&call.service))
-            .cloned();
-        let Some(service) = service else {
+        let Some(service) = team.and_then(|team| team.services.get(&call.service)) else {
             let reason = format!("no service {} of team {}", call.service, call.team);
             return Err(not_run(reason, None));
         };
+        let silent_after = Duration::from_millis(settings.settings.cell.silent_after_ms);
+        Ok((service.clone(), silent_after))
+    }
+
+    fn plan(&self, call: ServiceCall, service: ServiceSettings, silent_after: Duration) -> Planned {
         let deadline_ms = call
             .deadline_ms
             .unwrap_or(service.deadline_ms)
@@ -176,14 +182,13 @@
             deadline_ms: self.parts.clock.now_ms() + left_ms,
             idempotent: service.idempotent || is_safe,
         };
-        let silent_after = Duration::from_millis(settings.settings.cell.silent_after_ms);
-        Ok(Planned {
+        Planned {
             call,
             service,
             info,
             deadline,
             silent_after,
-        })
+        }
     }
 
     /// Runs a non-idempotent request with a key at most once, over all instances and repeats.
@@ -354,8 +359,8 @@
     }
 
     async fn call(&self, call: ServiceCall) -> CallReply {
-        let planned = match self.plan(call.clone()) {
-            Ok(planned) => planned,
+        let planned = match self.service_of(&call) {
+            Ok((service, silent_after)) => self.plan(call, service, silent_after),
             Err(reply) => {
                 self.record(None, &call, &reply);
                 return reply;
