--- a/bench/src/cell.rs
+++ b/bench/src/cell.rs
@@ -3,10 +3,10 @@
 use {
     ragwortreel_model::{
         Assignment, JobId, JobKind, JobSpec, NameError, Pool, Priority, Rack, Resources,
-        TaskResult, Team, WorkerId,
+        TaskResult, WorkerId, Workspace,
     },
     ragwortreel_placement::{
-        Config, Decision, PoolScheduler, TeamShare, WorkerSpec, naive::NaiveScheduler,
+        Config, Decision, PoolScheduler, WorkerSpec, WorkspaceShare, naive::NaiveScheduler,
     },
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -17,12 +17,12 @@
 const ACCELERATORS: usize = 2_900;
 /// Running tasks of the design size.
 const TASKS: usize = 7_400;
-/// Teams of the design size.
-const TEAMS: usize = 280;
+/// Workspaces of the design size.
+const WORKSPACES: usize = 280;
 /// Accelerators of a worker that has any.
 const PER_WORKER: usize = 8;
-/// Every tenth team has reached its quota.
-const QUOTA_TEAMS: usize = 10;
+/// Every tenth workspace has reached its quota.
+const QUOTA_WORKSPACES: usize = 10;
 /// Waiting jobs that fit only an almost empty worker.
 const LARGE_JOBS: usize = 300;
 /// Time between two starts at the peak of 170 a second, in ms.
@@ -75,17 +75,17 @@
     pub rng: fastrand::Rng,
     /// Jobs that are not forgotten, with their order of submission.
     pub specs: BTreeMap<JobId, (usize, JobSpec)>,
-    shares: Vec<TeamShare>,
+    shares: Vec<WorkspaceShare>,
     next_job: usize,
-    teams: usize,
+    workspaces: usize,
 }
 
 impl<S: PoolScheduler> Cell<S> {
-    /// Fills a pool with workers, teams, running tasks and waiting work in the proportions of the design size.
+    /// Fills a pool with workers, workspaces, running tasks and waiting work in the proportions of the design size.
     pub fn new(sched: S, count: usize) -> Self {
-        let mut cell = Self::empty(sched, count, TEAMS);
+        let mut cell = Self::empty(sched, count, WORKSPACES);
         let quota = Resources::new(1_000, 1_024, 0);
-        for number in (0..TEAMS).step_by(QUOTA_TEAMS) {
+        for number in (0..WORKSPACES).step_by(QUOTA_WORKSPACES) {
             cell.set_quota(number, quota);
             cell.submit_sized(number, JobKind::Batch, 50, quota);
             cell.submit_sized(number, JobKind::Batch, 1, Resources::new(2_000, 1_024, 0));
@@ -107,8 +107,8 @@
         cell
     }
 
-    /// A pool with workers and teams only.
-    pub fn empty(mut sched: S, count: usize, teams: usize) -> Self {
+    /// A pool with workers and workspaces only.
+    pub fn empty(mut sched: S, count: usize, workspaces: usize) -> Self {
         for spec in workers(count) {
             sched.upsert_worker(spec, 0);
         }
@@ -120,27 +120,27 @@
             specs: BTreeMap::new(),
             shares: Vec::new(),
             next_job: 0,
-            teams,
+            workspaces,
         };
-        for number in 0..teams {
+        for number in 0..workspaces {
             let quota = Resources::new(1_000_000_000, 1_000_000_000, 100_000);
             cell.set_quota(number, quota);
         }
         cell
     }
 
-    fn team(&self, number: usize) -> Team {
-        name(Team::new, &format!("t{}", number % self.teams))
+    fn workspace(&self, number: usize) -> Workspace {
+        name(Workspace::new, &format!("t{}", number % self.workspaces))
     }
 
     fn set_quota(&mut self, number: usize, quota: Resources) {
-        let team = self.team(number);
-        let share = TeamShare {
-            team,
+        let workspace = self.workspace(number);
+        let share = WorkspaceShare {
+            workspace,
             weight: 100,
             quota,
         };
-        self.sched.upsert_team(share.clone());
+        self.sched.upsert_workspace(share.clone());
         self.shares.push(share);
     }
 
@@ -163,7 +163,7 @@
     /// Submits a job of certain size and returns its specification.
     pub fn submit_sized(
         &mut self,
-        team: usize,
+        workspace: usize,
         kind: JobKind,
         tasks: u32,
         resources: Resources,
@@ -173,7 +173,7 @@
         let (class, run_time_ms) = self.run_time(kind);
         let spec = JobSpec {
             id: name(JobId::new, &format!("j{number}")),
-            team: self.team(team),
+            workspace: self.workspace(workspace),
             name: Arc::from(format!("n{class}")),
             kind,
             priority: Priority::Normal,
@@ -189,7 +189,7 @@
         spec
     }
 
-    /// Submits a job of one task of random team, kind and size.
+    /// Submits a job of one task of random workspace, kind and size.
     pub fn submit(&mut self) -> JobSpec {
         let rng = &mut self.rng;
         let kind = if rng.u8(0..5) == 0 {
@@ -201,9 +201,11 @@
         let memory = cores * rng.u64(2..6);
         let accelerators = if rng.u8(0..6) == 0 { rng.u64(1..4) } else { 0 };
         let need = Resources::new(cores * 1_000, memory * 1_024, accelerators);
-        // Teams at their quota get no new work, so that the others decide the load.
-        let team = rng.usize(0..self.teams) / QUOTA_TEAMS * QUOTA_TEAMS + 1 + rng.usize(0..9);
-        self.submit_sized(team, kind, 1, need)
+        // Workspaces at their quota get no new work, so that the others decide the load.
+        let workspace = rng.usize(0..self.workspaces) / QUOTA_WORKSPACES * QUOTA_WORKSPACES
+            + 1
+            + rng.usize(0..9);
+        self.submit_sized(workspace, kind, 1, need)
     }
 
     /// Takes decisions and notes what runs.
@@ -242,14 +244,14 @@
     }
 }
 
-/// Gives a naive scheduler the workers, teams, jobs and runs of another cell.
+/// Gives a naive scheduler the workers, workspaces, jobs and runs of another cell.
 pub fn copy_to_naive<S: PoolScheduler>(from: &Cell<S>, count: usize) -> Cell<NaiveScheduler> {
     let sched = NaiveScheduler::new(name(Pool::new, "p"), Config::default());
-    let mut cell = Cell::empty(sched, count, TEAMS);
+    let mut cell = Cell::empty(sched, count, WORKSPACES);
     cell.now_ms = from.now_ms;
     cell.next_job = from.next_job;
     for share in &from.shares {
-        cell.sched.upsert_team(share.clone());
+        cell.sched.upsert_workspace(share.clone());
     }
     let mut specs: Vec<&(usize, JobSpec)> = from.specs.values().collect();
     specs.sort_by_key(|(number, _)| *number);
--- a/bench/src/control.rs
+++ b/bench/src/control.rs
@@ -1,6 +1,6 @@
 //! Cost of control: processor time, resident memory, traffic and store calls of idle entry instances.
 //!
-//! Each point is a cell of one zone with entry instances as processes and without requests. Workers, teams, running
+//! Each point is a cell of one zone with entry instances as processes and without requests. Workers, workspaces, running
 //! tasks and entry instances are varied one at a time, each at three sizes; the slopes give the cost at the design size
 //! of 8 zones. All points run at the same time, because processor time does not depend on what else runs.
 
@@ -11,7 +11,7 @@
     },
     ragwortreel::cell::CellPlan,
     ragwortreel_http::Method,
-    ragwortreel_model::{Resources, Team, TeamSettings},
+    ragwortreel_model::{Resources, Workspace, WorkspaceSettings},
     ragwortreel_processes::ProcessCell,
     ragwortreel_runtime::{block_on, sleep, spawn, start_threads},
     std::time::{Duration, Instant},
@@ -26,21 +26,21 @@
 const READY_LIMIT: Duration = Duration::from_secs(20);
 /// Token of the operators in the example settings.
 const OPERATOR: &str = "change-me-operator";
-/// Workers, teams, tasks and instances of the zone at the smallest point; the others change one of them.
+/// Workers, workspaces, tasks and instances of the zone at the smallest point; the others change one of them.
 const BASE: Size = Size {
     workers: 20,
-    teams: 20,
+    workspaces: 20,
     tasks: 0,
     entries: 2,
 };
 const WORKER_SIZES: [usize; 2] = [80, 150];
-const TEAM_SIZES: [usize; 2] = [140, 280];
+const WORKSPACE_SIZES: [usize; 2] = [140, 280];
 const TASK_SIZES: [usize; 2] = [400, 925];
 const ENTRY_SIZES: [usize; 2] = [4, 8];
-/// One pool at the design size: an eighth of 1,200 workers and 7,400 tasks, and all 280 teams.
+/// One pool at the design size: an eighth of 1,200 workers and 7,400 tasks, and all 280 workspaces.
 const DESIGN: Size = Size {
     workers: 150,
-    teams: 280,
+    workspaces: 280,
     tasks: 925,
     entries: 9,
 };
@@ -53,7 +53,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Size {
     workers: usize,
-    teams: usize,
+    workspaces: usize,
     tasks: usize,
     entries: usize,
 }
@@ -97,7 +97,7 @@
 async fn measure() -> Result<Vec<Measure>, String> {
     let mut sizes = vec![BASE];
     sizes.extend(WORKER_SIZES.map(|workers| Size { workers, ..BASE }));
-    sizes.extend(TEAM_SIZES.map(|teams| Size { teams, ..BASE }));
+    sizes.extend(WORKSPACE_SIZES.map(|workspaces| Size { workspaces, ..BASE }));
     sizes.extend(TASK_SIZES.map(|tasks| Size { tasks, ..BASE }));
     sizes.extend(ENTRY_SIZES.map(|entries| Size { entries, ..BASE }));
     let points: Vec<_> = sizes.iter().map(|size| spawn(point(*size))).collect();
@@ -116,12 +116,14 @@
     plan.workers_per_zone = size.workers;
     plan.worker = Resources::new(96_000, 512 * 1024, 3);
     plan.backends.clear();
-    while plan.settings.teams.len() < size.teams {
-        let team = Team::new(&format!("team-{}", plan.settings.teams.len()))
+    while plan.settings.workspaces.len() < size.workspaces {
+        let workspace = Workspace::new(&format!("workspace-{}", plan.settings.workspaces.len()))
             .map_err(|err| err.to_string())?;
-        plan.settings.teams.insert(team, TeamSettings::default());
+        plan.settings
+            .workspaces
+            .insert(workspace, WorkspaceSettings::default());
     }
-    for branch in plan.settings.teams.values_mut() {
+    for branch in plan.settings.workspaces.values_mut() {
         branch.quota = Resources::new(10_000_000, 10_000_000, 1_000);
     }
     Ok(plan)
@@ -152,7 +154,7 @@
     for number in 0..tasks.div_ceil(50) {
         let count = (tasks - number * 50).min(50);
         let body = format!(
-            r#"{{"id":"c-{number}","team":"patterns","name":"c-{number}","kind":"batch","tasks":{count},
+            r#"{{"id":"c-{number}","workspace":"patterns","name":"c-{number}","kind":"batch","tasks":{count},
                 "resources":{{"milli_cores":1000,"memory_mib":1024}},"payload":"{{\"run_ms\":3600000}}"}}"#
         );
         let response = cell
@@ -250,9 +252,9 @@
             count(DESIGN.workers - BASE.workers),
         ),
         (
-            "team",
-            slope(TEAM_SIZES, |size| size.teams),
-            count(DESIGN.teams - BASE.teams),
+            "workspace",
+            slope(WORKSPACE_SIZES, |size| size.workspaces),
+            count(DESIGN.workspaces - BASE.workspaces),
         ),
         (
             "task",
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -7,8 +7,8 @@
     async_lock::Semaphore,
     fastrand::Rng,
     ragwortreel_model::{
-        Clock, InstanceId, ServiceName, ServiceSettings, Settings, SystemClock, Team, TeamSettings,
-        WorkClass, Zone,
+        Clock, InstanceId, ServiceName, ServiceSettings, Settings, SystemClock, WorkClass,
+        Workspace, WorkspaceSettings, Zone,
     },
     ragwortreel_routing::{
         BackendId, BackendServer, Permit, RequestInfo, RequestResult, Router, RouterConfig,
@@ -146,8 +146,8 @@
     by_id: BTreeMap<BackendId, Arc<FakeBackend>>,
 }
 
-pub fn team() -> Team {
-    Team::new("alpha").expect("a name")
+pub fn workspace() -> Workspace {
+    Workspace::new("alpha").expect("a name")
 }
 
 pub fn service() -> ServiceName {
@@ -162,17 +162,17 @@
     InstanceId::new(&format!("entry-{number}")).expect("a name")
 }
 
-/// One team with one service, as all cases use it.
+/// One workspace with one service, as all cases use it.
 fn settings() -> Settings {
-    let mut branch = TeamSettings {
+    let mut branch = WorkspaceSettings {
         max_queued_requests: 4_096,
-        ..TeamSettings::default()
+        ..WorkspaceSettings::default()
     };
     branch
         .services
         .insert(service(), ServiceSettings::default());
     let mut settings = Settings::default();
-    settings.teams.insert(team(), branch);
+    settings.workspaces.insert(workspace(), branch);
     settings
 }
 
@@ -190,7 +190,7 @@
         id: backend.id.clone(),
         zone: zone(in_zone),
         address: ([127, 0, 0, 1], 9).into(),
-        team: team(),
+        workspace: workspace(),
         service: service(),
         leaving: false,
     };
@@ -214,7 +214,7 @@
         id: format!("backend-{number}").into(),
         zone: zone(0),
         address: ([127, 0, 0, 1], 9).into(),
-        team: team(),
+        workspace: workspace(),
         service: ServiceName::new(&format!("service-{number}")).expect("a name"),
         leaving: false,
     };
@@ -311,9 +311,9 @@
 
     fn request(&self, route: &str, class: WorkClass, limit_ms: u64) -> RequestInfo {
         RequestInfo {
-            team: team(),
+            workspace: workspace(),
             service: service(),
-            caller: team(),
+            caller: workspace(),
             route: route.into(),
             class: Some(class),
             cost_hint_ms: None,
--- a/bench/src/gang.rs
+++ b/bench/src/gang.rs
@@ -57,9 +57,9 @@
         let rng = &mut self.cell.rng;
         let cores = *rng.choice(&[1, 1, 2, 2, 4]).unwrap_or(&1);
         let memory = cores * rng.u64(1..5);
-        let team = rng.usize(0..40);
+        let workspace = rng.usize(0..40);
         let need = Resources::new(cores * 1_000, memory * 1_024, 0);
-        self.cell.submit_sized(team, JobKind::Batch, 1, need);
+        self.cell.submit_sized(workspace, JobKind::Batch, 1, need);
     }
 
     fn submit_gang(&mut self, step: u64) {
@@ -68,9 +68,11 @@
         // From a single worker up to half of the pool.
         let room = u32::try_from(WORKERS as u64 * 16 / cores).unwrap_or(1);
         let tasks = rng.u32(2..=room);
-        let team = rng.usize(0..40);
+        let workspace = rng.usize(0..40);
         let need = Resources::new(cores * 1_000, cores * 2 * 1_024, 0);
-        let spec = self.cell.submit_sized(team, JobKind::Gang, tasks, need);
+        let spec = self
+            .cell
+            .submit_sized(workspace, JobKind::Gang, tasks, need);
         self.gangs.insert(spec.id, step);
         self.outcome.submitted += 1;
     }
--- a/bench/src/history/broken.rs
+++ b/bench/src/history/broken.rs
@@ -14,7 +14,7 @@
         checks,
         load::{CallRecord, Load, Seen},
     },
-    ragwortreel_model::{ServiceName, Team},
+    ragwortreel_model::{ServiceName, Workspace},
     ragwortreel_processes::ProcessCell,
     ragwortreel_standins::RequestRecord,
     std::{
@@ -73,17 +73,17 @@
 
 /// A non-idempotent service declared as idempotent runs without claims; lost answers then lead to second runs.
 async fn without_claims() -> Result<bool, String> {
-    let (team, service) = (Team::new("patterns"), ServiceName::new("batches"));
-    let (team, service) = (
-        team.map_err(|err| err.to_string())?,
+    let (workspace, service) = (Workspace::new("patterns"), ServiceName::new("batches"));
+    let (workspace, service) = (
+        workspace.map_err(|err| err.to_string())?,
         service.map_err(|err| err.to_string())?,
     );
     let plan = plan(|plan| {
         let service = plan
             .settings
-            .teams
-            .get_mut(&team)
-            .and_then(|team| team.services.get_mut(&service));
+            .workspaces
+            .get_mut(&workspace)
+            .and_then(|workspace| workspace.services.get_mut(&service));
         if let Some(service) = service {
             service.idempotent = true;
         }
--- a/bench/src/history/operators.rs
+++ b/bench/src/history/operators.rs
@@ -22,7 +22,7 @@
 /// Time between two submissions, in ms.
 const SUBMIT_MS: u64 = 250;
 
-/// Sends operators' and teams' commands.
+/// Sends operators' and workspaces' commands.
 pub struct Api {
     client: Client,
 }
@@ -89,14 +89,14 @@
     pub at: Instant,
 }
 
-/// Changes a team's weight again and again, always from the version last read.
+/// Changes a workspace's weight again and again, always from the version last read.
 pub async fn race(entries: Vec<SocketAddr>, mut rng: fastrand::Rng, stop: Stop) -> Vec<Accepted> {
     let api = Api::new();
     let mut accepted = Vec::new();
     while !stop.is_requested() {
         let entry = entries[rng.usize(..entries.len())];
         if let Some((base, mut tree)) = api.settings(entry).await {
-            tree["teams"]["dyes"]["weight"] = serde_json::json!(rng.u32(1..1_000));
+            tree["workspaces"]["dyes"]["weight"] = serde_json::json!(rng.u32(1..1_000));
             let body = serde_json::to_vec(&tree).unwrap_or_default();
             let headers = [("if-match", format!("\"{base}\""))];
             let response = api
@@ -158,7 +158,7 @@
         };
         let run_ms = rng.u32(100..1_500);
         let body = format!(
-            r#"{{"id":"h-{number}","team":"patterns","name":"{kind}","kind":"{kind}","tasks":3,
+            r#"{{"id":"h-{number}","workspace":"patterns","name":"{kind}","kind":"{kind}","tasks":3,
                 "resources":{{"milli_cores":2000,"memory_mib":512}},"payload":"{{\"run_ms\":{run_ms}}}"}}"#
         );
         let response = api
--- a/bench/src/history/run.rs
+++ b/bench/src/history/run.rs
@@ -10,7 +10,7 @@
         checks::{self, CheckResult},
         load::{CallRecord, Load, Mix, Seen},
     },
-    ragwortreel_model::{ServiceName, Team},
+    ragwortreel_model::{ServiceName, Workspace},
     ragwortreel_processes::{ProcessCell, Program},
     ragwortreel_runtime::{Stop, sleep_ms, spawn},
     std::{
@@ -57,11 +57,11 @@
 
 /// Quotes, keyed batches and dye matching.
 pub fn mixes() -> Vec<Mix> {
-    let mix = |team: &str, service: &str, path: &str, rate_per_s, deadline_ms, keyed| {
+    let mix = |workspace: &str, service: &str, path: &str, rate_per_s, deadline_ms, keyed| {
         Some(Mix {
-            team: Team::new(team).ok()?,
+            workspace: Workspace::new(workspace).ok()?,
             service: ServiceName::new(service).ok()?,
-            token: Arc::from(format!("change-me-{team}")),
+            token: Arc::from(format!("change-me-{workspace}")),
             path: Arc::from(path),
             rate_per_s,
             deadline_ms,
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,4 +1,4 @@
-//! Measurements of the workspace's packages.
+//! Measurements of the packages.
 //!
 //! `bench list` names all cases; `bench CASE --json` runs one and prints one JSON object a line.
 
--- a/bench/src/outage.rs
+++ b/bench/src/outage.rs
@@ -8,7 +8,7 @@
 use {
     crate::outage_routing,
     crate::report::{Measure, Unit},
-    ragwortreel_model::{Team, Zone},
+    ragwortreel_model::{Workspace, Zone},
     ragwortreel_platform::{
         Check, HttpPlatform, ResilientConfig, ResilientTable, TableService, Txn, TxnOutcome, Write,
         once::{Begin, OnceClaims, Stored, StoredAnswer},
@@ -160,7 +160,7 @@
     }
 
     // Starts operations at the rate of one instance until an instant.
-    async fn generate(self, team: Team, until: Instant) {
+    async fn generate(self, workspace: Workspace, until: Instant) {
         let pause = Duration::from_secs(1) / u32::try_from(OPERATIONS_PER_S).unwrap_or(1);
         let mut next = Instant::now();
         let mut number = 0;
@@ -168,7 +168,7 @@
             let instance = self.clone();
             let name = format!("{}-{number}", self.number);
             match number % 5 {
-                0 => spawn(instance.claim(team.clone(), name)).detach(),
+                0 => spawn(instance.claim(workspace.clone(), name)).detach(),
                 1 | 2 => spawn(instance.write(name)).detach(),
                 _ => spawn(instance.read()).detach(),
             }
@@ -178,12 +178,16 @@
         }
     }
 
-    async fn claim(self, team: Team, name: String) {
+    async fn claim(self, workspace: Workspace, name: String) {
         let began = Instant::now();
         self.scene.started.fetch_add(1, Ordering::Relaxed);
         loop {
             let deadline = Instant::now() + CLAIM_TIME;
-            let is_stored = match self.claims.begin(&team, &name, "digest", deadline).await {
+            let is_stored = match self
+                .claims
+                .begin(&workspace, &name, "digest", deadline)
+                .await
+            {
                 Begin::Run(claim) => {
                     *(self.scene.lock().executions)
                         .entry(name.clone())
@@ -268,7 +272,7 @@
 }
 
 async fn run_scene(kind: Kind, phases: Phases) -> std::result::Result<Result, String> {
-    let team = Team::new("team").map_err(|err| err.to_string())?;
+    let workspace = Workspace::new("workspace").map_err(|err| err.to_string())?;
     let zone = Zone::new("zone").map_err(|err| err.to_string())?;
     let platform = MemoryPlatform::with_limits(Limits::default(), 1);
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -285,7 +289,7 @@
     for number in 0..INSTANCES {
         let instance = Instance::new(&scene, number, listening.addr(), &zone);
         let until = end.checked_sub(Duration::from_secs(2)).unwrap_or(end);
-        spawn(instance.generate(team.clone(), until)).detach();
+        spawn(instance.generate(workspace.clone(), until)).detach();
     }
     sleep(phases.before).await;
     let before = platform.counts();
--- a/bench/src/settings.rs
+++ b/bench/src/settings.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::{
-        control_cell::{FastClock, name, team},
+        control_cell::{FastClock, name, workspace},
         report::{Measure, Unit},
     },
     ragwortreel_control::{
@@ -91,8 +91,8 @@
     }
     let mut first = Settings::default();
     first
-        .teams
-        .insert(team(), ragwortreel_model::TeamSettings::default());
+        .workspaces
+        .insert(workspace(), ragwortreel_model::WorkspaceSettings::default());
     let _ = controls[0]
         .change_settings(0, SettingsChange::Whole(first))
         .await;
@@ -124,10 +124,10 @@
     let settings = controls[0].settings();
     let weight = settings
         .settings
-        .teams
-        .get(&team())
+        .workspaces
+        .get(&workspace())
         .map_or(0, |branch| branch.weight);
-    let start = ragwortreel_model::TeamSettings::default().weight;
+    let start = ragwortreel_model::WorkspaceSettings::default().weight;
     let changes = u32::try_from(accepted).unwrap_or(u32::MAX);
     (f64::from(changes) - f64::from(weight - start)).abs()
 }
@@ -256,7 +256,7 @@
 ) {
     let base = control.settings();
     let mut settings = base.settings.clone();
-    settings.teams.entry(team()).or_default().weight += 1;
+    settings.workspaces.entry(workspace()).or_default().weight += 1;
     let result = control
         .change_settings(base.version, SettingsChange::Whole(settings))
         .await;
--- a/crates/caller/src/api.rs
+++ b/crates/caller/src/api.rs
@@ -5,7 +5,7 @@
     derive_more::{Display, Error},
     ragwortreel_http::{Headers, Method, Response},
     ragwortreel_model::{
-        InstanceId, JobId, JobSpec, JobStatus, Outcome, ServiceName, Team, WorkerId,
+        InstanceId, JobId, JobSpec, JobStatus, Outcome, ServiceName, WorkerId, Workspace,
     },
     std::{sync::Arc, time::Instant},
 };
@@ -13,12 +13,12 @@
 /// A request to a service.
 #[derive(Debug, Clone)]
 pub struct ServiceCall {
-    /// Team that offers the service.
-    pub team: Team,
+    /// Workspace that offers the service.
+    pub workspace: Workspace,
     /// The service.
     pub service: ServiceName,
-    /// Team that calls and is charged.
-    pub caller: Team,
+    /// Workspace that calls and is charged.
+    pub caller: Workspace,
     /// HTTP method.
     pub method: Method,
     /// Path and query behind the service's name.
@@ -91,13 +91,13 @@
     }
 }
 
-/// Job commands; every call is limited to one team's jobs.
+/// Job commands; every call is limited to one workspace's jobs.
 #[async_trait]
 pub trait JobCalls: Send + Sync {
     /// Submits a job; the returned status is durable.
     async fn submit(&self, spec: JobSpec) -> Result<JobStatus, Refusal>;
-    /// Lists jobs, of one team or of all.
-    async fn list(&self, team: Option<&Team>) -> Result<Vec<JobStatus>, Refusal>;
+    /// Lists jobs, of one workspace or of all.
+    async fn list(&self, workspace: Option<&Workspace>) -> Result<Vec<JobStatus>, Refusal>;
     /// Describes one job.
     async fn describe(&self, job: &JobId) -> Result<JobStatus, Refusal>;
     /// Cancels one job.
@@ -110,14 +110,14 @@
     /// Version that the change was made from.
     pub base_version: u64,
     /// Branch to replace; the whole tree when absent.
-    pub team: Option<Team>,
+    pub workspace: Option<Workspace>,
     /// New content as JSON.
     pub json: Vec<u8>,
-    /// Whether an operator asks; a team may not change its own quota, weight, job limit or token.
+    /// Whether an operator asks; a workspace may not change its own quota, weight, job limit or token.
     pub by_operator: bool,
 }
 
-/// Settings as shown to an operator or a team.
+/// Settings as shown to an operator or a workspace.
 #[derive(Debug, Clone)]
 pub struct SettingsReply {
     /// Version.
@@ -129,8 +129,8 @@
 /// Reading and changing settings.
 #[async_trait]
 pub trait SettingsCalls: Send + Sync {
-    /// Reads the whole tree or one team's branch.
-    async fn read(&self, team: Option<&Team>) -> Result<SettingsReply, Refusal>;
+    /// Reads the whole tree or one workspace's branch.
+    async fn read(&self, workspace: Option<&Workspace>) -> Result<SettingsReply, Refusal>;
     /// Changes the tree; returns the new version. A conflict's problem is the current tree's JSON.
     async fn change(&self, change: SettingsChange) -> Result<u64, Refusal>;
 }
--- a/crates/caller/src/auth.rs
+++ b/crates/caller/src/auth.rs
@@ -4,7 +4,7 @@
 //! of a refusal does not tell how much of a token was right.
 
 use {
-    ragwortreel_model::{Settings, Team},
+    ragwortreel_model::{Settings, Workspace},
     sha2::{Digest, Sha256},
     std::{
         collections::BTreeMap,
@@ -16,19 +16,19 @@
 /// Who sent a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Principal {
-    /// An operator, who may act on all teams.
+    /// An operator, who may act on all workspaces.
     Operator,
-    /// A team, which may act on its own branch and jobs only.
-    Team(Team),
+    /// A workspace, which may act on its own branch and jobs only.
+    Workspace(Workspace),
 }
 
 impl Principal {
-    /// Whether this principal may act on what belongs to the team.
+    /// Whether this principal may act on what belongs to the workspace.
     #[must_use]
-    pub fn may_act_on(&self, team: &Team) -> bool {
+    pub fn may_act_on(&self, workspace: &Workspace) -> bool {
         match self {
             Self::Operator => true,
-            Self::Team(own) => own == team,
+            Self::Workspace(own) => own == workspace,
         }
     }
 }
@@ -54,7 +54,7 @@
 #[derive(Debug, Default)]
 struct Digests {
     operator: String,
-    teams: BTreeMap<String, Team>,
+    workspaces: BTreeMap<String, Workspace>,
 }
 
 impl Authenticator {
@@ -66,14 +66,14 @@
 
     /// Takes over the digests of a settings tree.
     pub fn update(&self, settings: &Settings) {
-        let teams = settings
-            .teams
+        let workspaces = settings
+            .workspaces
             .iter()
             .filter(|(_, branch)| !branch.token_sha256.is_empty());
         let digests = Digests {
             operator: settings.cell.operator_token_sha256.clone(),
-            teams: teams
-                .map(|(team, branch)| (branch.token_sha256.clone(), team.clone()))
+            workspaces: workspaces
+                .map(|(workspace, branch)| (branch.token_sha256.clone(), workspace.clone()))
                 .collect(),
         };
         *self
@@ -97,7 +97,11 @@
             return Some(Principal::Operator);
         }
         // The map is keyed by digest, so a lookup reveals at most digest prefixes, never token prefixes.
-        digests.teams.get(&digest).cloned().map(Principal::Team)
+        digests
+            .workspaces
+            .get(&digest)
+            .cloned()
+            .map(Principal::Workspace)
     }
 }
 
--- a/crates/caller/src/handler.rs
+++ b/crates/caller/src/handler.rs
@@ -12,7 +12,7 @@
     },
     async_trait::async_trait,
     ragwortreel_http::{Handler, Headers, Request, Response},
-    ragwortreel_model::{JobId, JobSpec, Outcome, Team},
+    ragwortreel_model::{JobId, JobSpec, Outcome, Workspace},
     serde::Serialize,
     std::{net::SocketAddr, sync::Arc, time::Instant},
 };
@@ -98,13 +98,13 @@
         principal: &Principal,
     ) -> Response {
         let result = match route {
-            // Any team's callers may use a service that another team offers.
+            // Any workspace's callers may use a service that another workspace offers.
             Route::Service {
-                team,
+                workspace,
                 service,
                 path,
             } => {
-                return match service_call(principal, team, service, path, req) {
+                return match service_call(principal, workspace, service, path, req) {
                     Ok(call) => reply::call_reply(self.services.call(call).await),
                     Err(refusal) => reply::refusal(&refusal),
                 };
@@ -113,8 +113,12 @@
             Route::ListJobs => self.list(principal).await,
             Route::DescribeJob(id) => self.describe(&id, principal).await,
             Route::CancelJob(id) => self.cancel(&id, principal).await,
-            Route::ReadSettings(team) => self.read_settings(team.as_ref(), principal).await,
-            Route::ChangeSettings(team) => self.change_settings(team, req, principal).await,
+            Route::ReadSettings(workspace) => {
+                self.read_settings(workspace.as_ref(), principal).await
+            }
+            Route::ChangeSettings(workspace) => {
+                self.change_settings(workspace, req, principal).await
+            }
             Route::DrainWorker(id) => self.drain(DrainTarget::Worker(id), principal).await,
             Route::DrainInstance(id) => self.drain(DrainTarget::Instance(id), principal).await,
             Route::Burn => self.burn(principal).await,
@@ -156,7 +160,7 @@
         let spec: JobSpec = serde_json::from_slice(&req.body).map_err(|err| {
             Refusal::new(RefusalKind::Invalid, format!("job specification: {err}"))
         })?;
-        require_access(principal, &spec.team)?;
+        require_access(principal, &spec.workspace)?;
         spec.check().map_err(|err| {
             Refusal::new(RefusalKind::Invalid, format!("job specification: {err}"))
         })?;
@@ -168,23 +172,23 @@
     }
 
     async fn list(&self, principal: &Principal) -> Result<Response, Refusal> {
-        let team = match principal {
+        let workspace = match principal {
             Principal::Operator => None,
-            Principal::Team(team) => Some(team),
+            Principal::Workspace(workspace) => Some(workspace),
         };
-        Ok(reply::json(200, &self.jobs.list(team).await?))
+        Ok(reply::json(200, &self.jobs.list(workspace).await?))
     }
 
     async fn describe(&self, id: &JobId, principal: &Principal) -> Result<Response, Refusal> {
         let status = self.jobs.describe(id).await?;
-        // Another team's job looks like one that does not exist, so that identifiers cannot be probed.
-        require_access(principal, &status.spec.team).map_err(|_| no_such_job(id))?;
+        // Another workspace's job looks like one that does not exist, so that identifiers cannot be probed.
+        require_access(principal, &status.spec.workspace).map_err(|_| no_such_job(id))?;
         Ok(reply::json(200, &status))
     }
 
     async fn cancel(&self, id: &JobId, principal: &Principal) -> Result<Response, Refusal> {
         let status = self.jobs.describe(id).await?;
-        require_access(principal, &status.spec.team).map_err(|_| no_such_job(id))?;
+        require_access(principal, &status.spec.workspace).map_err(|_| no_such_job(id))?;
         let status = self.jobs.cancel(id).await?;
         Ok(reply::with_outcome(
             reply::json(200, &status),
@@ -194,14 +198,14 @@
 
     async fn read_settings(
         &self,
-        team: Option<&Team>,
+        workspace: Option<&Workspace>,
         principal: &Principal,
     ) -> Result<Response, Refusal> {
-        match team {
-            Some(team) => require_access(principal, team)?,
+        match workspace {
+            Some(workspace) => require_access(principal, workspace)?,
             None => operator_only(principal)?,
         }
-        let settings = self.settings.read(team).await?;
+        let settings = self.settings.read(workspace).await?;
         let mut response = reply::raw_json(200, settings.json);
         response
             .headers
@@ -211,19 +215,19 @@
 
     async fn change_settings(
         &self,
-        team: Option<Team>,
+        workspace: Option<Workspace>,
         req: Request,
         principal: &Principal,
     ) -> Result<Response, Refusal> {
-        match &team {
-            Some(team) => require_access(principal, team)?,
+        match &workspace {
+            Some(workspace) => require_access(principal, workspace)?,
             None => operator_only(principal)?,
         }
         let base_version = base_version(&req.headers)?;
         let by_operator = *principal == Principal::Operator;
         let change = SettingsChange {
             base_version,
-            team,
+            workspace,
             json: req.body,
             by_operator,
         };
@@ -269,8 +273,8 @@
     }
 }
 
-fn require_access(principal: &Principal, team: &Team) -> Result<(), Refusal> {
-    if principal.may_act_on(team) {
+fn require_access(principal: &Principal, workspace: &Workspace) -> Result<(), Refusal> {
+    if principal.may_act_on(workspace) {
         Ok(())
     } else {
         Err(not_allowed())
@@ -289,7 +293,7 @@
 
 fn service_call(
     principal: &Principal,
-    team: Team,
+    workspace: Workspace,
     service: ragwortreel_model::ServiceName,
     path: Arc<str>,
     req: Request,
@@ -309,10 +313,10 @@
             ));
         }
     };
-    // An operator has no team, so the request is charged to the team that offers the service.
+    // An operator has no workspace, so the request is charged to the workspace that offers the service.
     let caller = match principal {
-        Principal::Operator => team.clone(),
-        Principal::Team(own) => own.clone(),
+        Principal::Operator => workspace.clone(),
+        Principal::Workspace(own) => own.clone(),
     };
     let listed = connection_options(&req.headers);
     let mut headers = Headers::new();
@@ -322,7 +326,7 @@
         }
     }
     Ok(ServiceCall {
-        team,
+        workspace,
         service,
         method: req.method,
         caller,
--- a/crates/caller/src/route.rs
+++ b/crates/caller/src/route.rs
@@ -2,7 +2,7 @@
 
 use {
     derive_more::{Display, Error},
-    ragwortreel_model::{InstanceId, JobId, NameError, ServiceName, Team, WorkerId},
+    ragwortreel_model::{InstanceId, JobId, NameError, ServiceName, WorkerId, Workspace},
     std::sync::Arc,
 };
 
@@ -12,10 +12,10 @@
 /// What a request asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Route {
-    /// `ANY /v1/services/TEAM/SERVICE/PATH`.
+    /// `ANY /v1/services/WORKSPACE/SERVICE/PATH`.
     Service {
-        /// Team that offers the service.
-        team: Team,
+        /// Workspace that offers the service.
+        workspace: Workspace,
         /// The service.
         service: ServiceName,
         /// Path and query, beginning with `/`.
@@ -29,10 +29,10 @@
     DescribeJob(JobId),
     /// `DELETE /v1/jobs/ID`.
     CancelJob(JobId),
-    /// `GET /v1/settings` or `GET /v1/settings/teams/TEAM`.
-    ReadSettings(Option<Team>),
-    /// `PUT /v1/settings` or `PUT /v1/settings/teams/TEAM`.
-    ChangeSettings(Option<Team>),
+    /// `GET /v1/settings` or `GET /v1/settings/workspaces/WORKSPACE`.
+    ReadSettings(Option<Workspace>),
+    /// `PUT /v1/settings` or `PUT /v1/settings/workspaces/WORKSPACE`.
+    ChangeSettings(Option<Workspace>),
     /// `POST /v1/workers/ID/drain`.
     DrainWorker(WorkerId),
     /// `POST /v1/instances/ID/drain`.
@@ -97,9 +97,10 @@
             )
         }
         ["v1", "settings"] => settings_route(method, None),
-        ["v1", "settings", "teams", team] => {
-            settings_route(method, Some(Team::new(team).map_err(RouteError::Name)?))
-        }
+        ["v1", "settings", "workspaces", workspace] => settings_route(
+            method,
+            Some(Workspace::new(workspace).map_err(RouteError::Name)?),
+        ),
         ["v1", "workers", id, "drain"] => {
             let id = WorkerId::new(id).map_err(RouteError::Name)?;
             by_method(method, &[("POST", Route::DrainWorker(id))])
@@ -117,7 +118,7 @@
 }
 
 fn parse_service(rest: &str) -> Result<Route, RouteError> {
-    let (team, rest) = rest.split_once('/').ok_or(RouteError::NotFound)?;
+    let (workspace, rest) = rest.split_once('/').ok_or(RouteError::NotFound)?;
     let end = rest.find(['/', '?']).unwrap_or(rest.len());
     let (service, path) = rest.split_at(end);
     let path = if path.starts_with('/') {
@@ -125,20 +126,20 @@
     } else {
         Arc::from(format!("/{path}"))
     };
-    let team = Team::new(team).map_err(RouteError::Name)?;
+    let workspace = Workspace::new(workspace).map_err(RouteError::Name)?;
     let service = ServiceName::new(service).map_err(RouteError::Name)?;
     Ok(Route::Service {
-        team,
+        workspace,
         service,
         path,
     })
 }
 
-fn settings_route(method: &str, team: Option<Team>) -> Result<Route, RouteError> {
-    let read = Route::ReadSettings(team.clone());
+fn settings_route(method: &str, workspace: Option<Workspace>) -> Result<Route, RouteError> {
+    let read = Route::ReadSettings(workspace.clone());
     by_method(
         method,
-        &[("GET", read), ("PUT", Route::ChangeSettings(team))],
+        &[("GET", read), ("PUT", Route::ChangeSettings(workspace))],
     )
 }
 
--- a/crates/caller/tests/api.rs
+++ b/crates/caller/tests/api.rs
@@ -8,7 +8,7 @@
         SettingsReply, token_digest,
     },
     ragwortreel_http::{Handler as _, Method, Request, Response},
-    ragwortreel_model::{JobId, JobSpec, JobState, JobStatus, Outcome, Pool, Settings, Team},
+    ragwortreel_model::{JobId, JobSpec, JobState, JobStatus, Outcome, Pool, Settings, Workspace},
     ragwortreel_runtime::block_on,
     std::{net::SocketAddr, sync::Arc},
 };
@@ -27,9 +27,9 @@
     }
 }
 
-fn spec_json(team: &str) -> String {
+fn spec_json(workspace: &str) -> String {
     format!(
-        r#"{{"id":"job-1","team":"{team}","name":"cut","kind":"batch","tasks":2,
+        r#"{{"id":"job-1","workspace":"{workspace}","name":"cut","kind":"batch","tasks":2,
             "resources":{{"milli_cores":1000,"memory_mib":512}}}}"#
     )
 }
@@ -60,8 +60,8 @@
         Ok(status(spec))
     }
 
-    async fn list(&self, team: Option<&Team>) -> Result<Vec<JobStatus>, Refusal> {
-        let spec = serde_json::from_str(&spec_json(team.map_or("all", Team::as_str)));
+    async fn list(&self, workspace: Option<&Workspace>) -> Result<Vec<JobStatus>, Refusal> {
+        let spec = serde_json::from_str(&spec_json(workspace.map_or("all", Workspace::as_str)));
         Ok(vec![status(spec.expect("a specification"))])
     }
 
@@ -78,7 +78,7 @@
 
 #[async_trait]
 impl SettingsCalls for Fake {
-    async fn read(&self, _team: Option<&Team>) -> Result<SettingsReply, Refusal> {
+    async fn read(&self, _workspace: Option<&Workspace>) -> Result<SettingsReply, Refusal> {
         Ok(SettingsReply {
             version: 7,
             json: b"{}".to_vec(),
@@ -118,7 +118,7 @@
 fn handler() -> ApiHandler {
     let json = format!(
         r#"{{"cell":{{"operator_token_sha256":"{}"}},
-            "teams":{{"alpha":{{"token_sha256":"{}"}},"beta":{{"token_sha256":"{}"}}}}}}"#,
+            "workspaces":{{"alpha":{{"token_sha256":"{}"}},"beta":{{"token_sha256":"{}"}}}}}}"#,
         token_digest("op"),
         token_digest("a"),
         token_digest("b"),
@@ -157,16 +157,16 @@
 requests! {
     no_token_is_refused: Get "/v1/jobs" as "" with &[], "" => 401 Some("not-run");
     wrong_token_is_refused: Get "/v1/jobs" as "opp" with &[], "" => 401 Some("not-run");
-    team_submits_its_own_job: Post "/v1/jobs" as "a" with &[], &spec_json("alpha") => 201 Some("answered");
-    team_cannot_submit_for_another: Post "/v1/jobs" as "b" with &[], &spec_json("alpha") => 404 Some("not-run");
-    team_cannot_see_anothers_job: Get "/v1/jobs/job-1" as "b" with &[], "" => 404 Some("not-run");
-    team_cannot_cancel_anothers_job: Delete "/v1/jobs/job-1" as "b" with &[], "" => 404 Some("not-run");
-    team_cannot_read_the_tree: Get "/v1/settings" as "a" with &[], "" => 404 Some("not-run");
-    team_cannot_read_anothers_branch: Get "/v1/settings/teams/beta" as "a" with &[], "" => 404 Some("not-run");
-    team_cannot_change_anothers_branch:
-        Put "/v1/settings/teams/beta" as "a" with &[("if-match", "7")], "{}" => 404 Some("not-run");
-    team_cannot_drain: Post "/v1/workers/w-1/drain" as "a" with &[], "" => 404 Some("not-run");
-    team_cannot_read_burn: Get "/v1/burn" as "a" with &[], "" => 404 Some("not-run");
+    workspace_submits_its_own_job: Post "/v1/jobs" as "a" with &[], &spec_json("alpha") => 201 Some("answered");
+    workspace_cannot_submit_for_another: Post "/v1/jobs" as "b" with &[], &spec_json("alpha") => 404 Some("not-run");
+    workspace_cannot_see_anothers_job: Get "/v1/jobs/job-1" as "b" with &[], "" => 404 Some("not-run");
+    workspace_cannot_cancel_anothers_job: Delete "/v1/jobs/job-1" as "b" with &[], "" => 404 Some("not-run");
+    workspace_cannot_read_the_tree: Get "/v1/settings" as "a" with &[], "" => 404 Some("not-run");
+    workspace_cannot_read_anothers_branch: Get "/v1/settings/workspaces/beta" as "a" with &[], "" => 404 Some("not-run");
+    workspace_cannot_change_anothers_branch:
+        Put "/v1/settings/workspaces/beta" as "a" with &[("if-match", "7")], "{}" => 404 Some("not-run");
+    workspace_cannot_drain: Post "/v1/workers/w-1/drain" as "a" with &[], "" => 404 Some("not-run");
+    workspace_cannot_read_burn: Get "/v1/burn" as "a" with &[], "" => 404 Some("not-run");
     change_needs_its_base: Put "/v1/settings" as "op" with &[], "{}" => 400 Some("not-run");
     change_from_newest_wins: Put "/v1/settings" as "op" with &[("if-match", "\"7\"")], "{}" => 200 Some("answered");
     change_from_older_conflicts: Put "/v1/settings" as "op" with &[("if-match", "6")], "{}" => 409 Some("not-run");
--- a/crates/caller/tests/routes.rs
+++ b/crates/caller/tests/routes.rs
@@ -25,15 +25,15 @@
     /// A path within a service must reach the backend server unchanged, or two routes could be confused.
     #[test]
     fn path_of_a_service_is_kept(
-        team in "[a-z0-9._-]{1,20}",
+        workspace in "[a-z0-9._-]{1,20}",
         service in "[a-z0-9._-]{1,20}",
         path in "(/[a-zA-Z0-9%./-]{0,30})?(\\?[a-z=&0-9]{0,20})?",
     ) {
-        let route = parse_route("POST", &format!("/v1/services/{team}/{service}{path}"));
-        let Ok(Route::Service { team: found_team, service: found_service, path: found }) = route else {
+        let route = parse_route("POST", &format!("/v1/services/{workspace}/{service}{path}"));
+        let Ok(Route::Service { workspace: found_workspace, service: found_service, path: found }) = route else {
             return Err(TestCaseError::fail(format!("{route:?}")));
         };
-        prop_assert_eq!(found_team.as_str(), team);
+        prop_assert_eq!(found_workspace.as_str(), workspace);
         prop_assert_eq!(found_service.as_str(), service);
         let expected = if path.starts_with('/') { path } else { format!("/{path}") };
         prop_assert_eq!(&*found, expected);
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -6,7 +6,7 @@
     ragwortreel_entry::generated::{ForwardedRequest, ForwardedResponse},
     ragwortreel_model::{
         Incarnation, InstanceId, JobId, JobState, Pool, ServiceName, Settings, SettingsError,
-        SpecError, Team, TeamSettings, Zone,
+        SpecError, Workspace, WorkspaceSettings, Zone,
     },
     ragwortreel_placement::PoolStats,
     ragwortreel_platform::InstanceState,
@@ -32,8 +32,8 @@
 pub enum SettingsChange {
     /// Replaces the whole tree.
     Whole(Settings),
-    /// Replaces one team's branch; absent to remove it.
-    Team(Team, Option<TeamSettings>),
+    /// Replaces one workspace's branch; absent to remove it.
+    Workspace(Workspace, Option<WorkspaceSettings>),
 }
 
 /// Why a change of the settings was not confirmed.
@@ -76,7 +76,7 @@
         #[error(not(source))]
         job: JobId,
     },
-    /// The job is not known, or is another team's.
+    /// The job is not known, or is another workspace's.
     #[display("job {job} is not known")]
     NotFound {
         /// Identifier of the job.
@@ -162,8 +162,8 @@
     pub zone: Zone,
     /// Address.
     pub address: SocketAddr,
-    /// Team that offers the service.
-    pub team: Team,
+    /// Workspace that offers the service.
+    pub workspace: Workspace,
     /// The service.
     pub service: ServiceName,
     /// State.
@@ -177,7 +177,7 @@
     pub in_flight: u64,
     /// Requests that wait.
     pub queued: u64,
-    /// Free slots by `team/service`.
+    /// Free slots by `workspace/service`.
     pub free_slots: BTreeMap<String, u32>,
 }
 
--- a/crates/control/src/backends.rs
+++ b/crates/control/src/backends.rs
@@ -22,7 +22,7 @@
     let merged: Vec<Backend> = listed
         .iter()
         .filter_map(|entry| {
-            let ListedRole::Backend { team, service } = &entry.role else {
+            let ListedRole::Backend { workspace, service } = &entry.role else {
                 return None;
             };
             let before = earlier
@@ -32,7 +32,7 @@
                 id: entry.id.clone(),
                 zone: entry.zone.clone(),
                 address: entry.address,
-                team: team.clone(),
+                workspace: workspace.clone(),
                 service: service.clone(),
                 state: before.map_or(entry.state, |before| later(before.state, entry.state)),
             })
--- a/crates/control/src/change.rs
+++ b/crates/control/src/change.rs
@@ -117,16 +117,16 @@
             }
             tree.clone()
         }
-        SettingsChange::Team(team, branch) => {
+        SettingsChange::Workspace(workspace, branch) => {
             let unchanged = base == current.version
-                || (base < current.version && shared.settings.changed_in(team) <= base);
+                || (base < current.version && shared.settings.changed_in(workspace) <= base);
             if !unchanged {
                 return Err(conflict());
             }
             let mut tree = current.settings.clone();
             match branch {
-                Some(branch) => tree.teams.insert(team.clone(), branch.clone()),
-                None => tree.teams.remove(team),
+                Some(branch) => tree.workspaces.insert(workspace.clone(), branch.clone()),
+                None => tree.workspaces.remove(workspace),
             };
             tree
         }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -23,7 +23,7 @@
     },
     async_channel::Receiver,
     ragwortreel_entry::{EntryPeer, EntryService, PeerConnector},
-    ragwortreel_model::{Clock, InstanceId, JobId, JobSpec, JobStatus, Team, WorkerId},
+    ragwortreel_model::{Clock, InstanceId, JobId, JobSpec, JobStatus, WorkerId, Workspace},
     ragwortreel_platform::{InstanceList, ObjectStore, TableService, Txn},
     ragwortreel_routing::SlotShares,
     ragwortreel_runtime::{Logger, Stop, log_event, sleep_ms, spawn, timeout_ms},
@@ -126,7 +126,7 @@
         self.shared.peers.client(id)
     }
 
-    /// Free slots by `team/service` of another instance, by its last heartbeat.
+    /// Free slots by `workspace/service` of another instance, by its last heartbeat.
     #[must_use]
     pub fn free_slots_of(&self, id: &InstanceId) -> BTreeMap<String, u32> {
         self.shared.peers.free_slots(id)
@@ -167,7 +167,7 @@
         routing::submit(&self.shared, spec).await
     }
 
-    /// Cancels a job; with a team, only one of its own.
+    /// Cancels a job; with a workspace, only one of its own.
     ///
     /// # Errors
     ///
@@ -175,22 +175,22 @@
     pub async fn cancel_job(
         &self,
         job: &JobId,
-        team: Option<&Team>,
+        workspace: Option<&Workspace>,
     ) -> Result<JobStatus, JobError> {
-        routing::cancel(&self.shared, job, team).await
+        routing::cancel(&self.shared, job, workspace).await
     }
 
-    /// Describes a job, or all live and recently ended jobs; with a team, only its own.
+    /// Describes a job, or all live and recently ended jobs; with a workspace, only its own.
     ///
     /// # Errors
     ///
     /// Returns an error when the job is not known or a pool's owner does not answer.
     pub async fn describe_jobs(
         &self,
-        team: Option<&Team>,
+        workspace: Option<&Workspace>,
         job: Option<&JobId>,
     ) -> Result<Vec<JobStatus>, JobError> {
-        routing::describe(&self.shared, team, job).await
+        routing::describe(&self.shared, workspace, job).await
     }
 
     /// All entry instances with a row.
--- a/crates/control/src/figures.rs
+++ b/crates/control/src/figures.rs
@@ -2,7 +2,7 @@
 
 use {
     async_channel::{Receiver, Sender},
-    ragwortreel_model::{JobKind, Team},
+    ragwortreel_model::{JobKind, Workspace},
     std::sync::atomic::{AtomicU64, Ordering},
 };
 
@@ -12,8 +12,8 @@
 /// First start of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Placement {
-    /// Team of the job.
-    pub team: Team,
+    /// Workspace of the job.
+    pub workspace: Workspace,
     /// Kind of the job.
     pub kind: JobKind,
     /// Time from the job's acceptance to the worker's confirmation.
--- a/crates/control/src/owner/jobs.rs
+++ b/crates/control/src/owner/jobs.rs
@@ -12,7 +12,7 @@
         store::{Definite, commit_definite, limited},
     },
     ragwortreel_model::{
-        JobId, JobKind, JobSpec, JobState, JobStatus, SpecError, Team, WaitReason,
+        JobId, JobKind, JobSpec, JobState, JobStatus, SpecError, WaitReason, Workspace,
     },
     ragwortreel_platform::{Row, Txn},
     ragwortreel_runtime::{sleep_ms, spawn},
@@ -35,8 +35,8 @@
 
 impl PoolOwner {
     pub fn submit(&mut self, spec: JobSpec, reply: Reply<JobStatus>) {
-        // The scheduler must know the teams of the settings in force before it gets their jobs.
-        self.refresh_teams();
+        // The scheduler must know the workspaces of the settings in force before it gets their jobs.
+        self.refresh_workspaces();
         if let Some(answer) = self.check_submission(&spec) {
             let _ = reply.try_send(answer);
             return;
@@ -85,18 +85,20 @@
             };
         }
         let settings = self.shared.settings.current();
-        let Some(team) = settings.settings.teams.get(&spec.team) else {
-            let field = "team";
-            let problem = "the team is not known";
+        let Some(workspace) = settings.settings.workspaces.get(&spec.workspace) else {
+            let field = "workspace";
+            let problem = "the workspace is not known";
             return Some(Err(JobError::Invalid(SpecError { field, problem })));
         };
         let live = self
             .jobs
             .values()
-            .filter(|job| job.spec.team == spec.team)
+            .filter(|job| job.spec.workspace == spec.workspace)
             .count();
-        if live >= team.max_jobs as usize {
-            return Some(Err(refused("the team has as many jobs as it may have")));
+        if live >= workspace.max_jobs as usize {
+            return Some(Err(refused(
+                "the workspace has as many jobs as it may have",
+            )));
         }
         if self.submitting.len() >= self.shared.cfg.limits.open_writes {
             return Some(Err(refused("too many submissions are being written")));
@@ -227,9 +229,9 @@
         Ok(status)
     }
 
-    pub fn cancel(&mut self, id: &JobId, team: Option<&Team>, reply: Reply<JobStatus>) {
+    pub fn cancel(&mut self, id: &JobId, workspace: Option<&Workspace>, reply: Reply<JobStatus>) {
         let not_found = || JobError::NotFound { job: id.clone() };
-        let is_of = |spec: &JobSpec| team.is_none_or(|team| spec.team == *team);
+        let is_of = |spec: &JobSpec| workspace.is_none_or(|workspace| spec.workspace == *workspace);
         let ended = self
             .ended_jobs
             .iter()
@@ -399,9 +401,10 @@
         .detach();
     }
 
-    pub fn describe(&self, team: Option<&Team>, id: Option<&JobId>) -> Vec<JobStatus> {
+    pub fn describe(&self, workspace: Option<&Workspace>, id: Option<&JobId>) -> Vec<JobStatus> {
         let wanted = |spec: &JobSpec| {
-            team.is_none_or(|team| spec.team == *team) && id.is_none_or(|id| spec.id == *id)
+            workspace.is_none_or(|workspace| spec.workspace == *workspace)
+                && id.is_none_or(|id| spec.id == *id)
         };
         let live = self
             .jobs
--- a/crates/control/src/owner/mod.rs
+++ b/crates/control/src/owner/mod.rs
@@ -24,7 +24,7 @@
     link::StartOutcome,
     pool::PoolOwner,
     ragwortreel_entry::generated::PoolSummary,
-    ragwortreel_model::{Epoch, JobId, JobSpec, JobState, JobStatus, Pool, Team, WorkerId},
+    ragwortreel_model::{Epoch, JobId, JobSpec, JobState, JobStatus, Pool, WorkerId, Workspace},
     ragwortreel_runtime::{log_event, sleep_ms, spawn},
     ragwortreel_worker::TaskTable,
     std::sync::{
@@ -67,11 +67,11 @@
     },
     Cancel {
         job: JobId,
-        team: Option<Team>,
+        workspace: Option<Workspace>,
         reply: Reply<JobStatus>,
     },
     Describe {
-        team: Option<Team>,
+        workspace: Option<Workspace>,
         job: Option<JobId>,
         reply: Reply<Vec<JobStatus>>,
     },
@@ -93,7 +93,7 @@
         rows: Vec<Arc<str>>,
     },
     Granted {
-        team: Team,
+        workspace: Workspace,
         row: Option<QuotaRow>,
     },
     Release {
--- a/crates/control/src/owner/pool.rs
+++ b/crates/control/src/owner/pool.rs
@@ -150,13 +150,13 @@
     /// Hands the jobs and runs of earlier epochs to the scheduler.
     fn restore(&mut self, jobs: BTreeMap<JobId, (crate::rows::JobRow, u64)>) {
         let now_ms = self.shared.now_ms();
-        self.refresh_teams();
+        self.refresh_workspaces();
         self.refresh_workers();
         let ledger = self.journal.durable.clone();
         for (id, (row, row_version)) in jobs {
             let done = ledger.jobs.get(&id).cloned().unwrap_or_default();
             if self.scheduler.submit(row.spec.clone(), now_ms).is_err() {
-                // The team is gone from the settings; its runs end as orphans, and the job stays in its row.
+                // The workspace is gone from the settings; its runs end as orphans, and the job stays in its row.
                 continue;
             }
             for index in &done.succeeded {
@@ -259,7 +259,7 @@
     }
 
     fn upkeep(&mut self, now_ms: u64) {
-        self.refresh_teams();
+        self.refresh_workspaces();
         self.refresh_workers();
         self.check_workers(now_ms);
         self.ask_for_shares(now_ms);
@@ -270,9 +270,17 @@
         self.dirty = true;
         match message {
             Message::Submit { spec, reply } => self.submit(spec, reply),
-            Message::Cancel { job, team, reply } => self.cancel(&job, team.as_ref(), reply),
-            Message::Describe { team, job, reply } => {
-                let _ = reply.try_send(Ok(self.describe(team.as_ref(), job.as_ref())));
+            Message::Cancel {
+                job,
+                workspace,
+                reply,
+            } => self.cancel(&job, workspace.as_ref(), reply),
+            Message::Describe {
+                workspace,
+                job,
+                reply,
+            } => {
+                let _ = reply.try_send(Ok(self.describe(workspace.as_ref(), job.as_ref())));
             }
             Message::RowWritten { write, definite } => self.row_written(write, definite),
             Message::Report(report) => self.report(&report),
@@ -284,7 +292,7 @@
             Message::Flushed { durable: true } => self.flushed(),
             Message::Flushed { durable: false } => self.handle.drop_now(),
             Message::Snapshotted { at, rows } => self.journal.snapshotted(at, rows),
-            Message::Granted { team, row } => self.granted(&team, row),
+            Message::Granted { workspace, row } => self.granted(&workspace, row),
             Message::Release { reply } => self.releasing = Some(reply),
         }
     }
--- a/crates/control/src/owner/report.rs
+++ b/crates/control/src/owner/report.rs
@@ -201,7 +201,7 @@
     }
     if let Some(job) = jobs.get(&id.job) {
         shared.placements.report(Placement {
-            team: job.spec.team.clone(),
+            workspace: job.spec.workspace.clone(),
             kind: job.spec.kind,
             waited_ms: now_ms.saturating_sub(job.since_ms),
         });
--- a/crates/control/src/owner/shares.rs
+++ b/crates/control/src/owner/shares.rs
@@ -1,7 +1,7 @@
-//! The parts of the teams' quotas that this pool may use.
+//! The parts of the workspaces' quotas that this pool may use.
 //!
 //! With one pool in the cell the whole quota is the pool's. Otherwise pools take and return parts by compare-and-set
-//! on the team's row, so the sum of all parts stays within the quota.
+//! on the workspace's row, so the sum of all parts stays within the quota.
 
 use {
     crate::{
@@ -14,8 +14,8 @@
         shared::Shared,
         store::limited,
     },
-    ragwortreel_model::{Pool, Resources, Team, WaitReason},
-    ragwortreel_placement::TeamShare,
+    ragwortreel_model::{Pool, Resources, WaitReason, Workspace},
+    ragwortreel_placement::WorkspaceShare,
     ragwortreel_platform::{PlatformError, Txn, TxnOutcome},
     ragwortreel_runtime::{log_event, spawn},
     std::{
@@ -35,16 +35,16 @@
 pub(crate) struct Shares {
     version: Option<u64>,
     raised_ms: u64,
-    teams: BTreeMap<Team, Share>,
+    workspaces: BTreeMap<Workspace, Share>,
 }
 
 struct Share {
     /// What is asked for a waiting task; doubles while the scheduler finds the granted part too small.
     need_percent: u64,
-    /// Part that the team's row grants to this pool.
+    /// Part that the workspace's row grants to this pool.
     granted: Resources,
     /// What the scheduler was told last.
-    told: Option<TeamShare>,
+    told: Option<WorkspaceShare>,
     asking: bool,
     asked_ms: Option<u64>,
     idle_since_ms: Option<u64>,
@@ -71,42 +71,42 @@
         self.shared.cfg.pools.len() <= 1
     }
 
-    /// Tells the scheduler the teams' weights and quotas when the settings have changed.
-    pub fn refresh_teams(&mut self) {
+    /// Tells the scheduler the workspaces' weights and quotas when the settings have changed.
+    pub fn refresh_workspaces(&mut self) {
         let settings = self.shared.settings.current();
         if self.shares.version == Some(settings.version) {
             return;
         }
         self.shares.version = Some(settings.version);
-        for team in settings.settings.teams.keys() {
-            self.shares.teams.entry(team.clone()).or_default();
-            self.tell_share(team);
+        for workspace in settings.settings.workspaces.keys() {
+            self.shares.workspaces.entry(workspace.clone()).or_default();
+            self.tell_share(workspace);
         }
     }
 
-    fn tell_share(&mut self, team: &Team) {
+    fn tell_share(&mut self, workspace: &Workspace) {
         let settings = self.shared.settings.current();
-        let Some(branch) = settings.settings.teams.get(team) else {
+        let Some(branch) = settings.settings.workspaces.get(workspace) else {
             return;
         };
         let only = self.is_only_pool();
-        let Some(share) = self.shares.teams.get_mut(team) else {
+        let Some(share) = self.shares.workspaces.get_mut(workspace) else {
             return;
         };
-        let told = TeamShare {
-            team: team.clone(),
+        let told = WorkspaceShare {
+            workspace: workspace.clone(),
             weight: branch.weight,
             quota: if only { branch.quota } else { share.granted },
         };
         if share.told.as_ref() != Some(&told) {
             share.told = Some(told.clone());
-            self.scheduler.upsert_team(told);
+            self.scheduler.upsert_workspace(told);
         }
     }
 
     /// Asks for more of the quotas that jobs wait for, and returns what has had no use for a time.
     pub fn ask_for_shares(&mut self, now_ms: u64) {
-        if self.is_only_pool() || self.shares.teams.is_empty() {
+        if self.is_only_pool() || self.shares.workspaces.is_empty() {
             return;
         }
         if now_ms >= self.shares.raised_ms + RETRY_MS {
@@ -115,10 +115,10 @@
         }
         let settings = self.shared.settings.current();
         let mut demand = self.demand();
-        for (team, branch) in &settings.settings.teams {
-            let wanted = least(demand.remove(team).unwrap_or_default(), branch.quota);
+        for (workspace, branch) in &settings.settings.workspaces {
+            let wanted = least(demand.remove(workspace).unwrap_or_default(), branch.quota);
             let idle_ms = self.shared.cfg.timings.quota_idle_ms;
-            let Some(share) = self.shares.teams.get_mut(team) else {
+            let Some(share) = self.shares.workspaces.get_mut(workspace) else {
                 continue;
             };
             let rises = !wanted.fits_in(&share.granted);
@@ -142,17 +142,17 @@
             if falls {
                 // The scheduler uses no more than is kept before the rest is offered to others.
                 share.granted = wanted;
-                self.tell_share(team);
+                self.tell_share(workspace);
             }
-            self.ask(team.clone(), wanted, branch.quota);
+            self.ask(workspace.clone(), wanted, branch.quota);
         }
     }
 
-    /// What the teams' runs hold and their waiting tasks need.
-    fn demand(&self) -> BTreeMap<Team, Resources> {
-        let mut demand: BTreeMap<Team, Resources> = BTreeMap::new();
+    /// What the workspaces' runs hold and their waiting tasks need.
+    fn demand(&self) -> BTreeMap<Workspace, Resources> {
+        let mut demand: BTreeMap<Workspace, Resources> = BTreeMap::new();
         for job in self.jobs.values() {
-            let sum = demand.entry(job.spec.team.clone()).or_default();
+            let sum = demand.entry(job.spec.workspace.clone()).or_default();
             let held = job
                 .running
                 .iter()
@@ -163,8 +163,8 @@
             if !job.state.is_final() && waiting > 0 {
                 let percent = self
                     .shares
-                    .teams
-                    .get(&job.spec.team)
+                    .workspaces
+                    .get(&job.spec.workspace)
                     .map_or(0, |share| share.need_percent);
                 let need = job.spec.resources.checked_mul(waiting as u64 * percent);
                 *sum += need.map_or(Resources::ZERO, |need| hundredth(&need));
@@ -173,7 +173,7 @@
         demand
     }
 
-    /// Asks for more for the waiting tasks of teams whose granted part the scheduler finds too small.
+    /// Asks for more for the waiting tasks of workspaces whose granted part the scheduler finds too small.
     fn raise_needs(&mut self) {
         let now_ms = self.shared.now_ms();
         let mut blocked = BTreeSet::new();
@@ -182,43 +182,46 @@
             if job.succeeded.len() + job.running.len() >= job.spec.tasks as usize {
                 continue;
             }
-            waiting.insert(job.spec.team.clone());
+            waiting.insert(job.spec.workspace.clone());
             let reason = self.scheduler.explain(&job.spec.id, now_ms);
             if matches!(
                 reason,
                 Some(WaitReason::QuotaInUse { .. } | WaitReason::LargerThanQuota { .. })
             ) {
-                blocked.insert(job.spec.team.clone());
+                blocked.insert(job.spec.workspace.clone());
             }
         }
-        for (team, share) in &mut self.shares.teams {
-            if !waiting.contains(team) {
+        for (workspace, share) in &mut self.shares.workspaces {
+            if !waiting.contains(workspace) {
                 share.need_percent = NEED_PERCENT;
-            } else if blocked.contains(team) && share.known && !share.asking {
+            } else if blocked.contains(workspace) && share.known && !share.asking {
                 share.need_percent = (share.need_percent * 2).min(MAX_NEED_PERCENT);
             }
         }
     }
 
-    fn ask(&self, team: Team, wanted: Resources, quota: Resources) {
+    fn ask(&self, workspace: Workspace, wanted: Resources, quota: Resources) {
         let (shared, handle) = (Arc::clone(&self.shared), Arc::clone(&self.handle));
         spawn(async move {
-            let row = match change_grant(&shared, &team, &handle.pool, wanted, quota).await {
+            let row = match change_grant(&shared, &workspace, &handle.pool, wanted, quota).await {
                 Ok(row) => row,
                 Err(err) => {
-                    log_event!(shared.log, QUOTA_FAILED; "team" => team.as_str(),
+                    log_event!(shared.log, QUOTA_FAILED; "workspace" => workspace.as_str(),
                         "error" => err.to_string());
                     None
                 }
             };
-            let _ = handle.sender().send(Message::Granted { team, row }).await;
+            let _ = handle
+                .sender()
+                .send(Message::Granted { workspace, row })
+                .await;
         })
         .detach();
     }
 
-    pub fn granted(&mut self, team: &Team, row: Option<QuotaRow>) {
+    pub fn granted(&mut self, workspace: &Workspace, row: Option<QuotaRow>) {
         let pool = self.cfg.pool.clone();
-        let Some(share) = self.shares.teams.get_mut(team) else {
+        let Some(share) = self.shares.workspaces.get_mut(workspace) else {
             return;
         };
         share.asking = false;
@@ -226,7 +229,7 @@
         if let Some(row) = row {
             share.known = true;
             share.granted = row.grants.get(&pool).copied().unwrap_or_default();
-            self.tell_share(team);
+            self.tell_share(workspace);
         }
     }
 }
@@ -236,12 +239,12 @@
 /// Each attempt begins with a reading, so a lost answer shows in the next one. Returns the row as it is now.
 async fn change_grant(
     shared: &Shared,
-    team: &Team,
+    workspace: &Workspace,
     pool: &Pool,
     wanted: Resources,
     quota: Resources,
 ) -> Result<Option<QuotaRow>, PlatformError> {
-    let key = rows::quota_key(team);
+    let key = rows::quota_key(workspace);
     let found = limited("read quota", shared.table.get(&key)).await?;
     let version = found.as_ref().map_or(0, |row| row.version);
     let decoded = found
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -98,7 +98,7 @@
         summaries.max_by_key(|(_, summary)| summary.epoch)
     }
 
-    /// Free slots by `team/service` of a peer, by its last heartbeat.
+    /// Free slots by `workspace/service` of a peer, by its last heartbeat.
     pub fn free_slots(&self, id: &InstanceId) -> BTreeMap<String, u32> {
         let known = lock(&self.known);
         known
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -12,7 +12,7 @@
         EntryError,
         generated::{JobMessage, JobReference, JobReply, PoolSummary, job_reply},
     },
-    ragwortreel_model::{InstanceId, JobId, JobSpec, JobStatus, Pool, Resources, Team},
+    ragwortreel_model::{InstanceId, JobId, JobSpec, JobStatus, Pool, Resources, Workspace},
     ragwortreel_runtime::timeout_ms,
     std::{cmp::Reverse, collections::BTreeMap, sync::Arc},
 };
@@ -55,19 +55,24 @@
     shared: &Shared,
     handle: &OwnerHandle,
     job: JobId,
-    team: Option<Team>,
+    workspace: Option<Workspace>,
 ) -> Result<JobStatus, JobError> {
-    ask(shared, handle, |reply| Message::Cancel { job, team, reply }).await
+    ask(shared, handle, |reply| Message::Cancel {
+        job,
+        workspace,
+        reply,
+    })
+    .await
 }
 
 pub(crate) async fn describe_here(
     shared: &Shared,
     handle: &OwnerHandle,
-    team: Option<Team>,
+    workspace: Option<Workspace>,
     job: Option<JobId>,
 ) -> Result<Vec<JobStatus>, JobError> {
     ask(shared, handle, |reply| Message::Describe {
-        team,
+        workspace,
         job,
         reply,
     })
@@ -210,11 +215,11 @@
 pub(crate) async fn cancel(
     shared: &Arc<Shared>,
     job: &JobId,
-    team: Option<&Team>,
+    workspace: Option<&Workspace>,
 ) -> Result<JobStatus, JobError> {
     let not_found = || JobError::NotFound { job: job.clone() };
     let row = read_row(shared, job).await?.ok_or_else(not_found)?;
-    if team.is_some_and(|team| row.spec.team != *team) {
+    if workspace.is_some_and(|workspace| row.spec.workspace != *workspace) {
         return Err(not_found());
     }
     if row.state.is_final() {
@@ -224,14 +229,14 @@
         });
     }
     if let Some(handle) = shared.owner_handle(&row.pool) {
-        return cancel_here(shared, &handle, job.clone(), team.cloned()).await;
+        return cancel_here(shared, &handle, job.clone(), workspace.cloned()).await;
     }
     let owner = shared
         .owner_of(&row.pool)
         .ok_or_else(|| refused("the pool has no owner"))?;
     let client = shared.peers.client(&owner);
     let client = client.ok_or_else(|| refused("the pool's owner is not known"))?;
-    let answer = client.cancel_job(reference(Some(job), team)).await;
+    let answer = client.cancel_job(reference(Some(job), workspace)).await;
     let statuses = from_reply(job, answer)?;
     statuses
         .into_iter()
@@ -239,23 +244,23 @@
         .ok_or_else(|| unknown("the owner's answer is empty"))
 }
 
-fn reference(job: Option<&JobId>, team: Option<&Team>) -> JobReference {
+fn reference(job: Option<&JobId>, workspace: Option<&Workspace>) -> JobReference {
     JobReference {
         job: job.map(ToString::to_string).unwrap_or_default(),
-        team: team.map(ToString::to_string).unwrap_or_default(),
+        workspace: workspace.map(ToString::to_string).unwrap_or_default(),
     }
 }
 
-/// Describes a job, or all recent jobs of a team.
+/// Describes a job, or all recent jobs of a workspace.
 pub(crate) async fn describe(
     shared: &Arc<Shared>,
-    team: Option<&Team>,
+    workspace: Option<&Workspace>,
     job: Option<&JobId>,
 ) -> Result<Vec<JobStatus>, JobError> {
     let mut found = BTreeMap::new();
     let own: Vec<_> = lock(&shared.owners).values().cloned().collect();
     for handle in own {
-        for status in describe_here(shared, &handle, team.cloned(), job.cloned()).await? {
+        for status in describe_here(shared, &handle, workspace.cloned(), job.cloned()).await? {
             found.insert(status.spec.id.clone(), status);
         }
     }
@@ -266,7 +271,7 @@
         let Some(client) = shared.peers.client(&owner) else {
             continue;
         };
-        let answer = client.describe_job(reference(job, team)).await;
+        let answer = client.describe_job(reference(job, workspace)).await;
         match from_reply(&id, answer) {
             Ok(statuses) => found.extend(
                 statuses
@@ -280,7 +285,8 @@
     }
     if let Some(job) = job.filter(|_| found.is_empty()) {
         let row = read_row(shared, job).await?;
-        let row = row.filter(|row| team.is_none_or(|team| row.spec.team == *team));
+        let row =
+            row.filter(|row| workspace.is_none_or(|workspace| row.spec.workspace == *workspace));
         let row = row.ok_or_else(|| JobError::NotFound { job: job.clone() })?;
         return Ok(vec![row_status(row)]);
     }
--- a/crates/control/src/rows.rs
+++ b/crates/control/src/rows.rs
@@ -2,8 +2,8 @@
 
 use {
     ragwortreel_model::{
-        Attempt, Epoch, Incarnation, InstanceId, JobId, JobSpec, JobState, Pool, Resources, Team,
-        WorkerId, Zone,
+        Attempt, Epoch, Incarnation, InstanceId, JobId, JobSpec, JobState, Pool, Resources,
+        WorkerId, Workspace, Zone,
     },
     ragwortreel_platform::{Check, Row, Write},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -109,7 +109,7 @@
     pub seq: u64,
 }
 
-/// Parts of a team's quota that pools may use.
+/// Parts of a workspace's quota that pools may use.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct QuotaRow {
     pub grants: BTreeMap<Pool, Resources>,
@@ -139,8 +139,8 @@
     format!("{DRAINS}{worker}").into()
 }
 
-pub(crate) fn quota_key(team: &Team) -> Arc<str> {
-    format!("quota/{team}").into()
+pub(crate) fn quota_key(workspace: &Workspace) -> Arc<str> {
+    format!("quota/{workspace}").into()
 }
 
 pub(crate) fn content_key(version: u64) -> Arc<str> {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -16,7 +16,7 @@
             ReleaseSlotsRequest, SettingsTree, SettingsVersion, job_reply,
         },
     },
-    ragwortreel_model::{JobId, JobSpec, Pool, Team},
+    ragwortreel_model::{JobId, JobSpec, Pool, Workspace},
     std::sync::Arc,
 };
 
@@ -100,13 +100,17 @@
     }
 
     async fn cancel_job(&self, message: JobReference) -> JobReply {
-        let (Ok(job), Ok(team)) = (JobId::new(&message.job), parse_team(&message.team)) else {
+        let (Ok(job), Ok(workspace)) = (
+            JobId::new(&message.job),
+            parse_workspace(&message.workspace),
+        ) else {
             return refusal("the message is malformed");
         };
         let handles: Vec<_> = lock(&self.0.owners).values().cloned().collect();
         let mut answer = None;
         for handle in handles {
-            let result = routing::cancel_here(&self.0, &handle, job.clone(), team.clone()).await;
+            let result =
+                routing::cancel_here(&self.0, &handle, job.clone(), workspace.clone()).await;
             let is_elsewhere = matches!(result, Err(crate::JobError::NotFound { .. }));
             answer = Some(result);
             if !is_elsewhere {
@@ -122,13 +126,13 @@
         let job = (!message.job.is_empty())
             .then(|| JobId::new(&message.job))
             .transpose();
-        let (Ok(job), Ok(team)) = (job, parse_team(&message.team)) else {
+        let (Ok(job), Ok(workspace)) = (job, parse_workspace(&message.workspace)) else {
             return refusal("the message is malformed");
         };
         let handles: Vec<_> = lock(&self.0.owners).values().cloned().collect();
         let mut found = Vec::new();
         for handle in handles {
-            match routing::describe_here(&self.0, &handle, team.clone(), job.clone()).await {
+            match routing::describe_here(&self.0, &handle, workspace.clone(), job.clone()).await {
                 Ok(statuses) => found.extend(statuses),
                 Err(err) => return routing::to_reply(Err(err)),
             }
@@ -137,8 +141,8 @@
     }
 }
 
-fn parse_team(text: &str) -> Result<Option<Team>, ragwortreel_model::NameError> {
-    (!text.is_empty()).then(|| Team::new(text)).transpose()
+fn parse_workspace(text: &str) -> Result<Option<Workspace>, ragwortreel_model::NameError> {
+    (!text.is_empty()).then(|| Workspace::new(text)).transpose()
 }
 
 fn refusal(problem: &str) -> JobReply {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -13,7 +13,7 @@
     async_channel::{Receiver, Sender},
     derive_more::{Display, Error},
     ragwortreel_entry::generated::SettingsTree,
-    ragwortreel_model::{Settings, SettingsError, Team},
+    ragwortreel_model::{Settings, SettingsError, Workspace},
     ragwortreel_runtime::{log_event, spawn},
     sha2::{Digest, Sha256},
     std::{
@@ -35,7 +35,7 @@
 struct State {
     current: Arc<VersionedSettings>,
     /// Version in which each branch last changed, as far as this instance saw.
-    changed_in: BTreeMap<Team, u64>,
+    changed_in: BTreeMap<Workspace, u64>,
     /// Version that this instance started with; what changed before is not known.
     first_seen: u64,
     subscribers: Vec<Sender<Arc<VersionedSettings>>>,
@@ -90,10 +90,10 @@
         rx
     }
 
-    /// Version up to which a team's branch is unchanged, at the latest.
-    pub fn changed_in(&self, team: &Team) -> u64 {
+    /// Version up to which a workspace's branch is unchanged, at the latest.
+    pub fn changed_in(&self, workspace: &Workspace) -> u64 {
         let state = lock(&self.state);
-        let changed = state.changed_in.get(team).copied();
+        let changed = state.changed_in.get(workspace).copied();
         changed.unwrap_or(state.first_seen)
     }
 
@@ -134,11 +134,11 @@
             self.first_seen = tree.version;
             return;
         }
-        let (old, new) = (&self.current.settings.teams, &tree.settings.teams);
-        let changed =
-            (old.keys().chain(new.keys())).filter(|team| old.get(*team) != new.get(*team));
-        for team in changed {
-            self.changed_in.insert(team.clone(), tree.version);
+        let (old, new) = (&self.current.settings.workspaces, &tree.settings.workspaces);
+        let changed = (old.keys().chain(new.keys()))
+            .filter(|workspace| old.get(*workspace) != new.get(*workspace));
+        for workspace in changed {
+            self.changed_in.insert(workspace.clone(), tree.version);
         }
     }
 }
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -6,7 +6,7 @@
     async_trait::async_trait,
     ragwortreel_control::{Load, LocalRequests, SettingsChange},
     ragwortreel_entry::generated::{ForwardedRequest, ForwardedResponse, ReleaseSlotsRequest},
-    ragwortreel_model::{Clock as _, InstanceId, Resources, ServiceName, TeamSettings},
+    ragwortreel_model::{Clock as _, InstanceId, Resources, ServiceName, WorkspaceSettings},
     ragwortreel_platform::{InstanceState, ListedInstance, ListedRole},
     ragwortreel_routing::{BackendId, InUse, SlotShares},
     ragwortreel_runtime::{block_on, sleep_ms},
@@ -16,7 +16,7 @@
         net::SocketAddr,
         sync::{Arc, Mutex},
     },
-    support::{Cell, FastClock, job, name, team},
+    support::{Cell, FastClock, job, name, workspace},
 };
 
 const BACKENDS: [&str; 3] = ["b1", "b2", "b3"];
@@ -127,7 +127,7 @@
                 address: SocketAddr::from(([127, 0, 0, 1], port)),
                 state: InstanceState::Live,
                 role: ListedRole::Backend {
-                    team: team(),
+                    workspace: workspace(),
                     service: name(ServiceName::new, "quotes"),
                 },
             });
@@ -533,7 +533,7 @@
     });
 }
 
-/// Two pools together must not run more of a team's tasks than its quota holds.
+/// Two pools together must not run more of a workspace's tasks than its quota holds.
 #[test]
 fn pools_share_a_quota() {
     block_on(async {
@@ -541,12 +541,12 @@
         cell.start("e1", "riga-a");
         cell.start("e2", "riga-b");
         cell.ready().await;
-        let branch = TeamSettings {
+        let branch = WorkspaceSettings {
             quota: Resources::new(6_000, 256 * 1024, 0),
-            ..TeamSettings::default()
+            ..WorkspaceSettings::default()
         };
         let base = cell.any().settings().version;
-        let change = SettingsChange::Team(team(), Some(branch));
+        let change = SettingsChange::Workspace(workspace(), Some(branch));
         let version = cell
             .any()
             .change_settings(base, change)
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -4,7 +4,7 @@
 
 use {
     ragwortreel_control::{SettingsChange, Timings},
-    ragwortreel_model::{JobState, Team, TeamSettings},
+    ragwortreel_model::{JobState, Workspace, WorkspaceSettings},
     ragwortreel_runtime::{block_on, sleep_ms},
     ragwortreel_standins::Outage,
     ragwortreel_worker::WorkerTimeouts,
@@ -263,28 +263,31 @@
     });
 }
 
-/// A job that follows the creation of its team at once must be accepted, not left behind as cancelled.
+/// A job that follows the creation of its workspace at once must be accepted, not left behind as cancelled.
 #[test]
-fn job_of_a_new_team_is_accepted() {
+fn job_of_a_new_workspace_is_accepted() {
     block_on(async {
         let cell = cell_of_three().await;
         let owner = cell.owner("riga-a").expect("the pool has an owner");
         let control = cell.control(&owner);
         for index in 0..10 {
             let base = control.settings();
-            let new_team = Team::new(&format!("new-{index}")).expect("a name");
-            let change = SettingsChange::Team(new_team.clone(), Some(TeamSettings::default()));
+            let new_workspace = Workspace::new(&format!("new-{index}")).expect("a name");
+            let change = SettingsChange::Workspace(
+                new_workspace.clone(),
+                Some(WorkspaceSettings::default()),
+            );
             (control.change_settings(base.version, change).await).expect("the change is accepted");
             let mut spec = job(&format!("first-{index}"), 1, Some(10));
-            spec.team = new_team;
+            spec.workspace = new_workspace;
             let status = control.submit_job(spec).await.expect("the job is accepted");
             assert_eq!(status.state, JobState::Queued);
         }
     });
 }
 
-/// A job that is refused after its row was written must leave no row behind, and one of a team that has just been
-/// declared must not be refused because the scheduler does not know the team yet.
+/// A job that is refused after its row was written must leave no row behind, and one of a workspace that has just been
+/// declared must not be refused because the scheduler does not know the workspace yet.
 #[test]
 fn refused_job_leaves_no_row() {
     block_on(async {
@@ -298,10 +301,11 @@
         assert_eq!(cell.job_state("large"), None);
         let base = cell.control("e1").settings();
         let mut settings = base.settings.clone();
-        let beta = support::name(ragwortreel_model::Team::new, "beta");
-        settings
-            .teams
-            .insert(beta.clone(), ragwortreel_model::TeamSettings::default());
+        let beta = support::name(ragwortreel_model::Workspace::new, "beta");
+        settings.workspaces.insert(
+            beta.clone(),
+            ragwortreel_model::WorkspaceSettings::default(),
+        );
         let change = ragwortreel_control::SettingsChange::Whole(settings);
         let changed = cell
             .control("e1")
@@ -309,7 +313,7 @@
             .await;
         changed.expect("accepted");
         let mut spec = job("new", 1, Some(50));
-        spec.team = beta;
+        spec.workspace = beta;
         cell.control("e1")
             .submit_job(spec)
             .await
--- a/crates/control/tests/settings.rs
+++ b/crates/control/tests/settings.rs
@@ -4,14 +4,14 @@
 
 use {
     ragwortreel_control::{ChangeError, SettingsChange, VersionedSettings},
-    ragwortreel_model::{Settings, Team, TeamSettings},
+    ragwortreel_model::{Settings, Workspace, WorkspaceSettings},
     ragwortreel_runtime::{block_on, sleep_ms, spawn},
     ragwortreel_standins::Outage,
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex},
     },
-    support::{Cell, name, team},
+    support::{Cell, name, workspace},
 };
 
 async fn cell_of_three() -> Cell {
@@ -23,16 +23,19 @@
     cell
 }
 
-fn weight(settings: &Settings, team: &Team) -> u32 {
-    settings.teams.get(team).map_or(0, |branch| branch.weight)
+fn weight(settings: &Settings, workspace: &Workspace) -> u32 {
+    settings
+        .workspaces
+        .get(workspace)
+        .map_or(0, |branch| branch.weight)
 }
 
-/// Raises the team's weight by one on top of the version that the instance has.
+/// Raises the workspace's weight by one on top of the version that the instance has.
 async fn raise(cell: &Cell, via: &str) -> Result<u64, ChangeError> {
     let control = cell.control(via);
     let base = control.settings();
     let mut settings = base.settings.clone();
-    settings.teams.entry(team()).or_default().weight += 1;
+    settings.workspaces.entry(workspace()).or_default().weight += 1;
     control
         .change_settings(base.version, SettingsChange::Whole(settings))
         .await
@@ -123,7 +126,7 @@
     block_on(async {
         let cell = cell_of_three().await;
         let seen = record(&cell);
-        let start = weight(&cell.any().settings().settings, &team());
+        let start = weight(&cell.any().settings().settings, &workspace());
         let mut accepted = Vec::new();
         for lost in 0..4 {
             for instance in cell.instances.values() {
@@ -135,7 +138,7 @@
         }
         until_same(&cell, *accepted.iter().max().expect("some were accepted")).await;
         assert_eq!(violations(&seen, &accepted), Vec::<String>::new());
-        let end = weight(&cell.any().settings().settings, &team());
+        let end = weight(&cell.any().settings().settings, &workspace());
         assert_eq!(
             end - start,
             u32::try_from(accepted.len()).expect("few changes")
@@ -160,24 +163,26 @@
     });
 }
 
-/// A team's change must not fail because of another team's, but must not overwrite its own team's newer one.
+/// A workspace's change must not fail because of another workspace's, but must not overwrite its own workspace's newer one.
 #[test]
-fn teams_change_their_own_branches() {
+fn workspaces_change_their_own_branches() {
     block_on(async {
         let cell = cell_of_three().await;
         let base = cell.control("e1").settings().version;
-        let branch = |weight| TeamSettings {
+        let branch = |weight| WorkspaceSettings {
             weight,
-            ..TeamSettings::default()
+            ..WorkspaceSettings::default()
+        };
+        let beta = name(Workspace::new, "beta");
+        let change = |workspace: &Workspace, weight| {
+            SettingsChange::Workspace(workspace.clone(), Some(branch(weight)))
         };
-        let beta = name(Team::new, "beta");
-        let change = |team: &Team, weight| SettingsChange::Team(team.clone(), Some(branch(weight)));
         cell.control("e1")
             .change_settings(base, change(&beta, 7))
             .await
             .expect("the first");
         cell.control("e2")
-            .change_settings(base, change(&team(), 8))
+            .change_settings(base, change(&workspace(), 8))
             .await
             .expect("another branch");
         let again = cell
@@ -188,7 +193,7 @@
             panic!("expected a conflict, got {again:?}");
         };
         assert_eq!(weight(&current.settings, &beta), 7);
-        assert_eq!(weight(&current.settings, &team()), 8);
+        assert_eq!(weight(&current.settings, &workspace()), 8);
     });
 }
 
@@ -247,8 +252,10 @@
         let base = cell.any().settings();
         let mut settings = base.settings.clone();
         for index in 0..2_000 {
-            let team = name(Team::new, &format!("team-{index}"));
-            settings.teams.insert(team, TeamSettings::default());
+            let workspace = name(Workspace::new, &format!("workspace-{index}"));
+            settings
+                .workspaces
+                .insert(workspace, WorkspaceSettings::default());
         }
         let change = SettingsChange::Whole(settings);
         let version = cell
@@ -256,7 +263,10 @@
             .change_settings(base.version, change)
             .await;
         until_same(&cell, version.expect("accepted")).await;
-        assert_eq!(cell.control("e3").settings().settings.teams.len(), 2_001);
+        assert_eq!(
+            cell.control("e3").settings().settings.workspaces.len(),
+            2_001
+        );
     });
 }
 
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -19,7 +19,7 @@
     },
     ragwortreel_model::{
         Clock, Incarnation, InstanceId, JobId, JobKind, JobSpec, JobState, Pool, Priority, Rack,
-        Resources, Settings, Team, TeamSettings, WorkerId, Zone,
+        Resources, Settings, WorkerId, Workspace, WorkspaceSettings, Zone,
     },
     ragwortreel_placement::{Config, PoolScheduler, Scheduler},
     ragwortreel_platform::{InstanceState, ListedInstance, ListedRole},
@@ -98,8 +98,8 @@
     make(text).expect("a valid name")
 }
 
-pub fn team() -> Team {
-    name(Team::new, "alpha")
+pub fn workspace() -> Workspace {
+    name(Workspace::new, "alpha")
 }
 
 /// A job whose tasks run for a time of the fast clock, or until stopped.
@@ -107,7 +107,7 @@
     let payload = run_ms.map_or_else(|| "{}".to_owned(), |ms| format!("{{\"run_ms\":{ms}}}"));
     JobSpec {
         id: name(JobId::new, id),
-        team: team(),
+        workspace: workspace(),
         name: "test".into(),
         kind: JobKind::Batch,
         priority: Priority::Normal,
@@ -120,7 +120,7 @@
 }
 
 impl Cell {
-    /// A cell with workers of four tasks each in every zone, and one team.
+    /// A cell with workers of four tasks each in every zone, and one workspace.
     pub fn new(zones: &[&str], workers_per_zone: u16) -> Self {
         Self::with_speed(SPEED, zones, workers_per_zone)
     }
@@ -267,7 +267,7 @@
         lines.join("\n")
     }
 
-    /// Waits until all instances are ready and all pools have owners, and declares the team.
+    /// Waits until all instances are ready and all pools have owners, and declares the workspace.
     pub async fn ready(&self) {
         self.until("all ready", |cell| {
             cell.instances
@@ -276,13 +276,15 @@
         })
         .await;
         let mut settings = Settings::default();
-        settings.teams.insert(team(), TeamSettings::default());
+        settings
+            .workspaces
+            .insert(workspace(), WorkspaceSettings::default());
         let change = SettingsChange::Whole(settings);
         self.any()
             .change_settings(0, change)
             .await
             .expect("the first change is accepted");
-        self.until("the team is known", |cell| {
+        self.until("the workspace is known", |cell| {
             cell.instances
                 .values()
                 .all(|instance| instance.control.settings().version >= 1)
--- a/crates/entry/src/generated.rs
+++ b/crates/entry/src/generated.rs
@@ -20,7 +20,7 @@
     pub in_flight: u64,
     #[prost(uint64, tag = "9")]
     pub queued: u64,
-    /// Slots that are free now, by service (team/service).
+    /// Slots that are free now, by service (workspace/service).
     #[prost(btree_map = "string, uint32", tag = "10")]
     pub free_slots: ::prost::alloc::collections::BTreeMap<::prost::alloc::string::String, u32>,
 }
@@ -131,7 +131,7 @@
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ForwardedRequest {
     #[prost(string, tag = "1")]
-    pub team: ::prost::alloc::string::String,
+    pub workspace: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub service: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
@@ -149,7 +149,7 @@
     pub class: ::prost::alloc::string::String,
     #[prost(string, tag = "9")]
     pub idempotency_key: ::prost::alloc::string::String,
-    /// Team that calls and is charged.
+    /// Workspace that calls and is charged.
     #[prost(string, tag = "10")]
     pub caller: ::prost::alloc::string::String,
 }
@@ -179,11 +179,11 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct JobReference {
-    /// Empty for all jobs of the team.
+    /// Empty for all jobs of the workspace.
     #[prost(string, tag = "1")]
     pub job: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
-    pub team: ::prost::alloc::string::String,
+    pub workspace: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct JobReply {
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -1,7 +1,7 @@
 //! Jobs, their tasks and the states that they pass through.
 
 use {
-    crate::{JobId, Pool, Resources, Team, WorkerId, Zone},
+    crate::{JobId, Pool, Resources, WorkerId, Workspace, Zone},
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -71,14 +71,14 @@
     pub index: u32,
 }
 
-/// A job as its team declares it.
+/// A job as its workspace declares it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct JobSpec {
     /// Identifier, chosen by the caller so that a repeated submission is recognised.
     pub id: JobId,
-    /// Team that the job belongs to and is charged to.
-    pub team: Team,
+    /// Workspace that the job belongs to and is charged to.
+    pub workspace: Workspace,
     /// Name shared by like jobs; sizes and run times are learned under it.
     pub name: Arc<str>,
     /// Kind of work.
@@ -201,7 +201,7 @@
     /// A task failed more often than allowed.
     #[display("failed")]
     Failed,
-    /// Cancelled by its team.
+    /// Cancelled by its workspace.
     #[display("cancelled")]
     Cancelled,
 }
@@ -236,14 +236,14 @@
         /// Tasks of the job.
         tasks: u32,
     },
-    /// The job alone is larger than its team's quota.
-    #[display("larger than the team's quota of {quota}")]
+    /// The job alone is larger than its workspace's quota.
+    #[display("larger than the workspace's quota of {quota}")]
     LargerThanQuota {
         /// The quota.
         quota: Resources,
     },
-    /// The team's quota is in use.
-    #[display("the team's quota of {quota} is in use")]
+    /// The workspace's quota is in use.
+    #[display("the workspace's quota of {quota} is in use")]
     QuotaInUse {
         /// The quota.
         quota: Resources,
@@ -281,7 +281,7 @@
     },
 }
 
-/// A job with its state, as shown to its team.
+/// A job with its state, as shown to its workspace.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobStatus {
     /// The declaration.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -17,11 +17,12 @@
     Priority, SpecError, TaskId, TaskResult, WaitReason,
 };
 pub use name::{
-    InstanceId, JobId, MAX_NAME_BYTES, NameError, Pool, Rack, ServiceName, Team, WorkerId, Zone,
+    InstanceId, JobId, MAX_NAME_BYTES, NameError, Pool, Rack, ServiceName, WorkerId, Workspace,
+    Zone,
 };
 pub use outcome::Outcome;
 pub use resources::Resources;
 pub use settings::{
-    CellSettings, MAX_SETTINGS_BYTES, MAX_TEAMS, ServiceSettings, Settings, SettingsError,
-    SloSettings, TeamSettings, WorkClass, parse_json,
+    CellSettings, MAX_SETTINGS_BYTES, MAX_WORKSPACES, ServiceSettings, Settings, SettingsError,
+    SloSettings, WorkClass, WorkspaceSettings, parse_json,
 };
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -64,8 +64,8 @@
 }
 
 name_types! {
-    /// Name of a team.
-    Team;
+    /// Name of a workspace.
+    Workspace;
     /// Name of an availability zone.
     Zone;
     /// Name of an entry instance or another machine of the platform.
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -1,10 +1,10 @@
-//! The settings tree: one branch for the cell and one for each team.
+//! The settings tree: one branch for the cell and one for each workspace.
 //!
 //! A tree comes in as JSON. [`Settings::parse`] refuses unknown keys, wrong types and impossible values, and names
 //! the path in the tree and what was expected there.
 
 use {
-    crate::{Resources, ServiceName, Team},
+    crate::{Resources, ServiceName, Workspace},
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet},
@@ -12,8 +12,8 @@
 
 /// Largest accepted settings document.
 pub const MAX_SETTINGS_BYTES: usize = 4 * 1024 * 1024;
-/// Most teams in one cell.
-pub const MAX_TEAMS: usize = 4096;
+/// Most workspaces in one cell.
+pub const MAX_WORKSPACES: usize = 4096;
 
 /// Class of a request, which keeps short and long work apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
@@ -37,12 +37,12 @@
     /// Settings of the cell.
     #[serde(default)]
     pub cell: CellSettings,
-    /// One branch a team.
+    /// One branch a workspace.
     #[serde(default)]
-    pub teams: BTreeMap<Team, TeamSettings>,
+    pub workspaces: BTreeMap<Workspace, WorkspaceSettings>,
 }
 
-/// Settings that concern no single team.
+/// Settings that concern no single workspace.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct CellSettings {
@@ -73,27 +73,27 @@
     }
 }
 
-/// Branch of one team.
+/// Branch of one workspace.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct TeamSettings {
-    /// SHA-256 of the team's bearer token, in hexadecimal.
+pub struct WorkspaceSettings {
+    /// SHA-256 of the workspace's bearer token, in hexadecimal.
     pub token_sha256: String,
-    /// Share of the cell relative to other teams.
+    /// Share of the cell relative to other workspaces.
     pub weight: u32,
-    /// Most resources that the team's tasks may hold at once.
+    /// Most resources that the workspace's tasks may hold at once.
     pub quota: Resources,
-    /// Most jobs of the team that may be queued or running.
+    /// Most jobs of the workspace that may be queued or running.
     pub max_jobs: u32,
-    /// Requests a second that the team may send; 0 for no limit.
+    /// Requests a second that the workspace may send; 0 for no limit.
     pub requests_per_s: u32,
     /// Requests that may wait at one entry instance.
     pub max_queued_requests: u32,
-    /// Services that the team offers.
+    /// Services that the workspace offers.
     pub services: BTreeMap<ServiceName, ServiceSettings>,
 }
 
-impl Default for TeamSettings {
+impl Default for WorkspaceSettings {
     fn default() -> Self {
         Self {
             token_sha256: String::new(),
@@ -161,7 +161,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 #[display("{path}: {problem}")]
 pub struct SettingsError {
-    /// Path in the tree, such as `teams.alpha.weight`.
+    /// Path in the tree, such as `workspaces.alpha.weight`.
     pub path: String,
     /// What is wrong and what was expected.
     pub problem: String,
@@ -204,25 +204,28 @@
     /// Returns the path of the first impossible value.
     pub fn check(&self) -> Result<(), SettingsError> {
         self.cell.check()?;
-        if self.teams.len() > MAX_TEAMS {
-            return Err(SettingsError::new("teams", "expected at most 4096 teams"));
+        if self.workspaces.len() > MAX_WORKSPACES {
+            return Err(SettingsError::new(
+                "workspaces",
+                "expected at most 4096 workspaces",
+            ));
         }
-        for (team, branch) in &self.teams {
-            branch.check(&format!("teams.{team}"))?;
+        for (workspace, branch) in &self.workspaces {
+            branch.check(&format!("workspaces.{workspace}"))?;
         }
         self.check_tokens()
     }
 
-    /// A token must belong to one principal only, or one team could act as another.
+    /// A token must belong to one principal only, or one workspace could act as another.
     fn check_tokens(&self) -> Result<(), SettingsError> {
         let mut digests = BTreeSet::from([self.cell.operator_token_sha256.as_str()]);
-        for (team, branch) in &self.teams {
+        for (workspace, branch) in &self.workspaces {
             let digest = branch.token_sha256.as_str();
             if !digest.is_empty() && !digests.insert(digest) {
-                let path = format!("teams.{team}.token_sha256");
+                let path = format!("workspaces.{workspace}.token_sha256");
                 return Err(SettingsError::new(
                     &path,
-                    "the token belongs to another team or to the operators",
+                    "the token belongs to another workspace or to the operators",
                 ));
             }
         }
@@ -302,7 +305,7 @@
     }
 }
 
-impl TeamSettings {
+impl WorkspaceSettings {
     fn check(&self, path: &str) -> Result<(), SettingsError> {
         check_digest(path, "token_sha256", &self.token_sha256)?;
         check_range(path, "weight", self.weight.into(), 1, 1_000_000)?;
--- a/crates/model/tests/parsers.rs
+++ b/crates/model/tests/parsers.rs
@@ -2,7 +2,7 @@
 
 use {
     proptest::{prelude::*, test_runner::RngSeed},
-    ragwortreel_model::{JobSpec, Settings, Team, parse_json},
+    ragwortreel_model::{JobSpec, Settings, Workspace, parse_json},
 };
 
 fn config() -> ProptestConfig {
@@ -13,7 +13,7 @@
     }
 }
 
-const VALID: &str = r#"{"cell":{"slots_per_backend":8},"teams":{"alpha":{"weight":7,"quota":{"milli_cores":1,
+const VALID: &str = r#"{"cell":{"slots_per_backend":8},"workspaces":{"alpha":{"weight":7,"quota":{"milli_cores":1,
     "memory_mib":2},"services":{"quotes":{"class":"urgent","slo":{"answered_percent":99.5,"latency_ms":5}}}}}}"#;
 
 proptest! {
@@ -43,6 +43,6 @@
     fn names_are_plain(text in "\\PC{0,140}") {
         let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
         let expected = !text.is_empty() && text.len() <= 128 && text.bytes().all(plain);
-        prop_assert_eq!(Team::new(&text).is_ok(), expected);
+        prop_assert_eq!(Workspace::new(&text).is_ok(), expected);
     }
 }
--- a/crates/placement/src/api.rs
+++ b/crates/placement/src/api.rs
@@ -3,8 +3,8 @@
 use {
     derive_more::{Display, Error},
     ragwortreel_model::{
-        Assignment, Attempt, JobId, JobSpec, Rack, Resources, TaskId, TaskResult, Team, WaitReason,
-        WorkerId,
+        Assignment, Attempt, JobId, JobSpec, Rack, Resources, TaskId, TaskResult, WaitReason,
+        WorkerId, Workspace,
     },
     serde::{Deserialize, Serialize},
 };
@@ -32,12 +32,12 @@
     Silent,
 }
 
-/// What a team may use.
+/// What a workspace may use.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TeamShare {
-    /// Name of the team.
-    pub team: Team,
-    /// Weight relative to other teams.
+pub struct WorkspaceShare {
+    /// Name of the workspace.
+    pub workspace: Workspace,
+    /// Weight relative to other workspaces.
     pub weight: u32,
     /// Most resources that its tasks in this pool may hold at once.
     pub quota: Resources,
@@ -64,12 +64,12 @@
         #[error(not(source))]
         job: JobId,
     },
-    /// The team is not known.
-    #[display("team {team} is not known")]
-    UnknownTeam {
-        /// Name of the team.
+    /// The workspace is not known.
+    #[display("workspace {workspace} is not known")]
+    UnknownWorkspace {
+        /// Name of the workspace.
         #[error(not(source))]
-        team: Team,
+        workspace: Workspace,
     },
     /// The queue of the pool is full.
     #[display("the queue of the pool is full at {limit} tasks")]
@@ -102,8 +102,8 @@
     fn set_worker_state(&mut self, worker: &WorkerId, state: WorkerState);
     /// Removes a worker whose tasks are proven to have ended; the tasks return to the queue and are listed.
     fn remove_worker(&mut self, worker: &WorkerId, now_ms: u64) -> Vec<Assignment>;
-    /// Adds or changes a team.
-    fn upsert_team(&mut self, share: TeamShare);
+    /// Adds or changes a workspace.
+    fn upsert_workspace(&mut self, share: WorkspaceShare);
     /// Queues a job; a repeat with the same specification is accepted and changes nothing.
     ///
     /// # Errors
--- a/crates/placement/src/decide.rs
+++ b/crates/placement/src/decide.rs
@@ -96,8 +96,8 @@
             self.drop_reservation();
         }
         self.update_job(ix);
-        let team = self.queue.lane(self.jobs[ix].lane).key.team;
-        self.team_grew(team);
+        let workspace = self.queue.lane(self.jobs[ix].lane).key.workspace;
+        self.workspace_grew(workspace);
         Some(decision)
     }
 
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -1,4 +1,4 @@
-//! Sizes and run times learned for each team and job name.
+//! Sizes and run times learned for each workspace and job name.
 
 use {
     crate::Config,
@@ -10,7 +10,7 @@
     },
 };
 
-/// Most (team, job name) pairs that are remembered; the least recently used is dropped. About 8 KB each.
+/// Most (workspace, job name) pairs that are remembered; the least recently used is dropped. About 8 KB each.
 const MAX_ESTIMATES: usize = 2_048;
 /// Samples after which a histogram is replaced, so that old behaviour is forgotten.
 const WINDOW: u64 = 1_024;
@@ -60,7 +60,7 @@
     }
 }
 
-/// What is known about the tasks of one team and job name.
+/// What is known about the tasks of one workspace and job name.
 #[derive(Debug, Clone)]
 struct Estimate {
     cpu: Samples,
@@ -72,7 +72,7 @@
     last_use: u64,
 }
 
-/// Team index and job name.
+/// Workspace index and job name.
 pub type EstimateKey = (u32, Arc<str>);
 
 /// Everything that was learned in a pool.
--- a/crates/placement/src/explain.rs
+++ b/crates/placement/src/explain.rs
@@ -22,7 +22,7 @@
         match &lane.place {
             Place::Parked(reason) => return Some(reason.clone()),
             Place::QuotaBlocked => {
-                let quota = self.teams.get(lane.key.team).share.quota;
+                let quota = self.workspaces.get(lane.key.workspace).share.quota;
                 return Some(WaitReason::QuotaInUse { quota });
             }
             Place::Listed { .. } | Place::Idle => {}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,7 +1,7 @@
 //! Placement of tasks on the workers of one pool.
 //!
 //! The package is synchronous and has no clock of its own: each call carries the time. The owner of a pool drives one
-//! [`PoolScheduler`]: it reports what workers and teams do, and asks for decisions.
+//! [`PoolScheduler`]: it reports what workers and workspaces do, and asks for decisions.
 
 mod api;
 mod arena;
@@ -18,11 +18,13 @@
 mod reclaim;
 mod runs;
 mod scheduler;
-mod teams;
 mod workers;
+mod workspaces;
 
 pub use {
-    api::{Decision, PoolScheduler, PoolStats, SubmitError, TeamShare, WorkerSpec, WorkerState},
+    api::{
+        Decision, PoolScheduler, PoolStats, SubmitError, WorkerSpec, WorkerState, WorkspaceShare,
+    },
     capacity::SearchOrder,
     config::Config,
     policy::{Candidate, PlacementPolicy},
--- a/crates/placement/src/naive.rs
+++ b/crates/placement/src/naive.rs
@@ -6,11 +6,12 @@
 
 use {
     crate::{
-        Config, Decision, PoolScheduler, PoolStats, SubmitError, TeamShare, WorkerSpec, WorkerState,
+        Config, Decision, PoolScheduler, PoolStats, SubmitError, WorkerSpec, WorkerState,
+        WorkspaceShare,
     },
     ragwortreel_model::{
-        Assignment, Attempt, JobId, JobKind, JobSpec, Pool, Resources, TaskId, TaskResult, Team,
-        WaitReason, WorkerId,
+        Assignment, Attempt, JobId, JobKind, JobSpec, Pool, Resources, TaskId, TaskResult,
+        WaitReason, WorkerId, Workspace,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -39,21 +40,21 @@
     pool: Pool,
     cfg: Config,
     workers: BTreeMap<WorkerId, Worker>,
-    teams: BTreeMap<Team, TeamShare>,
-    used: BTreeMap<Team, Resources>,
+    workspaces: BTreeMap<Workspace, WorkspaceShare>,
+    used: BTreeMap<Workspace, Resources>,
     jobs: BTreeMap<JobId, Job>,
     arrival: Vec<JobId>,
 }
 
 impl NaiveScheduler {
-    /// Makes a scheduler without workers, teams or jobs.
+    /// Makes a scheduler without workers, workspaces or jobs.
     #[must_use]
     pub const fn new(pool: Pool, cfg: Config) -> Self {
         Self {
             pool,
             cfg,
             workers: BTreeMap::new(),
-            teams: BTreeMap::new(),
+            workspaces: BTreeMap::new(),
             used: BTreeMap::new(),
             jobs: BTreeMap::new(),
             arrival: Vec::new(),
@@ -65,37 +66,37 @@
         self.jobs.values().flat_map(|job| job.running.values())
     }
 
-    /// Whether every worker holds at most its capacity and every team at most its quota.
+    /// Whether every worker holds at most its capacity and every workspace at most its quota.
     #[must_use]
     pub fn is_within_bounds(&self) -> bool {
         let workers = self.workers.values();
-        let mut teams = self.teams.values();
+        let mut workspaces = self.workspaces.values();
         workers
             .clone()
             .all(|worker| worker.reserved.fits_in(&worker.spec.capacity))
-            && teams.all(|share| self.team_used(&share.team).fits_in(&share.quota))
+            && workspaces.all(|share| self.workspace_used(&share.workspace).fits_in(&share.quota))
     }
 
-    fn team_used(&self, team: &Team) -> Resources {
-        self.used.get(team).copied().unwrap_or_default()
+    fn workspace_used(&self, workspace: &Workspace) -> Resources {
+        self.used.get(workspace).copied().unwrap_or_default()
     }
 
     fn queued_tasks(&self) -> usize {
         self.jobs.values().map(|job| job.queued.len()).sum()
     }
 
-    fn reserve(&mut self, run: &Assignment, team: &Team) {
+    fn reserve(&mut self, run: &Assignment, workspace: &Workspace) {
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.reserved += run.resources;
         }
-        *self.used.entry(team.clone()).or_default() += run.resources;
+        *self.used.entry(workspace.clone()).or_default() += run.resources;
     }
 
-    fn release(&mut self, run: &Assignment, team: &Team) {
+    fn release(&mut self, run: &Assignment, workspace: &Workspace) {
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.reserved = worker.reserved.saturating_sub(&run.resources);
         }
-        if let Some(used) = self.used.get_mut(team) {
+        if let Some(used) = self.used.get_mut(workspace) {
             *used = used.saturating_sub(&run.resources);
         }
     }
@@ -117,9 +118,9 @@
 
     fn start(&mut self, id: &JobId, index: u32) -> Option<Assignment> {
         let job = self.jobs.get(id)?;
-        let (team, need) = (job.spec.team.clone(), job.spec.resources);
-        let quota = self.teams.get(&team)?.quota;
-        if !(self.team_used(&team) + need).fits_in(&quota) {
+        let (workspace, need) = (job.spec.workspace.clone(), job.spec.resources);
+        let quota = self.workspaces.get(&workspace)?.quota;
+        if !(self.workspace_used(&workspace) + need).fits_in(&quota) {
             return None;
         }
         let worker = self.best_fit(&need)?;
@@ -137,7 +138,7 @@
         };
         job.queued.remove(&index);
         job.running.insert(index, run.clone());
-        self.reserve(&run, &team);
+        self.reserve(&run, &workspace);
         Some(run)
     }
 
@@ -149,8 +150,8 @@
         job.queued.insert(run.task.index);
         job.attempts
             .insert(run.task.index, run.attempt.0.saturating_sub(1));
-        let team = job.spec.team.clone();
-        self.release(run, &team);
+        let workspace = job.spec.workspace.clone();
+        self.release(run, &workspace);
     }
 
     fn start_gang(&mut self, id: &JobId) -> Option<Decision> {
@@ -221,8 +222,8 @@
         runs
     }
 
-    fn upsert_team(&mut self, share: TeamShare) {
-        self.teams.insert(share.team.clone(), share);
+    fn upsert_workspace(&mut self, share: WorkspaceShare) {
+        self.workspaces.insert(share.workspace.clone(), share);
     }
 
     fn submit(&mut self, spec: JobSpec, _now_ms: u64) -> Result<(), SubmitError> {
@@ -232,8 +233,10 @@
             }
             return Err(SubmitError::Conflict { job: spec.id });
         }
-        if !self.teams.contains_key(&spec.team) {
-            return Err(SubmitError::UnknownTeam { team: spec.team });
+        if !self.workspaces.contains_key(&spec.workspace) {
+            return Err(SubmitError::UnknownWorkspace {
+                workspace: spec.workspace,
+            });
         }
         let limit = self.cfg.max_queued_tasks;
         if self.queued_tasks() + spec.tasks as usize > limit {
@@ -256,7 +259,7 @@
             return;
         };
         let index = assignment.task.index;
-        let team = job.spec.team.clone();
+        let workspace = job.spec.workspace.clone();
         let known = job.running.get(&index).cloned();
         if known
             .as_ref()
@@ -269,9 +272,9 @@
         *attempt = (*attempt).max(assignment.attempt.0);
         job.running.insert(index, assignment.clone());
         if let Some(run) = known {
-            self.release(&run, &team);
+            self.release(&run, &workspace);
         }
-        self.reserve(&assignment, &team);
+        self.reserve(&assignment, &workspace);
     }
 
     fn restore_succeeded(&mut self, task: &TaskId) {
@@ -309,8 +312,8 @@
         if result != TaskResult::Succeeded && !job.cancelled {
             job.queued.insert(task.index);
         }
-        let team = job.spec.team.clone();
-        self.release(&run, &team);
+        let workspace = job.spec.workspace.clone();
+        self.release(&run, &workspace);
     }
 
     fn used(&mut self, _task: &TaskId, _attempt: Attempt, _used: Resources) {}
@@ -338,7 +341,7 @@
             return None;
         }
         let need = job.spec.resources;
-        let quota = self.teams.get(&job.spec.team)?.quota;
+        let quota = self.workspaces.get(&job.spec.workspace)?.quota;
         let capacities = self.workers.values().map(|worker| worker.spec.capacity);
         if !capacities.clone().any(|capacity| need.fits_in(&capacity)) {
             let largest = capacities.max().unwrap_or_default();
@@ -373,7 +376,7 @@
                 });
             }
         }
-        if !(self.team_used(&job.spec.team) + whole).fits_in(&quota) {
+        if !(self.workspace_used(&job.spec.workspace) + whole).fits_in(&quota) {
             return Some(WaitReason::QuotaInUse { quota });
         }
         let before = self.arrival.iter().take_while(|id| **id != job.spec.id);
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -1,6 +1,6 @@
 //! Waiting work, ordered by rank.
 //!
-//! Jobs of one team, name, kind, priority and declared size wait in one lane, because their tasks are placed alike.
+//! Jobs of one workspace, name, kind, priority and declared size wait in one lane, because their tasks are placed alike.
 //! Lanes with the same need share a shape. When no worker has room for a shape it is closed, and none of its lanes is
 //! tried again until room that may suffice has been freed. Lanes that wait for something else than room (quota, a
 //! possible size) are in no shape and cost nothing.
@@ -17,8 +17,8 @@
 /// What the jobs of a lane have in common.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LaneKey {
-    /// Index of the team.
-    pub team: u32,
+    /// Index of the workspace.
+    pub workspace: u32,
     /// Name of the jobs.
     pub name: Arc<str>,
     /// Kind of work.
@@ -38,9 +38,9 @@
 pub struct Rank {
     /// Whether the lane is neither urgent nor has a service to start again.
     pub not_urgent: bool,
-    /// Weighted share of the team with aging.
+    /// Weighted share of the workspace with aging.
     pub score: u64,
-    /// Time since which the lane waits for its turn in the team, in ms.
+    /// Time since which the lane waits for its turn in the workspace, in ms.
     pub since_ms: u64,
 }
 
@@ -71,7 +71,7 @@
         /// Time from which its first job may gather room, in ms.
         gather_ms: u64,
     },
-    /// It waits for its team's quota.
+    /// It waits for its workspace's quota.
     QuotaBlocked,
     /// It can never start unless sizes or quotas change.
     Parked(WaitReason),
@@ -89,7 +89,7 @@
     pub shape: ShapeKey,
     /// Queued jobs, oldest first.
     pub jobs: BTreeSet<JobPosition>,
-    /// Time up to which the lane's starts count as its turn, in ms; it ranks among its team's lanes as if its jobs
+    /// Time up to which the lane's starts count as its turn, in ms; it ranks among its workspace's lanes as if its jobs
     /// had been submitted no earlier.
     pub served_until_ms: u64,
     /// Plans at which the lane was first in rank and did not start, since its last start.
--- a/crates/placement/src/runs.rs
+++ b/crates/placement/src/runs.rs
@@ -12,7 +12,7 @@
 
 /// Longest run time that counts for a turn, in ms; services run without end.
 const MAX_TURN_MS: u64 = 600_000;
-/// Weight of turns against age: a lane that uses a tenth of its team's quota ages as fast as it is served.
+/// Weight of turns against age: a lane that uses a tenth of its workspace's quota ages as fast as it is served.
 const TURN_FACTOR: u64 = 10;
 
 /// Where a task is to run.
@@ -25,7 +25,7 @@
 }
 
 impl Scheduler {
-    /// Starts the next queued task of a job; the caller brings the job and its team up to date.
+    /// Starts the next queued task of a job; the caller brings the job and its workspace up to date.
     pub(crate) fn start_next(&mut self, job: u32, pick: Pick) -> Option<Assignment> {
         let before = self.jobs[job].queued();
         let index = self.jobs[job].take_next()?;
@@ -49,16 +49,16 @@
         Some(self.assignment((job, index)))
     }
 
-    /// Counts a start of a job as a turn of its lane and its team.
+    /// Counts a start of a job as a turn of its lane and its workspace.
     ///
     /// A start moves the lane back by the time for which the task would use the whole quota, times `TURN_FACTOR`. A
-    /// job of many tasks thus lets later jobs of its team in, and still no lane is overtaken for ever.
+    /// job of many tasks thus lets later jobs of its workspace in, and still no lane is overtaken for ever.
     fn count_turn(&mut self, job: u32) {
         let lane = self.queue.lane_mut(self.jobs[job].lane);
         lane.passed_over = 0;
-        let team = self.teams.get_mut(lane.key.team);
-        team.last_start_ms = self.now_ms;
-        let part_ppm = lane.shape.need.dominant_share_ppm(&team.share.quota);
+        let workspace = self.workspaces.get_mut(lane.key.workspace);
+        workspace.last_start_ms = self.now_ms;
+        let part_ppm = lane.shape.need.dominant_share_ppm(&workspace.share.quota);
         let run_time_ms = lane.shape.run_time_ms.min(MAX_TURN_MS);
         let turn_ms = run_time_ms.saturating_mul(part_ppm) / 1_000_000 * TURN_FACTOR;
         let from_ms = lane.served_until_ms.max(self.jobs[job].submit_ms);
@@ -72,8 +72,8 @@
         if job.spec.kind == JobKind::Service {
             job.count_rack(&self.workers.get(run.worker).spec.rack, true);
         }
-        let team = self.queue.lane(job.lane).key.team;
-        self.teams.get_mut(team).used += run.size;
+        let workspace = self.queue.lane(job.lane).key.workspace;
+        self.workspaces.get_mut(workspace).used += run.size;
         self.workers
             .reserve(run.worker, key, &run.size, run.reclaimable);
         self.ends.insert((run.end_ms, key));
@@ -101,8 +101,10 @@
         if job.spec.kind == JobKind::Service {
             job.count_rack(&self.workers.get(run.worker).spec.rack, false);
         }
-        let team = self.teams.get_mut(self.queue.lane(job.lane).key.team);
-        team.used = team.used.saturating_sub(&run.size);
+        let workspace = self
+            .workspaces
+            .get_mut(self.queue.lane(job.lane).key.workspace);
+        workspace.used = workspace.used.saturating_sub(&run.size);
         let reclaimable = run.reclaimable && !run.stopping;
         self.workers
             .release(run.worker, key, &run.size, reclaimable);
@@ -130,7 +132,7 @@
             return;
         };
         let job = &mut self.jobs[key.0];
-        let team = self.queue.lane(job.lane).key.team;
+        let workspace = self.queue.lane(job.lane).key.workspace;
         let before = job.queued();
         if result == TaskResult::Succeeded {
             job.forget_attempts(key.1);
@@ -152,7 +154,7 @@
         self.resolve_claim(key);
         self.update_job(key.0);
         self.room_freed(run.worker);
-        self.team_shrank(team);
+        self.workspace_shrank(workspace);
     }
 
     /// Draws conclusions about the worker and the job from a result.
@@ -215,7 +217,7 @@
         }
     }
 
-    /// Brings the lanes of a team and job name up to date with what was learned.
+    /// Brings the lanes of a workspace and job name up to date with what was learned.
     pub(crate) fn refresh_lanes(&mut self, key: &EstimateKey) {
         let lanes = self.lanes_of.get(key).cloned().unwrap_or_default();
         for lane in lanes {
@@ -241,7 +243,7 @@
         self.count_queued(job, before);
         let worker = self.known_worker(assignment);
         let lane = self.queue.lane(self.jobs[job].lane);
-        let team = lane.key.team;
+        let workspace = lane.key.workspace;
         let run_time_ms = lane.shape.run_time_ms;
         let run = Run {
             attempt: assignment.attempt,
@@ -255,11 +257,11 @@
         };
         self.add_run((job, index), run);
         self.update_job(job);
-        self.team_grew(team);
+        self.workspace_grew(workspace);
         if let Some(run) = was_running {
             self.resolve_claim((job, index));
             self.room_freed(run.worker);
-            self.team_shrank(team);
+            self.workspace_shrank(workspace);
         }
     }
 
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Config, Decision, PoolScheduler, PoolStats, SubmitError, TeamShare, WorkerSpec,
-        WorkerState,
+        Config, Decision, PoolScheduler, PoolStats, SubmitError, WorkerSpec, WorkerState,
+        WorkspaceShare,
         arena::Arena,
         estimate::{EstimateKey, Estimates, round_run_time},
         gather::Reservation,
@@ -11,8 +11,8 @@
         policy::Policies,
         queue::{LaneKey, Place, Queue, Rank, ShapeKey},
         reclaim::Claims,
-        teams::Teams,
         workers::{RunKey, Workers},
+        workspaces::Workspaces,
     },
     ragwortreel_model::{
         Assignment, Attempt, JobId, JobKind, JobSpec, Pool, Priority, Resources, TaskId,
@@ -37,7 +37,7 @@
     pub(crate) cfg: Config,
     pub(crate) policies: Policies,
     pub(crate) workers: Workers,
-    pub(crate) teams: Teams,
+    pub(crate) workspaces: Workspaces,
     pub(crate) queue: Queue,
     pub(crate) jobs: Arena<Job>,
     pub(crate) job_ids: BTreeMap<JobId, u32>,
@@ -72,7 +72,7 @@
 }
 
 impl Scheduler {
-    /// Makes a scheduler without workers, teams or jobs.
+    /// Makes a scheduler without workers, workspaces or jobs.
     #[must_use]
     pub fn new(pool: Pool, cfg: Config) -> Self {
         Self {
@@ -80,7 +80,7 @@
             pool,
             cfg,
             workers: Workers::default(),
-            teams: Teams::default(),
+            workspaces: Workspaces::default(),
             queue: Queue::default(),
             jobs: Arena::default(),
             job_ids: BTreeMap::new(),
@@ -127,13 +127,13 @@
     /// Key under which sizes and run times of a job are learned.
     pub(crate) fn estimate_key(&self, job: u32) -> EstimateKey {
         let lane = &self.queue.lane(self.jobs[job].lane).key;
-        (lane.team, lane.name.clone())
+        (lane.workspace, lane.name.clone())
     }
 
     /// Brings a lane's need and run time up to date with what was learned.
     pub(crate) fn refresh_estimate(&mut self, ix: u32) {
         let lane = self.queue.lane(ix);
-        let key = (lane.key.team, lane.key.name.clone());
+        let key = (lane.key.workspace, lane.key.name.clone());
         let declared = lane.key.declared;
         let mut need = self.estimates.size(&key, &declared, &self.cfg);
         // A learned size never makes work impossible that is possible as declared.
@@ -167,7 +167,7 @@
                 largest: largest.unwrap_or_default(),
             });
         }
-        let quota = self.teams.get(key.team).share.quota;
+        let quota = self.workspaces.get(key.workspace).share.quota;
         let tasks = key.gang_tasks;
         let whole = need.checked_mul(u64::from(tasks.max(1)));
         if !whole.is_some_and(|whole| whole.fits_in(&quota)) {
@@ -185,15 +185,15 @@
     fn rank(&self, ix: u32) -> Option<(Rank, u64)> {
         let lane = self.queue.lane(ix);
         let &(oldest_ms, _, first) = lane.jobs.first()?;
-        let team = self.teams.get(lane.key.team);
+        let workspace = self.workspaces.get(lane.key.workspace);
         let since_ms = lane.served_until_ms.max(oldest_ms);
-        // A team that is served regularly does not age, so its backlog cannot displace other teams. A best-effort lane
-        // ages by its own starts, so that it is served in the end beside the same team's normal work.
+        // A workspace that is served regularly does not age, so its backlog cannot displace other workspaces. A best-effort lane
+        // ages by its own starts, so that it is served in the end beside the same workspace's normal work.
         let aged_ms = match lane.key.priority {
             Priority::BestEffort => since_ms + BEST_EFFORT_DELAY_MS,
-            Priority::Normal | Priority::Urgent => team.last_start_ms.max(oldest_ms),
+            Priority::Normal | Priority::Urgent => workspace.last_start_ms.max(oldest_ms),
         };
-        let share = team.weighted_share(&self.total);
+        let share = workspace.weighted_share(&self.total);
         let rank = Rank {
             not_urgent: !self.jobs[first].may_reclaim(),
             score: share.saturating_add(aged_ms.saturating_mul(AGING_PER_MS)),
@@ -209,10 +209,10 @@
     /// Puts a lane where it belongs.
     pub(crate) fn settle(&mut self, ix: u32) {
         let lane = self.queue.lane(ix);
-        let team = self.teams.get_mut(lane.key.team);
-        team.listed.remove(&ix);
-        team.quota_blocked.remove(&ix);
-        team.parked.remove(&ix);
+        let workspace = self.workspaces.get_mut(lane.key.workspace);
+        workspace.listed.remove(&ix);
+        workspace.quota_blocked.remove(&ix);
+        workspace.parked.remove(&ix);
         let Some((rank, gather_ms)) = self.rank(ix) else {
             self.queue.set_place(ix, Place::Idle);
             return;
@@ -223,28 +223,28 @@
         }
         let lane = self.queue.lane(ix);
         if let Some(reason) = self.impossible(&lane.key, &lane.shape.need) {
-            let team = self.teams.get_mut(lane.key.team);
-            team.parked.insert(ix);
+            let workspace = self.workspaces.get_mut(lane.key.workspace);
+            workspace.parked.insert(ix);
             self.queue.set_place(ix, Place::Parked(reason));
             return;
         }
         let whole = lane.whole();
-        let team = self.teams.get_mut(lane.key.team);
-        if team.has_quota(&whole) {
-            team.listed.insert(ix);
+        let workspace = self.workspaces.get_mut(lane.key.workspace);
+        if workspace.has_quota(&whole) {
+            workspace.listed.insert(ix);
             self.queue.list(ix, rank, gather_ms);
         } else {
-            team.quota_blocked.insert(ix);
+            workspace.quota_blocked.insert(ix);
             self.queue.set_place(ix, Place::QuotaBlocked);
         }
     }
 
-    /// Brings the ranks of a team's lanes up to date after its usage grew.
-    pub(crate) fn team_grew(&mut self, team: u32) {
-        let mut listed = std::mem::take(&mut self.teams.get_mut(team).listed);
+    /// Brings the ranks of a workspace's lanes up to date after its usage grew.
+    pub(crate) fn workspace_grew(&mut self, workspace: u32) {
+        let mut listed = std::mem::take(&mut self.workspaces.get_mut(workspace).listed);
         listed.retain(|&ix| {
             let whole = self.queue.lane(ix).whole();
-            let entry = self.teams.get_mut(team);
+            let entry = self.workspaces.get_mut(workspace);
             if !entry.has_quota(&whole) {
                 entry.quota_blocked.insert(ix);
                 self.queue.set_place(ix, Place::QuotaBlocked);
@@ -255,12 +255,12 @@
             }
             true
         });
-        self.teams.get_mut(team).listed = listed;
+        self.workspaces.get_mut(workspace).listed = listed;
     }
 
-    /// Brings the ranks of a team's lanes up to date after its usage fell.
-    pub(crate) fn team_shrank(&mut self, team: u32) {
-        let entry = self.teams.get(team);
+    /// Brings the ranks of a workspace's lanes up to date after its usage fell.
+    pub(crate) fn workspace_shrank(&mut self, workspace: u32) {
+        let entry = self.workspaces.get(workspace);
         let has_quota = |ix: &&u32| entry.has_quota(&self.queue.lane(**ix).whole());
         let freed: Vec<u32> = entry
             .quota_blocked
@@ -271,12 +271,12 @@
         for ix in freed {
             self.settle(ix);
         }
-        self.team_grew(team);
+        self.workspace_grew(workspace);
     }
 
-    /// Settles all lanes of a team again.
-    fn settle_team(&mut self, team: u32) {
-        let entry = self.teams.get(team);
+    /// Settles all lanes of a workspace again.
+    fn settle_workspace(&mut self, workspace: u32) {
+        let entry = self.workspaces.get(workspace);
         let listed = entry.listed.iter().chain(&entry.quota_blocked);
         let lanes: Vec<u32> = listed.chain(&entry.parked).copied().collect();
         for ix in lanes {
@@ -292,8 +292,8 @@
             return;
         }
         self.total = total;
-        for team in self.teams.indexes() {
-            self.settle_team(team);
+        for workspace in self.workspaces.indexes() {
+            self.settle_workspace(workspace);
         }
     }
 
@@ -367,7 +367,7 @@
 
     fn lane_key(&self, spec: &JobSpec) -> Option<LaneKey> {
         Some(LaneKey {
-            team: self.teams.find(&spec.team)?,
+            workspace: self.workspaces.find(&spec.workspace)?,
             name: spec.name.clone(),
             kind: spec.kind,
             priority: spec.priority,
@@ -382,7 +382,7 @@
 
     /// Adds a member to the lane of a key.
     fn join_lane(&mut self, key: LaneKey) -> u32 {
-        let learned = (key.team, key.name.clone());
+        let learned = (key.workspace, key.name.clone());
         let (lane, is_new) = self.queue.join(key);
         if is_new {
             self.lanes_of.entry(learned).or_default().insert(lane);
@@ -396,11 +396,11 @@
         let Some(key) = self.queue.leave(lane) else {
             return;
         };
-        let team = self.teams.get_mut(key.team);
-        team.listed.remove(&lane);
-        team.quota_blocked.remove(&lane);
-        team.parked.remove(&lane);
-        let learned = (key.team, key.name);
+        let workspace = self.workspaces.get_mut(key.workspace);
+        workspace.listed.remove(&lane);
+        workspace.quota_blocked.remove(&lane);
+        workspace.parked.remove(&lane);
+        let learned = (key.workspace, key.name);
         if let Some(lanes) = self.lanes_of.get_mut(&learned) {
             lanes.remove(&lane);
             if lanes.is_empty() {
@@ -455,9 +455,9 @@
         lost
     }
 
-    fn upsert_team(&mut self, share: TeamShare) {
-        let ix = self.teams.upsert(share);
-        self.settle_team(ix);
+    fn upsert_workspace(&mut self, share: WorkspaceShare) {
+        let ix = self.workspaces.upsert(share);
+        self.settle_workspace(ix);
     }
 
     fn submit(&mut self, spec: JobSpec, now_ms: u64) -> Result<(), SubmitError> {
@@ -469,7 +469,9 @@
             return Err(SubmitError::Conflict { job: spec.id });
         }
         let Some(key) = self.lane_key(&spec) else {
-            return Err(SubmitError::UnknownTeam { team: spec.team });
+            return Err(SubmitError::UnknownWorkspace {
+                workspace: spec.workspace,
+            });
         };
         let limit = self.cfg.max_queued_tasks;
         if self.queued + u64::from(spec.tasks) > limit as u64 {
--- a/crates/placement/src/teams.rs
+++ b/crates/placement/src/workspaces.rs
@@ -1,19 +1,19 @@
-//! Teams with their quotas and shares.
+//! Workspaces with their quotas and shares.
 
 use {
-    crate::{TeamShare, arena::Arena},
-    ragwortreel_model::{Resources, Team},
+    crate::{WorkspaceShare, arena::Arena},
+    ragwortreel_model::{Resources, Workspace},
     std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Unit of a weighted share: millionths of the pool at a weight of one million.
 const WEIGHT_SCALE: u64 = 1_000_000;
 
-/// A team with what it uses.
+/// A workspace with what it uses.
 #[derive(Debug, Clone)]
-pub struct TeamEntry {
+pub struct WorkspaceEntry {
     /// Its weight and quota.
-    pub share: TeamShare,
+    pub share: WorkspaceShare,
     /// Sum of its reservations.
     pub used: Resources,
     /// Last start, in ms.
@@ -26,7 +26,7 @@
     pub parked: BTreeSet<u32>,
 }
 
-impl TeamEntry {
+impl WorkspaceEntry {
     /// Dominant share of `total` divided by the weight.
     pub fn weighted_share(&self, total: &Resources) -> u64 {
         let ppm = self.used.dominant_share_ppm(total);
@@ -40,42 +40,42 @@
     }
 }
 
-/// All teams of a pool.
+/// All workspaces of a pool.
 #[derive(Debug, Clone, Default)]
-pub struct Teams {
-    table: Arena<TeamEntry>,
-    by_name: BTreeMap<Team, u32>,
+pub struct Workspaces {
+    table: Arena<WorkspaceEntry>,
+    by_name: BTreeMap<Workspace, u32>,
 }
 
-impl Teams {
-    /// The team at an index.
-    pub fn get(&self, ix: u32) -> &TeamEntry {
+impl Workspaces {
+    /// The workspace at an index.
+    pub fn get(&self, ix: u32) -> &WorkspaceEntry {
         &self.table[ix]
     }
 
-    /// The team at an index, for changes.
-    pub fn get_mut(&mut self, ix: u32) -> &mut TeamEntry {
+    /// The workspace at an index, for changes.
+    pub fn get_mut(&mut self, ix: u32) -> &mut WorkspaceEntry {
         &mut self.table[ix]
     }
 
-    /// Index of a team.
-    pub fn find(&self, team: &Team) -> Option<u32> {
-        self.by_name.get(team).copied()
+    /// Index of a workspace.
+    pub fn find(&self, workspace: &Workspace) -> Option<u32> {
+        self.by_name.get(workspace).copied()
     }
 
-    /// Indexes of all teams.
+    /// Indexes of all workspaces.
     pub fn indexes(&self) -> Vec<u32> {
         self.by_name.values().copied().collect()
     }
 
-    /// Adds or changes a team; returns its index.
-    pub fn upsert(&mut self, share: TeamShare) -> u32 {
-        if let Some(ix) = self.find(&share.team) {
+    /// Adds or changes a workspace; returns its index.
+    pub fn upsert(&mut self, share: WorkspaceShare) -> u32 {
+        if let Some(ix) = self.find(&share.workspace) {
             self.table[ix].share = share;
             return ix;
         }
-        let name = share.team.clone();
-        let ix = self.table.insert(TeamEntry {
+        let name = share.workspace.clone();
+        let ix = self.table.insert(WorkspaceEntry {
             share,
             used: Resources::ZERO,
             last_start_ms: 0,
--- a/crates/placement/tests/behaviour.rs
+++ b/crates/placement/tests/behaviour.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{World, cores, job, team, worker},
+    common::{World, cores, job, worker, workspace},
     ragwortreel_model::{
         Assignment, JobId, JobKind, JobSpec, Priority, Resources, TaskResult, WaitReason, WorkerId,
     },
@@ -17,8 +17,11 @@
 
 fn world(workers: &[u64]) -> World {
     let sizes: Vec<Resources> = workers.iter().map(|&count| cores(count)).collect();
-    let teams = [team("a", 100, cores(1_000)), team("b", 100, cores(1_000))];
-    World::new(Config::default(), &sizes, &teams)
+    let workspaces = [
+        workspace("a", 100, cores(1_000)),
+        workspace("b", 100, cores(1_000)),
+    ];
+    World::new(Config::default(), &sizes, &workspaces)
 }
 
 fn batch(id: &str, tasks: u32, need: u64, run_time_ms: u64) -> JobSpec {
@@ -152,7 +155,7 @@
         #[test]
         fn $name() {
             let mut world = world(&[4, 4]);
-            world.set_team(team("a", 100, cores($quota)));
+            world.set_workspace(workspace("a", 100, cores($quota)));
             let spec = $spec;
             let id = spec.id.clone();
             world.submit(spec);
@@ -178,11 +181,11 @@
     /// Guards against a gang beyond its quota being tried for ever, or never again.
     gang_beyond_its_quota_waits_for_a_larger_quota: 7, gang("j", 4, 2, SECOND_MS),
         WaitReason::LargerThanQuota { .. },
-        |world| world.set_team(team("a", 100, cores(8)));
+        |world| world.set_workspace(workspace("a", 100, cores(8)));
     /// Guards against a task beyond its quota being tried for ever, or never again.
     task_beyond_its_quota_waits_for_a_larger_quota: 3, batch("j", 1, 4, SECOND_MS),
         WaitReason::LargerThanQuota { .. },
-        |world| world.set_team(team("a", 100, cores(4)));
+        |world| world.set_workspace(workspace("a", 100, cores(4)));
 }
 
 /// Guards against urgent work that waits behind best-effort work, and against more checkpoints than it needs.
@@ -260,14 +263,14 @@
     assert_eq!(starts(&world.decide(20)).len(), 2);
 }
 
-/// Guards against a team's limit that delays others, and against work that is forgotten at its quota.
+/// Guards against a workspace's limit that delays others, and against work that is forgotten at its quota.
 #[test]
 fn work_at_its_quota_waits_beside_others() {
     let mut world = world(&[4, 4]);
-    world.set_team(team("a", 100, cores(2)));
+    world.set_workspace(workspace("a", 100, cores(2)));
     world.submit(batch("limited", 3, 1, SECOND_MS));
     let mut free = batch("free", 6, 1, SECOND_MS);
-    free.team = ragwortreel_model::Team::new("b").unwrap();
+    free.workspace = ragwortreel_model::Workspace::new("b").unwrap();
     world.submit(free);
     let runs = starts(&world.decide(20));
     assert_eq!(runs.len(), 8);
@@ -352,7 +355,7 @@
     let is_gathering = matches!(gathering, Some(WaitReason::GatheringRoom { .. }));
     assert!(is_gathering, "{gathering:?}");
     let mut other = batch("other", 1, 4, 100 * SECOND_MS);
-    other.team = ragwortreel_model::Team::new("b").unwrap();
+    other.workspace = ragwortreel_model::Workspace::new("b").unwrap();
     world.submit(other);
     for run in &small {
         world.end(run, TaskResult::Succeeded);
@@ -495,14 +498,14 @@
     let conflict = world.sched.submit(other, now_ms);
     assert_eq!(conflict, Err(SubmitError::Conflict { job: id }));
     let unknown = job("k", "nobody", JobKind::Batch, 1, cores(1));
-    let team = unknown.team.clone();
+    let workspace = unknown.workspace.clone();
     let refused = world.sched.submit(unknown, now_ms);
-    assert_eq!(refused, Err(SubmitError::UnknownTeam { team }));
+    assert_eq!(refused, Err(SubmitError::UnknownWorkspace { workspace }));
     let cfg = Config {
         max_queued_tasks: 3,
         ..Config::default()
     };
-    let mut full = World::new(cfg, &[cores(1)], &[common::team("a", 1, cores(9))]);
+    let mut full = World::new(cfg, &[cores(1)], &[common::workspace("a", 1, cores(9))]);
     full.submit(batch("j", 3, 1, SECOND_MS));
     let refused = full.sched.submit(batch("k", 1, 1, SECOND_MS), now_ms);
     assert_eq!(refused, Err(SubmitError::QueueFull { limit: 3 }));
@@ -512,7 +515,7 @@
 #[test]
 fn worker_that_holds_more_than_it_has_gets_no_work() {
     let mut world = world(&[]);
-    world.set_team(team("a", 100, Resources::new(90_000, 90_000, 9)));
+    world.set_workspace(workspace("a", 100, Resources::new(90_000, 90_000, 9)));
     world.set_worker(worker(0, Resources::new(8_000, 8_192, 2)));
     let need = Resources::new(1_000, 1_024, 2);
     world.submit(job("held", "a", JobKind::Batch, 1, need));
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -5,10 +5,10 @@
 use {
     ragwortreel_model::{
         Assignment, Attempt, JobId, JobKind, JobSpec, Pool, Priority, Rack, Resources, TaskId,
-        TaskResult, Team, WaitReason, WorkerId,
+        TaskResult, WaitReason, WorkerId, Workspace,
     },
     ragwortreel_placement::{
-        Config, Decision, PoolScheduler, Scheduler, TeamShare, WorkerSpec, WorkerState,
+        Config, Decision, PoolScheduler, Scheduler, WorkerSpec, WorkerState, WorkspaceShare,
         naive::NaiveScheduler,
     },
     std::{
@@ -25,10 +25,10 @@
     Pool::new("p").unwrap()
 }
 
-pub fn team(name: &str, weight: u32, quota: Resources) -> TeamShare {
-    let team = Team::new(name).unwrap();
-    TeamShare {
-        team,
+pub fn workspace(name: &str, weight: u32, quota: Resources) -> WorkspaceShare {
+    let workspace = Workspace::new(name).unwrap();
+    WorkspaceShare {
+        workspace,
         weight,
         quota,
     }
@@ -42,10 +42,10 @@
     }
 }
 
-pub fn job(id: &str, team: &str, kind: JobKind, tasks: u32, resources: Resources) -> JobSpec {
+pub fn job(id: &str, workspace: &str, kind: JobKind, tasks: u32, resources: Resources) -> JobSpec {
     JobSpec {
         id: JobId::new(id).unwrap(),
-        team: Team::new(team).unwrap(),
+        workspace: Workspace::new(workspace).unwrap(),
         name: Arc::from(id),
         kind,
         priority: Priority::Normal,
@@ -69,12 +69,12 @@
     pub done: BTreeSet<TaskId>,
     pub attempts: BTreeMap<TaskId, Attempt>,
     pub workers: BTreeMap<WorkerId, (WorkerSpec, WorkerState)>,
-    pub teams: BTreeMap<Team, TeamShare>,
+    pub workspaces: BTreeMap<Workspace, WorkspaceShare>,
     cfg: Config,
 }
 
 impl World {
-    pub fn new(cfg: Config, workers: &[Resources], teams: &[TeamShare]) -> Self {
+    pub fn new(cfg: Config, workers: &[Resources], workspaces: &[WorkspaceShare]) -> Self {
         let mut world = Self {
             sched: Scheduler::new(pool(), cfg.clone()),
             mirror: NaiveScheduler::new(pool(), cfg.clone()),
@@ -84,11 +84,11 @@
             done: BTreeSet::new(),
             attempts: BTreeMap::new(),
             workers: BTreeMap::new(),
-            teams: BTreeMap::new(),
+            workspaces: BTreeMap::new(),
             cfg,
         };
-        for share in teams {
-            world.set_team(share.clone());
+        for share in workspaces {
+            world.set_workspace(share.clone());
         }
         for (number, capacity) in workers.iter().enumerate() {
             world.set_worker(worker(number, *capacity));
@@ -96,10 +96,10 @@
         world
     }
 
-    pub fn set_team(&mut self, share: TeamShare) {
-        self.sched.upsert_team(share.clone());
-        self.mirror.upsert_team(share.clone());
-        self.teams.insert(share.team.clone(), share);
+    pub fn set_workspace(&mut self, share: WorkspaceShare) {
+        self.sched.upsert_workspace(share.clone());
+        self.mirror.upsert_workspace(share.clone());
+        self.workspaces.insert(share.workspace.clone(), share);
     }
 
     pub fn set_worker(&mut self, spec: WorkerSpec) {
@@ -211,14 +211,14 @@
             .iter()
             .find(|spec| spec.id == task.job)
             .unwrap()
-            .team;
-        let of_team = self.mirror.runs().filter(|known| {
+            .workspace;
+        let of_workspace = self.mirror.runs().filter(|known| {
             let spec = self.jobs.iter().find(|spec| spec.id == known.task.job);
-            spec.unwrap().team == *name
+            spec.unwrap().workspace == *name
         });
-        let used = of_team.fold(Resources::ZERO, |sum, run| sum + run.resources);
+        let used = of_workspace.fold(Resources::ZERO, |sum, run| sum + run.resources);
         assert!(
-            used.fits_in(&self.teams[name].quota),
+            used.fits_in(&self.workspaces[name].quota),
             "a quota is not exceeded"
         );
     }
@@ -226,8 +226,8 @@
     /// Replaces the scheduler by one that learns everything from its owner, as after a change of owner.
     pub fn change_owner(&mut self) {
         let mut sched = Scheduler::new(pool(), self.cfg.clone());
-        for share in self.teams.values() {
-            sched.upsert_team(share.clone());
+        for share in self.workspaces.values() {
+            sched.upsert_workspace(share.clone());
         }
         for spec in &self.jobs {
             sched.submit(spec.clone(), self.now_ms).unwrap();
--- a/crates/placement/tests/random_histories.rs
+++ b/crates/placement/tests/random_histories.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{World, cores, job, team, worker},
+    common::{World, cores, job, worker, workspace},
     proptest::{
         collection::vec,
         prelude::{Just, ProptestConfig, Strategy, prop_oneof, proptest},
@@ -33,7 +33,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Submit {
-    team: usize,
+    workspace: usize,
     kind: JobKind,
     priority: Priority,
     tasks: u32,
@@ -42,7 +42,7 @@
     name: u8,
 }
 
-const TEAMS: [&str; 3] = ["a", "b", "c"];
+const WORKSPACES: [&str; 3] = ["a", "b", "c"];
 
 fn submits() -> impl Strategy<Value = Submit> {
     let kind = prop_oneof![
@@ -59,7 +59,7 @@
         .prop_map(|(cpu, memory, acc)| Resources::new(cpu * 500, memory * 700, acc / 2));
     let run_time_ms = proptest::option::of(1_u64..100_000);
     let parts = (
-        0..TEAMS.len(),
+        0..WORKSPACES.len(),
         kind,
         priority,
         1_u32..7,
@@ -68,8 +68,8 @@
         0..3_u8,
     );
     parts.prop_map(
-        |(team, kind, priority, tasks, need, run_time_ms, name)| Submit {
-            team,
+        |(workspace, kind, priority, tasks, need, run_time_ms, name)| Submit {
+            workspace,
             kind,
             priority,
             tasks,
@@ -107,7 +107,7 @@
         1 => any.clone().prop_map(Step::Lose),
         2 => (any.clone(), 1_u64..9).prop_map(|(number, size)| Step::Add(number % 8, size)),
         2 => (any.clone(), state).prop_map(|(worker, state)| Step::State(worker, state)),
-        1 => (any.clone(), 1_u64..40).prop_map(|(team, quota)| Step::Quota(team, quota)),
+        1 => (any.clone(), 1_u64..40).prop_map(|(workspace, quota)| Step::Quota(workspace, quota)),
         3 => (any.clone(), 1_u64..300).prop_map(|(run, percent)| Step::Used(run, percent)),
         6 => (1_u64..60_000).prop_map(Step::Pass),
         1 => Just(Step::ChangeOwner),
@@ -121,17 +121,23 @@
         cores(8),
         Resources::new(8_000, 8_192, 4),
     ];
-    let teams = [
-        team("a", 100, cores(12)),
-        team("b", 200, cores(20)),
-        team("c", 100, Resources::new(30_000, 30_000, 2)),
+    let workspaces = [
+        workspace("a", 100, cores(12)),
+        workspace("b", 200, cores(20)),
+        workspace("c", 100, Resources::new(30_000, 30_000, 2)),
     ];
-    World::new(cfg, &sizes, &teams)
+    World::new(cfg, &sizes, &workspaces)
 }
 
 fn submit(world: &mut World, number: usize, submit: Submit) {
-    let (kind, team) = (submit.kind, TEAMS[submit.team]);
-    let mut spec = job(&format!("j{number}"), team, kind, submit.tasks, submit.need);
+    let (kind, workspace) = (submit.kind, WORKSPACES[submit.workspace]);
+    let mut spec = job(
+        &format!("j{number}"),
+        workspace,
+        kind,
+        submit.tasks,
+        submit.need,
+    );
     spec.priority = submit.priority;
     spec.run_time_ms = submit.run_time_ms;
     spec.name = Arc::from(format!("n{}", submit.name));
@@ -165,7 +171,11 @@
         Step::Lose(at) if ids.len() > 1 => world.lose(&ids[at % ids.len()]),
         Step::Add(number, size) => world.set_worker(worker(number, cores(size))),
         Step::State(at, state) => world.set_state(&ids[at % ids.len()], state),
-        Step::Quota(at, quota) => world.set_team(team(TEAMS[at % TEAMS.len()], 100, cores(quota))),
+        Step::Quota(at, quota) => world.set_workspace(workspace(
+            WORKSPACES[at % WORKSPACES.len()],
+            100,
+            cores(quota),
+        )),
         Step::Used(at, percent) => {
             if let Some(run) = pick(at) {
                 let part = |amount: u64| amount * percent / 100;
@@ -242,20 +252,20 @@
 proptest! {
     #![proptest_config(config(3, 100))]
 
-    /// Guards against unfair shares: teams with waiting work differ by at most one task by weight.
+    /// Guards against unfair shares: workspaces with waiting work differ by at most one task by weight.
     #[test]
     fn shares_follow_weights(
         weights in vec(1_u32..10, 2..6),
         ends in vec(0_usize..1_000, 1..200),
     ) {
-        let teams: Vec<_> = weights
+        let workspaces: Vec<_> = weights
             .iter()
             .enumerate()
-            .map(|(number, weight)| team(&format!("t{number}"), weight * 100, cores(1_000)))
+            .map(|(number, weight)| workspace(&format!("t{number}"), weight * 100, cores(1_000)))
             .collect();
-        let mut world = World::new(Config::default(), &[cores(16); 4], &teams);
-        for share in &teams {
-            let name = share.team.as_str();
+        let mut world = World::new(Config::default(), &[cores(16); 4], &workspaces);
+        for share in &workspaces {
+            let name = share.workspace.as_str();
             world.submit(job(name, name, JobKind::Batch, 500, cores(1)));
         }
         world.decide(10_000);
@@ -263,13 +273,13 @@
             let runs = world.runs();
             world.end(&runs[at % runs.len()], TaskResult::Checkpointed);
             world.decide(10_000);
-            let shares = teams.iter().map(|share| {
-                let of_team = |run: &&_| team_of(run) == share.team.as_str();
-                let running = world.mirror.runs().filter(of_team).count();
+            let shares = workspaces.iter().map(|share| {
+                let of_workspace = |run: &&_| workspace_of(run) == share.workspace.as_str();
+                let running = world.mirror.runs().filter(of_workspace).count();
                 f64::from(u32::try_from(running).unwrap()) / f64::from(share.weight)
             });
             let shares: Vec<f64> = shares.collect();
-            for (one, share) in shares.iter().zip(&teams) {
+            for (one, share) in shares.iter().zip(&workspaces) {
                 let most = one - 1.0 / f64::from(share.weight);
                 assert!(shares.iter().all(|other| most <= *other + 1e-9), "{shares:?}");
             }
@@ -277,6 +287,6 @@
     }
 }
 
-fn team_of(run: &ragwortreel_model::Assignment) -> &str {
+fn workspace_of(run: &ragwortreel_model::Assignment) -> &str {
     run.task.job.as_str()
 }
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -6,7 +6,7 @@
 use {
     async_trait::async_trait,
     derive_more::{Display, Error},
-    ragwortreel_model::{InstanceId, Rack, Resources, ServiceName, Team, Zone},
+    ragwortreel_model::{InstanceId, Rack, Resources, ServiceName, Workspace, Zone},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
 };
@@ -165,8 +165,8 @@
     },
     /// A backend server.
     Backend {
-        /// Team that offers the service.
-        team: Team,
+        /// Workspace that offers the service.
+        workspace: Workspace,
         /// The service.
         service: ServiceName,
     },
--- a/crates/platform/src/once.rs
+++ b/crates/platform/src/once.rs
@@ -15,7 +15,7 @@
 
 use {
     crate::api::{PlatformError, Row, TableService, TxnOutcome},
-    ragwortreel_model::Team,
+    ragwortreel_model::Workspace,
     ragwortreel_runtime::{Logger, sleep, spawn, timeout_at},
     record::{ClaimRecord, ClaimState, claim_key, current_minute, to_hex},
     settle::{Background, Settled, Settlement, claim_txn, state_txn},
@@ -151,11 +151,17 @@
     /// Claims a request. A claim that someone else holds is waited for until the deadline.
     ///
     /// When the future is dropped, a claim that it may have written is released in the background.
-    pub async fn begin(&self, team: &Team, key: &str, digest: &str, deadline: Instant) -> Begin {
+    pub async fn begin(
+        &self,
+        workspace: &Workspace,
+        key: &str,
+        digest: &str,
+        deadline: Instant,
+    ) -> Begin {
         let number = self.shared.next.fetch_add(1, Ordering::Relaxed);
         let mut attempt = Attempt {
             shared: &self.shared,
-            key: claim_key(team, key),
+            key: claim_key(workspace, key),
             holder: Arc::from(format!("{}.{number}", self.shared.holder)),
             digest: Arc::from(digest),
             unanswered: 0,
--- a/crates/platform/src/once/record.rs
+++ b/crates/platform/src/once/record.rs
@@ -1,7 +1,7 @@
 //! Content of a claim's row.
 
 use {
-    ragwortreel_model::Team,
+    ragwortreel_model::Workspace,
     serde::{Deserialize, Serialize},
     std::{
         sync::Arc,
@@ -130,10 +130,10 @@
 }
 
 /// Key of a claim's row. The caller's key may hold any bytes and have any length, so its digest stands in for it.
-pub(crate) fn claim_key(team: &Team, key: &str) -> Arc<str> {
+pub(crate) fn claim_key(workspace: &Workspace, key: &str) -> Arc<str> {
     use sha2::{Digest, Sha256};
     let digest = to_hex(&Sha256::digest(key.as_bytes()));
-    Arc::from(format!("once/{team}/{digest}"))
+    Arc::from(format!("once/{workspace}/{digest}"))
 }
 
 /// Prefix of the rows that list the claims of a minute.
--- a/crates/platform/tests/once.rs
+++ b/crates/platform/tests/once.rs
@@ -6,7 +6,7 @@
         prelude::*,
         test_runner::{Config, RngSeed, TestRunner},
     },
-    ragwortreel_model::{Team, Zone},
+    ragwortreel_model::{Workspace, Zone},
     ragwortreel_platform::{
         HttpPlatform, PlatformError, ResilientConfig, ResilientTable, Row, TableService, Txn,
         TxnOutcome,
@@ -30,8 +30,8 @@
 
 const DIGEST: &str = "d";
 
-fn team() -> Team {
-    Team::new("alpha").expect("valid name")
+fn workspace() -> Workspace {
+    Workspace::new("alpha").expect("valid name")
 }
 
 fn soon(limit_ms: u64) -> Instant {
@@ -51,7 +51,7 @@
 }
 
 async fn must_run(claims: &OnceClaims, key: &str) -> Claim {
-    match claims.begin(&team(), key, DIGEST, soon(1_000)).await {
+    match claims.begin(&workspace(), key, DIGEST, soon(1_000)).await {
         Begin::Run(claim) => claim,
         other => panic!("expected to run, got {other:?}"),
     }
@@ -200,7 +200,7 @@
         let token = tokens.fetch_add(1, Ordering::Relaxed);
         let record = |event| history.lock().expect("history").push(event);
         let begin = claims
-            .begin(&team(), &key.to_string(), DIGEST, soon(120))
+            .begin(&workspace(), &key.to_string(), DIGEST, soon(120))
             .await;
         match begin {
             Begin::Run(claim) => match rng.u32(0..10) {
@@ -356,12 +356,12 @@
         };
         assert_eq!(claim.complete(first.clone()).await, Stored::Now);
         let other = claims(&platform, "b");
-        let repeat = other.begin(&team(), "k", DIGEST, soon(100)).await;
+        let repeat = other.begin(&workspace(), "k", DIGEST, soon(100)).await;
         assert!(matches!(repeat, Begin::Replay(stored) if stored == first));
-        let mismatch = other.begin(&team(), "k", "another", soon(100)).await;
+        let mismatch = other.begin(&workspace(), "k", "another", soon(100)).await;
         assert!(matches!(mismatch, Begin::Mismatch));
-        let other_team = Team::new("beta").expect("valid name");
-        let own = other.begin(&other_team, "k", DIGEST, soon(100)).await;
+        let other_workspace = Workspace::new("beta").expect("valid name");
+        let own = other.begin(&other_workspace, "k", DIGEST, soon(100)).await;
         assert!(matches!(own, Begin::Run(_)));
     });
 }
@@ -373,7 +373,8 @@
         let platform = MemoryPlatform::new();
         let claim = must_run(&claims(&platform, "a"), "k").await;
         let other = claims(&platform, "b");
-        let repeat = spawn(async move { other.begin(&team(), "k", DIGEST, soon(2_000)).await });
+        let repeat =
+            spawn(async move { other.begin(&workspace(), "k", DIGEST, soon(2_000)).await });
         sleep_ms(120).await;
         claim.complete(answer("x")).await;
         assert!(matches!(repeat.await, Begin::Replay(stored) if stored == answer("x")));
@@ -387,7 +388,7 @@
         let platform = MemoryPlatform::new();
         drop(must_run(&claims(&platform, "a"), "k").await);
         let repeat = claims(&platform, "b")
-            .begin(&team(), "k", DIGEST, soon(200))
+            .begin(&workspace(), "k", DIGEST, soon(200))
             .await;
         assert!(matches!(repeat, Begin::Unknown));
     });
@@ -415,7 +416,7 @@
             lost_answers_ppm: 1_000_000,
             ..Faults::default()
         });
-        let begin = first.begin(&team(), "k", DIGEST, soon(200)).await;
+        let begin = first.begin(&workspace(), "k", DIGEST, soon(200)).await;
         assert!(matches!(begin, Begin::Unavailable { .. }), "{begin:?}");
         assert_eq!(first.unsettled(), 1);
         platform.faults().clear();
@@ -439,7 +440,7 @@
             late_write_ms: 300,
             ..Faults::default()
         });
-        let attempt = spawn(async move { late.begin(&team(), "k", DIGEST, soon(60)).await });
+        let attempt = spawn(async move { late.begin(&workspace(), "k", DIGEST, soon(60)).await });
         sleep_ms(20).await;
         platform.faults().clear();
         let begin = attempt.await;
@@ -452,7 +453,7 @@
         assert_eq!(claim.complete(answer("x")).await, Stored::Now);
         sleep_ms(700).await;
         let repeat = claims(&platform, "c")
-            .begin(&team(), "k", DIGEST, soon(200))
+            .begin(&workspace(), "k", DIGEST, soon(200))
             .await;
         assert!(matches!(repeat, Begin::Replay(stored) if stored == answer("x")));
     });
@@ -474,11 +475,11 @@
             .faults()
             .update(|f| f.outage = Some(Outage::Refuse));
         assert_eq!(claim.complete(answer("x")).await, Stored::Later);
-        let refused = holder.begin(&team(), "other", DIGEST, soon(500)).await;
+        let refused = holder.begin(&workspace(), "other", DIGEST, soon(500)).await;
         assert!(matches!(refused, Begin::Unavailable { .. }));
         platform.faults().clear();
         let other = claims(&platform, "b");
-        let repeat = other.begin(&team(), "k", DIGEST, soon(5_000)).await;
+        let repeat = other.begin(&workspace(), "k", DIGEST, soon(5_000)).await;
         assert!(matches!(repeat, Begin::Replay(_)), "{repeat:?}");
     });
 }
@@ -489,7 +490,7 @@
     block_on(async {
         let platform = MemoryPlatform::new();
         let first = claims(&platform, "a");
-        let (digest, team) = (DIGEST, team());
+        let (digest, workspace) = (DIGEST, workspace());
         // The write takes effect although its caller is gone before the read that follows it has ended.
         platform.faults().set(Faults {
             latency_ms: 30,
@@ -497,7 +498,7 @@
             late_write_ms: 100,
             ..Faults::default()
         });
-        let begin = first.begin(&team, "begun", digest, soon(5_000));
+        let begin = first.begin(&workspace, "begun", digest, soon(5_000));
         assert!(timeout_ms(50, begin).await.is_err());
         platform.faults().clear();
         let claim = must_run(&first, "released").await;
@@ -512,7 +513,9 @@
         let other = claims(&platform, "b");
         must_run(&other, "begun").await.release().await;
         must_run(&other, "released").await.release().await;
-        let repeat = other.begin(&team, "completed", digest, soon(500)).await;
+        let repeat = other
+            .begin(&workspace, "completed", digest, soon(500))
+            .await;
         assert!(matches!(repeat, Begin::Replay(_)), "{repeat:?}");
     });
 }
@@ -526,7 +529,7 @@
         let large = "x".repeat(MAX_STORED_BODY_BYTES + 1);
         assert_eq!(claim.complete(answer(&large)).await, Stored::Now);
         let repeat = claims(&platform, "b")
-            .begin(&team(), "k", DIGEST, soon(200))
+            .begin(&workspace(), "k", DIGEST, soon(200))
             .await;
         assert!(matches!(repeat, Begin::Unknown));
     });
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -1,6 +1,6 @@
-//! Token buckets: the retry budget and the rate limit of a team.
+//! Token buckets: the retry budget and the rate limit of a workspace.
 
-/// Retries that a team may save up.
+/// Retries that a workspace may save up.
 const MAX_SAVED_RETRIES: u64 = 20;
 /// Parts of a token; one request earns `percent` parts of a retry.
 const PARTS: u64 = 100;
--- a/crates/routing/src/figures.rs
+++ b/crates/routing/src/figures.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{BackendId, RefusalReason, Share},
-    ragwortreel_model::{Team, WorkClass},
+    ragwortreel_model::{WorkClass, Workspace},
     std::collections::BTreeMap,
 };
 
@@ -21,9 +21,9 @@
     pub waited_ms: u64,
 }
 
-/// Figures of one team.
+/// Figures of one workspace.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct TeamFigures {
+pub struct WorkspaceFigures {
     /// By class.
     pub classes: BTreeMap<WorkClass, QueueFigures>,
     /// Refusals so far by reason.
@@ -48,8 +48,8 @@
 /// Snapshot of the router's figures.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RouterFigures {
-    /// By calling team.
-    pub teams: BTreeMap<Team, TeamFigures>,
+    /// By calling workspace.
+    pub workspaces: BTreeMap<Workspace, WorkspaceFigures>,
     /// By backend server.
     pub backends: BTreeMap<BackendId, BackendFigures>,
     /// Requests that wait now.
--- a/crates/routing/src/group.rs
+++ b/crates/routing/src/group.rs
@@ -6,7 +6,7 @@
         health::Health,
         queue::{ClassQueue, WaitId},
     },
-    ragwortreel_model::{Team, WorkClass},
+    ragwortreel_model::{WorkClass, Workspace},
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -183,7 +183,7 @@
     }
 
     /// Estimated wait of a new request, in ms; `None` when no slot is in sight.
-    pub fn wait_ms(&self, class: WorkClass, team: &Team, weight: u32) -> Option<f64> {
+    pub fn wait_ms(&self, class: WorkClass, workspace: &Workspace, weight: u32) -> Option<f64> {
         let slots = self.slots_for(class);
         if slots < 0.5 {
             return None;
@@ -194,7 +194,7 @@
             .map(ClassQueue::backlog_ms)
             .sum();
         let queue = self.queues.get(&class);
-        let ahead_ms = higher_ms + queue.map_or(0, |queue| queue.ahead_ms(team, weight));
+        let ahead_ms = higher_ms + queue.map_or(0, |queue| queue.ahead_ms(workspace, weight));
         let is_busy = self.index.is_empty() || class == WorkClass::Long && !self.long_may_start();
         let first_free_ms = if is_busy { self.hold_ms / slots } else { 0.0 };
         #[allow(clippy::cast_precision_loss, reason = "backlogs are below 2^52 ms")]
--- a/crates/routing/src/learn.rs
+++ b/crates/routing/src/learn.rs
@@ -1,8 +1,8 @@
-//! Run times learned by team, service and route, and the class that follows from them.
+//! Run times learned by workspace, service and route, and the class that follows from them.
 
 use {
     hdrhistogram::Histogram,
-    ragwortreel_model::{ServiceName, Team, WorkClass},
+    ragwortreel_model::{ServiceName, WorkClass, Workspace},
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -20,7 +20,7 @@
 /// What run times are learned for.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RouteKey {
-    pub team: Team,
+    pub workspace: Workspace,
     pub service: ServiceName,
     pub route: Arc<str>,
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,7 +17,7 @@
 mod state;
 
 pub use {
-    figures::{BackendFigures, QueueFigures, RouterFigures, TeamFigures},
+    figures::{BackendFigures, QueueFigures, RouterFigures, WorkspaceFigures},
     ledger::{InUse, PEER_LEASE_MS, ReleaseReport, SLOT_LEASE_MS, ShareLedger},
     request::{
         BackendId, BackendServer, Refusal, RefusalReason, RequestInfo, RequestResult, RouterConfig,
--- a/crates/routing/src/queue.rs
+++ b/crates/routing/src/queue.rs
@@ -1,11 +1,11 @@
-//! Waiting requests of one class, divided over teams by deficit round robin.
+//! Waiting requests of one class, divided over workspaces by deficit round robin.
 //!
-//! A team's turn gives it credit in proportion to its weight; a request costs its estimated run time. Between two teams
-//! that both wait, the difference of service per weight stays within one request of each. Within a team the request
+//! A workspace's turn gives it credit in proportion to its weight; a request costs its estimated run time. Between two workspaces
+//! that both wait, the difference of service per weight stays within one request of each. Within a workspace the request
 //! that must start first goes first.
 
 use {
-    ragwortreel_model::Team,
+    ragwortreel_model::Workspace,
     std::collections::{BTreeMap, VecDeque},
 };
 
@@ -21,7 +21,7 @@
 }
 
 #[derive(Debug)]
-struct TeamQueue {
+struct WorkspaceQueue {
     entries: BTreeMap<Place, u64>,
     weight: u64,
     credit: u64,
@@ -33,15 +33,15 @@
 /// Requests of one class.
 #[derive(Debug, Default)]
 pub struct ClassQueue {
-    teams: BTreeMap<Team, TeamQueue>,
-    turns: VecDeque<Team>,
+    workspaces: BTreeMap<Workspace, WorkspaceQueue>,
+    turns: VecDeque<Workspace>,
     backlog_ms: u64,
     len: usize,
 }
 
 /// Credit that a request of one ms run time costs. A turn gives `weight` credit.
 const CREDIT_PER_MS: u64 = 100;
-/// Requests of a team that are tried when the first cannot use any free slot.
+/// Requests of a workspace that are tried when the first cannot use any free slot.
 const MAX_LOOKAHEAD: usize = 4;
 
 impl ClassQueue {
@@ -53,8 +53,10 @@
         self.len == 0
     }
 
-    pub fn len_of(&self, team: &Team) -> usize {
-        self.teams.get(team).map_or(0, |queue| queue.entries.len())
+    pub fn len_of(&self, workspace: &Workspace) -> usize {
+        self.workspaces
+            .get(workspace)
+            .map_or(0, |queue| queue.entries.len())
     }
 
     /// Sum of the estimated run times, in ms.
@@ -62,25 +64,25 @@
         self.backlog_ms
     }
 
-    /// Work that is served before a new request of a team, in ms: the whole queue, or less when the team's own queue
-    /// is short, because turns favour a team that waits for little.
-    pub fn ahead_ms(&self, team: &Team, weight: u32) -> u64 {
-        let own = self.teams.get(team);
+    /// Work that is served before a new request of a workspace, in ms: the whole queue, or less when the workspace's own queue
+    /// is short, because turns favour a workspace that waits for little.
+    pub fn ahead_ms(&self, workspace: &Workspace, weight: u32) -> u64 {
+        let own = self.workspaces.get(workspace);
         let own_ms = own.map_or(0, |queue| queue.backlog_ms);
         let own_weight = u64::from(weight.max(1));
         let others: u64 = self
-            .teams
+            .workspaces
             .iter()
-            .filter(|(other, _)| *other != team)
+            .filter(|(other, _)| *other != workspace)
             .map(|(_, queue)| queue.backlog_ms.min(own_ms * queue.weight / own_weight))
             .sum();
         own_ms + others
     }
 
-    pub fn push(&mut self, team: &Team, weight: u32, place: Place, cost_ms: u64) {
-        let queue = self.teams.entry(team.clone()).or_insert_with(|| {
-            self.turns.push_back(team.clone());
-            TeamQueue {
+    pub fn push(&mut self, workspace: &Workspace, weight: u32, place: Place, cost_ms: u64) {
+        let queue = self.workspaces.entry(workspace.clone()).or_insert_with(|| {
+            self.turns.push_back(workspace.clone());
+            WorkspaceQueue {
                 entries: BTreeMap::new(),
                 weight: 1,
                 credit: 0,
@@ -95,8 +97,8 @@
         self.len += 1;
     }
 
-    pub fn remove(&mut self, team: &Team, place: Place) -> bool {
-        let Some(queue) = self.teams.get_mut(team) else {
+    pub fn remove(&mut self, workspace: &Workspace, place: Place) -> bool {
+        let Some(queue) = self.workspaces.get_mut(workspace) else {
             return false;
         };
         let Some(cost_ms) = queue.entries.remove(&place) else {
@@ -106,20 +108,20 @@
         self.backlog_ms -= cost_ms;
         self.len -= 1;
         if queue.entries.is_empty() {
-            // An idle team keeps no credit, so it cannot save up a burst.
-            self.teams.remove(team);
-            self.turns.retain(|other| other != team);
+            // An idle workspace keeps no credit, so it cannot save up a burst.
+            self.workspaces.remove(workspace);
+            self.turns.retain(|other| other != workspace);
         }
         true
     }
 
     /// Takes the next request by turns among those for which `fits` holds.
     pub fn pop(&mut self, mut fits: impl FnMut(WaitId) -> bool) -> Option<WaitId> {
-        let mut candidates: BTreeMap<Team, (Place, u64)> = BTreeMap::new();
-        for (team, queue) in &self.teams {
+        let mut candidates: BTreeMap<Workspace, (Place, u64)> = BTreeMap::new();
+        for (workspace, queue) in &self.workspaces {
             let mut first = queue.entries.iter().take(MAX_LOOKAHEAD);
             if let Some((place, cost_ms)) = first.find(|(place, _)| fits(place.id)) {
-                candidates.insert(team.clone(), (*place, cost_ms * CREDIT_PER_MS));
+                candidates.insert(workspace.clone(), (*place, cost_ms * CREDIT_PER_MS));
             }
         }
         if candidates.is_empty() {
@@ -135,18 +137,18 @@
         }
     }
 
-    /// Serves the team whose turn it is, or passes the turn on.
-    fn take_turn(&mut self, candidates: &BTreeMap<Team, (Place, u64)>) -> Option<WaitId> {
-        let team = self.turns.front()?.clone();
-        let queue = self.teams.get_mut(&team)?;
-        if let Some((place, cost)) = candidates.get(&team) {
+    /// Serves the workspace whose turn it is, or passes the turn on.
+    fn take_turn(&mut self, candidates: &BTreeMap<Workspace, (Place, u64)>) -> Option<WaitId> {
+        let workspace = self.turns.front()?.clone();
+        let queue = self.workspaces.get_mut(&workspace)?;
+        if let Some((place, cost)) = candidates.get(&workspace) {
             if !queue.in_turn {
                 queue.credit += queue.weight;
                 queue.in_turn = true;
             }
             if *cost <= queue.credit {
                 queue.credit -= cost;
-                self.remove(&team, *place);
+                self.remove(&workspace, *place);
                 return Some(place.id);
             }
         }
@@ -155,15 +157,15 @@
         None
     }
 
-    /// Gives every team the credit of the turns in which nobody could be served.
-    fn skip_turns(&mut self, candidates: &BTreeMap<Team, (Place, u64)>) {
-        let missing = candidates.iter().filter_map(|(team, (_, cost))| {
-            let queue = self.teams.get(team)?;
+    /// Gives every workspace the credit of the turns in which nobody could be served.
+    fn skip_turns(&mut self, candidates: &BTreeMap<Workspace, (Place, u64)>) {
+        let missing = candidates.iter().filter_map(|(workspace, (_, cost))| {
+            let queue = self.workspaces.get(workspace)?;
             Some(cost.saturating_sub(queue.credit).div_ceil(queue.weight))
         });
         let turns = missing.min().unwrap_or(0).saturating_sub(1);
-        for team in candidates.keys() {
-            if let Some(queue) = self.teams.get_mut(team) {
+        for workspace in candidates.keys() {
+            if let Some(queue) = self.workspaces.get_mut(workspace) {
                 queue.credit += turns * queue.weight;
             }
         }
@@ -171,12 +173,12 @@
 
     /// Takes a request that cannot start in time any more.
     pub fn pop_late(&mut self, now_ms: u64) -> Option<WaitId> {
-        let late = self.teams.iter().find_map(|(team, queue)| {
+        let late = self.workspaces.iter().find_map(|(workspace, queue)| {
             let (place, _) = queue.entries.first_key_value()?;
-            (place.start_by_ms < now_ms).then(|| (team.clone(), *place))
+            (place.start_by_ms < now_ms).then(|| (workspace.clone(), *place))
         });
-        let (team, place) = late?;
-        self.remove(&team, place);
+        let (workspace, place) = late?;
+        self.remove(&workspace, place);
         Some(place.id)
     }
 }
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -2,7 +2,7 @@
 
 use {
     derive_more::{Display, Error},
-    ragwortreel_model::{InstanceId, ServiceName, Team, WorkClass, Zone},
+    ragwortreel_model::{InstanceId, ServiceName, WorkClass, Workspace, Zone},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
 
@@ -16,7 +16,7 @@
     pub instance: InstanceId,
     /// Zone of this entry instance; only backend servers of this zone get requests.
     pub zone: Zone,
-    /// Most requests that may wait at this instance, over all teams.
+    /// Most requests that may wait at this instance, over all workspaces.
     pub max_queued: usize,
     /// Seed of the jitter in retry and probe times.
     pub seed: u64,
@@ -53,8 +53,8 @@
     pub zone: Zone,
     /// Where it accepts connections.
     pub address: SocketAddr,
-    /// Team that offers the service.
-    pub team: Team,
+    /// Workspace that offers the service.
+    pub workspace: Workspace,
     /// Service that it answers for.
     pub service: ServiceName,
     /// Whether it is to be removed and gets nothing new.
@@ -72,19 +72,19 @@
     pub report: u64,
     /// Round trip to it, in ms.
     pub round_trip_ms: f64,
-    /// Its free slots by team and service.
-    pub free_slots: BTreeMap<(Team, ServiceName), u32>,
+    /// Its free slots by workspace and service.
+    pub free_slots: BTreeMap<(Workspace, ServiceName), u32>,
 }
 
 /// A request that asks for a slot.
 #[derive(Debug, Clone)]
 pub struct RequestInfo {
-    /// Team that offers the service.
-    pub team: Team,
+    /// Workspace that offers the service.
+    pub workspace: Workspace,
     /// Service that is called.
     pub service: ServiceName,
-    /// Team that pays: its rate limit, queue bound and weight apply. Usually the same as `team`.
-    pub caller: Team,
+    /// Workspace that pays: its rate limit, queue bound and weight apply. Usually the same as `workspace`.
+    pub caller: Workspace,
     /// Route within the service, such as a method and the first path segment. Run times are learned by route.
     pub route: Arc<str>,
     /// Declared class; `None` takes the class of the service's settings.
@@ -100,13 +100,13 @@
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
 pub enum RefusalReason {
-    /// The team or the instance already has the most requests waiting.
+    /// The workspace or the instance already has the most requests waiting.
     #[display("queue-full")]
     QueueFull,
     /// The deadline would pass before the answer.
     #[display("deadline")]
     Deadline,
-    /// The team sends more requests a second than its settings allow.
+    /// The workspace sends more requests a second than its settings allow.
     #[display("rate-limit")]
     RateLimit,
     /// No backend server of the service in this zone can take requests.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -8,7 +8,7 @@
         state::{Delivery, Grant, GrantId, State, Verdict},
     },
     async_channel::{Receiver, Sender},
-    ragwortreel_model::{Clock, InstanceId, ServiceName, Settings, Team, WorkClass},
+    ragwortreel_model::{Clock, InstanceId, ServiceName, Settings, WorkClass, Workspace},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -69,7 +69,7 @@
             .change(|state, now| state.update_shares(now, shares));
     }
 
-    /// Takes over the number of live entry instances, over which the teams' rate limits are divided.
+    /// Takes over the number of live entry instances, over which the workspaces' rate limits are divided.
     pub fn update_instances(&self, instances: u32) {
         self.shared
             .change(|state, _| state.update_instances(instances));
@@ -164,9 +164,9 @@
         self.shared.lock().slots_in_use()
     }
 
-    /// Free slots by team and service, for the heartbeat to other instances.
+    /// Free slots by workspace and service, for the heartbeat to other instances.
     #[must_use]
-    pub fn free_slots(&self) -> BTreeMap<(Team, ServiceName), u32> {
+    pub fn free_slots(&self) -> BTreeMap<(Workspace, ServiceName), u32> {
         self.shared.lock().free_slots()
     }
 
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -13,7 +13,7 @@
         queue::{Place, WaitId},
     },
     async_channel::Sender,
-    ragwortreel_model::{ServiceName, ServiceSettings, Settings, Team, WorkClass},
+    ragwortreel_model::{ServiceName, ServiceSettings, Settings, WorkClass, Workspace},
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     std::{collections::BTreeMap, net::SocketAddr},
@@ -23,8 +23,8 @@
 pub type GrantId = u64;
 /// What a waiting request is told.
 pub type Verdict = Result<Permit, Refusal>;
-/// A service and the team that offers it.
-type GroupKey = (Team, ServiceName);
+/// A service and the workspace that offers it.
+type GroupKey = (Workspace, ServiceName);
 
 /// Time until the next tick while requests wait, in ms.
 const BUSY_TICK_MS: u64 = 5;
@@ -63,7 +63,7 @@
 
 struct Waiting {
     key: RouteKey,
-    caller: Team,
+    caller: Workspace,
     class: WorkClass,
     need: Need,
     place: Place,
@@ -73,7 +73,7 @@
 
 struct InFlight {
     key: RouteKey,
-    caller: Team,
+    caller: Workspace,
     class: WorkClass,
     on_long_slot: bool,
     backend: BackendId,
@@ -81,9 +81,9 @@
     revoke: Sender<()>,
 }
 
-/// Limits of one calling team.
+/// Limits of one calling workspace.
 #[derive(Default)]
-struct TeamLimits {
+struct WorkspaceLimits {
     rate: Option<RateLimit>,
     retries: RetryBudget,
 }
@@ -98,7 +98,7 @@
     zones: Vec<ZoneLoad>,
     waiting: BTreeMap<WaitId, Waiting>,
     in_flight: BTreeMap<GrantId, InFlight>,
-    teams: BTreeMap<Team, TeamLimits>,
+    workspaces: BTreeMap<Workspace, WorkspaceLimits>,
     learned: Learned,
     deliveries: Vec<Delivery>,
     figures: RouterFigures,
@@ -109,7 +109,7 @@
 
 impl RouteKey {
     fn group(&self) -> GroupKey {
-        (self.team.clone(), self.service.clone())
+        (self.workspace.clone(), self.service.clone())
     }
 }
 
@@ -131,7 +131,7 @@
             zones: Vec::new(),
             waiting: BTreeMap::new(),
             in_flight: BTreeMap::new(),
-            teams: BTreeMap::new(),
+            workspaces: BTreeMap::new(),
             learned: Learned::default(),
             deliveries: Vec::new(),
             figures: RouterFigures::default(),
@@ -146,11 +146,12 @@
 
     pub fn update_settings(&mut self, _now: u64, settings: &Settings) {
         self.settings = settings.clone();
-        // What is kept by team is bounded by the teams of the settings and those with requests in flight.
-        let has_team = |team: &Team| settings.teams.contains_key(team);
-        self.teams.retain(|team, _| has_team(team));
-        self.figures.teams.retain(|team, figures| {
-            has_team(team) || figures.classes.values().any(|c| c.in_flight > 0)
+        // What is kept by workspace is bounded by the workspaces of the settings and those with requests in flight.
+        let has_workspace = |workspace: &Workspace| settings.workspaces.contains_key(workspace);
+        self.workspaces
+            .retain(|workspace, _| has_workspace(workspace));
+        self.figures.workspaces.retain(|workspace, figures| {
+            has_workspace(workspace) || figures.classes.values().any(|c| c.in_flight > 0)
         });
     }
 
@@ -180,7 +181,7 @@
             if server.zone != self.config.zone {
                 continue;
             }
-            let key = (server.team.clone(), server.service.clone());
+            let key = (server.workspace.clone(), server.service.clone());
             let share = self.share_of(&server.id);
             let group = self.groups.entry(key.clone()).or_default();
             if gone.get(&server.id) == Some(&key) {
@@ -268,8 +269,11 @@
         figures.queued = self.waiting.len() as u64;
         figures.in_flight = self.in_flight.len() as u64;
         for waiting in self.waiting.values() {
-            let team = figures.teams.entry(waiting.caller.clone()).or_default();
-            team.classes.entry(waiting.class).or_default().queued += 1;
+            let workspace = figures
+                .workspaces
+                .entry(waiting.caller.clone())
+                .or_default();
+            workspace.classes.entry(waiting.class).or_default().queued += 1;
         }
         for (id, backend) in self.groups.values().flat_map(|group| &group.backends) {
             let of_backend = BackendFigures {
@@ -285,25 +289,25 @@
     }
 
     fn declared(&self, request: &RequestInfo) -> ServiceSettings {
-        let team = self.settings.teams.get(&request.team);
-        let service = team.and_then(|team| team.services.get(&request.service));
+        let workspace = self.settings.workspaces.get(&request.workspace);
+        let service = workspace.and_then(|workspace| workspace.services.get(&request.service));
         service.cloned().unwrap_or_default()
     }
 
-    fn weight(&self, team: &Team) -> u32 {
+    fn weight(&self, workspace: &Workspace) -> u32 {
         self.settings
-            .teams
-            .get(team)
-            .map_or(100, |team| team.weight)
+            .workspaces
+            .get(workspace)
+            .map_or(100, |workspace| workspace.weight)
     }
 
     fn share_of(&self, id: &BackendId) -> crate::Share {
         self.shares.by_backend.get(id).copied().unwrap_or_default()
     }
 
-    fn counts(&mut self, caller: &Team, class: WorkClass) -> &mut QueueFigures {
-        let team = self.figures.teams.entry(caller.clone()).or_default();
-        team.classes.entry(class).or_default()
+    fn counts(&mut self, caller: &Workspace, class: WorkClass) -> &mut QueueFigures {
+        let workspace = self.figures.workspaces.entry(caller.clone()).or_default();
+        workspace.classes.entry(class).or_default()
     }
 }
 
--- a/crates/routing/src/state/admission.rs
+++ b/crates/routing/src/state/admission.rs
@@ -13,7 +13,7 @@
         },
     },
     async_channel::Sender,
-    ragwortreel_model::{Team, WorkClass},
+    ragwortreel_model::{WorkClass, Workspace},
     rand::Rng,
 };
 
@@ -27,7 +27,7 @@
     ) -> Result<WaitId, Refusal> {
         let class = request.class.unwrap_or(self.declared(&request).class);
         let key = RouteKey {
-            team: request.team,
+            workspace: request.workspace,
             service: request.service,
             route: request.route,
         };
@@ -123,8 +123,8 @@
             let probe_ms = probe.map_or(ELSEWHERE_RETRY_MS, |at| at.saturating_sub(now));
             return Err(self.refused(RefusalReason::NoBackend, probe_ms));
         }
-        let team = self.settings.teams.get(&waiting.caller);
-        let max_queued = team.map_or(256, |team| team.max_queued_requests) as usize;
+        let workspace = self.settings.workspaces.get(&waiting.caller);
+        let max_queued = workspace.map_or(256, |workspace| workspace.max_queued_requests) as usize;
         let is_full = queued >= max_queued || self.waiting.len() >= self.config.max_queued;
         let wait_ms = to_ms(wait.unwrap_or(0.0) * WAIT_MARGIN);
         if is_full && !is_free {
@@ -142,18 +142,18 @@
         Ok(())
     }
 
-    /// The team's limit, divided over the entry instances.
-    pub(super) fn check_rate(&mut self, now: u64, caller: &Team) -> Result<(), Refused> {
+    /// The workspace's limit, divided over the entry instances.
+    pub(super) fn check_rate(&mut self, now: u64, caller: &Workspace) -> Result<(), Refused> {
         let per_s = self
             .settings
-            .teams
+            .workspaces
             .get(caller)
             .map_or(0, |t| t.requests_per_s);
         if per_s == 0 {
             return Ok(());
         }
         let per_s = u64::from(per_s.div_ceil(self.instances));
-        let limits = self.teams.entry(caller.clone()).or_default();
+        let limits = self.workspaces.entry(caller.clone()).or_default();
         let rate = limits
             .rate
             .get_or_insert_with(|| RateLimit::new(now, per_s));
@@ -180,10 +180,15 @@
         }
     }
 
-    pub(super) fn count_refusal(&mut self, caller: &Team, class: WorkClass, reason: RefusalReason) {
+    pub(super) fn count_refusal(
+        &mut self,
+        caller: &Workspace,
+        class: WorkClass,
+        reason: RefusalReason,
+    ) {
         self.counts(caller, class).refused += 1;
-        let team = self.figures.teams.entry(caller.clone()).or_default();
-        *team.refusals.entry(reason).or_default() += 1;
+        let workspace = self.figures.workspaces.entry(caller.clone()).or_default();
+        *workspace.refusals.entry(reason).or_default() += 1;
     }
 
     pub(super) fn queue_of(&mut self, waiting: &Waiting) -> Option<&mut ClassQueue> {
@@ -240,7 +245,7 @@
         group.queues.clear();
         let probe_ms = group.next_probe_ms().map(|at| at.saturating_sub(now));
         let probe_ms = probe_ms.unwrap_or(ELSEWHERE_RETRY_MS);
-        let of_group = |w: &&Waiting| (&w.key.team, &w.key.service) == (&key.0, &key.1);
+        let of_group = |w: &&Waiting| (&w.key.workspace, &w.key.service) == (&key.0, &key.1);
         let waiting = self.waiting.values().filter(of_group);
         let ids: Vec<WaitId> = waiting.map(|w| w.place.id).collect();
         for id in ids {
--- a/crates/routing/src/state/grants.rs
+++ b/crates/routing/src/state/grants.rs
@@ -105,7 +105,7 @@
         let may_run_again = request.idempotent || proven_not_run;
         let in_time = now < request.deadline_ms && !self.stopping;
         let allowed = attempts < self.declared(request).max_attempts;
-        let limits = self.teams.entry(request.caller.clone()).or_default();
+        let limits = self.workspaces.entry(request.caller.clone()).or_default();
         let is_allowed = may_run_again && in_time && allowed && limits.retries.spend();
         self.figures.retries += u64::from(is_allowed);
         self.figures.retries_denied += u64::from(!is_allowed);
@@ -114,7 +114,7 @@
 
     /// Another instance, of this zone or another, that can answer sooner although the way to it is longer.
     pub fn spill(&mut self, now: u64, request: &RequestInfo) -> Option<InstanceId> {
-        let key = (request.team.clone(), request.service.clone());
+        let key = (request.workspace.clone(), request.service.clone());
         let weight = self.weight(&request.caller);
         let class = request.class.unwrap_or(self.declared(request).class);
         let has_lease = now < self.shares.valid_until_ms;
@@ -219,7 +219,7 @@
         };
         if waiting.need.avoid.is_empty() {
             let percent = self.settings.cell.retry_budget_percent;
-            let limits = self.teams.entry(waiting.caller.clone()).or_default();
+            let limits = self.workspaces.entry(waiting.caller.clone()).or_default();
             limits.retries.earn(percent);
         }
         let counts = self.counts(&waiting.caller, waiting.class);
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -4,8 +4,8 @@
     futures_lite::future::{Boxed, FutureExt, block_on, poll_once},
     proptest::{prelude::*, test_runner::RngSeed},
     ragwortreel_model::{
-        Clock, InstanceId, ManualClock, ServiceName, ServiceSettings, Settings, Team, TeamSettings,
-        WorkClass, Zone,
+        Clock, InstanceId, ManualClock, ServiceName, ServiceSettings, Settings, WorkClass,
+        Workspace, WorkspaceSettings, Zone,
     },
     ragwortreel_routing::{
         BackendServer, Permit, Refusal, RefusalReason, RequestInfo, RequestResult, Router,
@@ -30,8 +30,8 @@
     backends: Vec<BackendServer>,
 }
 
-fn team(name: &str) -> Team {
-    Team::new(name).unwrap()
+fn workspace(name: &str) -> Workspace {
+    Workspace::new(name).unwrap()
 }
 
 fn service() -> ServiceName {
@@ -56,7 +56,7 @@
 }
 
 impl World {
-    /// A router with `count` backend servers of `slots` slots each; team `alpha` offers the service.
+    /// A router with `count` backend servers of `slots` slots each; workspace `alpha` offers the service.
     fn new(count: u16, slots: u32, long_slots: u32) -> Self {
         let clock = Arc::new(ManualClock::default());
         let instance = InstanceId::new("entry-1").unwrap();
@@ -66,18 +66,18 @@
             id: format!("backend-{n}").into(),
             zone: zone("riga-a"),
             address: ([127, 0, 0, 1], 9_000 + n).into(),
-            team: team("alpha"),
+            workspace: workspace("alpha"),
             service: service(),
             leaving: false,
         };
         let backends: Vec<BackendServer> = (0..count).map(backend).collect();
         let mut settings = Settings::default();
         for name in ["alpha", "beta"] {
-            let mut branch = TeamSettings::default();
+            let mut branch = WorkspaceSettings::default();
             branch
                 .services
                 .insert(service(), ServiceSettings::default());
-            settings.teams.insert(team(name), branch);
+            settings.workspaces.insert(workspace(name), branch);
         }
         router.update_settings(&settings);
         router.update_backends(backends.clone());
@@ -92,9 +92,9 @@
 
     fn request(&self, class: WorkClass, in_ms: u64) -> RequestInfo {
         RequestInfo {
-            team: team("alpha"),
+            workspace: workspace("alpha"),
             service: service(),
-            caller: team("alpha"),
+            caller: workspace("alpha"),
             route: class.to_string().into(),
             class: Some(class),
             cost_hint_ms: None,
@@ -190,11 +190,15 @@
     assert!(block_on(poll_once(world.router.busy())).is_none());
 }
 
-/// Guards against a team that fills the queue of the whole instance.
+/// Guards against a workspace that fills the queue of the whole instance.
 #[test]
-fn a_team_s_queue_is_bounded() {
+fn a_workspace_s_queue_is_bounded() {
     let mut world = World::new(1, 1, 1);
-    let alpha = world.settings.teams.get_mut(&team("alpha")).unwrap();
+    let alpha = world
+        .settings
+        .workspaces
+        .get_mut(&workspace("alpha"))
+        .unwrap();
     alpha.max_queued_requests = 2;
     world.router.update_settings(&world.settings);
     let _held = world.permit(world.request(WorkClass::Short, 60_000));
@@ -205,7 +209,7 @@
     let refusal = world.refusal(world.request(WorkClass::Short, 60_000));
     assert_eq!(refusal.reason, RefusalReason::QueueFull);
     let mut other = world.request(WorkClass::Short, 60_000);
-    other.caller = team("beta");
+    other.caller = workspace("beta");
     assert!(world.try_admit(other).is_none());
 }
 
@@ -536,7 +540,7 @@
     });
     let figures = world.router.figures();
     assert_eq!((figures.queued, figures.in_flight), (0, 0));
-    let admitted = figures.teams[&team("alpha")].classes[&WorkClass::Short].admitted;
+    let admitted = figures.workspaces[&workspace("alpha")].classes[&WorkClass::Short].admitted;
     assert_eq!(admitted, (THREADS * ROUNDS) as u64);
 }
 
@@ -568,11 +572,15 @@
     assert_eq!(figures.backends[&world.backends[1].id].limit, 8);
 }
 
-/// Guards against a team that sends more than its rate, which is divided over the instances.
+/// Guards against a workspace that sends more than its rate, which is divided over the instances.
 #[test]
-fn a_team_s_rate_is_limited() {
+fn a_workspace_s_rate_is_limited() {
     let mut world = World::new(4, 8, 8);
-    let alpha = world.settings.teams.get_mut(&team("alpha")).unwrap();
+    let alpha = world
+        .settings
+        .workspaces
+        .get_mut(&workspace("alpha"))
+        .unwrap();
     alpha.requests_per_s = 30;
     world.router.update_settings(&world.settings);
     world.router.update_instances(3);
@@ -598,7 +606,7 @@
         zone: zone("jelgava"),
         report: 1,
         round_trip_ms: 3.0,
-        free_slots: BTreeMap::from([((team("alpha"), service()), 1)]),
+        free_slots: BTreeMap::from([((workspace("alpha"), service()), 1)]),
     };
     world.router.update_zones(vec![load.clone()]);
     let request = world.request(WorkClass::Short, 1_000);
@@ -624,7 +632,7 @@
         zone: zone("jelgava"),
         report: 1,
         round_trip_ms: 3.0,
-        free_slots: BTreeMap::from([((team("alpha"), service()), 1)]),
+        free_slots: BTreeMap::from([((workspace("alpha"), service()), 1)]),
     }]);
     let request = world.request(WorkClass::Short, 1_000);
     assert_eq!(world.router.spill(&request), None);
@@ -655,16 +663,27 @@
 
 #[derive(Debug, Clone)]
 enum Step {
-    Arrive { class: u8, team: bool, in_ms: u64 },
-    Finish { which: usize, result: u8 },
-    Abandon { which: usize },
-    Pass { ms: u64 },
+    Arrive {
+        class: u8,
+        workspace: bool,
+        in_ms: u64,
+    },
+    Finish {
+        which: usize,
+        result: u8,
+    },
+    Abandon {
+        which: usize,
+    },
+    Pass {
+        ms: u64,
+    },
 }
 
 fn steps() -> impl Strategy<Value = Step> {
     prop_oneof![
         5 => (0_u8..3, any::<bool>(), 1_u64..2_000)
-            .prop_map(|(class, team, in_ms)| Step::Arrive { class, team, in_ms }),
+            .prop_map(|(class, workspace, in_ms)| Step::Arrive { class, workspace, in_ms }),
         4 => (any::<usize>(), any::<u8>()).prop_map(|(which, result)| Step::Finish { which, result }),
         1 => any::<usize>().prop_map(|which| Step::Abandon { which }),
         3 => (1_u64..200).prop_map(|ms| Step::Pass { ms }),
@@ -709,10 +728,10 @@
         let (mut arrived, mut refused, mut abandoned, mut finished) = (0_u64, 0, 0, 0_u64);
         for step in steps {
             match step {
-                Step::Arrive { class, team: is_alpha, in_ms } => {
+                Step::Arrive { class, workspace: is_alpha, in_ms } => {
                     let classes = [WorkClass::Urgent, WorkClass::Short, WorkClass::Long];
                     let mut request = world.request(classes[usize::from(class)], in_ms);
-                    request.caller = team(if is_alpha { "alpha" } else { "beta" });
+                    request.caller = workspace(if is_alpha { "alpha" } else { "beta" });
                     waiting.push(world.admit(request));
                     arrived += 1;
                 }
@@ -749,7 +768,7 @@
         prop_assert!(figures.backends.values().all(|b| b.in_use == 0 && b.long_in_use == 0));
     }
 
-    /// Guards against idle slots while requests wait: with one class, one team and no failures the router gives as many
+    /// Guards against idle slots while requests wait: with one class, one workspace and no failures the router gives as many
     /// slots as the naive one, in the same order.
     #[test]
     fn one_class_is_served_as_by_the_naive_router(
@@ -788,15 +807,15 @@
         }
     }
 
-    /// Guards against a team that gets more than its weight while another waits.
+    /// Guards against a workspace that gets more than its weight while another waits.
     #[test]
-    fn waiting_teams_are_served_by_weight(
+    fn waiting_workspaces_are_served_by_weight(
         weights in (1_u32..1_000, 1_u32..1_000),
         costs in (1_u32..50, 1_u32..50),
     ) {
         let mut world = World::new(1, 1, 1);
         for (name, weight) in [("alpha", weights.0), ("beta", weights.1)] {
-            world.settings.teams.get_mut(&team(name)).unwrap().weight = weight;
+            world.settings.workspaces.get_mut(&workspace(name)).unwrap().weight = weight;
         }
         world.router.update_settings(&world.settings);
         let first = world.permit(world.request(WorkClass::Short, 10_000_000));
@@ -804,7 +823,7 @@
         for _ in 0..200 {
             for (name, cost) in [("alpha", costs.0), ("beta", costs.1)] {
                 let mut request = world.request(WorkClass::Short, 10_000_000);
-                (request.caller, request.cost_hint_ms) = (team(name), Some(cost.into()));
+                (request.caller, request.cost_hint_ms) = (workspace(name), Some(cost.into()));
                 request.route = name.into();
                 let mut wait = world.admit(request);
                 prop_assert!(poll(&mut wait).is_none());
--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -13,7 +13,7 @@
     },
     async_trait::async_trait,
     ragwortreel_http::{Method, Request, Response, json_response},
-    ragwortreel_model::{InstanceId, ServiceName, Team, Zone},
+    ragwortreel_model::{InstanceId, ServiceName, Workspace, Zone},
     ragwortreel_runtime::sleep_ms,
     serde::{Deserialize, Serialize},
     std::{
@@ -46,8 +46,8 @@
     pub id: InstanceId,
     /// Availability zone.
     pub zone: Zone,
-    /// Team that offers the service.
-    pub team: Team,
+    /// Workspace that offers the service.
+    pub workspace: Workspace,
     /// The service.
     pub service: ServiceName,
     /// Requests that it can serve at once.
--- a/crates/standins/src/cell.rs
+++ b/crates/standins/src/cell.rs
@@ -181,7 +181,7 @@
         let BackendSpec {
             id,
             zone,
-            team,
+            workspace,
             service,
             ..
         } = &self.backend;
@@ -191,7 +191,7 @@
             address,
             state: InstanceState::Live,
             role: ListedRole::Backend {
-                team: team.clone(),
+                workspace: workspace.clone(),
                 service: service.clone(),
             },
         }
