--- a/crates/standins/tests/servers.rs
+++ b/crates/standins/tests/servers.rs
@@ -2,7 +2,7 @@
 
 use {
     ragwortreel_http::{Client, ClientError, ClientLimits, Request, Response, parse_json},
-    ragwortreel_model::{Epoch, InstanceId, Pool, ServiceName, Team, Zone},
+    ragwortreel_model::{Epoch, InstanceId, Pool, ServiceName, Workspace, Zone},
     ragwortreel_platform::{InstanceList, ListedRole},
     ragwortreel_runtime::{block_on, sleep_ms, spawn},
     ragwortreel_standins::{
@@ -28,7 +28,7 @@
     let spec = BackendSpec {
         id: InstanceId::new("b1").expect("valid name"),
         zone: Zone::new("riga-a").expect("valid name"),
-        team: Team::new("alpha").expect("valid name"),
+        workspace: Workspace::new("alpha").expect("valid name"),
         service: ServiceName::new("quotes").expect("valid name"),
         slots: 2,
         connections: 3,
@@ -168,7 +168,7 @@
         "workers": [{"listen": "127.0.0.1:0", "zone": "riga-a", "rack": "r1",
             "worker": {"id": "w1", "capacity": {"milli_cores": 32000, "memory_mib": 131072}}}],
         "backends": [{"listen": "127.0.0.1:0", "backend": {"id": "b1", "zone": "riga-a",
-            "team": "alpha", "service": "quotes", "classes": {"short": {"ms": 5}}}}]
+            "workspace": "alpha", "service": "quotes", "classes": {"short": {"ms": 5}}}}]
     }"#;
     let cfg: StandinConfig = serde_json::from_str(json).expect("configuration");
     block_on(async {
--- a/src/burn.rs
+++ b/src/burn.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::output::Table,
-    ragwortreel_model::{ServiceName, SloSettings, Team},
+    ragwortreel_model::{ServiceName, SloSettings, Workspace},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, VecDeque},
@@ -42,8 +42,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceCounts {
-    /// Team that offers the service.
-    pub team: Team,
+    /// Workspace that offers the service.
+    pub workspace: Workspace,
     /// The service.
     pub service: ServiceName,
     /// Its objective.
@@ -68,7 +68,7 @@
         self.minute = self.minute.max(other.minute);
         for theirs in &other.services {
             let same = |ours: &&mut ServiceCounts| {
-                ours.team == theirs.team && ours.service == theirs.service
+                ours.workspace == theirs.workspace && ours.service == theirs.service
             };
             match self.services.iter_mut().find(same) {
                 Some(ours) => ours.merge(theirs),
@@ -139,19 +139,25 @@
 /// Counts requests of this instance.
 #[derive(Debug, Default)]
 pub struct BurnCounter {
-    services: Mutex<BTreeMap<(Team, ServiceName), ServiceCounts>>,
+    services: Mutex<BTreeMap<(Workspace, ServiceName), ServiceCounts>>,
 }
 
 impl BurnCounter {
     /// Counts one request.
-    pub fn count(&self, team: &Team, service: &ServiceName, slo: &SloSettings, good: bool) {
+    pub fn count(
+        &self,
+        workspace: &Workspace,
+        service: &ServiceName,
+        slo: &SloSettings,
+        good: bool,
+    ) {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let key = (team.clone(), service.clone());
+        let key = (workspace.clone(), service.clone());
         if services.len() >= MAX_SERVICES && !services.contains_key(&key) {
             return;
         }
         let counts = services.entry(key).or_insert_with(|| ServiceCounts {
-            team: team.clone(),
+            workspace: workspace.clone(),
             service: service.clone(),
             slo: slo.clone(),
             minutes: VecDeque::new(),
@@ -193,8 +199,8 @@
 /// Burn of one service.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct ServiceBurn {
-    /// Team that offers the service.
-    pub team: Team,
+    /// Workspace that offers the service.
+    pub workspace: Workspace,
     /// The service.
     pub service: ServiceName,
     /// Its objective.
@@ -233,7 +239,7 @@
         .take(2)
         .all(|window| window.burn_rate >= PAGE_RATE);
     ServiceBurn {
-        team: counts.team.clone(),
+        workspace: counts.workspace.clone(),
         service: counts.service.clone(),
         slo: counts.slo.clone(),
         windows,
@@ -245,7 +251,7 @@
 #[must_use]
 pub fn table(report: &[ServiceBurn]) -> String {
     let titles = [
-        "TEAM",
+        "WORKSPACE",
         "SERVICE",
         "OBJECTIVE",
         "REQUESTS 6h",
@@ -263,7 +269,7 @@
         );
         let longest = service.windows.last();
         let mut row = vec![
-            service.team.to_string(),
+            service.workspace.to_string(),
             service.service.to_string(),
             objective,
             longest.map_or_else(String::new, |window| window.total.to_string()),
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -3,7 +3,8 @@
 use {
     crate::config::{Config, LogLevel, PlatformConfig},
     ragwortreel_model::{
-        InstanceId, Rack, Resources, ServiceName, Settings, SettingsError, Team, WorkerId, Zone,
+        InstanceId, Rack, Resources, ServiceName, Settings, SettingsError, WorkerId, Workspace,
+        Zone,
     },
     ragwortreel_standins::{
         BackendConfig, BackendSpec, PlatformConfig as PlatformStandin, ServiceTime, StandinConfig,
@@ -26,8 +27,8 @@
 /// Backend servers of one service.
 #[derive(Debug, Clone)]
 pub struct BackendPlan {
-    /// Team that offers the service.
-    pub team: Team,
+    /// Workspace that offers the service.
+    pub workspace: Workspace,
     /// The service.
     pub service: ServiceName,
     /// Backend servers in each zone.
@@ -185,10 +186,13 @@
         let cell = &self.settings.cell;
         let server = |plan: &BackendPlan, number: usize| {
             let spec = BackendSpec {
-                id: InstanceId::new(&format!("{zone}-{}-{}-{number}", plan.team, plan.service))
-                    .ok()?,
+                id: InstanceId::new(&format!(
+                    "{zone}-{}-{}-{number}",
+                    plan.workspace, plan.service
+                ))
+                .ok()?,
                 zone: zone.clone(),
-                team: plan.team.clone(),
+                workspace: plan.workspace.clone(),
                 service: plan.service.clone(),
                 slots: self
                     .backend_slots
@@ -249,7 +253,7 @@
 }
 
 fn backend(
-    team: &str,
+    workspace: &str,
     service: &str,
     per_zone: usize,
     classes: &[(&str, u64, u64)],
@@ -258,7 +262,7 @@
         .iter()
         .map(|&(class, ms, jitter_ms)| (Arc::from(class), ServiceTime { ms, jitter_ms }));
     Some(BackendPlan {
-        team: Team::new(team).ok()?,
+        workspace: Workspace::new(workspace).ok()?,
         service: ServiceName::new(service).ok()?,
         per_zone,
         classes: classes.collect(),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,7 +3,7 @@
 use {
     crate::error::Error,
     getopts::{Matches, Options},
-    ragwortreel_model::{InstanceId, JobId, Team, WorkerId},
+    ragwortreel_model::{InstanceId, JobId, WorkerId, Workspace},
     std::{env, net::SocketAddr, path::PathBuf, time::Duration},
 };
 
@@ -56,12 +56,12 @@
 /// Command for an entry instance.
 #[derive(Debug, Clone)]
 pub enum RemoteCommand {
-    /// Read the settings tree or one team's branch.
-    SettingsGet(Option<Team>),
-    /// Replace the settings tree or one team's branch.
+    /// Read the settings tree or one workspace's branch.
+    SettingsGet(Option<Workspace>),
+    /// Replace the settings tree or one workspace's branch.
     SettingsSet {
         /// Branch; the whole tree when absent.
-        team: Option<Team>,
+        workspace: Option<Workspace>,
         /// File with the new content.
         file: PathBuf,
         /// Version that the change was made from.
@@ -94,9 +94,9 @@
   quickstart                        run a whole small cell on this machine
 
 settings:
-  settings get [--team TEAM]        print the tree or one team's branch
-  settings set FILE --base VERSION [--team TEAM]
-                                    replace the tree or one team's branch
+  settings get [--workspace WORKSPACE]        print the tree or one workspace's branch
+  settings set FILE --base VERSION [--workspace WORKSPACE]
+                                    replace the tree or one workspace's branch
 
 jobs:
   submit FILE                       submit the job in a JSON file
@@ -259,9 +259,9 @@
 }
 
 fn parse_settings(args: &[String]) -> Result<Command, Error> {
-    let usage = "settings get [--team TEAM] | settings set FILE --base VERSION [--team TEAM]";
+    let usage = "settings get [--workspace WORKSPACE] | settings set FILE --base VERSION [--workspace WORKSPACE]";
     let mut options = remote_options();
-    options.optopt("t", "team", "branch of one team", "TEAM");
+    options.optopt("t", "workspace", "branch of one workspace", "WORKSPACE");
     options.optopt(
         "b",
         "base",
@@ -272,11 +272,11 @@
         Parsed::Matches(matches) => matches,
         Parsed::Print(command) => return Ok(command),
     };
-    let team = matches
-        .opt_str("team")
-        .map(|text| Team::new(&text))
+    let workspace = matches
+        .opt_str("workspace")
+        .map(|text| Workspace::new(&text))
         .transpose();
-    let team = team.map_err(|err| Error::usage(format!("--team: {err}")))?;
+    let workspace = workspace.map_err(|err| Error::usage(format!("--workspace: {err}")))?;
     let command = match matches
         .free
         .iter()
@@ -284,7 +284,7 @@
         .collect::<Vec<_>>()
         .as_slice()
     {
-        ["get"] => RemoteCommand::SettingsGet(team),
+        ["get"] => RemoteCommand::SettingsGet(workspace),
         ["set", file] => {
             if !matches.opt_present("base") {
                 return Err(Error::usage(
@@ -292,7 +292,7 @@
                 ));
             }
             RemoteCommand::SettingsSet {
-                team,
+                workspace,
                 file: PathBuf::from(file),
                 base: number(&matches, "base", 0)?,
             }
--- a/src/client.rs
+++ b/src/client.rs
@@ -11,7 +11,9 @@
     },
     ragwortreel_caller::OUTCOME_HEADER,
     ragwortreel_http::{Client, ClientLimits, Headers, Method, Request, Response, Sent},
-    ragwortreel_model::{JobSpec, JobStatus, Settings, SettingsError, Team, TeamSettings},
+    ragwortreel_model::{
+        JobSpec, JobStatus, Settings, SettingsError, Workspace, WorkspaceSettings,
+    },
     std::{net::SocketAddr, path::Path, time::Instant},
 };
 
@@ -24,10 +26,12 @@
     let client = Client::new(ClientLimits::default());
     let session = Session { remote, client };
     match command {
-        RemoteCommand::SettingsGet(team) => session.get_settings(team.as_ref()).await,
-        RemoteCommand::SettingsSet { team, file, base } => {
-            session.set_settings(team.as_ref(), &file, base).await
-        }
+        RemoteCommand::SettingsGet(workspace) => session.get_settings(workspace.as_ref()).await,
+        RemoteCommand::SettingsSet {
+            workspace,
+            file,
+            base,
+        } => session.set_settings(workspace.as_ref(), &file, base).await,
         RemoteCommand::Submit(file) => session.submit(&file).await,
         RemoteCommand::Jobs => session.jobs().await,
         RemoteCommand::Describe(job) => {
@@ -62,12 +66,12 @@
 }
 
 impl Session<'_> {
-    async fn get_settings(&self, team: Option<&Team>) -> Result<(), Error> {
+    async fn get_settings(&self, workspace: Option<&Workspace>) -> Result<(), Error> {
         let response = self
             .send(
                 "reading settings",
                 Method::Get,
-                &settings_path(team),
+                &settings_path(workspace),
                 None,
                 Vec::new(),
             )
@@ -83,9 +87,14 @@
         output::print(&format!("{value:#}\n"))
     }
 
-    async fn set_settings(&self, team: Option<&Team>, file: &Path, base: u64) -> Result<(), Error> {
+    async fn set_settings(
+        &self,
+        workspace: Option<&Workspace>,
+        file: &Path,
+        base: u64,
+    ) -> Result<(), Error> {
         let json = config::read(file)?;
-        check_settings(team, &json).map_err(|source| Error::Settings {
+        check_settings(workspace, &json).map_err(|source| Error::Settings {
             path: file.to_owned(),
             source,
         })?;
@@ -93,7 +102,7 @@
             .send(
                 "changing settings",
                 Method::Put,
-                &settings_path(team),
+                &settings_path(workspace),
                 Some(base),
                 json,
             )
@@ -132,7 +141,7 @@
             .map_or_else(|| "-".to_owned(), ToString::to_string);
         let lines = [
             ("job", status.spec.id.to_string()),
-            ("team", status.spec.team.to_string()),
+            ("workspace", status.spec.workspace.to_string()),
             ("kind", status.spec.kind.to_string()),
             ("priority", status.spec.priority.to_string()),
             ("pool", status.pool.to_string()),
@@ -157,7 +166,7 @@
         let jobs: Vec<JobStatus> = self.parse("listing jobs", &response)?;
         let mut table = Table::new(&[
             "JOB",
-            "TEAM",
+            "WORKSPACE",
             "KIND",
             "STATE",
             "RUNNING",
@@ -168,7 +177,7 @@
         for job in jobs {
             table.row(vec![
                 job.spec.id.to_string(),
-                job.spec.team.to_string(),
+                job.spec.workspace.to_string(),
                 job.spec.kind.to_string(),
                 job.state.to_string(),
                 job.running.to_string(),
@@ -264,20 +273,20 @@
 }
 
 /// Checks settings before they are sent, so that the error names the place in the file.
-fn check_settings(team: Option<&Team>, json: &[u8]) -> Result<(), SettingsError> {
-    let Some(team) = team else {
+fn check_settings(workspace: Option<&Workspace>, json: &[u8]) -> Result<(), SettingsError> {
+    let Some(workspace) = workspace else {
         return Settings::parse(json).map(|_| ());
     };
-    let branch: TeamSettings = ragwortreel_model::parse_json(json)?;
+    let branch: WorkspaceSettings = ragwortreel_model::parse_json(json)?;
     let mut tree = Settings::default();
-    tree.teams.insert(team.clone(), branch);
+    tree.workspaces.insert(workspace.clone(), branch);
     tree.check()
 }
 
-fn settings_path(team: Option<&Team>) -> String {
-    team.map_or_else(
+fn settings_path(workspace: Option<&Workspace>) -> String {
+    workspace.map_or_else(
         || "/v1/settings".to_owned(),
-        |team| format!("/v1/settings/teams/{team}"),
+        |workspace| format!("/v1/settings/workspaces/{workspace}"),
     )
 }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -471,7 +471,7 @@
     let placements = control.placements();
     while let Ok(placement) = placements.recv().await {
         telemetry.placed(
-            &placement.team,
+            &placement.workspace,
             placement.kind,
             Duration::from_millis(placement.waited_ms),
         );
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -6,7 +6,7 @@
     ragwortreel_control::Control,
     ragwortreel_entry::generated::{ForwardedRequest, ForwardedResponse, Header},
     ragwortreel_http::{Headers, Method, Response},
-    ragwortreel_model::{InstanceId, Outcome, ServiceName, Team},
+    ragwortreel_model::{InstanceId, Outcome, ServiceName, Workspace},
     std::{
         str::FromStr,
         sync::{Arc, OnceLock},
@@ -76,7 +76,7 @@
         value: value.to_owned(),
     });
     ForwardedRequest {
-        team: call.team.to_string(),
+        workspace: call.workspace.to_string(),
         service: call.service.to_string(),
         caller: call.caller.to_string(),
         method: call.method.to_string(),
@@ -136,14 +136,14 @@
 ///
 /// Returns what is wrong with it.
 pub fn decode_request(req: ForwardedRequest) -> Result<ServiceCall, String> {
-    let team = Team::new(&req.team).map_err(|err| err.to_string())?;
+    let workspace = Workspace::new(&req.workspace).map_err(|err| err.to_string())?;
     let caller = if req.caller.is_empty() {
-        Ok(team.clone())
+        Ok(workspace.clone())
     } else {
-        Team::new(&req.caller)
+        Workspace::new(&req.caller)
     };
     Ok(ServiceCall {
-        team,
+        workspace,
         service: ServiceName::new(&req.service).map_err(|err| err.to_string())?,
         caller: caller.map_err(|err| err.to_string())?,
         method: Method::from_str(&req.method).map_err(|err| err.to_string())?,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -4,7 +4,7 @@
     async_trait::async_trait,
     ragwortreel_caller::{JobCalls, Refusal, RefusalKind},
     ragwortreel_control::{Control, JobError},
-    ragwortreel_model::{JobId, JobSpec, JobStatus, Team},
+    ragwortreel_model::{JobId, JobSpec, JobStatus, Workspace},
 };
 
 /// Job commands over a control part.
@@ -29,9 +29,9 @@
             .map_err(|err| refusal(&err))
     }
 
-    async fn list(&self, team: Option<&Team>) -> Result<Vec<JobStatus>, Refusal> {
+    async fn list(&self, workspace: Option<&Workspace>) -> Result<Vec<JobStatus>, Refusal> {
         self.control
-            .describe_jobs(team, None)
+            .describe_jobs(workspace, None)
             .await
             .map_err(|err| refusal(&err))
     }
--- a/src/load.rs
+++ b/src/load.rs
@@ -6,7 +6,7 @@
 use {
     ragwortreel_caller::{DEADLINE_HEADER, IDEMPOTENCY_HEADER, OUTCOME_HEADER},
     ragwortreel_http::{Client, ClientLimits, Method, Request, Response, Sent},
-    ragwortreel_model::{Outcome, ServiceName, Team},
+    ragwortreel_model::{Outcome, ServiceName, Workspace},
     ragwortreel_runtime::{Task, sleep, spawn},
     std::{
         net::SocketAddr,
@@ -25,11 +25,11 @@
 /// One kind of request.
 #[derive(Debug, Clone)]
 pub struct Mix {
-    /// Team that offers the service.
-    pub team: Team,
+    /// Workspace that offers the service.
+    pub workspace: Workspace,
     /// The service.
     pub service: ServiceName,
-    /// Bearer token of the calling team.
+    /// Bearer token of the calling workspace.
     pub token: Arc<str>,
     /// Path within the service.
     pub path: Arc<str>,
@@ -273,7 +273,7 @@
 }
 
 fn request(mix: &Mix, entry: SocketAddr, nonce: &str, key: Option<&str>) -> Request {
-    let path = format!("/v1/services/{}/{}{}", mix.team, mix.service, mix.path);
+    let path = format!("/v1/services/{}/{}{}", mix.workspace, mix.service, mix.path);
     let req = match key {
         // Repeats must be the same request, so the nonce is a header and no part of path or body.
         Some(key) => Request::post(path, b"{}".to_vec()).with_header(IDEMPOTENCY_HEADER, key),
--- a/src/local.rs
+++ b/src/local.rs
@@ -59,7 +59,7 @@
             else {
                 continue;
             };
-            let service = format!("{}/{}", backend.team, backend.service);
+            let service = format!("{}/{}", backend.workspace, backend.service);
             *free.entry(service).or_default() += figures.limit.saturating_sub(figures.in_use);
         }
         free
--- a/src/pooled/tests.rs
+++ b/src/pooled/tests.rs
@@ -2,7 +2,7 @@
     super::PooledTransport,
     crate::transport::{Reply, Target, Transport},
     ragwortreel_http::Request,
-    ragwortreel_model::{InstanceId, ManualClock, ServiceName, Team, WorkClass, Zone},
+    ragwortreel_model::{InstanceId, ManualClock, ServiceName, WorkClass, Workspace, Zone},
     ragwortreel_routing::{BackendServer, RequestInfo, Router, RouterConfig, Share, SlotShares},
     ragwortreel_runtime::{block_on, discard_logger},
     std::{
@@ -41,7 +41,7 @@
         id: "b1".into(),
         zone,
         address,
-        team: Team::new("alpha").expect("a name"),
+        workspace: Workspace::new("alpha").expect("a name"),
         service: ServiceName::new("quotes").expect("a name"),
         leaving: false,
     }]);
@@ -67,9 +67,9 @@
     transport.set_limits(BTreeMap::from([(address, 8)]));
     block_on(async {
         let request = RequestInfo {
-            team: Team::new("alpha").expect("a name"),
+            workspace: Workspace::new("alpha").expect("a name"),
             service: ServiceName::new("quotes").expect("a name"),
-            caller: Team::new("alpha").expect("a name"),
+            caller: Workspace::new("alpha").expect("a name"),
             route: "GET ".into(),
             class: Some(WorkClass::Short),
             cost_hint_ms: None,
--- a/src/quickstart.rs
+++ b/src/quickstart.rs
@@ -16,7 +16,7 @@
     },
     ragwortreel_caller::token_digest,
     ragwortreel_model::{
-        JobId, JobKind, JobSpec, JobState, Priority, Resources, ServiceName, Team,
+        JobId, JobKind, JobSpec, JobState, Priority, Resources, ServiceName, Workspace,
     },
     ragwortreel_runtime::{
         Logger, Stop, block_on, discard_logger, future, sleep, sleep_ms, spawn, start_threads,
@@ -37,7 +37,7 @@
 const JOBS_LIMIT: Duration = Duration::from_secs(15);
 /// Time between two lines of progress.
 const PROGRESS: Duration = Duration::from_secs(2);
-/// Prefix of the tokens in the example settings, before the team's name.
+/// Prefix of the tokens in the example settings, before the workspace's name.
 const TOKEN_PREFIX: &str = "change-me-";
 
 /// What the demonstration has found for one user.
@@ -117,7 +117,7 @@
     }
 }
 
-/// Team, service, path, requests a second, deadline in ms, whether keyed.
+/// Workspace, service, path, requests a second, deadline in ms, whether keyed.
 type MixRow = (&'static str, &'static str, &'static str, f64, u64, bool);
 
 const PATTERN_MIXES: &[MixRow] = &[
@@ -246,11 +246,11 @@
 }
 
 fn mix(row: &MixRow) -> Option<Mix> {
-    let &(team, service, path, rate_per_s, deadline_ms, keyed) = row;
+    let &(workspace, service, path, rate_per_s, deadline_ms, keyed) = row;
     Some(Mix {
-        team: Team::new(team).ok()?,
+        workspace: Workspace::new(workspace).ok()?,
         service: ServiceName::new(service).ok()?,
-        token: Arc::from(format!("{TOKEN_PREFIX}{team}")),
+        token: Arc::from(format!("{TOKEN_PREFIX}{workspace}")),
         path: Arc::from(path),
         rate_per_s,
         deadline_ms,
@@ -258,12 +258,12 @@
     })
 }
 
-/// One job of each kind, for the teams whose tokens the example settings hold.
+/// One job of each kind, for the workspaces whose tokens the example settings hold.
 fn job_specs(plan: &CellPlan) -> Vec<JobSpec> {
-    let is_known = |team: &str| {
-        let digest = token_digest(&format!("{TOKEN_PREFIX}{team}"));
+    let is_known = |workspace: &str| {
+        let digest = token_digest(&format!("{TOKEN_PREFIX}{workspace}"));
         plan.settings
-            .teams
+            .workspaces
             .values()
             .any(|branch| branch.token_sha256 == digest)
     };
@@ -317,17 +317,19 @@
             1_500,
         ),
     ];
-    let known = rows.into_iter().filter(|(_, team, ..)| is_known(team));
+    let known = rows
+        .into_iter()
+        .filter(|(_, workspace, ..)| is_known(workspace));
     known
-        .filter_map(|(id, team, kind, priority, tasks, run_ms)| {
-            spec(id, team, kind, priority, tasks, run_ms)
+        .filter_map(|(id, workspace, kind, priority, tasks, run_ms)| {
+            spec(id, workspace, kind, priority, tasks, run_ms)
         })
         .collect()
 }
 
 fn spec(
     id: &str,
-    team: &str,
+    workspace: &str,
     kind: JobKind,
     priority: Priority,
     tasks: u32,
@@ -335,7 +337,7 @@
 ) -> Option<JobSpec> {
     Some(JobSpec {
         id: JobId::new(id).ok()?,
-        team: Team::new(team).ok()?,
+        workspace: Workspace::new(workspace).ok()?,
         name: Arc::from(id),
         kind,
         priority,
--- a/src/service_call.rs
+++ b/src/service_call.rs
@@ -152,9 +152,13 @@
     /// Settings of the called service, and the time after which its connections count as silent.
     fn service_of(&self, call: &ServiceCall) -> Result<(ServiceSettings, Duration), CallReply> {
         let settings = Arc::clone(&self.settings.read().unwrap_or_else(PoisonError::into_inner));
-        let team = settings.settings.teams.get(&call.team);
-        let Some(service) = team.and_then(|team| team.services.get(&call.service)) else {
-            let reason = format!("no service {} of team {}", call.service, call.team);
+        let workspace = settings.settings.workspaces.get(&call.workspace);
+        let Some(service) = workspace.and_then(|workspace| workspace.services.get(&call.service))
+        else {
+            let reason = format!(
+                "no service {} of workspace {}",
+                call.service, call.workspace
+            );
             return Err(not_run(reason, None));
         };
         let silent_after = Duration::from_millis(settings.settings.cell.silent_after_ms);
@@ -173,7 +177,7 @@
         let left_ms = u64::try_from(left_ms).unwrap_or(u64::MAX);
         let is_safe = matches!(call.method, Method::Get | Method::Head | Method::Options);
         let info = RequestInfo {
-            team: call.team.clone(),
+            workspace: call.workspace.clone(),
             service: call.service.clone(),
             caller: call.caller.clone(),
             route: route_of(&call),
@@ -194,7 +198,7 @@
     /// Runs a non-idempotent request with a key at most once, over all instances and repeats.
     async fn attempt_once(&self, planned: &Planned, key: &str) -> CallReply {
         let call = &planned.call;
-        let path = format!("{}/{}{}", call.team, call.service, call.path);
+        let path = format!("{}/{}{}", call.workspace, call.service, call.path);
         let digest = request_digest(call.method.as_ref(), &path, &call.body);
         let begin = self
             .parts
@@ -392,7 +396,9 @@
             .as_ref()
             .is_some_and(|response| response.status < 500);
         let good = is_ok && took <= Duration::from_millis(slo.latency_ms);
-        self.parts.burn.count(&call.team, &call.service, slo, good);
+        self.parts
+            .burn
+            .count(&call.workspace, &call.service, slo, good);
     }
 }
 
--- a/src/settings_api.rs
+++ b/src/settings_api.rs
@@ -4,7 +4,7 @@
     async_trait::async_trait,
     ragwortreel_caller::{Refusal, RefusalKind, SettingsCalls, SettingsChange, SettingsReply},
     ragwortreel_control::{ChangeError, Control, SettingsChange as Change},
-    ragwortreel_model::{Settings, SettingsError, Team, TeamSettings, parse_json},
+    ragwortreel_model::{Settings, SettingsError, Workspace, WorkspaceSettings, parse_json},
     serde::Serialize,
 };
 
@@ -21,12 +21,12 @@
     current: &'a Settings,
 }
 
-/// Body of a conflict for a team, which may see its own branch only.
+/// Body of a conflict for a workspace, which may see its own branch only.
 #[derive(Serialize)]
-struct TeamConflict<'a> {
+struct WorkspaceConflict<'a> {
     problem: String,
     version: u64,
-    current: Option<&'a TeamSettings>,
+    current: Option<&'a WorkspaceSettings>,
 }
 
 impl DaemonSettings {
@@ -36,33 +36,37 @@
         Self { control }
     }
 
-    fn parse_branch(&self, team: &Team, change: &SettingsChange) -> Result<Change, Refusal> {
-        let branch: TeamSettings = parse_json(&change.json).map_err(|err| invalid(&err))?;
+    fn parse_branch(
+        &self,
+        workspace: &Workspace,
+        change: &SettingsChange,
+    ) -> Result<Change, Refusal> {
+        let branch: WorkspaceSettings = parse_json(&change.json).map_err(|err| invalid(&err))?;
         if !change.by_operator {
             let current = self.control.settings();
             let current = current
                 .settings
-                .teams
-                .get(team)
-                .ok_or_else(|| no_team(team))?;
-            check_fixed(team, current, &branch).map_err(|err| invalid(&err))?;
+                .workspaces
+                .get(workspace)
+                .ok_or_else(|| no_workspace(workspace))?;
+            check_fixed(workspace, current, &branch).map_err(|err| invalid(&err))?;
         }
-        Ok(Change::Team(team.clone(), Some(branch)))
+        Ok(Change::Workspace(workspace.clone(), Some(branch)))
     }
 }
 
 #[async_trait]
 impl SettingsCalls for DaemonSettings {
-    async fn read(&self, team: Option<&Team>) -> Result<SettingsReply, Refusal> {
+    async fn read(&self, workspace: Option<&Workspace>) -> Result<SettingsReply, Refusal> {
         let settings = self.control.settings();
-        let json = match team {
+        let json = match workspace {
             None => serde_json::to_vec(&settings.settings),
-            Some(team) => serde_json::to_vec(
+            Some(workspace) => serde_json::to_vec(
                 settings
                     .settings
-                    .teams
-                    .get(team)
-                    .ok_or_else(|| no_team(team))?,
+                    .workspaces
+                    .get(workspace)
+                    .ok_or_else(|| no_workspace(workspace))?,
             ),
         };
         let json = json.map_err(|err| Refusal::new(RefusalKind::Unavailable, err.to_string()))?;
@@ -73,15 +77,15 @@
     }
 
     async fn change(&self, change: SettingsChange) -> Result<u64, Refusal> {
-        let wanted = match &change.team {
+        let wanted = match &change.workspace {
             None => Change::Whole(Settings::parse(&change.json).map_err(|err| invalid(&err))?),
-            Some(team) => self.parse_branch(team, &change)?,
+            Some(workspace) => self.parse_branch(workspace, &change)?,
         };
         let result = self
             .control
             .change_settings(change.base_version, wanted)
             .await;
-        result.map_err(|err| refusal(&err, change.team.as_ref()))
+        result.map_err(|err| refusal(&err, change.workspace.as_ref()))
     }
 }
 
@@ -89,15 +93,15 @@
     Refusal::new(RefusalKind::Invalid, err.to_string())
 }
 
-fn no_team(team: &Team) -> Refusal {
-    Refusal::new(RefusalKind::NotFound, format!("no team {team}"))
+fn no_workspace(workspace: &Workspace) -> Refusal {
+    Refusal::new(RefusalKind::NotFound, format!("no workspace {workspace}"))
 }
 
-/// A team must not raise its own quota, weight or job limit, or change its token.
+/// A workspace must not raise its own quota, weight or job limit, or change its token.
 fn check_fixed(
-    team: &Team,
-    current: &TeamSettings,
-    wanted: &TeamSettings,
+    workspace: &Workspace,
+    current: &WorkspaceSettings,
+    wanted: &WorkspaceSettings,
 ) -> Result<(), SettingsError> {
     let fixed = [
         ("token_sha256", current.token_sha256 == wanted.token_sha256),
@@ -108,13 +112,13 @@
     match fixed.iter().find(|(_, same)| !same) {
         None => Ok(()),
         Some((key, _)) => Err(SettingsError::new(
-            &format!("teams.{team}.{key}"),
+            &format!("workspaces.{workspace}.{key}"),
             "only an operator may change this",
         )),
     }
 }
 
-fn refusal(err: &ChangeError, team: Option<&Team>) -> Refusal {
+fn refusal(err: &ChangeError, workspace: Option<&Workspace>) -> Refusal {
     let kind = match err {
         ChangeError::Conflict { .. } => RefusalKind::Conflict,
         ChangeError::Invalid(_) => RefusalKind::Invalid,
@@ -125,16 +129,16 @@
         return Refusal::new(kind, err.to_string());
     };
     let (problem, version, tree) = (err.to_string(), current.version, &current.settings);
-    let body = match team {
+    let body = match workspace {
         None => serde_json::to_string(&Conflict {
             problem,
             version,
             current: tree,
         }),
-        Some(team) => serde_json::to_string(&TeamConflict {
+        Some(workspace) => serde_json::to_string(&WorkspaceConflict {
             problem,
             version,
-            current: tree.teams.get(team),
+            current: tree.workspaces.get(workspace),
         }),
     };
     Refusal::new(kind, body.unwrap_or_else(|_| err.to_string()))
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -2,7 +2,7 @@
 
 use {
     ragwortreel_control::{Backend, Control, Member},
-    ragwortreel_model::{ServiceName, Team},
+    ragwortreel_model::{ServiceName, Workspace},
     ragwortreel_platform::InstanceState,
     ragwortreel_routing::{BackendServer, Router, ZoneLoad},
     ragwortreel_runtime::{Stop, sleep_ms},
@@ -73,8 +73,11 @@
 fn load_of(control: &Control, member: &Member) -> ZoneLoad {
     let free = control.free_slots_of(&member.instance);
     let service = |(name, free): (&String, &u32)| {
-        let (team, service) = name.split_once('/')?;
-        let key = (Team::new(team).ok()?, ServiceName::new(service).ok()?);
+        let (workspace, service) = name.split_once('/')?;
+        let key = (
+            Workspace::new(workspace).ok()?,
+            ServiceName::new(service).ok()?,
+        );
         Some((key, *free))
     };
     #[allow(clippy::cast_precision_loss, reason = "round trips are below 2^52 ms")]
@@ -93,7 +96,7 @@
         id: Arc::from(backend.id.as_str()),
         zone: backend.zone.clone(),
         address: backend.address,
-        team: backend.team.clone(),
+        workspace: backend.workspace.clone(),
         service: backend.service.clone(),
         leaving: backend.state != InstanceState::Live,
     }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,7 +1,7 @@
 //! Metrics of the daemon, exported in the Prometheus text format through OpenTelemetry.
 //!
 //! They cover the five measures of the design page (time to placement, packing, cost of control, service at peak load,
-//! head-of-line blocking), by team and kind. `docs/operators.md` explains each.
+//! head-of-line blocking), by workspace and kind. `docs/operators.md` explains each.
 
 use {
     opentelemetry::{
@@ -10,7 +10,7 @@
     },
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Encoder as _, Registry, TextEncoder},
-    ragwortreel_model::{JobKind, Outcome, Pool, Team, WorkClass},
+    ragwortreel_model::{JobKind, Outcome, Pool, WorkClass, Workspace},
     ragwortreel_routing::RouterFigures,
     ragwortreel_runtime::traffic,
     std::{collections::BTreeMap, fs, path::Path, time::Duration},
@@ -121,9 +121,15 @@
     }
 
     /// Records a finished request.
-    pub fn request(&self, team: &Team, class: WorkClass, outcome: Outcome, took: Duration) {
+    pub fn request(
+        &self,
+        workspace: &Workspace,
+        class: WorkClass,
+        outcome: Outcome,
+        took: Duration,
+    ) {
         let attributes = [
-            label("team", team),
+            label("workspace", workspace),
             label("class", &class),
             label("outcome", &outcome),
         ];
@@ -131,24 +137,29 @@
     }
 
     /// Records the time that a request waited for a slot.
-    pub fn queued_for(&self, team: &Team, class: WorkClass, waited: Duration) {
+    pub fn queued_for(&self, workspace: &Workspace, class: WorkClass, waited: Duration) {
         self.queue_seconds.record(
             waited.as_secs_f64(),
-            &[label("team", team), label("class", &class)],
+            &[label("workspace", workspace), label("class", &class)],
         );
     }
 
     /// Records an attempt at a backend server.
-    pub fn attempt(&self, team: &Team, result: &'static str) {
-        self.attempts
-            .add(1, &[label("team", team), KeyValue::new("result", result)]);
+    pub fn attempt(&self, workspace: &Workspace, result: &'static str) {
+        self.attempts.add(
+            1,
+            &[
+                label("workspace", workspace),
+                KeyValue::new("result", result),
+            ],
+        );
     }
 
     /// Records the start of a task.
-    pub fn placed(&self, team: &Team, kind: JobKind, waited: Duration) {
+    pub fn placed(&self, workspace: &Workspace, kind: JobKind, waited: Duration) {
         self.placement_seconds.record(
             waited.as_secs_f64(),
-            &[label("team", team), label("kind", &kind)],
+            &[label("workspace", workspace), label("kind", &kind)],
         );
     }
 
@@ -166,7 +177,11 @@
     /// Records the state of request routing.
     pub fn routing(&self, figures: &RouterFigures) {
         let mut sums: BTreeMap<WorkClass, (u64, u64)> = BTreeMap::new();
-        for (class, queue) in figures.teams.values().flat_map(|team| &team.classes) {
+        for (class, queue) in figures
+            .workspaces
+            .values()
+            .flat_map(|workspace| &workspace.classes)
+        {
             let sum = sums.entry(*class).or_default();
             *sum = (sum.0 + queue.queued, sum.1 + queue.in_flight);
         }
--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -2,7 +2,7 @@
 
 use {
     ragwortreel::burn::{BurnCounter, BurnCounts, Minute, ServiceCounts, report, table},
-    ragwortreel_model::{ServiceName, SloSettings, Team},
+    ragwortreel_model::{ServiceName, SloSettings, Workspace},
 };
 
 fn counts(minutes: &[(u64, u64, u64)]) -> BurnCounts {
@@ -12,7 +12,7 @@
         good,
     });
     let service = ServiceCounts {
-        team: Team::new("counter").expect("a name"),
+        workspace: Workspace::new("counter").expect("a name"),
         service: ServiceName::new("quotes").expect("a name"),
         slo: SloSettings {
             answered_percent: 99.0,
@@ -61,12 +61,12 @@
 #[test]
 fn requests_are_counted() {
     let counter = BurnCounter::default();
-    let (team, service) = (
-        Team::new("a").expect("a name"),
+    let (workspace, service) = (
+        Workspace::new("a").expect("a name"),
         ServiceName::new("s").expect("a name"),
     );
-    counter.count(&team, &service, &SloSettings::default(), true);
-    counter.count(&team, &service, &SloSettings::default(), false);
+    counter.count(&workspace, &service, &SloSettings::default(), true);
+    counter.count(&workspace, &service, &SloSettings::default(), false);
     let report = report(&counter.counts());
     assert_eq!(
         (report[0].windows[2].total, report[0].windows[2].good),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -48,9 +48,9 @@
         #[test]
         fn $name() {
             let env = TestEnv::new(&[
-                ("tree.json", r#"{"teams":{"alpha":{"weight":5}}}"#),
-                ("bad.json", r#"{"teams":{"alpha":{"wait":5}}}"#),
-                ("job.json", r#"{"id":"j","team":"alpha","name":"n","kind":"batch","tasks":0,
+                ("tree.json", r#"{"workspaces":{"alpha":{"weight":5}}}"#),
+                ("bad.json", r#"{"workspaces":{"alpha":{"wait":5}}}"#),
+                ("job.json", r#"{"id":"j","workspace":"alpha","name":"n","kind":"batch","tasks":0,
                     "resources":{"milli_cores":1,"memory_mib":1}}"#),
             ]);
             let output = env.run(&$args);
@@ -73,10 +73,10 @@
     bad_address: ["jobs", "--address", "localhost"] => 2 "'localhost' is not IP:PORT";
     bad_name: ["describe", "a/b"] => 2 "a/b";
     check_accepts: ["check", "tree.json"] => 0 "tree.json: settings tree accepted";
-    check_names_the_path: ["check", "tree.json", "bad.json"] => 3 "teams.alpha.wait: unknown field `wait`";
+    check_names_the_path: ["check", "tree.json", "bad.json"] => 3 "workspaces.alpha.wait: unknown field `wait`";
     check_of_absent_file: ["check", "none.json"] => 1 "reading none.json";
     set_without_base: ["settings", "set", "tree.json"] => 2 "--base is missing";
-    bad_settings_are_not_sent: ["settings", "set", "bad.json", "--base", "1"] => 3 "teams.alpha.wait";
+    bad_settings_are_not_sent: ["settings", "set", "bad.json", "--base", "1"] => 3 "workspaces.alpha.wait";
     bad_job_is_not_sent: ["submit", "job.json"] => 3 "tasks: expected 1 to 10000";
     nobody_listens: ["jobs", "--address", "127.0.0.1:1", "--timeout-ms", "2000"] => 5 "127.0.0.1:1";
 }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -8,7 +8,7 @@
         load::{Load, Mix, Seen},
     },
     ragwortreel_http::Method,
-    ragwortreel_model::{JobState, JobStatus, ServiceName, Team},
+    ragwortreel_model::{JobState, JobStatus, ServiceName, Workspace},
     ragwortreel_processes::{ProcessCell, Program},
     ragwortreel_runtime::{block_on, sleep_ms},
     std::{
@@ -38,7 +38,7 @@
 
 fn job(kind: &str, tasks: u32, run_ms: u64) -> String {
     format!(
-        r#"{{"id":"job-{kind}","team":"patterns","name":"{kind}","kind":"{kind}","tasks":{tasks},
+        r#"{{"id":"job-{kind}","workspace":"patterns","name":"{kind}","kind":"{kind}","tasks":{tasks},
             "resources":{{"milli_cores":1000,"memory_mib":1024}},"payload":"{{\"run_ms\":{run_ms}}}"}}"#
     )
 }
@@ -80,7 +80,7 @@
 /// Metrics that docs/operators.md names, each with a label that shows that it was recorded.
 const METRICS: &[(&str, &str)] = &[
     ("placement_wait_seconds_count", "kind=\"gang\""),
-    ("placement_wait_seconds_count", "team=\"patterns\""),
+    ("placement_wait_seconds_count", "workspace=\"patterns\""),
     ("pool_reserved_share", "pool="),
     ("process_cpu_seconds", ""),
     ("process_resident_bytes", ""),
@@ -176,7 +176,7 @@
             );
         }
         let mix = Mix {
-            team: Team::new("counter").expect("a name"),
+            workspace: Workspace::new("counter").expect("a name"),
             service: ServiceName::new("quotes").expect("a name"),
             token: Arc::from("change-me-counter"),
             path: Arc::from("/quotes/price"),
