Store starts before they are sent, and ends that a new leader learns

Cause: after a takeover tasks ran again although they were done (TWICE) or had used their attempts (BUDGET). A new leader read the ends from the workers' lists, but the job's state stayed "queued", which is stored without progress; a worker that was replaced before the next takeover took its list along. Also, a new leader did not know where tasks of the former one ran and held back all recovered jobs for 18 s while any worker was dark.

Change: an end makes a job "running"; a start is part of the stored progress before it is sent, so only tasks whose own worker is silent wait for its lease.

--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -2,12 +2,13 @@
 //!
 //! Every transaction is conditional on the leader's row and replaces it, so a deposed leader writes nothing, and a
 //! transaction whose answer was lost can be sent again: whichever copy comes second fails its condition and finds the
-//! first one's row. Ends of runs are acknowledged to the workers only after they are stored here.
+//! first one's row. Ends of runs are acknowledged to the workers, and starts are sent, only after they are stored here.
 
 use {
     crate::{
         events::{JOB_ENDED, JOURNAL_CONFLICT},
         leadership::{encode, leader_txn},
+        orders::Order,
         rows::{JOBS, LOAD, LeaderRow, STATE, StateRow, WORKERS, WorkersRow, cancel_key, key},
         term::{Term, lock},
     },
@@ -16,7 +17,7 @@
     ragwortreel_model::JobId,
     ragwortreel_platform::{PlatformError, Txn, TxnOutcome, Write},
     ragwortreel_runtime::{boot_ms, log_event, sleep_ms, timeout_ms},
-    ragwortreel_workflow::JobChange,
+    ragwortreel_workflow::{JobChange, StartOrder},
     std::{
         collections::BTreeSet,
         mem,
@@ -47,6 +48,8 @@
     stored: AsyncMutex<Stored>,
     acknowledgements: Mutex<Vec<Sender<()>>>,
     removals: Mutex<BTreeSet<JobId>>,
+    /// Starts that are sent once they are stored, with the times of their decisions.
+    starts: Mutex<Vec<(StartOrder, u64)>>,
     wake_tx: Sender<()>,
     wake_rx: Receiver<()>,
 }
@@ -65,6 +68,7 @@
             stored: AsyncMutex::new(stored),
             acknowledgements: Mutex::default(),
             removals: Mutex::default(),
+            starts: Mutex::default(),
             wake_tx,
             wake_rx,
         }
@@ -84,6 +88,11 @@
         rx
     }
 
+    /// Has a start sent once everything that the scheduler knows by now is stored.
+    pub(crate) fn send_when_stored(&self, start: StartOrder, decided_ms: u64) {
+        lock(&self.starts).push((start, decided_ms));
+    }
+
     /// Has the rows of a finished job removed.
     pub(crate) fn remove_job(&self, job: &JobId) {
         lock(&self.removals).insert(job.clone());
@@ -115,6 +124,7 @@
             }
             // Acknowledgements are taken before the changes, so that these hold all that was known then.
             let acknowledged = mem::take(&mut *lock(&self.journal.acknowledgements));
+            let starts = mem::take(&mut *lock(&self.journal.starts));
             let changes = lock(&self.scheduler).take_changes();
             let removals = mem::take(&mut *lock(&self.journal.removals));
             let is_due = boot_ms() >= stored.renewed_ms + timing.renew_ms;
@@ -133,6 +143,9 @@
             }
             drop(acknowledged);
             drop(stored);
+            for (start, decided_ms) in starts {
+                self.send(&start.worker.clone(), Order::Start(start, decided_ms));
+            }
             for change in changes.iter().filter(|change| change.state.is_final()) {
                 log_event!(self.cell.parts.log, JOB_ENDED; "job" => change.job.to_string(),
                     "state" => change.state.to_string(), "term" => self.number);
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -17,7 +17,7 @@
 };
 
 /// Age at which a start that was not sent is given back, in ms; its worker is behind, another may be free.
-const MAX_START_AGE_MS: u64 = 600;
+const MAX_START_AGE_MS: u64 = 1_000;
 /// Pause before a stop is sent again, in ms.
 const STOP_RETRY_MS: u64 = 300;
 
@@ -94,6 +94,10 @@
     let now_ms = boot_ms();
     let clock = *lock(&handle.clock);
     let (task, run) = (order.task.clone(), order.run);
+    if !lock(&term.scheduler).has_run(&to.worker, &task, run) {
+        // It was given up while it waited to be stored or sent.
+        return;
+    }
     let outcome = match clock {
         Some(clock) if term.may_start() && now_ms < decided_ms + MAX_START_AGE_MS => {
             let start = TaskStart {
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -175,28 +175,25 @@
             }
             None => WorkersRow::new(),
         };
-        let now_ms = boot_ms();
         let count = jobs.rows.len();
-        {
-            let mut scheduler = lock(&self.scheduler);
-            if self.number > 1 {
-                let names = listed.iter().map(|worker| worker.spec.id.clone());
-                let until_ms = now_ms + self.cell.cfg.timing.unheard_ms();
-                scheduler.expect_workers(names.chain(known.keys().cloned()), until_ms);
-            }
-            for row in &jobs.rows {
-                let state = states.get(&row.key);
-                self.accept(
-                    &mut scheduler,
-                    row,
-                    state.map(|it| &**it),
-                    Certainty::Recovered,
-                );
-            }
-        }
         log_event!(parts.log, RECOVERED; "term" => self.number, "rows" => count,
             "listed_workers" => listed.len(), "known_workers" => known.len());
         self.apply_workers(listed, &known);
+        let mut scheduler = lock(&self.scheduler);
+        for row in &jobs.rows {
+            let state = states.get(&row.key);
+            self.accept(
+                &mut scheduler,
+                row,
+                state.map(|it| &**it),
+                Certainty::Recovered,
+            );
+        }
+        let until_ms = boot_ms() + self.cell.cfg.timing.unheard_ms();
+        for worker in scheduler.worker_names() {
+            scheduler.extend_lease(&worker, until_ms);
+        }
+        drop(scheduler);
         Ok(jobs.version)
     }
 
@@ -346,12 +343,16 @@
     }
 
     fn carry_out(self: &Arc<Self>, action: Action) {
-        let (worker, order) = match action {
-            Action::Start(start) => (start.worker.clone(), Order::Start(start, boot_ms())),
-            Action::Stop(stop) => (stop.worker.clone(), Order::Stop(stop)),
-            Action::Ask(request) => return self.queue_advice(request),
-        };
-        let handle = lock(&self.workers).get(&worker).cloned();
+        match action {
+            Action::Start(start) => self.journal.send_when_stored(start, boot_ms()),
+            Action::Stop(stop) => self.send(&stop.worker.clone(), Order::Stop(stop)),
+            Action::Ask(request) => self.queue_advice(request),
+        }
+    }
+
+    /// Hands an order to its worker's loop.
+    pub(crate) fn send(&self, worker: &WorkerId, order: Order) {
+        let handle = lock(&self.workers).get(worker).cloned();
         let Some(handle) = handle else {
             return;
         };
--- a/crates/workflow/src/action.rs
+++ b/crates/workflow/src/action.rs
@@ -50,7 +50,7 @@
 /// One thing to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Send a start.
+    /// Send a start, once the job's changed progress is stored.
     Start(StartOrder),
     /// Send a stop until the worker confirms it.
     Stop(StopOrder),
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        Action, AdviceRequest, Certainty, Scheduler, StartOrder, StepKey, TaskKey,
+        Action, AdviceRequest, Scheduler, StartOrder, StepKey, TaskKey,
         scheduler::{Place, Rank},
         worker::{Phase, Run, Worker, times_in},
     },
@@ -61,9 +61,6 @@
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
-            if job.certainty == Certainty::Recovered && !self.unheard.is_empty() {
-                continue;
-            }
             let need = job.request.steps[key.step as usize].need;
             let service = Arc::clone(&job.request.policy.service);
             if let Some(kept) = reserved.get(&service) {
@@ -273,6 +270,7 @@
             }
             self.actions.push(Action::Start(order));
         }
+        self.placed(&key.job);
         self.refresh(&key.job);
     }
 
--- a/crates/workflow/src/progress.rs
+++ b/crates/workflow/src/progress.rs
@@ -1,7 +1,7 @@
 //! What must survive a change of leader: what has ended, and what was saved.
 
 use {
-    ragwortreel_model::{JobId, JobState},
+    ragwortreel_model::{JobId, JobState, WorkerId},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -20,6 +20,20 @@
     pub run: u32,
 }
 
+/// A run that may be alive; stored before its start is sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedTask {
+    /// Number of the task in its step.
+    #[serde(rename = "i")]
+    pub index: u32,
+    /// Number of the run.
+    #[serde(rename = "r")]
+    pub run: u32,
+    /// Where it runs.
+    #[serde(rename = "w")]
+    pub worker: WorkerId,
+}
+
 /// Progress of one occurrence of a step.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepProgress {
@@ -35,6 +49,9 @@
     /// Tasks with failed runs.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub failures: Vec<TaskFailures>,
+    /// Runs that may be alive.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub placed: Vec<PlacedTask>,
     /// Saved progress of tasks that wait.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub saved: Vec<(u32, Arc<str>)>,
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -1,13 +1,13 @@
 //! The books of a cell: jobs, their tasks, and what may run on which worker.
 //!
 //! A task is started again only when its earlier run is proven gone: its worker listed the end, no longer lists the run
-//! in a look that was sent after the start was confirmed, or its lease has lapsed. A new leader knows nothing of the
-//! starts of the one before it, so tasks of recovered jobs wait until every worker was heard or has lapsed.
+//! in a look that was sent after the start was confirmed, or its lease has lapsed. Every start is part of the stored
+//! progress before it is sent, so a new leader knows where the tasks of the one before it may run.
 
 use {
     crate::{
-        Action, EndCause, EndedRun, JobChange, JobRequest, LookReport, Progress, StartOutcome,
-        StepKey, StepProgress, StopOrder, TaskFailures, TaskKey, WorkerSpec,
+        Action, EndCause, EndedRun, JobChange, JobRequest, LookReport, PlacedTask, Progress,
+        StartOutcome, StepKey, StepProgress, StopOrder, TaskFailures, TaskKey, WorkerSpec,
         advice::StepAdvice,
         worker::{Phase, Run, Worker},
     },
@@ -108,8 +108,6 @@
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) waiting: BTreeSet<(Rank, StepKey)>,
-    /// Workers that an earlier leader may have given tasks, and when those have certainly lapsed.
-    pub(crate) unheard: BTreeMap<WorkerId, u64>,
     scheduled: BTreeSet<JobId>,
     changed: BTreeSet<JobId>,
     pub(crate) actions: Vec<Action>,
@@ -131,7 +129,6 @@
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             waiting: BTreeSet::new(),
-            unheard: BTreeMap::new(),
             scheduled: BTreeSet::new(),
             changed: BTreeSet::new(),
             actions: Vec::new(),
@@ -139,12 +136,6 @@
         }
     }
 
-    /// Names workers that an earlier leader may have given tasks; `until_ms` is when those have certainly lapsed.
-    pub fn expect_workers(&mut self, workers: impl IntoIterator<Item = WorkerId>, until_ms: u64) {
-        self.unheard
-            .extend(workers.into_iter().map(|worker| (worker, until_ms)));
-    }
-
     /// Adds a job; a repeat changes nothing. `age_ms` is the time since its acceptance.
     pub fn accept(
         &mut self,
@@ -184,11 +175,38 @@
         if !progress.steps.is_empty() {
             job.state = JobState::Running;
         }
+        let placed: Vec<(WorkerId, TaskKey)> = (job.step_keys(&id))
+            .flat_map(|key| job.placed(&key))
+            .collect();
+        for (worker, task) in placed {
+            self.restore_run(&worker, task, &mut job);
+        }
         self.jobs.insert(id.clone(), job);
         self.refresh(&id);
         self.complete_if_done(&id);
     }
 
+    /// Enters a run of an earlier leader into the books of its worker, whose next look tells whether it is alive.
+    fn restore_run(&mut self, id: &WorkerId, task: TaskKey, job: &mut Job) {
+        let need = job.request.steps[task.step.step as usize].need;
+        let Some(state) = job.task_mut(&task) else {
+            return;
+        };
+        let run = Run {
+            run: state.last_run,
+            need,
+            phase: Phase::Confirmed(self.now_ms),
+            percent: 0,
+            moved_ms: self.now_ms,
+        };
+        self.add_unlisted(id);
+        let until_ms = self.now_ms + self.lease_bound_ms;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.add(task, run);
+            worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
+        }
+    }
+
     /// Cancels a job; its runs are stopped. A job that is not known or has ended is left as it is.
     pub fn cancel(&mut self, job: &JobId, now_ms: u64) {
         self.now_ms = now_ms;
@@ -276,7 +294,6 @@
     /// Records that this life of a worker is over; nothing runs there.
     pub fn ended_life(&mut self, worker: &WorkerId, now_ms: u64) {
         self.now_ms = now_ms;
-        self.unheard.remove(worker);
         self.drop_runs(worker);
         self.workers.remove(worker);
     }
@@ -291,11 +308,15 @@
     /// Records what a worker lists; returns the number of runs that it lists as ended.
     pub fn look(&mut self, id: &WorkerId, report: LookReport, now_ms: u64) {
         self.now_ms = now_ms;
-        self.unheard.remove(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.reachable = true;
+        if !worker.heard {
+            // No earlier leader can extend the lease from now on.
+            worker.heard = true;
+            worker.lease_until_ms = report.lease_until_ms;
+        }
         worker.lease_until_ms = worker.lease_until_ms.max(report.lease_until_ms);
         for end in report.ended {
             self.run_ended(id, end);
@@ -516,7 +537,6 @@
     /// Decides what to do now; `wall_ms` is the Unix time, for scheduled jobs.
     pub fn decide(&mut self, now_ms: u64, wall_ms: u64) -> Vec<Action> {
         self.now_ms = now_ms;
-        self.unheard.retain(|_, until_ms| *until_ms > now_ms);
         self.drop_lapsed();
         self.open_due(wall_ms);
         self.place_waiting();
@@ -547,6 +567,12 @@
         self.changed.extend(jobs);
     }
 
+    /// Notes that what is placed of a job must be stored.
+    pub(crate) fn placed(&mut self, id: &JobId) {
+        self.changed.insert(id.clone());
+        self.started(id);
+    }
+
     /// Names of all workers that may run something, for the next leader.
     #[must_use]
     pub fn worker_names(&self) -> Vec<WorkerId> {
@@ -637,7 +663,8 @@
         }));
     }
 
-    fn started(&mut self, id: &JobId) {
+    /// Notes that a job is no longer waiting for its first start.
+    pub(crate) fn started(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id)
             && job.state == JobState::Queued
         {
@@ -697,6 +724,7 @@
             EndCause::Interrupted => self.break_gang(&task),
         }
         self.changed.insert(task.step.job.clone());
+        self.started(&task.step.job);
         self.refresh(&task.step.job);
     }
 
@@ -716,6 +744,7 @@
             return;
         }
         state.place = Place::Waiting;
+        self.changed.insert(task.step.job.clone());
         self.break_gang(task);
         self.refresh(&task.step.job);
     }
@@ -1046,6 +1075,14 @@
                 task.last_run = failed.run;
             }
         }
+        for placed in &progress.placed {
+            if let Some(task) = step.tasks.get_mut(placed.index as usize)
+                && task.place == Place::Waiting
+            {
+                task.place = Place::On(placed.worker.clone());
+                task.last_run = placed.run;
+            }
+        }
         for (index, saved) in &progress.saved {
             if let Some(task) = step.tasks.get_mut(*index as usize) {
                 task.checkpoint = Arc::clone(saved);
@@ -1074,6 +1111,13 @@
                         progress.done.push(index);
                         continue;
                     }
+                    if let Place::On(worker) = &task.place {
+                        progress.placed.push(PlacedTask {
+                            index,
+                            run: task.last_run,
+                            worker: worker.clone(),
+                        });
+                    }
                     if task.failures > 0 {
                         progress.failures.push(TaskFailures {
                             index,
@@ -1087,6 +1131,7 @@
                 }
                 if !(progress.done.is_empty()
                     && progress.failures.is_empty()
+                    && progress.placed.is_empty()
                     && progress.saved.is_empty())
                 {
                     all.steps.push(progress);
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -123,6 +123,8 @@
     pub(crate) listed: bool,
     /// Whether it answered its last look under this leader.
     pub(crate) reachable: bool,
+    /// Whether it ever did; from then on it refuses orders of earlier leaders.
+    pub(crate) heard: bool,
     /// Room of all runs that may be alive.
     pub(crate) used: Resources,
     /// Room kept for gangs whose tickets are being renewed.
@@ -142,6 +144,7 @@
             spec,
             listed: true,
             reachable: false,
+            heard: false,
             used: Resources::ZERO,
             held: Resources::ZERO,
             runs: BTreeMap::new(),
