Spread jobs over parts of the store, and choose Retry-After by the outage's age

Cause: the store runs the transactions of a part one after the other. Callers were asked back after 1 s however long the outage lasted, and had used their tries before its end. A job's submission expects no row of that name in its part.

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         events::{ADVICE_FAILED, BAD_ROW, MEMBER_LOST},
-        rows::MEMBERS,
+        rows::{MAIN, MEMBERS},
         term::{Term, lock},
     },
     ragwortreel_entry::generated::AdviseRequest,
@@ -39,7 +39,7 @@
         lock(&self.broker).join(me);
         self.assign_advice();
         while !self.is_over() {
-            match self.cell.parts.feed.table(MEMBERS).await {
+            match self.cell.parts.feed.part(MEMBERS, MAIN).await {
                 Ok(members) => {
                     for row in members.rows {
                         self.add_member(&row.key, row.value.as_deref());
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -15,17 +15,10 @@
     },
 };
 
-/// What is known of a job.
-#[derive(Debug, Clone)]
-struct Known {
-    state: JobState,
-    queue: Option<Arc<str>>,
-}
-
 #[derive(Debug, Default)]
 struct State {
-    jobs: BTreeMap<JobId, Known>,
-    pending: BTreeMap<Arc<str>, usize>,
+    jobs: BTreeMap<JobId, JobState>,
+    pending: BTreeMap<Arc<str>, u64>,
     leader: Option<(LeaderRow, u64)>,
     admission: Admission,
 }
@@ -53,11 +46,7 @@
 
     /// Replaces everything by a reading of the whole table.
     pub fn replace(&self, rows: &[ChangedRow], now_ms: u64) {
-        {
-            let mut state = self.lock();
-            state.jobs.clear();
-            state.pending.clear();
-        }
+        self.lock().jobs.clear();
         self.apply(rows, now_ms);
     }
 
@@ -84,46 +73,38 @@
 
     fn apply_load(&self, value: &str, now_ms: u64) -> Result<(), String> {
         let load: Load = serde_json::from_str(value).map_err(|err| err.to_string())?;
-        self.lock().admission.update(load, now_ms);
+        let mut state = self.lock();
+        state.pending.clone_from(&load.pending);
+        state.admission.update(load, now_ms);
         Ok(())
     }
 
     fn apply_job(&self, name: &str, value: Option<&str>) -> Result<(), String> {
         let id = JobId::new(name).map_err(|err| err.to_string())?;
         let Some(value) = value else {
-            self.lock().remove(&id);
+            self.lock().jobs.remove(&id);
             return Ok(());
         };
         let state = decode_state(value).map_err(|err| err.to_string())?;
-        let queue = (state == JobState::Queued && value.len() > 1).then(|| Arc::from(&value[1..]));
-        self.lock().set(id, Known { state, queue });
+        self.lock().jobs.insert(id, state);
         Ok(())
     }
 
     /// Records a job that this instance has just stored.
-    pub fn accepted(&self, id: JobId, queue: &Arc<str>) {
+    pub fn accepted(&self, id: JobId) {
         let mut state = self.lock();
-        if !state.jobs.contains_key(&id) {
-            let queue = Some(Arc::clone(queue));
-            state.set(
-                id,
-                Known {
-                    state: JobState::Queued,
-                    queue,
-                },
-            );
-        }
+        state.jobs.entry(id).or_insert(JobState::Queued);
     }
 
     /// State of a job, if it is known here.
     #[must_use]
     pub fn job(&self, id: &JobId) -> Option<JobState> {
-        self.lock().jobs.get(id).map(|known| known.state)
+        self.lock().jobs.get(id).copied()
     }
 
-    /// Number of a queue's jobs of which nothing has started.
+    /// Number of a queue's jobs of which nothing had started when the leader last said so.
     #[must_use]
-    pub fn pending(&self, queue: &str) -> usize {
+    pub fn pending(&self, queue: &str) -> u64 {
         self.lock().pending.get(queue).copied().unwrap_or(0)
     }
 
@@ -154,20 +135,3 @@
         self.lock().admission.admit(job, now_ms)
     }
 }
-
-impl State {
-    fn remove(&mut self, id: &JobId) {
-        let queue = self.jobs.remove(id).and_then(|known| known.queue);
-        if let Some(pending) = queue.and_then(|queue| self.pending.get_mut(&queue)) {
-            *pending = pending.saturating_sub(1);
-        }
-    }
-
-    fn set(&mut self, id: JobId, known: Known) {
-        self.remove(&id);
-        if let Some(queue) = &known.queue {
-            *self.pending.entry(Arc::clone(queue)).or_default() += 1;
-        }
-        self.jobs.insert(id, known);
-    }
-}
--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -4,7 +4,8 @@
     crate::{
         Board, JobDesk, Timing,
         api::{AdviceCalls, CellRoutes, CellSource, Route, WorkerCalls},
-        events::{CONFIGURATION, STORE_BACK, STORE_LOST},
+        events::CONFIGURATION,
+        health::StoreHealth,
         leadership, rows,
     },
     async_trait::async_trait,
@@ -16,12 +17,13 @@
     ragwortreel_platform::{
         ChangeFeed, FeedError, PlatformError, ResilientTable, TableService, Txn, Write,
     },
-    ragwortreel_runtime::{Logger, Stop, boot_ms, log_event, sleep_ms, spawn},
+    ragwortreel_runtime::{Logger, Stop, log_event, sleep_ms, spawn},
     std::{
+        fmt::Display,
         net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
@@ -31,11 +33,6 @@
 pub(crate) const STORE_PAUSE_MS: u64 = 200;
 /// Longest time that the store may wait for a change of the configuration before it answers.
 const ROUTES_WAIT: Duration = Duration::from_secs(1);
-/// Time without an answer of the store after which an instance is not ready, in ms.
-///
-/// The store is asked at least twice in this time. The platform needs two more seconds to send callers elsewhere.
-const STALE_MS: u64 = 1_200;
-
 /// Settings of an instance's part in the cell.
 #[derive(Debug, Clone)]
 pub struct CellConfig {
@@ -54,8 +51,8 @@
     pub table: Arc<dyn TableService>,
     /// Changes of the store's tables.
     pub feed: Arc<dyn ChangeFeed>,
-    /// The store, with grouping and a rate limit, for callers' requests.
-    pub grouped: Arc<ResilientTable>,
+    /// The store, with grouping and a rate limit, for callers' requests; one for each part of the jobs.
+    pub grouped: Vec<Arc<ResilientTable>>,
     /// Workers and configuration.
     pub source: Arc<dyn CellSource>,
     /// Calls to workers.
@@ -80,8 +77,7 @@
     desk: JobDesk,
     routes: Mutex<Arc<CellRoutes>>,
     pub(crate) synced: AtomicBool,
-    store_answered_ms: AtomicU64,
-    store_lost: AtomicBool,
+    health: Arc<StoreHealth>,
 }
 
 impl Cell {
@@ -89,9 +85,11 @@
     #[must_use]
     pub fn new(cfg: CellConfig, parts: CellParts) -> Arc<Self> {
         let board = Arc::new(Board::new(parts.log.clone()));
+        let health = Arc::new(StoreHealth::new(parts.log.clone()));
         let desk = JobDesk {
             board: Arc::clone(&board),
-            table: Arc::clone(&parts.grouped),
+            tables: parts.grouped.clone(),
+            health: Arc::clone(&health),
             log: parts.log.clone(),
         };
         Arc::new(Self {
@@ -102,8 +100,7 @@
             desk,
             routes: Mutex::default(),
             synced: AtomicBool::new(false),
-            store_answered_ms: AtomicU64::new(0),
-            store_lost: AtomicBool::new(false),
+            health,
         })
     }
 
@@ -116,8 +113,7 @@
     /// Whether callers should be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let age_ms = boot_ms().saturating_sub(self.store_answered_ms.load(Ordering::Relaxed));
-        self.has_routes() && self.synced.load(Ordering::Relaxed) && age_ms < STALE_MS
+        self.has_routes() && self.synced.load(Ordering::Relaxed) && self.health.is_fresh()
     }
 
     /// Whether a configuration is known.
@@ -144,17 +140,10 @@
     }
 
     /// Notes whether the store answered a call.
-    pub(crate) fn note_store(&self, step: &'static str, problem: Option<&dyn std::fmt::Display>) {
-        let Some(problem) = problem else {
-            self.store_answered_ms.store(boot_ms(), Ordering::Relaxed);
-            if self.store_lost.swap(false, Ordering::Relaxed) {
-                log_event!(self.parts.log, STORE_BACK; "step" => step);
-            }
-            return;
-        };
-        if !self.store_lost.swap(true, Ordering::Relaxed) {
-            log_event!(self.parts.log, STORE_LOST; "step" => step,
-                "problem" => problem.to_string());
+    pub(crate) fn note_store(&self, step: &'static str, problem: Option<&dyn Display>) {
+        match problem {
+            None => self.health.answered(step),
+            Some(problem) => self.health.failed(step, problem),
         }
     }
 
@@ -213,7 +202,7 @@
         writes: vec![write],
     };
     while !stop.is_requested() {
-        let result: Result<_, PlatformError> = cell.parts.grouped.commit(txn.clone()).await;
+        let result: Result<_, PlatformError> = cell.parts.table.commit(txn.clone()).await;
         if result.is_ok() {
             return;
         }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -7,7 +7,8 @@
     crate::{
         board::Board,
         events::{JOB_ACCEPTED, JOB_CANCELLED, JOB_REFUSED, JOB_UNKNOWN},
-        rows::{JOBS, STATE, StateRow, cancel_key, decode_state, key},
+        health::StoreHealth,
+        rows::{STATE, cancel_key, decode_state, job_key, job_part, key},
     },
     ragwortreel_model::{JobId, JobState},
     ragwortreel_platform::{Check, PlatformError, ResilientTable, Txn, TxnOutcome, Write},
@@ -18,8 +19,6 @@
 
 /// Pause before a transaction with an unknown outcome is sent again, in ms.
 const RETRY_MS: u64 = 100;
-/// Time after which a caller is asked to come back when the store takes nothing, in ms; outages last seconds.
-const STORE_RETRY_MS: u64 = 1_000;
 
 /// A job as a caller submits it.
 #[derive(Debug, Clone)]
@@ -77,7 +76,9 @@
 /// Answers callers.
 pub struct JobDesk {
     pub(crate) board: Arc<Board>,
-    pub(crate) table: Arc<ResilientTable>,
+    /// The store by parts of the jobs, so that a slow or missing part delays only its own jobs.
+    pub(crate) tables: Vec<Arc<ResilientTable>>,
+    pub(crate) health: Arc<StoreHealth>,
     pub(crate) log: Logger,
 }
 
@@ -116,43 +117,35 @@
 
     async fn store(&self, request: &JobRequest, deadline: Instant) -> SubmitOutcome {
         let id = request.id.as_str();
-        let state = key(STATE, id);
         let json = match serde_json::to_string(request) {
             Ok(json) => json,
             Err(err) => return SubmitOutcome::Invalid(err.to_string().into()),
         };
+        let key = job_key(&request.id);
         let txn = Txn {
             checks: vec![Check {
-                key: Arc::clone(&state),
+                key: Arc::clone(&key),
                 version: 0,
             }],
-            writes: vec![
-                Write {
-                    key: key(JOBS, id),
-                    value: Some(json.into()),
-                },
-                Write {
-                    key: state,
-                    value: Some(StateRow::queued(&request.policy.name).encode()),
-                },
-            ],
+            writes: vec![Write {
+                key,
+                value: Some(json.into()),
+            }],
         };
-        match self.commit(txn, deadline).await {
+        match self.commit(&request.id, txn, deadline).await {
             // A conflict means that the job is stored already, by an earlier attempt of the caller or of ours.
             Ok(TxnOutcome::Committed { .. } | TxnOutcome::Conflict { .. }) => {
-                self.board
-                    .accepted(request.id.clone(), &request.policy.name);
+                self.board.accepted(request.id.clone());
                 log_event!(self.log, JOB_ACCEPTED; "job" => id.to_owned(),
                     "queue" => request.policy.name.to_string());
                 SubmitOutcome::Accepted
             }
             Err(PlatformError::NotDone { problem, .. }) => {
+                let retry_after_ms = self.health.retry_after_ms();
                 log_event!(self.log, JOB_REFUSED; "job" => id.to_owned(),
                     "queue" => request.policy.name.to_string(), "reason" => problem.to_string(),
-                    "retry_after_ms" => STORE_RETRY_MS);
-                SubmitOutcome::Refused {
-                    retry_after_ms: STORE_RETRY_MS,
-                }
+                    "retry_after_ms" => retry_after_ms);
+                SubmitOutcome::Refused { retry_after_ms }
             }
             Err(PlatformError::Unknown { problem, .. }) => {
                 log_event!(self.log, JOB_UNKNOWN; "job" => id.to_owned(),
@@ -163,10 +156,16 @@
     }
 
     /// Sends a transaction until its outcome is known. An error says `NotDone` only when no attempt can take effect.
-    async fn commit(&self, txn: Txn, deadline: Instant) -> Result<TxnOutcome, PlatformError> {
+    async fn commit(
+        &self,
+        job: &JobId,
+        txn: Txn,
+        deadline: Instant,
+    ) -> Result<TxnOutcome, PlatformError> {
+        let table = &self.tables[job_part(job)];
         let mut unknown = None;
         loop {
-            match self.table.commit_by(txn.clone(), deadline).await {
+            match table.commit_by(txn.clone(), deadline).await {
                 Ok(outcome) => return Ok(outcome),
                 Err(err @ PlatformError::NotDone { .. }) if unknown.is_none() => return Err(err),
                 Err(PlatformError::NotDone { .. }) => {}
@@ -189,12 +188,19 @@
         if let Some(state) = self.board.job(id) {
             return StateAnswer::Known(state);
         }
-        // It may have been accepted elsewhere a moment ago.
-        match self.table.get_by(&key(STATE, id.as_str()), deadline).await {
-            Ok(None) => StateAnswer::NoJob,
+        // It may have been accepted elsewhere and not have started yet.
+        let table = &self.tables[job_part(id)];
+        match table.get_by(&key(STATE, id.as_str()), deadline).await {
+            Ok(None) => {}
             Ok(Some(row)) => {
-                decode_state(&row.value).map_or(StateAnswer::Unavailable, StateAnswer::Known)
+                return decode_state(&row.value)
+                    .map_or(StateAnswer::Unavailable, StateAnswer::Known);
             }
+            Err(_) => return StateAnswer::Unavailable,
+        }
+        match table.get_by(&job_key(id), deadline).await {
+            Ok(None) => StateAnswer::NoJob,
+            Ok(Some(_)) => StateAnswer::Known(JobState::Queued),
             Err(_) => StateAnswer::Unavailable,
         }
     }
@@ -214,7 +220,7 @@
                 value: Some(Arc::from("1")),
             }],
         };
-        match self.commit(txn, deadline).await {
+        match self.commit(id, txn, deadline).await {
             Ok(_) => {
                 log_event!(self.log, JOB_CANCELLED; "job" => id.to_string());
                 CancelOutcome::Stored
@@ -226,7 +232,7 @@
 
     /// Number of a queue's jobs of which nothing has started.
     #[must_use]
-    pub fn pending(&self, queue: &str) -> usize {
+    pub fn pending(&self, queue: &str) -> u64 {
         self.board.pending(queue)
     }
 }
--- /dev/null
+++ b/crates/dispatch/src/health.rs
@@ -0,0 +1,78 @@
+//! Whether the store answers this instance.
+
+use {
+    crate::events::{STORE_BACK, STORE_LOST},
+    ragwortreel_runtime::{Logger, boot_ms, log_event},
+    std::{
+        fmt::Display,
+        sync::atomic::{AtomicU64, Ordering},
+    },
+};
+
+/// Time without an answer of the store after which an instance is not ready, in ms.
+///
+/// The store is asked at least twice in this time. The platform needs two more seconds to send callers elsewhere.
+const STALE_MS: u64 = 1_200;
+/// Shortest time after which a caller is asked to come back when the store takes nothing, in ms.
+const MIN_RETRY_MS: u64 = 1_000;
+/// Longest such time, in ms; most outages last a few seconds.
+const MAX_RETRY_MS: u64 = 4_000;
+
+/// When the store answered, and since when it does not.
+#[derive(Debug)]
+pub(crate) struct StoreHealth {
+    answered_ms: AtomicU64,
+    /// Time of the first failure since the last answer; 0 while the store answers.
+    lost_ms: AtomicU64,
+    log: Logger,
+}
+
+impl StoreHealth {
+    pub(crate) fn new(log: Logger) -> Self {
+        Self {
+            answered_ms: AtomicU64::new(0),
+            lost_ms: AtomicU64::new(0),
+            log,
+        }
+    }
+
+    /// Notes a call that was answered.
+    pub(crate) fn answered(&self, step: &'static str) {
+        let now_ms = boot_ms();
+        self.answered_ms.store(now_ms, Ordering::Relaxed);
+        let lost_ms = self.lost_ms.swap(0, Ordering::Relaxed);
+        if lost_ms > 0 {
+            log_event!(self.log, STORE_BACK; "step" => step,
+                "lost_for_ms" => now_ms.saturating_sub(lost_ms));
+        }
+    }
+
+    /// Notes a call that was not answered.
+    pub(crate) fn failed(&self, step: &'static str, problem: &dyn Display) {
+        let first = self.lost_ms.compare_exchange(
+            0,
+            boot_ms().max(1),
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+        );
+        if first.is_ok() {
+            log_event!(self.log, STORE_LOST; "step" => step, "problem" => problem.to_string());
+        }
+    }
+
+    /// Whether the store answered a short time ago.
+    pub(crate) fn is_fresh(&self) -> bool {
+        boot_ms().saturating_sub(self.answered_ms.load(Ordering::Relaxed)) < STALE_MS
+    }
+
+    /// Time after which a caller whose request the store did not take should come back, in ms.
+    ///
+    /// An outage that has lasted for some time will most likely last as long again.
+    pub(crate) fn retry_after_ms(&self) -> u64 {
+        let lost_ms = match self.lost_ms.load(Ordering::Relaxed) {
+            0 => 0,
+            since_ms => boot_ms().saturating_sub(since_ms),
+        };
+        lost_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS)
+    }
+}
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -1,4 +1,4 @@
-//! The leader's writes: states of jobs, removal of finished ones, and the renewal of its own row.
+//! The leader's writes: states of jobs, and the renewal of its own row.
 //!
 //! Every transaction is conditional on the leader's row and replaces it, so a deposed leader writes nothing, and a
 //! transaction whose answer was lost can be sent again: whichever copy comes second fails its condition and finds the
@@ -9,17 +9,15 @@
         events::{JOB_ENDED, JOURNAL_CONFLICT},
         leadership::{encode, leader_txn},
         orders::Order,
-        rows::{JOBS, LOAD, LeaderRow, STATE, StateRow, WORKERS, WorkersRow, cancel_key, key},
+        rows::{LOAD, LeaderRow, STATE, StateRow, WORKERS, WorkersRow, key},
         term::{Term, lock},
     },
     async_channel::{Receiver, Sender},
     async_lock::Mutex as AsyncMutex,
-    ragwortreel_model::JobId,
     ragwortreel_platform::{PlatformError, Txn, TxnOutcome, Write},
     ragwortreel_runtime::{boot_ms, log_event, sleep_ms, timeout_ms},
     ragwortreel_workflow::{JobChange, StartOrder},
     std::{
-        collections::BTreeSet,
         mem,
         sync::{Arc, Mutex},
     },
@@ -47,7 +45,6 @@
 pub(crate) struct Journal {
     stored: AsyncMutex<Stored>,
     acknowledgements: Mutex<Vec<Sender<()>>>,
-    removals: Mutex<BTreeSet<JobId>>,
     /// Starts that are sent once they are stored, with the times of their decisions.
     starts: Mutex<Vec<(StartOrder, u64)>>,
     wake_tx: Sender<()>,
@@ -67,7 +64,6 @@
         Self {
             stored: AsyncMutex::new(stored),
             acknowledgements: Mutex::default(),
-            removals: Mutex::default(),
             starts: Mutex::default(),
             wake_tx,
             wake_rx,
@@ -93,12 +89,6 @@
         lock(&self.starts).push((start, decided_ms));
     }
 
-    /// Has the rows of a finished job removed.
-    pub(crate) fn remove_job(&self, job: &JobId) {
-        lock(&self.removals).insert(job.clone());
-        self.wake();
-    }
-
     /// Tells the other instances that leadership is free.
     pub(crate) async fn release(&self, term: &Term) {
         let released = timeout_ms(RELEASE_MS, async {
@@ -126,17 +116,12 @@
             let acknowledged = mem::take(&mut *lock(&self.journal.acknowledgements));
             let starts = mem::take(&mut *lock(&self.journal.starts));
             let changes = lock(&self.scheduler).take_changes();
-            let removals = mem::take(&mut *lock(&self.journal.removals));
             let is_due = boot_ms() >= stored.renewed_ms + timing.renew_ms;
-            if changes.is_empty() && removals.is_empty() && !is_due {
+            if changes.is_empty() && !is_due {
                 drop(acknowledged);
                 continue;
             }
-            let mut groups = groups_of(&changes, removals);
-            if groups.is_empty() {
-                groups.push(Vec::new());
-            }
-            for group in groups {
+            for group in groups_of(&changes) {
                 if !self.store(&mut stored, group).await {
                     return;
                 }
@@ -222,34 +207,21 @@
     }
 }
 
-/// Rows of changed and removed jobs, divided into transactions.
-fn groups_of(changes: &[JobChange], removals: BTreeSet<JobId>) -> Vec<Vec<Write>> {
-    let mut groups: Vec<Vec<Write>> = Vec::new();
-    let mut push = |rows: Vec<Write>| match groups.last_mut() {
-        Some(last) if last.len() + rows.len() <= MAX_ROWS => last.extend(rows),
-        _ => groups.push(rows),
-    };
-    let remove = |job: &JobId| {
-        let keys = [key(JOBS, job.as_str()), cancel_key(job)];
-        keys.map(|key| Write { key, value: None })
-    };
-    for change in changes {
+/// Rows of changed jobs, divided into transactions; at least one, for the renewal.
+fn groups_of(changes: &[JobChange]) -> Vec<Vec<Write>> {
+    let rows = changes.iter().map(|change| {
         let state = StateRow {
             state: change.state,
-            queue: None,
             progress: change.progress.clone(),
         };
-        let mut rows = vec![Write {
+        Write {
             key: Term::state_key(&change.job),
             value: Some(state.encode()),
-        }];
-        if change.state.is_final() {
-            rows.extend(remove(&change.job));
         }
-        push(rows);
-    }
-    for job in removals {
-        push(remove(&job).into());
+    });
+    let rows: Vec<Write> = rows.collect();
+    if rows.is_empty() {
+        return vec![rows];
     }
-    groups
+    rows.chunks(MAX_ROWS).map(<[Write]>::to_vec).collect()
 }
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -9,7 +9,7 @@
         Cell,
         cell::STORE_PAUSE_MS,
         events::TAKEOVER_FAILED,
-        rows::{LEADER, LeaderRow, STATE, key},
+        rows::{LEADER, LeaderRow, MAIN, STATE, key},
         term::Term,
     },
     ragwortreel_platform::{Check, FeedError, PlatformError, TableRows, Txn, TxnOutcome, Write},
@@ -59,7 +59,7 @@
     async fn step(&mut self) {
         let feed = &self.cell.parts.feed;
         let result = match self.cursor {
-            None => feed.table(STATE).await.map_err(FeedError::Failed),
+            None => feed.part(STATE, MAIN).await.map_err(FeedError::Failed),
             Some(after) => feed.changes(STATE, after, FEED_WAIT).await,
         };
         match result {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,8 @@
 mod cell;
 mod desk;
 pub mod events;
+mod finished;
+mod health;
 mod journal;
 mod leadership;
 mod orders;
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -1,14 +1,17 @@
 //! Rows of the store: their tables, keys and values.
 //!
-//! | row | written by | holds |
-//! |---|---|---|
-//! | `jobs/ID` | the instance that accepts the job | the job; removed when its final state is stored |
-//! | `jobs/ID.cancel` | the instance that takes the cancellation | a mark; removed with the job |
-//! | `state/ID` | that instance, then the leader | state and progress |
-//! | `state/!leader` | the leader | who leads, in which term |
-//! | `state/!workers` | the leader | workers that may run something, with their addresses |
-//! | `state/!load` | the leader | waiting work, for admission |
-//! | `members/INSTANCE` | each instance | its address for other instances |
+//! | row | part | written by | holds |
+//! |---|---|---|---|
+//! | `jobs`, ID | by the identifier's hash | the instance that accepts the job | the job; emptied when its final state is stored |
+//! | `jobs`, ID`.cancel` | the same | the instance that takes the cancellation | a mark |
+//! | `state`, ID | `main` | the leader | state and progress, from the first start on |
+//! | `state`, `!leader` | `main` | the leader | who leads, in which term |
+//! | `state`, `!workers` | `main` | the leader | workers that may run something, with their addresses |
+//! | `state`, `!load` | `main` | the leader | waiting work and jobs, for admission and callers |
+//! | `members`, INSTANCE | `main` | each instance | its address for other instances |
+//!
+//! The store runs the transactions of a part one after the other. When it is slow, a part takes only a few a second, so
+//! callers' jobs are spread over parts of their own and the leader's journal has one for itself.
 
 use {
     derive_more::{Display, Error},
@@ -16,6 +19,7 @@
     ragwortreel_workflow::Progress,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Table of jobs that are not finished.
@@ -33,16 +37,35 @@
 /// Ending of a cancellation mark.
 const CANCEL: &str = ".cancel";
 
-/// Key of a row.
+/// Part of everything that is not spread.
+pub const MAIN: &str = "main";
+/// Parts that jobs are spread over. A store that is fifty times slower than usual runs six transactions a second in
+/// each, which carries the design size of 40 jobs a second.
+pub const JOB_PARTS: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7"];
+
+/// Number of the part that holds a job.
+#[must_use]
+pub fn job_part(job: &JobId) -> usize {
+    let hash = xxh3_64(job.as_str().as_bytes());
+    usize::try_from(hash % JOB_PARTS.len() as u64).unwrap_or(0)
+}
+
+/// Key of a row in the main part.
 #[must_use]
 pub fn key(table: &str, name: &str) -> Arc<str> {
-    format!("{table}/{name}").into()
+    format!("{table}/{MAIN}/{name}").into()
+}
+
+/// Key of a job.
+#[must_use]
+pub fn job_key(job: &JobId) -> Arc<str> {
+    format!("{JOBS}/{}/{job}", JOB_PARTS[job_part(job)]).into()
 }
 
 /// Key of a job's cancellation mark.
 #[must_use]
 pub fn cancel_key(job: &JobId) -> Arc<str> {
-    format!("{JOBS}/{job}{CANCEL}").into()
+    format!("{JOBS}/{}/{job}{CANCEL}", JOB_PARTS[job_part(job)]).into()
 }
 
 /// The job that a cancellation mark is about.
@@ -74,8 +97,6 @@
 pub struct StateRow {
     /// The state.
     pub state: JobState,
-    /// The job's queue; present while the job waits for its first start.
-    pub queue: Option<Arc<str>>,
     /// Progress; empty for final states.
     pub progress: Progress,
 }
@@ -89,17 +110,7 @@
 }
 
 impl StateRow {
-    /// State of a job that was accepted.
-    #[must_use]
-    pub fn queued(queue: &Arc<str>) -> Self {
-        Self {
-            state: JobState::Queued,
-            queue: Some(Arc::clone(queue)),
-            progress: Progress::default(),
-        }
-    }
-
-    /// The value of the row: a letter for the state, then the queue or the progress.
+    /// The value of the row: a letter for the state, then the progress.
     #[must_use]
     pub fn encode(&self) -> Arc<str> {
         let letter = match self.state {
@@ -109,12 +120,10 @@
             JobState::Failed => 'f',
             JobState::Cancelled => 'x',
         };
-        let rest = match (self.state, &self.queue) {
-            (JobState::Queued, Some(queue)) => queue.to_string(),
-            (JobState::Running, _) if !self.progress.steps.is_empty() => {
-                serde_json::to_string(&self.progress).unwrap_or_default()
-            }
-            _ => String::new(),
+        let rest = if self.progress.steps.is_empty() {
+            String::new()
+        } else {
+            serde_json::to_string(&self.progress).unwrap_or_default()
         };
         format!("{letter}{rest}").into()
     }
@@ -127,21 +136,13 @@
     pub fn decode(text: &str) -> Result<Self, StateRowError> {
         let state = decode_state(text)?;
         let rest = &text[1..];
-        let (mut queue, mut progress) = (None, Progress::default());
-        match state {
-            JobState::Queued if !rest.is_empty() => queue = Some(Arc::from(rest)),
-            JobState::Running if !rest.is_empty() => {
-                progress = serde_json::from_str(rest).map_err(|err| StateRowError {
-                    problem: err.to_string(),
-                })?;
-            }
-            _ => {}
+        let mut progress = Progress::default();
+        if !rest.is_empty() {
+            progress = serde_json::from_str(rest).map_err(|err| StateRowError {
+                problem: err.to_string(),
+            })?;
         }
-        Ok(Self {
-            state,
-            queue,
-            progress,
-        })
+        Ok(Self { state, progress })
     }
 }
 
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -7,15 +7,19 @@
         events::{
             BAD_ROW, BECAME_LEADER, CELL_SUMMARY, LEADERSHIP_LOST, LEADERSHIP_RELEASED, RECOVERED,
         },
+        finished::FinishedJobs,
         journal::Journal,
         orders::{Order, WorkerHandle},
-        rows::{JOBS, LeaderRow, STATE, StateRow, WORKERS, WorkersRow, cancelled_job, key},
+        rows::{
+            JOB_PARTS, JOBS, LeaderRow, MAIN, STATE, StateRow, WORKERS, WorkersRow, cancelled_job,
+            key,
+        },
         worker_loop::run_worker,
     },
     async_channel::{Receiver, Sender},
     ragwortreel_entry::HelperPeer,
     ragwortreel_model::{InstanceId, JobId, WorkerId},
-    ragwortreel_platform::{ChangedRow, FeedError, PlatformError},
+    ragwortreel_platform::{ChangedRow, FeedError, PlatformError, TableRows},
     ragwortreel_runtime::{Stop, boot_ms, future, log_event, sleep_ms, spawn, timeout_ms, unix_ms},
     ragwortreel_workflow::{Action, AdviceBroker, Certainty, JobRequest, Progress, Scheduler},
     std::{
@@ -45,6 +49,7 @@
     pub(crate) number: u32,
     pub(crate) scheduler: Mutex<Scheduler>,
     pub(crate) journal: Journal,
+    pub(crate) finished: FinishedJobs,
     pub(crate) broker: Mutex<AdviceBroker>,
     pub(crate) helpers: Mutex<BTreeMap<InstanceId, Arc<dyn HelperPeer>>>,
     pub(crate) workers: Mutex<BTreeMap<WorkerId, WorkerHandle>>,
@@ -67,6 +72,7 @@
             number: row.term,
             scheduler: Mutex::new(Scheduler::new(row.term, lease_bound_ms)),
             journal: Journal::new(row, version),
+            finished: FinishedJobs::default(),
             broker: Mutex::default(),
             helpers: Mutex::default(),
             workers: Mutex::default(),
@@ -137,6 +143,7 @@
         spawn(Arc::clone(&self).follow_workers()).detach();
         spawn(Arc::clone(&self).follow_members()).detach();
         spawn(Arc::clone(&self).summarise()).detach();
+        spawn(Arc::clone(&self).clear_finished()).detach();
         self.decide_forever().await;
     }
 
@@ -158,8 +165,8 @@
 
     async fn read_all(self: &Arc<Self>) -> Result<u64, PlatformError> {
         let parts = &self.cell.parts;
-        let jobs = parts.feed.table(JOBS).await?;
-        let states = parts.feed.table(STATE).await?;
+        let jobs = self.read_jobs().await?;
+        let states = parts.feed.part(STATE, MAIN).await?;
         let listed = parts.source.workers().await?;
         let states: BTreeMap<Arc<str>, Arc<str>> = (states.rows.into_iter())
             .filter_map(|row| Some((row.key, row.value?)))
@@ -197,6 +204,24 @@
         Ok(jobs.version)
     }
 
+    /// Reads all parts of the table of jobs side by side.
+    async fn read_jobs(&self) -> Result<TableRows, PlatformError> {
+        let readings = JOB_PARTS.map(|part| {
+            let feed = Arc::clone(&self.cell.parts.feed);
+            spawn(async move { feed.part(JOBS, part).await })
+        });
+        let mut all = TableRows {
+            rows: Vec::new(),
+            version: u64::MAX,
+        };
+        for reading in readings {
+            let part = reading.await?;
+            all.rows.extend(part.rows);
+            all.version = all.version.min(part.version);
+        }
+        Ok(all)
+    }
+
     fn accept(
         &self,
         scheduler: &mut Scheduler,
@@ -213,10 +238,16 @@
             return;
         };
         if let Some(job) = cancelled_job(&row.key) {
-            if scheduler.knows(&job) {
-                scheduler.cancel(&job, now_ms);
-            } else {
-                self.journal.remove_job(&job);
+            // The mark of a job that has ended is removed with it.
+            scheduler.cancel(&job, now_ms);
+            return;
+        }
+        if value.is_empty() {
+            // The job has ended.
+            if certainty == Certainty::Recovered
+                && let Ok(job) = JobId::new(&row.key)
+            {
+                self.finished.ended_before(job);
             }
             return;
         }
@@ -224,9 +255,12 @@
             Ok(request) => request,
             Err(err) => return bad(err.to_string()),
         };
+        if self.finished.contains(&request.id) {
+            return;
+        }
         let progress = match state.map(StateRow::decode) {
             Some(Ok(state)) if state.state.is_final() => {
-                self.journal.remove_job(&request.id);
+                self.finished.ended(request.id);
                 return;
             }
             Some(Ok(state)) => state.progress,
@@ -247,7 +281,7 @@
             let result = feed.changes(JOBS, cursor, JOBS_WAIT).await;
             let rows = match result {
                 Ok(rows) => rows,
-                Err(FeedError::HistoryGone) => match feed.table(JOBS).await {
+                Err(FeedError::HistoryGone) => match self.read_jobs().await {
                     Ok(rows) => rows,
                     Err(err) => {
                         self.cell.note_store("read jobs", Some(&err));
@@ -373,6 +407,7 @@
     /// Forgets a job whose final state is stored.
     pub(crate) fn forget(&self, job: &JobId) {
         lock(&self.scheduler).forget(job);
+        self.finished.ended(job.clone());
     }
 
     /// Key of a job's state.
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -158,12 +158,13 @@
     Failed(#[error(not(source))] PlatformError),
 }
 
-/// Changes of tables. A key `table/name` of [`TableService`] is the row `name` of a table here.
+/// Changes of tables. A key `table/part/name` of [`TableService`] is the row `name` in a part of a table here. The
+/// service runs the transactions of a part one after the other, and those of different parts side by side.
 #[async_trait]
 pub trait ChangeFeed: Send + Sync {
-    /// Reads a table whole.
-    async fn table(&self, table: &str) -> Result<TableRows, PlatformError>;
-    /// Waits up to `wait` for rows of a table that changed after a version.
+    /// Reads a part of a table whole.
+    async fn part(&self, table: &str, part: &str) -> Result<TableRows, PlatformError>;
+    /// Waits up to `wait` for rows of all parts of a table that changed after a version.
     async fn changes(
         &self,
         table: &str,
--- a/crates/workflow/src/admission.rs
+++ b/crates/workflow/src/admission.rs
@@ -26,6 +26,8 @@
 pub struct Load {
     /// Work of waiting tasks by service and priority, in seconds of the service's whole capacity.
     pub ahead_s: BTreeMap<Arc<str>, BTreeMap<u32, f64>>,
+    /// Jobs without a started task, by queue; scheduled ones are not counted.
+    pub pending: BTreeMap<Arc<str>, u64>,
 }
 
 /// A job that is refused.
@@ -85,7 +87,10 @@
     /// The load to publish.
     #[must_use]
     pub fn load(&self) -> Load {
-        let mut load = Load::default();
+        let mut load = Load {
+            pending: self.pending(),
+            ..Load::default()
+        };
         for (service, WorkAhead { by_priority, total }) in self.work_ahead() {
             if total <= 0.0 {
                 continue;
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -579,6 +579,19 @@
         self.workers.keys().cloned().collect()
     }
 
+    /// Jobs without a started task, by queue; scheduled ones are not counted.
+    pub(crate) fn pending(&self) -> BTreeMap<Arc<str>, u64> {
+        let mut pending: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.state == JobState::Queued && job.request.schedule.is_none() {
+                *pending
+                    .entry(Arc::clone(&job.request.policy.name))
+                    .or_default() += 1;
+            }
+        }
+        pending
+    }
+
     /// Runs that may be alive, and tasks that wait.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
--- a/src/cell_daemon.rs
+++ b/src/cell_daemon.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{cell_settings::CellSettings, error::Error, events},
-    ragwortreel_dispatch::{Cell, CellConfig, CellParts, Timing, api::AdviceCalls},
+    ragwortreel_dispatch::{
+        Cell, CellConfig, CellParts, Timing, api::AdviceCalls, rows::JOB_PARTS,
+    },
     ragwortreel_dzintars::{CallerApi, PlatformAdvice, PlatformStore, PlatformWorkers, ReadyApi},
     ragwortreel_entry::{EntryServer, HelperService, TonicConnector},
     ragwortreel_http::{Server, ServerLimits},
@@ -101,14 +103,17 @@
         instances: SHARING_INSTANCES,
         ..ResilientConfig::default()
     };
-    let grouped = ResilientTable::new(Arc::clone(&table), config, log.clone());
+    let grouped = JOB_PARTS.map(|_| {
+        let table = ResilientTable::new(Arc::clone(&table), config.clone(), log.clone());
+        Arc::new(table)
+    });
     // Without an advice service no queue asks; the address is then never called.
     let advice_address = settings.advice_address.unwrap_or(settings.store.address);
     let advice: Arc<dyn AdviceCalls> = Arc::new(PlatformAdvice::new(advice_address));
     let parts = CellParts {
         table,
         feed: Arc::clone(&store) as _,
-        grouped: Arc::new(grouped),
+        grouped: grouped.into(),
         source: store,
         workers: Arc::new(PlatformWorkers::new()),
         advice,
