--- a/crates/dispatch/src/worker_loop.rs
+++ b/crates/dispatch/src/worker_loop.rs
@@ -76,8 +76,11 @@
         }
         let sent_ms = boot_ms();
         let clock = *lock(&self.handle.clock);
-        let keep_until_ms = clock.map(|clock| clock.at(sent_ms) + timing.lease_ms);
-        let is_first = clock.is_none() || self.failures > 0;
+        // A worker that does not answer is only asked: an order to keep its tasks might arrive, and its lease would never
+        // be over.
+        let keep = clock.filter(|_| self.failures == 0);
+        let keep_until_ms = keep.map(|clock| clock.at(sent_ms) + timing.lease_ms);
+        let is_first = keep.is_none();
         let order = LookOrder {
             keep_until_ms,
             ends_stored: self.ends_stored,
