Hand stored jobs to the leader, and tell all instances what is stored

Cause: every step of a job went through the store's changes: about 200 calls/s of all instances, 40 ms on average until a completion was shown, and 400 ms more on a slow store. Change: the accepting instance hands a stored row to the leader; the leader tells the others each state that it has stored. Both tables are still read, less often, for what gets lost. A final state is never replaced, because what is told may come late.

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -52,7 +52,7 @@
         }
     }
 
-    fn add_member(&self, name: &str, value: Option<&str>) {
+    fn add_member(self: &Arc<Self>, name: &str, value: Option<&str>) {
         let address = value.and_then(|value| value.parse::<SocketAddr>().ok());
         let (Ok(instance), Some(address)) = (InstanceId::new(name), address) else {
             log_event!(self.cell.parts.log, BAD_ROW; "row" => name.to_owned());
@@ -66,6 +66,8 @@
             return;
         }
         let peer = self.cell.parts.helpers.connect_helper(address);
+        let told = self.start_telling(Arc::clone(&peer));
+        lock(&self.told).insert(instance.clone(), told);
         helpers.insert(instance.clone(), peer);
         lock(&self.broker).join(instance);
     }
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -86,7 +86,7 @@
             return Ok(());
         };
         let state = decode_state(value).map_err(|err| err.to_string())?;
-        self.lock().jobs.insert(id, state);
+        self.show(id, state);
         Ok(())
     }
 
@@ -96,6 +96,15 @@
         state.jobs.entry(id).or_insert(JobState::Queued);
     }
 
+    /// Records a state that is stored. A final one stays, because what is told may come after what is read.
+    pub fn show(&self, id: JobId, state: JobState) {
+        let mut known = self.lock();
+        let shown = known.jobs.entry(id).or_insert(state);
+        if !shown.is_final() {
+            *shown = state;
+        }
+    }
+
     /// State of a job, if it is known here.
     #[must_use]
     pub fn job(&self, id: &JobId) -> Option<JobState> {
--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -5,25 +5,30 @@
         Board, JobDesk, Timing,
         api::{AdviceCalls, CellRoutes, CellSource, Route, WorkerCalls},
         events::CONFIGURATION,
+        hand_over::{self, HandOver},
         health::StoreHealth,
         leadership, rows,
+        term::Term,
     },
     async_trait::async_trait,
     ragwortreel_entry::{
         HelperConnector, HelperService,
-        generated::{AdviseReply, AdviseRequest, AllowedWorker},
+        generated::{
+            AdviseReply, AdviseRequest, AllowedWorker, HandRowsReply, HandRowsRequest,
+            ShowStatesReply, ShowStatesRequest, StoredRow,
+        },
     },
     ragwortreel_model::{InstanceId, WorkerId},
     ragwortreel_platform::{
-        ChangeFeed, FeedError, PlatformError, ResilientTable, TableService, Txn, Write,
+        ChangeFeed, ChangedRow, FeedError, PlatformError, ResilientTable, TableService, Txn, Write,
     },
-    ragwortreel_runtime::{Logger, Stop, log_event, sleep_ms, spawn},
+    ragwortreel_runtime::{Logger, Stop, boot_ms, log_event, sleep_ms, spawn},
     std::{
         fmt::Display,
         net::SocketAddr,
         sync::{
-            Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            Arc, Mutex, PoisonError, Weak,
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -78,6 +83,11 @@
     routes: Mutex<Arc<CellRoutes>>,
     pub(crate) synced: AtomicBool,
     health: Arc<StoreHealth>,
+    /// The term of this instance, while it leads.
+    term: Mutex<Weak<Term>>,
+    /// Time at which the leader last told states.
+    pub(crate) told_ms: AtomicU64,
+    hand_over: HandOver,
 }
 
 impl Cell {
@@ -86,7 +96,9 @@
     pub fn new(cfg: CellConfig, parts: CellParts) -> Arc<Self> {
         let board = Arc::new(Board::new(parts.log.clone()));
         let health = Arc::new(StoreHealth::new(parts.log.clone()));
+        let (hand_over, stored_rows) = HandOver::new();
         let desk = JobDesk {
+            stored_rows,
             board: Arc::clone(&board),
             tables: parts.grouped.clone(),
             health: Arc::clone(&health),
@@ -101,9 +113,24 @@
             routes: Mutex::default(),
             synced: AtomicBool::new(false),
             health,
+            term: Mutex::default(),
+            told_ms: AtomicU64::new(0),
+            hand_over,
         })
     }
 
+    /// Records whether this instance leads.
+    pub(crate) fn lead(&self, term: Option<&Arc<Term>>) {
+        *self.term.lock().unwrap_or_else(PoisonError::into_inner) =
+            term.map_or_else(Weak::new, Arc::downgrade);
+    }
+
+    /// The term of this instance, if it leads and has read the stored jobs.
+    pub(crate) fn term(&self) -> Option<Arc<Term>> {
+        let term = self.term.lock().unwrap_or_else(PoisonError::into_inner);
+        term.upgrade().filter(|term| term.has_recovered())
+    }
+
     /// Answers callers.
     #[must_use]
     pub fn desk(&self) -> &JobDesk {
@@ -136,6 +163,7 @@
     pub async fn run(self: Arc<Self>, stop: Stop) {
         spawn(follow_routes(Arc::clone(&self), stop.clone())).detach();
         spawn(register(Arc::clone(&self), stop.clone())).detach();
+        spawn(hand_over::run(Arc::clone(&self))).detach();
         leadership::follow(self, stop).await;
     }
 
@@ -147,6 +175,11 @@
         }
     }
 
+    /// Stored rows that this instance's callers brought and the leader does not know yet.
+    pub(crate) fn hand_over(&self) -> &HandOver {
+        &self.hand_over
+    }
+
     fn put_in_force(&self, routes: Option<CellRoutes>) {
         let Some(routes) = routes else {
             return;
@@ -237,4 +270,30 @@
             },
         }
     }
+
+    async fn show_states(&self, req: ShowStatesRequest) -> ShowStatesReply {
+        self.told_ms.store(boot_ms(), Ordering::Relaxed);
+        let rows = req.states.into_iter().map(changed_row);
+        let rows: Vec<ChangedRow> = rows.collect();
+        self.board.apply(&rows, boot_ms());
+        ShowStatesReply {}
+    }
+
+    async fn hand_rows(&self, req: HandRowsRequest) -> HandRowsReply {
+        let Some(term) = self.term() else {
+            return HandRowsReply { taken: false };
+        };
+        let rows: Vec<ChangedRow> = req.rows.into_iter().map(changed_row).collect();
+        term.take_rows(&rows);
+        HandRowsReply { taken: true }
+    }
+}
+
+/// A row that another instance has seen stored; its version is not known.
+fn changed_row(row: StoredRow) -> ChangedRow {
+    ChangedRow {
+        key: Arc::from(row.name),
+        value: Some(Arc::from(row.value)),
+        version: 0,
+    }
 }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -8,10 +8,13 @@
         board::Board,
         events::{JOB_ACCEPTED, JOB_CANCELLED, JOB_REFUSED, JOB_UNKNOWN},
         health::StoreHealth,
-        rows::{STATE, cancel_key, decode_state, job_key, job_part, key},
+        rows::{CANCEL_MARK, STATE, cancel_key, cancel_name, decode_state, job_key, job_part, key},
     },
+    async_channel::Sender,
     ragwortreel_model::{JobId, JobState},
-    ragwortreel_platform::{Check, PlatformError, ResilientTable, Txn, TxnOutcome, Write},
+    ragwortreel_platform::{
+        ChangedRow, Check, PlatformError, ResilientTable, Txn, TxnOutcome, Write,
+    },
     ragwortreel_runtime::{Logger, boot_ms, log_event, sleep_ms, unix_ms},
     ragwortreel_workflow::{JobRequest, QueuePolicy, Schedule, Step},
     std::{sync::Arc, time::Instant},
@@ -76,6 +79,8 @@
 /// Answers callers.
 pub struct JobDesk {
     pub(crate) board: Arc<Board>,
+    /// Rows that are stored, for the leader.
+    pub(crate) stored_rows: Sender<ChangedRow>,
     /// The store by parts of the jobs, so that a slow or missing part delays only its own jobs.
     pub(crate) tables: Vec<Arc<ResilientTable>>,
     pub(crate) health: Arc<StoreHealth>,
@@ -117,8 +122,8 @@
 
     async fn store(&self, request: &JobRequest, deadline: Instant) -> SubmitOutcome {
         let id = request.id.as_str();
-        let json = match serde_json::to_string(request) {
-            Ok(json) => json,
+        let json: Arc<str> = match serde_json::to_string(request) {
+            Ok(json) => json.into(),
             Err(err) => return SubmitOutcome::Invalid(err.to_string().into()),
         };
         let key = job_key(&request.id);
@@ -129,13 +134,14 @@
             }],
             writes: vec![Write {
                 key,
-                value: Some(json.into()),
+                value: Some(Arc::clone(&json)),
             }],
         };
         match self.commit(&request.id, txn, deadline).await {
             // A conflict means that the job is stored already, by an earlier attempt of the caller or of ours.
             Ok(TxnOutcome::Committed { .. } | TxnOutcome::Conflict { .. }) => {
                 self.board.accepted(request.id.clone());
+                self.hand_over(id, &json);
                 log_event!(self.log, JOB_ACCEPTED; "job" => id.to_owned(),
                     "queue" => request.policy.name.to_string());
                 SubmitOutcome::Accepted
@@ -155,6 +161,15 @@
         }
     }
 
+    /// Gives the leader a row that is stored. When too many wait it finds the row in the table.
+    fn hand_over(&self, name: &str, value: &Arc<str>) {
+        let _ = self.stored_rows.try_send(ChangedRow {
+            key: Arc::from(name),
+            value: Some(Arc::clone(value)),
+            version: 0,
+        });
+    }
+
     /// Sends a transaction until its outcome is known. An error says `NotDone` only when no attempt can take effect.
     async fn commit(
         &self,
@@ -217,12 +232,13 @@
             checks: Vec::new(),
             writes: vec![Write {
                 key: cancel_key(id),
-                value: Some(Arc::from("1")),
+                value: Some(Arc::from(CANCEL_MARK)),
             }],
         };
         match self.commit(id, txn, deadline).await {
             Ok(_) => {
                 log_event!(self.log, JOB_CANCELLED; "job" => id.to_string());
+                self.hand_over(&cancel_name(id), &Arc::from(CANCEL_MARK));
                 CancelOutcome::Stored
             }
             Err(PlatformError::NotDone { .. }) => CancelOutcome::Refused,
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -131,6 +131,7 @@
             for (start, decided_ms) in starts {
                 self.send(&start.worker.clone(), Order::Start(start, decided_ms));
             }
+            self.tell_stored(&changes);
             for change in changes.iter().filter(|change| change.state.is_final()) {
                 log_event!(self.cell.parts.log, JOB_ENDED; "job" => change.job.to_string(),
                     "state" => change.state.to_string(), "term" => self.number);
@@ -140,6 +141,17 @@
         }
     }
 
+    /// Tells all instances what is stored.
+    fn tell_stored(&self, changes: &[JobChange]) {
+        for change in changes {
+            self.cell.board.show(change.job.clone(), change.state);
+            for told in lock(&self.told).values() {
+                // An instance that is behind finds the state in the table.
+                let _ = told.try_send((change.job.clone(), change.state));
+            }
+        }
+    }
+
     /// Stores rows with a renewal, until it is certain that they are stored; false when the term is over.
     async fn store(&self, stored: &mut Stored, rows: Vec<Write>) -> bool {
         let mut row = stored.row.clone();
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -24,6 +24,10 @@
 const FEED_WAIT: Duration = Duration::from_millis(400);
 /// Pause between two readings of changes, in ms; changes that come meanwhile share one answer.
 const FEED_PAUSE_MS: u64 = 40;
+/// The same while the leader tells the changes itself; then the readings only watch the leader.
+const TOLD_PAUSE_MS: u64 = 300;
+/// Time since the leader last told a change for which it counts as telling, in ms.
+const TOLD_MS: u64 = 1_000;
 /// Longest random delay of a takeover, in ms, so that not all instances try at once.
 const TAKEOVER_JITTER_MS: u64 = 200;
 
@@ -67,7 +71,14 @@
                 self.cell.note_store("read states", None);
                 self.apply(rows);
                 self.lead_if_needed().await;
-                sleep_ms(FEED_PAUSE_MS).await;
+                let told_ms = boot_ms().saturating_sub(self.cell.told_ms.load(Ordering::Relaxed));
+                let is_told = told_ms < TOLD_MS || self.term.is_some();
+                sleep_ms(if is_told {
+                    TOLD_PAUSE_MS
+                } else {
+                    FEED_PAUSE_MS
+                })
+                .await;
             }
             Err(FeedError::HistoryGone) => self.cursor = None,
             Err(FeedError::Failed(err)) => {
@@ -98,13 +109,17 @@
     async fn lead_if_needed(&mut self) {
         if self.term.as_ref().is_some_and(|term| term.is_over()) {
             self.term = None;
+            self.cell.lead(None);
             self.leader_changed_ms = boot_ms();
         }
         if self.term.is_some() || !self.cell.has_routes() || !self.is_vacant() {
             return;
         }
         match self.take_over().await {
-            Ok(Some(term)) => self.term = Some(term),
+            Ok(Some(term)) => {
+                self.cell.lead(Some(&term));
+                self.term = Some(term);
+            }
             Ok(None) => {
                 // The row is read again before the next try.
                 self.cursor = None;
@@ -137,6 +152,7 @@
         };
         let row = LeaderRow {
             instance: self.cell.cfg.instance.clone(),
+            address: self.cell.cfg.helper_address,
             life: self.cell.life,
             term: number,
             renewal: 0,
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -37,6 +37,8 @@
 /// Ending of a cancellation mark.
 const CANCEL: &str = ".cancel";
 
+/// Value of a cancellation mark.
+pub const CANCEL_MARK: &str = "1";
 /// Part of everything that is not spread.
 pub const MAIN: &str = "main";
 /// Parts that jobs are spread over. A store that is fifty times slower than usual runs six transactions a second in
@@ -65,7 +67,13 @@
 /// Key of a job's cancellation mark.
 #[must_use]
 pub fn cancel_key(job: &JobId) -> Arc<str> {
-    format!("{JOBS}/{}/{job}{CANCEL}", JOB_PARTS[job_part(job)]).into()
+    format!("{JOBS}/{}/{}", JOB_PARTS[job_part(job)], cancel_name(job)).into()
+}
+
+/// Name of a job's cancellation mark in its part.
+#[must_use]
+pub fn cancel_name(job: &JobId) -> String {
+    format!("{job}{CANCEL}")
 }
 
 /// The job that a cancellation mark is about.
@@ -79,6 +87,8 @@
 pub struct LeaderRow {
     /// The leader.
     pub instance: InstanceId,
+    /// Its address for other instances.
+    pub address: SocketAddr,
     /// Number that tells one life of an instance from the next.
     pub life: u64,
     /// Number of the term, from 1; workers refuse orders of lower ones.
--- /dev/null
+++ b/crates/dispatch/src/tell.rs
@@ -0,0 +1,60 @@
+//! Stored states of jobs, told to the other instances at once.
+//!
+//! The others also follow the table of states, so a state that cannot be told is only shown a little later.
+
+use {
+    crate::{rows::StateRow, term::Term},
+    async_channel::{Receiver, Sender},
+    ragwortreel_entry::{
+        HelperPeer,
+        generated::{ShowStatesRequest, StoredRow},
+    },
+    ragwortreel_model::{JobId, JobState},
+    ragwortreel_runtime::{sleep_ms, spawn},
+    ragwortreel_workflow::Progress,
+    std::sync::Arc,
+};
+
+/// States that wait to be told to an instance; further ones are left to the table.
+const MAX_WAITING: usize = 1_024;
+/// Pause between two calls to an instance, in ms; states that come meanwhile share one.
+const PAUSE_MS: u64 = 20;
+
+/// Sends states to one instance.
+pub(crate) type StatesTx = Sender<(JobId, JobState)>;
+
+impl Term {
+    /// Starts the task that tells an instance what is stored.
+    pub(crate) fn start_telling(self: &Arc<Self>, peer: Arc<dyn HelperPeer>) -> StatesTx {
+        let (tx, rx) = async_channel::bounded(MAX_WAITING);
+        spawn(tell(Arc::clone(self), peer, rx)).detach();
+        tx
+    }
+}
+
+async fn tell(term: Arc<Term>, peer: Arc<dyn HelperPeer>, rx: Receiver<(JobId, JobState)>) {
+    while let Ok(first) = rx.recv().await {
+        if term.is_over() {
+            return;
+        }
+        let mut states = vec![first];
+        while let Ok(state) = rx.try_recv() {
+            states.push(state);
+        }
+        let states = states.into_iter().map(|(job, state)| {
+            let progress = Progress::default();
+            let row = StateRow { state, progress };
+            StoredRow {
+                name: job.as_str().to_owned(),
+                value: row.encode().to_string(),
+            }
+        });
+        let req = ShowStatesRequest {
+            term: term.number,
+            states: states.collect(),
+        };
+        // An instance that does not answer finds the states in the table.
+        let _ = peer.show_states(req).await;
+        sleep_ms(PAUSE_MS).await;
+    }
+}
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -14,6 +14,7 @@
             JOB_PARTS, JOBS, LeaderRow, MAIN, STATE, StateRow, WORKERS, WorkersRow, cancelled_job,
             key,
         },
+        tell::StatesTx,
         worker_loop::run_worker,
     },
     async_channel::{Receiver, Sender},
@@ -26,7 +27,7 @@
         collections::BTreeMap,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -36,8 +37,9 @@
 const PAUSE_MS: u64 = 200;
 /// Longest time that the store may wait for new jobs before it answers.
 const JOBS_WAIT: Duration = Duration::from_secs(1);
-/// Pause between two readings of new jobs, in ms; jobs that come meanwhile share one answer.
-const JOBS_PAUSE_MS: u64 = 8;
+/// Pause between two readings of new jobs, in ms. The instances hand jobs over themselves; the readings find what got
+/// lost on the way.
+const JOBS_PAUSE_MS: u64 = 100;
 /// Time between two decisions while tasks wait, in ms; tickets and leases expire without an event.
 const DECIDE_MS: u64 = 50;
 /// Time between two summary lines, in ms.
@@ -53,6 +55,9 @@
     pub(crate) broker: Mutex<AdviceBroker>,
     pub(crate) helpers: Mutex<BTreeMap<InstanceId, Arc<dyn HelperPeer>>>,
     pub(crate) workers: Mutex<BTreeMap<WorkerId, WorkerHandle>>,
+    /// Where to tell stored states, by instance.
+    pub(crate) told: Mutex<BTreeMap<InstanceId, StatesTx>>,
+    recovered: AtomicBool,
     /// Time of the sending of the last renewal that succeeded.
     renewed_ms: AtomicU64,
     pub(crate) stop: Stop,
@@ -76,6 +81,8 @@
             broker: Mutex::default(),
             helpers: Mutex::default(),
             workers: Mutex::default(),
+            told: Mutex::default(),
+            recovered: AtomicBool::new(false),
             renewed_ms: AtomicU64::new(sent_ms),
             stop: Stop::new(),
             wake_tx,
@@ -139,6 +146,7 @@
         let Some(cursor) = self.recover().await else {
             return;
         };
+        self.recovered.store(true, Ordering::Relaxed);
         spawn(Arc::clone(&self).follow_jobs(cursor)).detach();
         spawn(Arc::clone(&self).follow_workers()).detach();
         spawn(Arc::clone(&self).follow_members()).detach();
@@ -274,6 +282,21 @@
         scheduler.accept(request, certainty, &progress, age_ms, now_ms);
     }
 
+    /// Whether the stored jobs were read.
+    pub(crate) fn has_recovered(&self) -> bool {
+        self.recovered.load(Ordering::Relaxed) && !self.is_over()
+    }
+
+    /// Takes over rows of jobs that were stored during this term.
+    pub(crate) fn take_rows(&self, rows: &[ChangedRow]) {
+        let mut scheduler = lock(&self.scheduler);
+        for row in rows {
+            self.accept(&mut scheduler, row, None, Certainty::Fresh);
+        }
+        drop(scheduler);
+        self.wake();
+    }
+
     /// Takes new jobs and cancellations from the store.
     async fn follow_jobs(self: Arc<Self>, mut cursor: u64) {
         let feed = &self.cell.parts.feed;
@@ -297,13 +320,7 @@
             };
             self.cell.note_store("read jobs", None);
             cursor = rows.version;
-            {
-                let mut scheduler = lock(&self.scheduler);
-                for row in &rows.rows {
-                    self.accept(&mut scheduler, row, None, Certainty::Fresh);
-                }
-            }
-            self.wake();
+            self.take_rows(&rows.rows);
             sleep_ms(JOBS_PAUSE_MS).await;
         }
     }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -4,8 +4,9 @@
     crate::generated::{
         AdviseReply, AdviseRequest, BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply,
         ConfirmSlotEpochRequest, DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse,
-        HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply, ReleaseSlotsReply,
-        ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+        HandRowsReply, HandRowsRequest, HeartbeatReply, HeartbeatRequest, JobMessage, JobReference,
+        JobReply, ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+        ShowStatesReply, ShowStatesRequest,
     },
     async_trait::async_trait,
     derive_more::{Display, Error},
@@ -105,6 +106,10 @@
 pub trait HelperService: Send + Sync {
     /// Asks the advice service.
     async fn advise(&self, req: AdviseRequest) -> AdviseReply;
+    /// Takes over stored states of jobs.
+    async fn show_states(&self, req: ShowStatesRequest) -> ShowStatesReply;
+    /// Takes over stored jobs, if this instance leads.
+    async fn hand_rows(&self, req: HandRowsRequest) -> HandRowsReply;
 }
 
 /// Another instance that helps the cell's leader.
@@ -116,6 +121,18 @@
     ///
     /// Returns an error when the peer did not answer within the request's timeout.
     async fn advise(&self, req: AdviseRequest) -> Result<AdviseReply, EntryError>;
+    /// Tells the peer stored states of jobs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the peer did not answer in time.
+    async fn show_states(&self, req: ShowStatesRequest) -> Result<ShowStatesReply, EntryError>;
+    /// Hands the peer stored jobs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the peer did not answer in time.
+    async fn hand_rows(&self, req: HandRowsRequest) -> Result<HandRowsReply, EntryError>;
 }
 
 /// Makes clients for helpers.
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -8,9 +8,10 @@
         generated::{
             AdviseReply, AdviseRequest, BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply,
             ConfirmSlotEpochRequest, DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse,
-            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
-            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
-            entry_client::EntryClient as Stub, helper_client::HelperClient,
+            HandRowsReply, HandRowsRequest, HeartbeatReply, HeartbeatRequest, JobMessage,
+            JobReference, JobReply, ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree,
+            SettingsVersion, ShowStatesReply, ShowStatesRequest, entry_client::EntryClient as Stub,
+            helper_client::HelperClient,
         },
     },
     async_trait::async_trait,
@@ -217,6 +218,24 @@
             |call, origin| async move { HelperClient::with_origin(call, origin).advise(req).await };
         self.call("advise", deadline, run).await
     }
+
+    async fn show_states(&self, req: ShowStatesRequest) -> Result<ShowStatesReply, EntryError> {
+        let deadline = Instant::now() + self.limits.short_call;
+        let run = |call, origin| async move {
+            HelperClient::with_origin(call, origin)
+                .show_states(req)
+                .await
+        };
+        self.call("show states", deadline, run).await
+    }
+
+    async fn hand_rows(&self, req: HandRowsRequest) -> Result<HandRowsReply, EntryError> {
+        let deadline = Instant::now() + self.limits.short_call;
+        let run = |call, origin| async move {
+            HelperClient::with_origin(call, origin).hand_rows(req).await
+        };
+        self.call("hand rows", deadline, run).await
+    }
 }
 
 impl HelperConnector for TonicConnector {
--- a/crates/entry/src/generated.rs
+++ b/crates/entry/src/generated.rs
@@ -284,6 +284,34 @@
     #[prost(string, tag = "3")]
     pub problem: ::prost::alloc::string::String,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StoredRow {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub value: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ShowStatesRequest {
+    /// Term of the sender.
+    #[prost(uint32, tag = "1")]
+    pub term: u32,
+    #[prost(message, repeated, tag = "2")]
+    pub states: ::prost::alloc::vec::Vec<StoredRow>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ShowStatesReply {}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HandRowsRequest {
+    #[prost(message, repeated, tag = "1")]
+    pub rows: ::prost::alloc::vec::Vec<StoredRow>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HandRowsReply {
+    /// False when the receiver does not lead.
+    #[prost(bool, tag = "1")]
+    pub taken: bool,
+}
 /// Generated client implementations.
 pub mod entry_client {
     #![allow(
@@ -1160,7 +1188,7 @@
     )]
     use tonic::codegen::http::Uri;
     use tonic::codegen::*;
-    /// Calls of the cell's leader to the other instances.
+    /// Calls between the cell's leader and the other instances.
     #[derive(Debug, Clone)]
     pub struct HelperClient<T> {
         inner: tonic::client::Grpc<T>,
@@ -1244,6 +1272,38 @@
                 .insert(GrpcMethod::new("ragwortreel.entry.v1.Helper", "Advise"));
             self.inner.unary(req, path, codec).await
         }
+        /// Tells stored states of jobs, so that the receiver need not wait for the store's changes.
+        pub async fn show_states(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ShowStatesRequest>,
+        ) -> std::result::Result<tonic::Response<super::ShowStatesReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Helper/ShowStates");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("ragwortreel.entry.v1.Helper", "ShowStates"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Hands the leader rows of jobs that are stored, so that it need not wait for the store's changes.
+        pub async fn hand_rows(
+            &mut self,
+            request: impl tonic::IntoRequest<super::HandRowsRequest>,
+        ) -> std::result::Result<tonic::Response<super::HandRowsReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Helper/HandRows");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("ragwortreel.entry.v1.Helper", "HandRows"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -1264,8 +1324,18 @@
             &self,
             request: tonic::Request<super::AdviseRequest>,
         ) -> std::result::Result<tonic::Response<super::AdviseReply>, tonic::Status>;
+        /// Tells stored states of jobs, so that the receiver need not wait for the store's changes.
+        async fn show_states(
+            &self,
+            request: tonic::Request<super::ShowStatesRequest>,
+        ) -> std::result::Result<tonic::Response<super::ShowStatesReply>, tonic::Status>;
+        /// Hands the leader rows of jobs that are stored, so that it need not wait for the store's changes.
+        async fn hand_rows(
+            &self,
+            request: tonic::Request<super::HandRowsRequest>,
+        ) -> std::result::Result<tonic::Response<super::HandRowsReply>, tonic::Status>;
     }
-    /// Calls of the cell's leader to the other instances.
+    /// Calls between the cell's leader and the other instances.
     #[derive(Debug)]
     pub struct HelperServer<T> {
         inner: Arc<T>,
@@ -1376,6 +1446,82 @@
                     };
                     Box::pin(fut)
                 }
+                "/ragwortreel.entry.v1.Helper/ShowStates" => {
+                    #[allow(non_camel_case_types)]
+                    struct ShowStatesSvc<T: Helper>(pub Arc<T>);
+                    impl<T: Helper> tonic::server::UnaryService<super::ShowStatesRequest> for ShowStatesSvc<T> {
+                        type Response = super::ShowStatesReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ShowStatesRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Helper>::show_states(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ShowStatesSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/ragwortreel.entry.v1.Helper/HandRows" => {
+                    #[allow(non_camel_case_types)]
+                    struct HandRowsSvc<T: Helper>(pub Arc<T>);
+                    impl<T: Helper> tonic::server::UnaryService<super::HandRowsRequest> for HandRowsSvc<T> {
+                        type Response = super::HandRowsReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::HandRowsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Helper>::hand_rows(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = HandRowsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -9,8 +9,9 @@
         generated::{
             AdviseReply, AdviseRequest, BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply,
             ConfirmSlotEpochRequest, DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse,
-            HeartbeatReply, HeartbeatRequest, JobMessage, JobReference, JobReply,
-            ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
+            HandRowsReply, HandRowsRequest, HeartbeatReply, HeartbeatRequest, JobMessage,
+            JobReference, JobReply, ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree,
+            SettingsVersion, ShowStatesReply, ShowStatesRequest,
             entry_server::{Entry, EntryServer as Generated},
             helper_server::{Helper, HelperServer},
         },
@@ -232,4 +233,20 @@
     async fn advise(&self, req: Request<AdviseRequest>) -> Result<Response<AdviseReply>, Status> {
         Ok(Response::new(self.service.advise(req.into_inner()).await))
     }
+
+    async fn show_states(
+        &self,
+        req: Request<ShowStatesRequest>,
+    ) -> Result<Response<ShowStatesReply>, Status> {
+        let reply = self.service.show_states(req.into_inner()).await;
+        Ok(Response::new(reply))
+    }
+
+    async fn hand_rows(
+        &self,
+        req: Request<HandRowsRequest>,
+    ) -> Result<Response<HandRowsReply>, Status> {
+        let reply = self.service.hand_rows(req.into_inner()).await;
+        Ok(Response::new(reply))
+    }
 }
