Try fewer workers for each step, store placements by worker, let strong instances lead

Cause: on a grown fleet (350 workers, most instances with 0.12 of a core) the leader used 0.39 of a core and half of the jobs waited 208 ms for their first start. Each try of a step copied a candidate for every worker, the room of all workers was summed for each step behind a waiting gang, and a step's placements named the worker for each task. Any instance could become leader. Change: a step with tickets tries only workers with a ticket; candidates borrow; the free room is summed once a decision; placements are stored by worker; an instance waits the longer to take over the less processor time it has.

--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -45,6 +45,8 @@
     pub instance: InstanceId,
     /// Address for other instances.
     pub helper_address: SocketAddr,
+    /// Part of a core that this instance has.
+    pub cpu_share: f64,
     /// Times of leadership and leases.
     pub timing: Timing,
 }
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -29,12 +29,15 @@
 /// Time since the leader last told a change for which it counts as telling, in ms.
 const TOLD_MS: u64 = 1_000;
 /// Longest random delay of a takeover, in ms, so that not all instances try at once.
-const TAKEOVER_JITTER_MS: u64 = 200;
+const TAKEOVER_JITTER_MS: u64 = 100;
+/// Delay of a takeover by an instance without any processor time, in ms; one with a whole core has none. A leader does
+/// the work of the whole cell, so strong instances come first.
+const WEAKNESS_DELAY_MS: f64 = 500.0;
 
 /// Follows the states of all jobs, and leads when no other instance does.
 pub(crate) async fn follow(cell: Arc<Cell>, stop: Stop) {
     let mut follower = Follower {
-        jitter_ms: fastrand::u64(0..TAKEOVER_JITTER_MS),
+        delay_ms: takeover_delay_ms(cell.cfg.cpu_share),
         cell,
         cursor: None,
         leader_version: 0,
@@ -49,13 +52,25 @@
     }
 }
 
+fn takeover_delay_ms(cpu_share: f64) -> u64 {
+    let weakness = 1.0 - cpu_share.clamp(0.0, 1.0);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the product is between 0 and the constant"
+    )]
+    let delay_ms = (weakness * WEAKNESS_DELAY_MS) as u64;
+    delay_ms + fastrand::u64(0..TAKEOVER_JITTER_MS)
+}
+
 struct Follower {
     cell: Arc<Cell>,
     cursor: Option<u64>,
     /// Version of the leader's row, and when it was last seen to change.
     leader_version: u64,
     leader_changed_ms: u64,
-    jitter_ms: u64,
+    /// Time for which this instance leaves the lead to others, in ms.
+    delay_ms: u64,
     term: Option<Arc<Term>>,
 }
 
@@ -92,6 +107,9 @@
 
     fn apply(&mut self, changes: TableRows) {
         let now_ms = boot_ms();
+        if self.cursor.is_none() && self.leader_changed_ms == 0 {
+            self.leader_changed_ms = now_ms;
+        }
         if self.cursor.is_none() {
             self.cell.board.replace(&changes.rows, now_ms);
             self.cell.synced.store(true, Ordering::Relaxed);
@@ -132,16 +150,19 @@
     }
 
     fn is_vacant(&self) -> bool {
+        let silent_ms = boot_ms().saturating_sub(self.leader_changed_ms);
         let Some((leader, _)) = self.cell.board.leader() else {
-            return true;
+            return silent_ms >= self.delay_ms;
         };
         let is_former_life =
             leader.instance == self.cell.cfg.instance && leader.life != self.cell.life;
-        if leader.released || is_former_life {
+        if is_former_life {
             return true;
         }
-        let silent_ms = boot_ms().saturating_sub(self.leader_changed_ms);
-        silent_ms >= self.cell.cfg.timing.takeover_ms + self.jitter_ms
+        if leader.released {
+            return silent_ms >= self.delay_ms;
+        }
+        silent_ms >= self.cell.cfg.timing.takeover_ms + self.delay_ms
     }
 
     async fn take_over(&self) -> Result<Option<Arc<Term>>, PlatformError> {
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -54,14 +54,19 @@
         (now_ms < ticket.valid_until_ms).then_some(&ticket.text)
     }
 
-    /// Whether the worker is known to be allowed.
-    pub(crate) fn is_allowed(&self, worker: &WorkerId) -> bool {
-        matches!(self.answers.get(worker), Some(Some(_)))
+    /// Workers with a ticket that is still valid.
+    pub(crate) fn ticketed(&self, now_ms: u64) -> impl Iterator<Item = &WorkerId> {
+        let valid = move |ticket: &Option<Ticket>| {
+            ticket.as_ref().is_some_and(|it| now_ms < it.valid_until_ms)
+        };
+        (self.answers.iter())
+            .filter(move |(_, ticket)| valid(ticket))
+            .map(|(worker, _)| worker)
     }
 
-    /// Whether nothing is known about the worker.
-    pub(crate) fn is_unknown(&self, worker: &WorkerId) -> bool {
-        !self.answers.contains_key(worker)
+    /// Whether the worker is allowed, if that is known.
+    pub(crate) fn known(&self, worker: &WorkerId) -> Option<bool> {
+        self.answers.get(worker).map(Option::is_some)
     }
 
     /// Marks a refused ticket as expired, so that it is renewed before the next start.
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -20,7 +20,7 @@
     admission::{Admission, Load, Refusal},
     broker::{AdviceBroker, Assigned},
     job::{AdviceCost, JobRequest, QueuePolicy, Schedule, Step, StepKey, TaskKey},
-    progress::{JobChange, PlacedTask, Progress, StepProgress, TaskFailures},
+    progress::{JobChange, PlacedTasks, Progress, StepProgress, TaskFailures},
     scheduler::{Certainty, Scheduler},
     worker::{EndCause, EndedRun, LookReport, RunningTask, StartOutcome, WorkerSpec},
 };
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -10,7 +10,7 @@
         worker::{Phase, Run, Worker, times_in},
     },
     ragwortreel_model::{Resources, WorkerId},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{cmp::Reverse, collections::BTreeMap, sync::Arc},
 };
 
 /// Most steps that one decision tries; bounds its duration when a long queue finds no room.
@@ -29,13 +29,12 @@
 const HOLD_EXTRA_MS: u64 = 500;
 
 /// A worker on which tasks of a step could start.
-struct Candidate {
-    worker: WorkerId,
+#[derive(Clone, Copy)]
+struct Candidate<'a> {
+    worker: &'a Worker,
     slots: u32,
-    free: Resources,
+    free_milli_cores: u64,
     on_data_rack: bool,
-    rack: Option<Arc<str>>,
-    failures: u32,
 }
 
 /// What came of trying a step.
@@ -49,6 +48,7 @@
 impl Scheduler {
     pub(crate) fn place_waiting(&mut self) {
         let mut reserved: BTreeMap<Arc<str>, Resources> = BTreeMap::new();
+        let mut free: BTreeMap<Arc<str>, Resources> = BTreeMap::new();
         let mut blocked = 0;
         let keys: Vec<(Rank, StepKey)> = self.waiting.iter().take(MAX_TRIES).cloned().collect();
         for (rank, key) in keys {
@@ -64,71 +64,82 @@
             let need = job.request.steps[key.step as usize].need;
             let service = Arc::clone(&job.request.policy.service);
             if let Some(kept) = reserved.get(&service) {
-                let left = self.free_room(&service).saturating_sub(kept);
-                if !need.fits_in(&left) {
+                let room = free.get(&service).copied().unwrap_or_default();
+                if !need.fits_in(&room.saturating_sub(kept)) {
                     continue;
                 }
             }
-            if matches!(self.try_step(&key), Tried::Blocked) {
+            let (tried, started) = self.try_step(&key);
+            if let Some(room) = free.get_mut(&service) {
+                let taken = need.checked_mul(started as u64).unwrap_or(need);
+                *room = room.saturating_sub(&taken);
+            }
+            if matches!(tried, Tried::Blocked) {
                 blocked += 1;
                 if blocked >= MAX_BLOCKED {
                     return;
                 }
                 let waiting = self.step_mut(&key).map_or(0, |step| step.waiting());
                 let room = need.checked_mul(waiting as u64).unwrap_or(need);
+                if !free.contains_key(&service) {
+                    free.insert(Arc::clone(&service), self.free_room(&service));
+                }
                 *reserved.entry(service).or_default() += room;
             }
         }
     }
 
-    fn try_step(&mut self, key: &StepKey) -> Tried {
+    /// Starts what can be started of a step, and asks for advice about the rest; also returns the number of starts.
+    fn try_step(&mut self, key: &StepKey) -> (Tried, usize) {
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get(&key.job) else {
-            return Tried::Settled;
+            return (Tried::Settled, 0);
         };
         let needs_advice = job.request.policy.advice.is_some();
         let gang = job.request.steps[key.step as usize].gang;
-        let is_held = job.step(key).is_some_and(|step| !step.holds.is_empty());
-        if is_held {
+        let Some(step) = job.step(key) else {
+            return (Tried::Settled, 0);
+        };
+        if !step.holds.is_empty() {
             // The room is taken again below, or freed for others once the answer is overdue.
-            let overdue = job
-                .step(key)
-                .is_some_and(|step| step.hold_until_ms < now_ms);
-            if !overdue {
-                return Tried::Settled;
+            if step.hold_until_ms >= now_ms {
+                return (Tried::Settled, 0);
             }
             self.release_hold(key);
         }
-        let candidates = self.candidates(key);
         let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key)) else {
-            return Tried::Settled;
+            return (Tried::Settled, 0);
+        };
+        let (waiting, pending) = (step.waiting(), step.advice.pending);
+        let usable = if needs_advice {
+            let ticketed = step.advice.ticketed(now_ms);
+            self.candidates(key, ticketed.filter_map(|id| self.workers.get(id)))
+        } else {
+            self.candidates(key, self.workers.values())
         };
-        let waiting = step.waiting();
-        let usable: Vec<Candidate> = (candidates.iter())
-            .filter(|it| !needs_advice || step.advice.ticket(&it.worker, now_ms).is_some())
-            .map(Candidate::copy)
-            .collect();
-        let pending = step.advice.pending;
         let chosen = self.assign(key, usable, waiting, gang);
         let started = chosen.len();
         if started > 0 {
             self.start(key, chosen);
         }
         if started == waiting {
-            return Tried::Settled;
+            return (Tried::Settled, started);
         }
         if !needs_advice {
-            return Tried::Blocked;
+            return (Tried::Blocked, started);
         }
         if pending {
-            return Tried::Settled;
+            return (Tried::Settled, started);
         }
-        let candidates = self.candidates(key);
-        self.ask(key, candidates, waiting - started, gang)
+        (self.ask(key, waiting - started, gang), started)
     }
 
-    /// Workers with room for at least one task of the step.
-    fn candidates(&self, key: &StepKey) -> Vec<Candidate> {
+    /// Workers among some that have room for at least one task of the step.
+    fn candidates<'a>(
+        &'a self,
+        key: &StepKey,
+        workers: impl Iterator<Item = &'a Worker>,
+    ) -> Vec<Candidate<'a>> {
         let Some(job) = self.jobs.get(&key.job) else {
             return Vec::new();
         };
@@ -146,24 +157,27 @@
         }
         let service = &job.request.policy.service;
         let fits = |worker: &&Worker| {
-            worker.spec.service == *service
-                && worker.is_open(self.now_ms)
+            worker.is_open(self.now_ms)
+                && worker.spec.service == *service
                 && (spec.required_label.as_ref()).is_none_or(|it| worker.spec.labels.contains(it))
         };
         let data_rack = spec.data_rack.as_ref();
-        let candidate = |worker: &Worker| {
+        let candidate = |worker: &'a Worker| {
             let free = worker.free();
-            let used = here.get(&worker.spec.id).copied().unwrap_or(0);
+            let used = if here.is_empty() {
+                0
+            } else {
+                here.get(&worker.spec.id).copied().unwrap_or(0)
+            };
             Candidate {
-                worker: worker.spec.id.clone(),
+                worker,
                 slots: times_in(&spec.need, &free, most.saturating_sub(used)),
-                free,
+                free_milli_cores: free.milli_cores,
                 on_data_rack: data_rack.is_some_and(|it| worker.spec.labels.contains(it)),
-                rack: worker.spec.rack.clone(),
-                failures: worker.failures,
             }
         };
-        (self.workers.values().filter(fits))
+        workers
+            .filter(fits)
             .map(candidate)
             .filter(|it| it.slots > 0)
             .collect()
@@ -173,7 +187,7 @@
     fn assign(
         &self,
         key: &StepKey,
-        mut usable: Vec<Candidate>,
+        mut usable: Vec<Candidate<'_>>,
         waiting: usize,
         gang: bool,
     ) -> Vec<(u32, WorkerId)> {
@@ -188,7 +202,7 @@
             return Vec::new();
         };
         // Tight packing leaves whole workers free for wide tasks.
-        usable.sort_by_key(|it| (!it.on_data_rack, it.failures, it.free.milli_cores));
+        usable.sort_by_key(|it| (!it.on_data_rack, it.worker.failures, it.free_milli_cores));
         if job.request.steps[key.step as usize].one_rack {
             prefer_one_rack(&mut usable, waiting);
         }
@@ -197,8 +211,9 @@
             if task.place != Place::Waiting {
                 continue;
             }
-            let elsewhere =
-                |it: &&mut Candidate| it.slots > 0 && task.failed_on.as_ref() != Some(&it.worker);
+            let elsewhere = |it: &&mut Candidate<'_>| {
+                it.slots > 0 && task.failed_on.as_ref() != Some(&it.worker.spec.id)
+            };
             let found = match usable.iter_mut().find(elsewhere) {
                 Some(found) => Some(found),
                 None => usable.iter_mut().find(|it| it.slots > 0),
@@ -207,7 +222,7 @@
                 break;
             };
             found.slots -= 1;
-            chosen.push((index, found.worker.clone()));
+            chosen.push((index, found.worker.spec.id.clone()));
         }
         chosen
     }
@@ -275,13 +290,7 @@
     }
 
     /// Asks which workers with room may run the rest of a step.
-    fn ask(
-        &mut self,
-        key: &StepKey,
-        candidates: Vec<Candidate>,
-        wanted: usize,
-        gang: bool,
-    ) -> Tried {
+    fn ask(&mut self, key: &StepKey, wanted: usize, gang: bool) -> Tried {
         let Some(job) = self.jobs.get(&key.job) else {
             return Tried::Settled;
         };
@@ -296,14 +305,14 @@
             .copied()
             .unwrap_or(FIRST_ALLOWED_SHARE);
         let (mut allowed, mut unknown) = (Vec::new(), Vec::new());
-        for candidate in candidates {
-            if step.advice.is_allowed(&candidate.worker) {
-                allowed.push(candidate);
-            } else if step.advice.is_unknown(&candidate.worker) {
-                unknown.push(candidate);
+        for candidate in self.candidates(key, self.workers.values()) {
+            match step.advice.known(&candidate.worker.spec.id) {
+                Some(true) => allowed.push(candidate),
+                Some(false) => {}
+                None => unknown.push(candidate),
             }
         }
-        let room = |list: &[Candidate]| list.iter().map(|it| it.slots as usize).sum::<usize>();
+        let room = |list: &[Candidate<'_>]| list.iter().map(|it| it.slots as usize).sum::<usize>();
         let is_renewal = room(&allowed) >= wanted;
         #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
         let (expected, wanted_room) = (
@@ -379,45 +388,35 @@
     }
 }
 
-impl Candidate {
-    fn copy(&self) -> Self {
-        Self {
-            worker: self.worker.clone(),
-            rack: self.rack.clone(),
-            ..*self
-        }
-    }
-}
-
 /// Moves the workers of a rack that can hold everything to the front.
-fn prefer_one_rack(usable: &mut [Candidate], waiting: usize) {
-    let mut slots: BTreeMap<Option<Arc<str>>, usize> = BTreeMap::new();
+fn prefer_one_rack(usable: &mut [Candidate<'_>], waiting: usize) {
+    let mut slots: BTreeMap<Option<&Arc<str>>, usize> = BTreeMap::new();
     for it in usable.iter() {
-        *slots.entry(it.rack.clone()).or_default() += it.slots as usize;
+        *slots.entry(it.worker.spec.rack.as_ref()).or_default() += it.slots as usize;
     }
     let best = slots.into_iter().filter(|(_, slots)| *slots >= waiting);
     let Some((rack, _)) = best.min_by_key(|(_, slots)| *slots) else {
         return;
     };
-    usable.sort_by_key(|it| it.rack != rack);
+    usable.sort_by_key(|it| it.worker.spec.rack.as_ref() != rack);
 }
 
 /// Names all allowed workers and as many unknown ones as are likely to give the wanted room.
 fn name_workers(
-    allowed: Vec<Candidate>,
-    mut unknown: Vec<Candidate>,
+    allowed: Vec<Candidate<'_>>,
+    mut unknown: Vec<Candidate<'_>>,
     wanted: f64,
     share: f64,
 ) -> Vec<WorkerId> {
-    unknown.sort_by_key(|it| (!it.on_data_rack, it.failures, std::cmp::Reverse(it.slots)));
+    unknown.sort_by_key(|it| (!it.on_data_rack, it.worker.failures, Reverse(it.slots)));
     let mut room: f64 = allowed.iter().map(|it| f64::from(it.slots)).sum();
-    let mut named: Vec<WorkerId> = allowed.into_iter().map(|it| it.worker).collect();
+    let mut named: Vec<WorkerId> = allowed.iter().map(|it| it.worker.spec.id.clone()).collect();
     for it in unknown {
         if room >= wanted || named.len() >= MAX_NAMED {
             break;
         }
         room += share * f64::from(it.slots);
-        named.push(it.worker);
+        named.push(it.worker.spec.id.clone());
     }
     named.truncate(MAX_NAMED);
     named
--- a/crates/workflow/src/progress.rs
+++ b/crates/workflow/src/progress.rs
@@ -20,18 +20,18 @@
     pub run: u32,
 }
 
-/// A run that may be alive; stored before its start is sent.
+/// Runs of a step on one worker that may be alive; stored before their starts are sent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlacedTask {
-    /// Number of the task in its step.
-    #[serde(rename = "i")]
-    pub index: u32,
-    /// Number of the run.
-    #[serde(rename = "r")]
-    pub run: u32,
-    /// Where it runs.
+pub struct PlacedTasks {
+    /// Where they run.
     #[serde(rename = "w")]
     pub worker: WorkerId,
+    /// Number of the run, the same for all of them.
+    #[serde(rename = "r")]
+    pub run: u32,
+    /// Numbers of the tasks in the step.
+    #[serde(rename = "i")]
+    pub tasks: Vec<u32>,
 }
 
 /// Progress of one occurrence of a step.
@@ -51,7 +51,7 @@
     pub failures: Vec<TaskFailures>,
     /// Runs that may be alive.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
-    pub placed: Vec<PlacedTask>,
+    pub placed: Vec<PlacedTasks>,
     /// Saved progress of tasks that wait.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub saved: Vec<(u32, Arc<str>)>,
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        Action, EndCause, EndedRun, JobChange, JobRequest, LookReport, PlacedTask, Progress,
+        Action, EndCause, EndedRun, JobChange, JobRequest, LookReport, PlacedTasks, Progress,
         StartOutcome, StepKey, StepProgress, StopOrder, TaskFailures, TaskKey, WorkerSpec,
         advice::StepAdvice,
         worker::{Phase, Run, Worker},
@@ -520,7 +520,7 @@
             return;
         };
         let fresh: Vec<&WorkerId> = (asked.iter())
-            .filter(|worker| step.advice.is_unknown(worker))
+            .filter(|worker| step.advice.known(worker).is_none())
             .collect();
         let good = (allowed.iter()).filter(|(worker, _)| fresh.contains(&worker));
         let counts = (good.count(), fresh.len());
@@ -1089,11 +1089,13 @@
             }
         }
         for placed in &progress.placed {
-            if let Some(task) = step.tasks.get_mut(placed.index as usize)
-                && task.place == Place::Waiting
-            {
-                task.place = Place::On(placed.worker.clone());
-                task.last_run = placed.run;
+            for &index in &placed.tasks {
+                if let Some(task) = step.tasks.get_mut(index as usize)
+                    && task.place == Place::Waiting
+                {
+                    task.place = Place::On(placed.worker.clone());
+                    task.last_run = placed.run;
+                }
             }
         }
         for (index, saved) in &progress.saved {
@@ -1107,6 +1109,7 @@
         let mut all = Progress::default();
         for (occurrence, steps) in &self.occurrences {
             for (number, step) in steps.iter().enumerate() {
+                let mut placed: BTreeMap<(&WorkerId, u32), Vec<u32>> = BTreeMap::new();
                 let mut progress = StepProgress {
                     occurrence: *occurrence,
                     step: u32::try_from(number).unwrap_or(u32::MAX),
@@ -1125,11 +1128,8 @@
                         continue;
                     }
                     if let Place::On(worker) = &task.place {
-                        progress.placed.push(PlacedTask {
-                            index,
-                            run: task.last_run,
-                            worker: worker.clone(),
-                        });
+                        let tasks = placed.entry((worker, task.last_run)).or_default();
+                        tasks.push(index);
                     }
                     if task.failures > 0 {
                         progress.failures.push(TaskFailures {
@@ -1142,6 +1142,14 @@
                         progress.saved.push((index, Arc::clone(&task.checkpoint)));
                     }
                 }
+                let placed = placed
+                    .into_iter()
+                    .map(|((worker, run), tasks)| PlacedTasks {
+                        worker: worker.clone(),
+                        run,
+                        tasks,
+                    });
+                progress.placed = placed.collect();
                 if !(progress.done.is_empty()
                     && progress.failures.is_empty()
                     && progress.placed.is_empty()
--- a/src/cell_daemon.rs
+++ b/src/cell_daemon.rs
@@ -123,6 +123,7 @@
     let cfg = CellConfig {
         instance: settings.instance.clone(),
         helper_address: settings.helper_address,
+        cpu_share: settings.cpu_share,
         timing: Timing::new(settings.lease_ms),
     };
     Cell::new(cfg, parts)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -82,6 +82,7 @@
                 "reads_per_s": 2_000.0
             },
             "advice_address": self.platform.advice_address,
+            "cpu_share": 0.25,
             "lease_ms": 10_000,
             "stop_s": 6
         });
