--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        events::{ADVICE_FAILED, BAD_ROW, MEMBER_LOST},
+        events::{ADVICE_ANSWERED, ADVICE_FAILED, BAD_ROW, MEMBER_LOST},
         rows::{MAIN, MEMBERS},
         term::{Term, lock},
     },
@@ -111,6 +111,10 @@
         match called {
             Called::Answered(allowed) => {
                 lock(&self.broker).finished(&instance);
+                log_event!(self.cell.parts.log, ADVICE_ANSWERED;
+                    "step" => request.step.to_string(), "asked" => request.workers.len(),
+                    "allowed" => allowed.len(), "took_ms" => took_ms,
+                    "through" => instance.to_string());
                 let mut scheduler = lock(&self.scheduler);
                 scheduler.advised(&request.step, &request.workers, Some(allowed), boot_ms());
                 drop(scheduler);
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -6,6 +6,7 @@
         api::ListedWorker,
         events::{
             BAD_ROW, BECAME_LEADER, CELL_SUMMARY, LEADERSHIP_LOST, LEADERSHIP_RELEASED, RECOVERED,
+            STEP_STARTED,
         },
         finished::FinishedJobs,
         journal::Journal,
@@ -22,7 +23,9 @@
     ragwortreel_model::{InstanceId, JobId, WorkerId},
     ragwortreel_platform::{ChangedRow, FeedError, PlatformError, TableRows},
     ragwortreel_runtime::{Stop, boot_ms, future, log_event, sleep_ms, spawn, timeout_ms, unix_ms},
-    ragwortreel_workflow::{Action, AdviceBroker, Certainty, JobRequest, Progress, Scheduler},
+    ragwortreel_workflow::{
+        Action, AdviceBroker, Certainty, JobRequest, Progress, Scheduler, StartOrder, StepKey,
+    },
     std::{
         collections::BTreeMap,
         sync::{
@@ -382,6 +385,7 @@
             }
             let actions = lock(&self.scheduler).decide(boot_ms(), unix_ms());
             let has_changes = !actions.is_empty();
+            self.log_starts(&actions);
             for action in actions {
                 self.carry_out(action);
             }
@@ -393,6 +397,22 @@
         }
     }
 
+    fn log_starts(&self, actions: &[Action]) {
+        let mut steps: BTreeMap<&StepKey, Vec<&StartOrder>> = BTreeMap::new();
+        for action in actions {
+            if let Action::Start(start) = action {
+                steps.entry(&start.task.step).or_default().push(start);
+            }
+        }
+        for (step, starts) in steps {
+            let mut workers: Vec<&str> = starts.iter().map(|it| it.worker.as_str()).collect();
+            workers.dedup();
+            log_event!(self.cell.parts.log, STEP_STARTED; "step" => step.to_string(),
+                "tasks" => starts.len(), "run" => starts[0].run, "term" => self.number,
+                "workers" => workers.join(","));
+        }
+    }
+
     fn carry_out(self: &Arc<Self>, action: Action) {
         match action {
             Action::Start(start) => self.journal.send_when_stored(start, boot_ms()),
--- a/crates/dispatch/src/worker_loop.rs
+++ b/crates/dispatch/src/worker_loop.rs
@@ -6,14 +6,14 @@
 use {
     crate::{
         api::{Addressee, LookAnswer, LookOrder, WorkerError},
-        events::{WORKER_LOST, WORKER_REACHED, WORKER_REPLACED},
+        events::{RUN_FAILED, RUN_INTERRUPTED, WORKER_LOST, WORKER_REACHED, WORKER_REPLACED},
         orders::{ClockReading, Order, WorkerHandle, send_orders},
         term::{Term, lock},
     },
     async_channel::Receiver,
     ragwortreel_model::WorkerId,
     ragwortreel_runtime::{Task, boot_ms, log_event, sleep_ms, spawn, timeout_ms},
-    ragwortreel_workflow::LookReport,
+    ragwortreel_workflow::{EndCause, EndedRun, LookReport},
     std::{sync::Arc, time::Duration},
 };
 
@@ -139,6 +139,7 @@
     async fn answered(&mut self, answer: LookAnswer, sent_ms: u64, lease_until_ms: u64) {
         self.failures = 0;
         let has_ends = !answer.ended.is_empty();
+        self.log_ends(&answer.ended);
         let report = LookReport {
             sent_ms,
             lease_until_ms,
@@ -157,6 +158,24 @@
         }
     }
 
+    fn log_ends(&self, ended: &[EndedRun]) {
+        let log = &self.term.cell.parts.log;
+        for end in ended {
+            let worker = &self.to.worker;
+            match end.cause {
+                EndCause::Done => {}
+                EndCause::Failed => {
+                    log_event!(log, RUN_FAILED; "task" => end.task.to_string(),
+                        "run" => end.run, "worker" => worker.to_string());
+                }
+                EndCause::Interrupted => {
+                    log_event!(log, RUN_INTERRUPTED; "task" => end.task.to_string(),
+                        "run" => end.run, "worker" => worker.to_string());
+                }
+            }
+        }
+    }
+
     /// Notes a look without an answer; false when the worker's life is over.
     async fn failed(&mut self, err: &WorkerError) -> bool {
         match err {
--- a/src/cell_daemon.rs
+++ b/src/cell_daemon.rs
@@ -11,8 +11,8 @@
     ragwortreel_http::{Handler, Request, Response, Server, ServerLimits},
     ragwortreel_platform::{ResilientConfig, ResilientTable, TableService},
     ragwortreel_runtime::{
-        Level, Logger, Stop, handle_signals, log_event, run_here, sleep_ms, spawn, stdout_logger,
-        timeout,
+        Level, Logger, Stop, handle_signals, log_event, run_here, sleep_ms, slog::o, spawn,
+        stdout_logger, timeout,
     },
     std::{net::SocketAddr, path::Path, sync::Arc, time::Duration},
 };
@@ -30,6 +30,7 @@
 pub fn run(file: &Path) -> Result<(), Error> {
     let settings = CellSettings::load(file)?;
     let log = stdout_logger(Level::Info).map_err(|err| Error::start("starting the log", &err))?;
+    let log = log.new(o!("instance" => settings.instance.to_string()));
     let stop = Stop::new();
     let (reload_log, path) = (log.clone(), file.to_owned());
     let current = settings.clone();
@@ -49,8 +50,7 @@
 }
 
 async fn serve(settings: CellSettings, log: Logger, stop: Stop) -> Result<(), Error> {
-    log_event!(log, events::STARTED; "instance" => settings.instance.to_string(),
-        "zone" => settings.zone.to_string(), "lease_ms" => settings.lease_ms);
+    log_event!(log, events::STARTED; "zone" => settings.zone.to_string(), "lease_ms" => settings.lease_ms);
     let (exporter, meter) = Exporter::new().map_err(|err| Error::start("exporting", &err))?;
     let cell = make_cell(&settings, &log, CellMetrics::new(&meter));
     let bind = |address: SocketAddr, err: &dyn std::fmt::Display| {
@@ -88,7 +88,7 @@
     let limit = Duration::from_secs_f64(settings.stop_s * STOP_PART);
     let part = spawn(Arc::clone(&cell).run(stop.clone()));
     stop.requested().await;
-    log_event!(log, events::STOPPING; "instance" => settings.instance.to_string());
+    log_event!(log, events::STOPPING);
     let finished = timeout(limit, async {
         part.await;
         sleep_ms(UNREADY_MS).await;
@@ -100,7 +100,7 @@
     if finished.await.is_err() {
         log_event!(log, events::STOP_TIMEOUT);
     }
-    log_event!(log, events::STOPPED; "instance" => settings.instance.to_string());
+    log_event!(log, events::STOPPED);
     Ok(())
 }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -23,6 +23,8 @@
     Serve(PathBuf),
     /// Run an instance on the platform.
     Cell(PathBuf),
+    /// Tell what became of a job, from logs.
+    Explain(String, Vec<PathBuf>),
     /// Check settings files.
     Check(Vec<PathBuf>),
     /// Run the built-in demonstration.
@@ -111,6 +113,8 @@
   cancel JOB                        cancel a job
 
 operation:
+  explain JOB LOG...                tell what became of a job, from the logs of
+                                    all instances
   drain worker NAME                 give a worker no new tasks
   drain instance NAME               stop an entry instance gracefully
   burn                              report how fast error budgets are used
@@ -140,6 +144,7 @@
         )),
         "cell" | "serve" | "standin" => parse_file_command(name, rest),
         "check" => parse_check(rest),
+        "explain" => parse_explain(rest),
         "quickstart" => parse_quickstart(rest),
         "settings" => parse_settings(rest),
         "submit" | "jobs" | "describe" | "cancel" | "drain" | "burn" => parse_remote(name, rest),
@@ -200,6 +205,19 @@
     }
 }
 
+fn parse_explain(args: &[String]) -> Result<Command, Error> {
+    match parse_options("explain JOB LOG...", Options::new(), args)? {
+        Parsed::Print(command) => Ok(command),
+        Parsed::Matches(matches) => match matches.free.split_first() {
+            Some((id, files)) if !files.is_empty() => Ok(Command::Explain(
+                id.clone(),
+                files.iter().map(PathBuf::from).collect(),
+            )),
+            _ => Err(Error::usage("explain: a job and a log are needed")),
+        },
+    }
+}
+
 fn parse_quickstart(args: &[String]) -> Result<Command, Error> {
     let mut options = Options::new();
     options.optopt(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod events;
 pub mod exit_codes;
+pub mod explain;
 mod forward;
 mod jobs;
 pub mod load;
@@ -45,6 +46,7 @@
         Command::Check(files) => check(&files),
         Command::Serve(file) => serve(&file),
         Command::Cell(file) => cell_daemon::run(&file),
+        Command::Explain(id, files) => explain::run(&id, &files),
         Command::Standin(file) => standin(&file),
         Command::Quickstart(options) => quickstart::run(options),
         Command::Remote(remote, command) => block_on(client::run(&remote, command)),
