--- a/crates/dispatch/src/finished.rs
+++ b/crates/dispatch/src/finished.rs
@@ -73,8 +73,9 @@
             for jobs in by_part(full) {
                 let rows = jobs.iter().map(|job| (job_key(job), Some(Arc::from(""))));
                 if self.write(rows.collect()).await {
-                    jobs.into_iter()
-                        .for_each(|job| self.finished.ended_before(job));
+                    for job in jobs {
+                        self.finished.ended_before(job);
+                    }
                 } else {
                     lock(&self.finished.full).extend(jobs);
                 }
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -90,7 +90,7 @@
         match result {
             Ok(rows) => {
                 self.cell.note_store("read states", None);
-                self.apply(rows);
+                self.apply(&rows);
                 self.lead_if_needed().await;
                 let told_ms = boot_ms().saturating_sub(self.cell.told_ms.load(Ordering::Relaxed));
                 let is_told = told_ms < TOLD_MS || self.term.is_some();
@@ -111,7 +111,7 @@
         }
     }
 
-    fn apply(&mut self, changes: TableRows) {
+    fn apply(&mut self, changes: &TableRows) {
         let now_ms = boot_ms();
         if self.cursor.is_none() && self.leader_changed_ms == 0 {
             self.leader_changed_ms = now_ms;
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -109,7 +109,7 @@
                 keep_until_ms: clock.at(now_ms) + term.cell.cfg.timing.lease_ms,
             };
             let result = term.cell.parts.workers.start(to, &start).await;
-            judge(term, &to.worker, &order.worker, result)
+            judge(term, &to.worker, &order.worker, &result)
         }
         _ => StartOutcome::NotStarted,
     };
@@ -143,7 +143,7 @@
     term: &Term,
     worker: &WorkerId,
     named: &WorkerId,
-    result: Result<(), WorkerError>,
+    result: &Result<(), WorkerError>,
 ) -> StartOutcome {
     debug_assert_eq!(worker, named, "orders go to the worker that they name");
     match result {
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/timing.rs
@@ -45,7 +45,7 @@
             renew_ms: 300,
             commit_gap_ms: 20,
             list_ms: 500,
-            look_wait: Duration::from_millis(2_000),
+            look_wait: Duration::from_secs(2),
         }
     }
 
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -38,6 +38,10 @@
 }
 
 /// A step of a job: tasks that are alike.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "properties that callers declare independently of each other"
+)]
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
     /// Number of tasks.
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -283,7 +283,7 @@
         for order in orders {
             if let Some(worker) = self.workers.get_mut(&order.worker) {
                 let run = Run {
-                    run: order.run,
+                    number: order.run,
                     need,
                     phase: Phase::Starting,
                     percent: 0,
@@ -346,7 +346,7 @@
             workers.dedup();
             workers
         } else {
-            name_workers(allowed, unknown, wanted_room * ASK_FACTOR, share)
+            name_workers(&allowed, unknown, wanted_room * ASK_FACTOR, share)
         };
         #[expect(clippy::cast_precision_loss, reason = "at most a hundred workers")]
         let cost_ms = cost.call_ms + cost.worker_ms * workers.len() as f64;
@@ -417,7 +417,7 @@
 
 /// Names all allowed workers and as many unknown ones as are likely to give the wanted room.
 fn name_workers(
-    allowed: Vec<Candidate<'_>>,
+    allowed: &[Candidate<'_>],
     mut unknown: Vec<Candidate<'_>>,
     wanted: f64,
     share: f64,
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -197,7 +197,7 @@
             return;
         };
         let run = Run {
-            run: state.last_run,
+            number: state.last_run,
             need,
             phase: Phase::Confirmed(self.now_ms),
             percent: 0,
@@ -277,7 +277,10 @@
     #[must_use]
     pub fn has_run(&self, id: &WorkerId, task: &TaskKey, run: u32) -> bool {
         self.workers.get(id).is_some_and(|worker| {
-            worker.runs.get(task).is_some_and(|known| known.run == run)
+            worker
+                .runs
+                .get(task)
+                .is_some_and(|known| known.number == run)
                 || worker.strays.get(task) == Some(&run)
         })
     }
@@ -344,7 +347,7 @@
             .and_then(|job| job.request.steps.get(task.step.step as usize))
             .is_some_and(|step| step.endless);
         if let Some(known) = worker.runs.get_mut(task)
-            && known.run == run
+            && known.number == run
         {
             if matches!(known.phase, Phase::Starting | Phase::Unsure(_)) {
                 known.phase = Phase::Confirmed(now_ms);
@@ -398,7 +401,7 @@
         state.place = Place::On(id.clone());
         state.last_run = run;
         let run = Run {
-            run,
+            number: run,
             need,
             phase: Phase::Confirmed(self.now_ms),
             percent,
@@ -433,7 +436,7 @@
         let mut gone = Vec::new();
         let mut unsure = Vec::new();
         for (task, run) in &worker.runs {
-            if listed.get(task) == Some(&run.run) {
+            if listed.get(task) == Some(&run.number) {
                 continue;
             }
             match run.phase {
@@ -465,7 +468,11 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let Some(known) = worker.runs.get_mut(task).filter(|known| known.run == run) else {
+        let Some(known) = worker
+            .runs
+            .get_mut(task)
+            .filter(|known| known.number == run)
+        else {
             return;
         };
         let is_starting = known.phase == Phase::Starting;
@@ -495,7 +502,7 @@
         self.now_ms = now_ms;
         let worker = self.workers.get_mut(id);
         let known = worker.and_then(|worker| worker.runs.get_mut(task));
-        if let Some(known) = known.filter(|known| known.run == run) {
+        if let Some(known) = known.filter(|known| known.number == run) {
             known.phase = Phase::Stopped(now_ms);
         }
     }
@@ -670,7 +677,7 @@
             return;
         }
         known.phase = Phase::Stopping;
-        let run = known.run;
+        let run = known.number;
         self.push_stop(id, task, run);
     }
 
@@ -702,7 +709,10 @@
             cause,
             checkpoint,
         } = end;
-        let was_known = worker.runs.get(&task).is_some_and(|known| known.run == run);
+        let was_known = worker
+            .runs
+            .get(&task)
+            .is_some_and(|known| known.number == run);
         if was_known {
             worker.remove(&task);
             match cause {
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -92,7 +92,7 @@
 /// A run that may be alive on a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
-    pub(crate) run: u32,
+    pub(crate) number: u32,
     pub(crate) need: Resources,
     pub(crate) phase: Phase,
     /// Share of the work done when it last changed, in percent, and the time of that change.
--- a/src/cell_settings.rs
+++ b/src/cell_settings.rs
@@ -81,10 +81,10 @@
         if self.lease_ms < MIN_LEASE_MS {
             return Err(SettingsError::new("lease_ms", "expected at least 4000"));
         }
-        if !(self.stop_s > 0.0) {
+        if self.stop_s <= 0.0 {
             return Err(SettingsError::new("stop_s", "expected above 0"));
         }
-        if !(self.cpu_share > 0.0) {
+        if self.cpu_share <= 0.0 {
             return Err(SettingsError::new("cpu_share", "expected above 0"));
         }
         let rates = [
@@ -92,7 +92,7 @@
             ("store.reads_per_s", self.store.reads_per_s),
         ];
         for (path, rate) in rates {
-            if !(rate >= 1.0) {
+            if rate < 1.0 {
                 return Err(SettingsError::new(path, "expected at least 1"));
             }
         }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -54,10 +54,6 @@
 }
 
 /// The story of a job, in order of time.
-pub fn story(id: &str, logs: &str) -> String {
-    tell(id, logs.lines().filter_map(parse).collect())
-}
-
 fn tell(id: &str, mut lines: Vec<Line>) -> String {
     lines.sort_by_key(|line| line.ts_ms);
     let own = || lines.iter().filter(|line| line.is_about(id));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod error;
 pub mod events;
 pub mod exit_codes;
-pub mod explain;
+mod explain;
 mod forward;
 mod jobs;
 pub mod load;
@@ -76,7 +76,8 @@
         .map_err(|err| Error::start("serving stand-ins", &err))
 }
 
-/// Checks each file as a daemon's settings when it has the key `instance`, else as a settings tree.
+/// Checks each file as an instance's settings when it has the key `ready_address`, as a daemon's when it has the key
+/// `instance`, else as a settings tree.
 fn check(files: &[PathBuf]) -> Result<(), Error> {
     for file in files {
         let json = config::read(file)?;
@@ -85,8 +86,11 @@
                 path: file.clone(),
                 source,
             })?;
+        let is_cell = value.get("ready_address").is_some();
         let is_daemon = value.get("instance").is_some();
-        let result = if is_daemon {
+        let result = if is_cell {
+            cell_settings::CellSettings::parse(&json).map(|_| "instance settings")
+        } else if is_daemon {
             Config::parse(&json).map(|_| "daemon settings")
         } else {
             ragwortreel_model::Settings::parse(&json).map(|_| "settings tree")
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -31,6 +31,7 @@
             .args(args)
             .current_dir(&self.dir)
             .env_remove("RAGWORTREEL_TOKEN")
+            .env_remove("RAGWORTREEL_SETTINGS")
             .output()
             .expect("the binary runs")
     }
@@ -52,6 +53,11 @@
                 ("bad.json", r#"{"workspaces":{"alpha":{"wait":5}}}"#),
                 ("job.json", r#"{"id":"j","workspace":"alpha","name":"n","kind":"batch","tasks":0,
                     "resources":{"milli_cores":1,"memory_mib":1}}"#),
+                ("cell.json", include_str!("../examples/cell.json")),
+                ("lease.json", r#"{"instance":"a","zone":"z","caller_address":"127.0.0.1:1","ready_address":"127.0.0.1:2",
+                    "helper_address":"127.0.0.1:3","metrics_address":"127.0.0.1:4","store":{"address":"127.0.0.1:5",
+                    "writes_per_s":9,"reads_per_s":9},"cpu_share":0.25,"lease_ms":3000,"stop_s":6}"#),
+                ("log.json", "12.5 front-1 {\"ts\":7,\"msg\":\"stored\",\"event\":2115,\"job\":\"0a\",\"instance\":\"front-1\"}\n"),
             ]);
             let output = env.run(&$args);
             let text = format!("{}{}", String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
@@ -76,6 +82,13 @@
     check_names_the_path: ["check", "tree.json", "bad.json"] => 3 "workspaces.alpha.wait: unknown field `wait`";
     check_of_absent_file: ["check", "none.json"] => 1 "reading none.json";
     set_without_base: ["settings", "set", "tree.json"] => 2 "--base is missing";
+    check_accepts_an_instance: ["check", "cell.json"] => 0 "cell.json: instance settings accepted";
+    check_names_a_short_lease: ["check", "lease.json"] => 3 "lease_ms: expected at least 4000";
+    cell_without_settings: ["cell"] => 2 "--settings is missing";
+    cell_with_bad_settings: ["cell", "--settings", "lease.json"] => 3 "lease_ms";
+    explain_tells: ["explain", "0a", "log.json"] => 0 "2115 stored";
+    explain_of_an_unknown_job: ["explain", "0b", "log.json"] => 0 "no line is about 0b";
+    explain_without_a_log: ["explain", "0a"] => 2 "a job and a log are needed";
     bad_settings_are_not_sent: ["settings", "set", "bad.json", "--base", "1"] => 3 "workspaces.alpha.wait";
     bad_job_is_not_sent: ["submit", "job.json"] => 3 "tasks: expected 1 to 10000";
     nobody_listens: ["jobs", "--address", "127.0.0.1:1", "--timeout-ms", "2000"] => 5 "127.0.0.1:1";
