Split the scheduler's state and load, share error constructors, log why a start failed

The two clients of stores made the same errors twice. A start that was not taken is logged with its reason, which was dropped before. Behaviour unchanged.

--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -7,9 +7,8 @@
         term::{Term, lock},
     },
     async_channel::{Receiver, Sender},
-    ragwortreel_model::WorkerId,
     ragwortreel_runtime::{boot_ms, log_event, sleep_ms},
-    ragwortreel_workflow::{StartOrder, StartOutcome, StopOrder},
+    ragwortreel_workflow::{StartOrder, StartOutcome, StopOrder, TaskKey},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -98,8 +97,9 @@
         // It was given up while it waited to be stored or sent.
         return;
     }
-    let outcome = match clock {
-        Some(clock) if term.may_start() && now_ms < decided_ms + MAX_START_AGE_MS => {
+    let may_send = term.may_start() && now_ms < decided_ms + MAX_START_AGE_MS;
+    let result = match clock.filter(|_| may_send) {
+        Some(clock) => {
             let start = TaskStart {
                 task: order.task,
                 run,
@@ -108,55 +108,66 @@
                 ticket: order.ticket,
                 keep_until_ms: clock.at(now_ms) + term.cell.cfg.timing.lease_ms,
             };
-            let result = term.cell.parts.workers.start(to, &start).await;
-            judge(term, &to.worker, &order.worker, &result)
+            term.cell.parts.workers.start(to, &start).await
         }
-        _ => StartOutcome::NotStarted,
+        None => Err(WorkerError::NotDone {
+            step: "start",
+            worker: to.worker.clone(),
+            problem: Arc::from("not sent: too old, or leadership is not certain"),
+        }),
     };
-    let log = &term.cell.parts.log;
-    let age_ms = now_ms.saturating_sub(decided_ms);
-    let result = match outcome {
+    let outcome = outcome_of(&result);
+    note_start(term, to, &task, run, decided_ms, &result);
+    if matches!(result, Err(WorkerError::Fenced { .. })) {
+        term.depose("a worker has seen a later leader");
+    }
+    lock(&term.scheduler).start_result(&to.worker, &task, run, outcome, boot_ms());
+    term.wake();
+}
+
+/// Counts an answer to a start, and logs one that is not a success.
+fn note_start(
+    term: &Term,
+    to: &Addressee,
+    task: &TaskKey,
+    run: u32,
+    decided_ms: u64,
+    result: &Result<(), WorkerError>,
+) {
+    let took_ms = boot_ms().saturating_sub(decided_ms);
+    let label = match outcome_of(result) {
         StartOutcome::Started => "started",
         StartOutcome::NotStarted => "not-started",
         StartOutcome::TicketRefused => "ticket-refused",
         StartOutcome::Unknown => "unknown",
     };
-    let took_ms = boot_ms().saturating_sub(decided_ms);
-    term.cell.parts.metrics.start(result, took_ms);
-    match outcome {
-        StartOutcome::Started => {}
-        StartOutcome::Unknown => {
+    term.cell.parts.metrics.start(label, took_ms);
+    let log = &term.cell.parts.log;
+    match result {
+        Ok(()) => {}
+        Err(err @ WorkerError::Unknown { .. }) => {
             log_event!(log, START_UNKNOWN; "task" => task.to_string(), "run" => run,
-                "worker" => to.worker.to_string(), "age_ms" => age_ms);
+                "worker" => to.worker.to_string(), "took_ms" => took_ms,
+                "problem" => err.to_string());
         }
-        StartOutcome::NotStarted | StartOutcome::TicketRefused => {
+        Err(err) => {
             log_event!(log, TASK_NOT_STARTED; "task" => task.to_string(), "run" => run,
-                "worker" => to.worker.to_string(), "age_ms" => age_ms,
-                "ticket_refused" => outcome == StartOutcome::TicketRefused);
+                "worker" => to.worker.to_string(), "took_ms" => took_ms,
+                "problem" => err.to_string());
         }
     }
-    lock(&term.scheduler).start_result(&to.worker, &task, run, outcome, boot_ms());
-    term.wake();
 }
 
-fn judge(
-    term: &Term,
-    worker: &WorkerId,
-    named: &WorkerId,
-    result: &Result<(), WorkerError>,
-) -> StartOutcome {
-    debug_assert_eq!(worker, named, "orders go to the worker that they name");
+const fn outcome_of(result: &Result<(), WorkerError>) -> StartOutcome {
     match result {
         Ok(()) => StartOutcome::Started,
         Err(WorkerError::TicketRefused { .. }) => StartOutcome::TicketRefused,
-        Err(WorkerError::Fenced { .. }) => {
-            term.depose("a worker has seen a later leader");
-            StartOutcome::NotStarted
-        }
-        Err(WorkerError::OtherLife { .. } | WorkerError::NotDone { .. }) => {
-            StartOutcome::NotStarted
-        }
         Err(WorkerError::Unknown { .. }) => StartOutcome::Unknown,
+        Err(
+            WorkerError::Fenced { .. }
+            | WorkerError::OtherLife { .. }
+            | WorkerError::NotDone { .. },
+        ) => StartOutcome::NotStarted,
     }
 }
 
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -6,6 +6,7 @@
 use {
     async_trait::async_trait,
     derive_more::{Display, Error},
+    ragwortreel_http::{ClientError, Sent},
     ragwortreel_model::{InstanceId, Rack, Resources, ServiceName, Workspace, Zone},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -116,6 +117,38 @@
     },
 }
 
+impl PlatformError {
+    /// Nothing was done.
+    #[must_use]
+    pub fn not_done(step: &'static str, peer: SocketAddr, problem: &str) -> Self {
+        Self::NotDone {
+            step,
+            peer: Arc::from(peer.to_string()),
+            problem: Arc::from(problem),
+        }
+    }
+
+    /// The call may or may not have taken effect.
+    #[must_use]
+    pub fn unknown(step: &'static str, peer: SocketAddr, problem: &str) -> Self {
+        Self::Unknown {
+            step,
+            peer: Arc::from(peer.to_string()),
+            problem: Arc::from(problem),
+        }
+    }
+
+    /// What a failed exchange means, by whether any byte of the request was sent.
+    #[must_use]
+    pub fn of_client(step: &'static str, err: &ClientError) -> Self {
+        let problem = format!("{}: {}", err.step, err.cause);
+        match err.sent {
+            Sent::Nothing => Self::not_done(step, err.peer, &problem),
+            Sent::Maybe => Self::unknown(step, err.peer, &problem),
+        }
+    }
+}
+
 /// The transactional table service.
 #[async_trait]
 pub trait TableService: Send + Sync {
--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -11,14 +11,12 @@
     },
     async_trait::async_trait,
     percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
-    ragwortreel_http::{
-        Client, ClientError, ClientLimits, Method, Request, Response, Sent, parse_json,
-    },
+    ragwortreel_http::{Client, ClientLimits, Method, Request, Response, parse_json},
     ragwortreel_model::Zone,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
 };
@@ -92,7 +90,7 @@
         let req = req.with_header(ZONE_HEADER, self.zone.as_str());
         let deadline = Instant::now() + self.time_limit;
         let response = self.client.send(self.addr, req, deadline).await;
-        let response = response.map_err(|err| self.client_error(step, &err))?;
+        let response = response.map_err(|err| PlatformError::of_client(step, &err))?;
         match response.status {
             200..=299 | 304 | 404 => Ok(response),
             400..=429 | 503 => Err(self.not_done(step, &status_problem(&response))),
@@ -100,28 +98,12 @@
         }
     }
 
-    fn client_error(&self, step: &'static str, err: &ClientError) -> PlatformError {
-        let problem = format!("{}: {}", err.step, err.cause);
-        match err.sent {
-            Sent::Nothing => self.not_done(step, &problem),
-            Sent::Maybe => self.unknown(step, &problem),
-        }
-    }
-
     fn not_done(&self, step: &'static str, problem: &str) -> PlatformError {
-        PlatformError::NotDone {
-            step,
-            peer: Arc::from(self.addr.to_string()),
-            problem: Arc::from(problem),
-        }
+        PlatformError::not_done(step, self.addr, problem)
     }
 
     fn unknown(&self, step: &'static str, problem: &str) -> PlatformError {
-        PlatformError::Unknown {
-            step,
-            peer: Arc::from(self.addr.to_string()),
-            problem: Arc::from(problem),
-        }
+        PlatformError::unknown(step, self.addr, problem)
     }
 
     async fn read<T: DeserializeOwned>(
--- a/crates/workflow/src/admission.rs
+++ b/crates/workflow/src/admission.rs
@@ -6,7 +6,7 @@
 //! a job that waits for the advice service would be refused while workers are free.
 
 use {
-    crate::{JobRequest, Scheduler, scheduler::WorkAhead},
+    crate::JobRequest,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -83,22 +83,3 @@
         })
     }
 }
-
-impl Scheduler {
-    /// The load to publish.
-    #[must_use]
-    pub fn load(&self) -> Load {
-        let mut load = Load {
-            pending: self.pending(),
-            ..Load::default()
-        };
-        for (service, WorkAhead { by_priority, total }) in self.work_ahead() {
-            if total <= 0.0 {
-                continue;
-            }
-            let ahead = (by_priority.into_iter()).map(|(priority, work)| (priority, work / total));
-            load.ahead_s.insert(service, ahead.collect());
-        }
-        load
-    }
-}
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -2,17 +2,19 @@
 //!
 //! The package is synchronous and has no clock or network of its own: each call carries the time. The leader of a cell
 //! drives one [`Scheduler`]: it reports what callers, workers and the advice service say, and carries out the
-//! [`Action`]s that [`Scheduler::decide`] returns. [`Placement`](scheduler) is proven against workers that do not guard
-//! their own capacity, so the books kept here are what keeps a worker from being overcommitted.
+//! [`Action`]s that [`Scheduler::decide`] returns. Workers need not guard their own capacity, so the books kept here are what
+//! keeps a worker from being overcommitted.
 
 mod action;
 mod admission;
 mod advice;
 mod broker;
 mod job;
+mod load;
 mod place;
 mod progress;
-pub mod scheduler;
+mod scheduler;
+mod state;
 mod worker;
 
 pub use {
@@ -21,6 +23,7 @@
     broker::{AdviceBroker, Assigned},
     job::{AdviceCost, JobRequest, QueuePolicy, Schedule, Step, StepKey, TaskKey},
     progress::{JobChange, PlacedTasks, Progress, StepProgress, TaskFailures},
-    scheduler::{Certainty, Scheduler},
+    scheduler::Scheduler,
+    state::Certainty,
     worker::{EndCause, EndedRun, LookReport, RunningTask, StartOutcome, WorkerSpec},
 };
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         Action, AdviceRequest, Scheduler, StartOrder, StepKey, TaskKey,
-        scheduler::{Place, Rank},
+        state::{Place, Rank},
         worker::{Phase, Run, Worker, times_in},
     },
     ragwortreel_model::{Resources, WorkerId},
