Use the field's terms: heartbeat, orphan, push, timeline

What extends a worker's lease and lists its runs is a heartbeat, runs of unknown jobs are orphans, states are pushed to instances. Names and comments only.

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -79,8 +79,8 @@
             return row.can_lead.then(|| Arc::clone(peer));
         }
         let peer = self.cell.parts.helpers.connect_helper(row.address);
-        let told = self.start_telling(Arc::clone(&peer));
-        lock(&self.told).insert(instance.clone(), told);
+        let queue = self.start_pushing(Arc::clone(&peer));
+        lock(&self.push_queues).insert(instance.clone(), queue);
         lock(&self.broker).join(instance.clone());
         helpers.insert(instance, (row.address, Arc::clone(&peer)));
         row.can_lead.then_some(peer)
--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -79,7 +79,7 @@
 
 /// Question what a worker runs; it also keeps everything there alive.
 #[derive(Debug, Clone, Copy)]
-pub struct LookOrder {
+pub struct HeartbeatOrder {
     /// Time on the worker's clock until which everything may run on; `None` before that clock is known.
     pub keep_until_ms: Option<u64>,
     /// Number of the last end that is stored and need not be listed again.
@@ -90,7 +90,7 @@
 
 /// What a worker runs.
 #[derive(Debug, Clone, Default)]
-pub struct LookAnswer {
+pub struct HeartbeatAnswer {
     /// The worker's clock when it answered, in ms.
     pub clock_ms: u64,
     /// Time of the worker's start; differs between two lives under one name.
@@ -124,7 +124,11 @@
 #[async_trait]
 pub trait WorkerCalls: Send + Sync {
     /// Asks what a worker runs, and keeps it running.
-    async fn look(&self, to: &Addressee, order: LookOrder) -> Result<LookAnswer, WorkerError>;
+    async fn heartbeat(
+        &self,
+        to: &Addressee,
+        order: HeartbeatOrder,
+    ) -> Result<HeartbeatAnswer, WorkerError>;
     /// Starts a task; a repeat of a run that is there succeeds.
     async fn start(&self, to: &Addressee, start: &TaskStart) -> Result<(), WorkerError>;
     /// Stops a run; a run that is not there yet is refused when it comes.
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -102,7 +102,7 @@
         state.jobs.entry(id).or_insert(JobState::Queued);
     }
 
-    /// Records a state that is stored. A final one stays, because what is told may come after what is read.
+    /// Records a state that is stored. A final one stays, because a push may arrive after a later reading.
     pub fn show(&self, id: JobId, state: JobState) {
         let mut known = self.lock();
         let shown = known.jobs.entry(id).or_insert(state);
--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -90,8 +90,8 @@
     health: Arc<StoreHealth>,
     /// The term of this instance, while it leads.
     term: Mutex<Weak<Term>>,
-    /// Time at which the leader last told states.
-    pub(crate) told_ms: AtomicU64,
+    /// Time at which the leader last pushed states.
+    pub(crate) pushed_ms: AtomicU64,
     hand_over: HandOver,
 }
 
@@ -121,7 +121,7 @@
             synced: AtomicBool::new(false),
             health,
             term: Mutex::default(),
-            told_ms: AtomicU64::new(0),
+            pushed_ms: AtomicU64::new(0),
             hand_over,
         })
     }
@@ -284,7 +284,7 @@
     }
 
     async fn show_states(&self, req: ShowStatesRequest) -> ShowStatesReply {
-        self.told_ms.store(boot_ms(), Ordering::Relaxed);
+        self.pushed_ms.store(boot_ms(), Ordering::Relaxed);
         let rows = req.states.into_iter().map(changed_row);
         let rows: Vec<ChangedRow> = rows.collect();
         self.board.apply(&rows, boot_ms());
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -131,7 +131,7 @@
             for (start, decided_ms) in starts {
                 self.send(&start.worker.clone(), Order::Start(start, decided_ms));
             }
-            self.tell_stored(&changes);
+            self.push_stored(&changes);
             for change in changes.iter().filter(|change| change.state.is_final()) {
                 log_event!(self.cell.parts.log, JOB_ENDED; "job" => change.job.to_string(),
                     "queue" => change.queue.to_string(), "state" => change.state.to_string(),
@@ -145,13 +145,13 @@
         }
     }
 
-    /// Tells all instances what is stored.
-    fn tell_stored(&self, changes: &[JobChange]) {
+    /// Pushes stored states to all instances.
+    fn push_stored(&self, changes: &[JobChange]) {
         for change in changes {
             self.cell.board.show(change.job.clone(), change.state);
-            for told in lock(&self.told).values() {
+            for queue in lock(&self.push_queues).values() {
                 // An instance that is behind finds the state in the table.
-                let _ = told.try_send((change.job.clone(), change.state));
+                let _ = queue.try_send((change.job.clone(), change.state));
             }
         }
     }
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -24,10 +24,10 @@
 const FEED_WAIT: Duration = Duration::from_millis(400);
 /// Pause between two readings of changes, in ms; changes that come meanwhile share one answer.
 const FEED_PAUSE_MS: u64 = 40;
-/// The same while the leader tells the changes itself; then the readings only watch the leader.
-const TOLD_PAUSE_MS: u64 = 300;
-/// Time since the leader last told a change for which it counts as telling, in ms.
-const TOLD_MS: u64 = 1_000;
+/// The same while the leader pushes the changes itself; then the readings only watch the leader.
+const PUSHED_PAUSE_MS: u64 = 300;
+/// Time after a push for which the leader counts as pushing, in ms.
+const PUSHED_MS: u64 = 1_000;
 /// Longest random delay of a takeover, in ms, so that not all instances try at once.
 const TAKEOVER_JITTER_MS: u64 = 60;
 /// Delay for each second that this instance has run, in ms, and the longest such delay. Instances are restarted in turn,
@@ -78,10 +78,11 @@
                 self.cell.note_store("read states", None);
                 self.apply(&rows);
                 self.lead_if_needed().await;
-                let told_ms = boot_ms().saturating_sub(self.cell.told_ms.load(Ordering::Relaxed));
-                let is_told = told_ms < TOLD_MS || self.term.is_some();
-                sleep_ms(if is_told {
-                    TOLD_PAUSE_MS
+                let pushed_ms =
+                    boot_ms().saturating_sub(self.cell.pushed_ms.load(Ordering::Relaxed));
+                let is_pushed = pushed_ms < PUSHED_MS || self.term.is_some();
+                sleep_ms(if is_pushed {
+                    PUSHED_PAUSE_MS
                 } else {
                     FEED_PAUSE_MS
                 })
--- a/crates/dispatch/src/tell.rs
+++ b/crates/dispatch/src/push.rs
@@ -1,6 +1,6 @@
-//! Stored states of jobs, told to the other instances at once.
+//! Pushes stored states of jobs to the other instances.
 //!
-//! The others also follow the table of states, so a state that cannot be told is only shown a little later.
+//! The others also follow the table of states, so a state whose push fails is only shown a little later.
 
 use {
     crate::{rows::StateRow, term::Term},
@@ -15,7 +15,7 @@
     std::sync::Arc,
 };
 
-/// States that wait to be told to an instance; further ones are left to the table.
+/// States that wait to be pushed to an instance; further ones are left to the table.
 const MAX_WAITING: usize = 1_024;
 /// Pause between two calls to an instance, in ms; states that come meanwhile share one.
 const PAUSE_MS: u64 = 20;
@@ -24,15 +24,15 @@
 pub(crate) type StatesTx = Sender<(JobId, JobState)>;
 
 impl Term {
-    /// Starts the task that tells an instance what is stored.
-    pub(crate) fn start_telling(self: &Arc<Self>, peer: Arc<dyn HelperPeer>) -> StatesTx {
+    /// Starts the task that pushes stored states to an instance.
+    pub(crate) fn start_pushing(self: &Arc<Self>, peer: Arc<dyn HelperPeer>) -> StatesTx {
         let (tx, rx) = async_channel::bounded(MAX_WAITING);
-        spawn(tell(Arc::clone(self), peer, rx)).detach();
+        spawn(push_states(Arc::clone(self), peer, rx)).detach();
         tx
     }
 }
 
-async fn tell(term: Arc<Term>, peer: Arc<dyn HelperPeer>, rx: Receiver<(JobId, JobState)>) {
+async fn push_states(term: Arc<Term>, peer: Arc<dyn HelperPeer>, rx: Receiver<(JobId, JobState)>) {
     while let Ok(first) = rx.recv().await {
         if term.is_over() {
             return;
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -24,7 +24,7 @@
 
 /// Table of jobs that are not finished.
 pub const JOBS: &str = "jobs";
-/// Table of the states of jobs, and of what the leader tells all instances.
+/// Table of the states of jobs, and of what the leader publishes.
 pub const STATE: &str = "state";
 /// Table of the instances of the cell.
 pub const MEMBERS: &str = "members";
@@ -89,7 +89,7 @@
     pub instance: InstanceId,
     /// Its address for other instances.
     pub address: SocketAddr,
-    /// Number that tells one life of an instance from the next.
+    /// Number that distinguishes one life of an instance from the next.
     pub life: u64,
     /// Number of the term, from 1; workers refuse orders of lower ones.
     pub term: u32,
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -11,11 +11,11 @@
         finished::FinishedJobs,
         journal::Journal,
         orders::{Order, WorkerHandle},
+        push::StatesTx,
         rows::{
             JOB_PARTS, JOBS, LeaderRow, MAIN, STATE, StateRow, WORKERS, WorkersRow, cancelled_job,
             key,
         },
-        tell::StatesTx,
         worker_loop::run_worker,
     },
     async_channel::{Receiver, Sender},
@@ -63,8 +63,8 @@
     /// Connections to the other instances, with the addresses that they go to.
     pub(crate) helpers: Mutex<BTreeMap<InstanceId, Helper>>,
     pub(crate) workers: Mutex<BTreeMap<WorkerId, WorkerHandle>>,
-    /// Where to tell stored states, by instance.
-    pub(crate) told: Mutex<BTreeMap<InstanceId, StatesTx>>,
+    /// Queues of states to push, by instance.
+    pub(crate) push_queues: Mutex<BTreeMap<InstanceId, StatesTx>>,
     recovered: AtomicBool,
     /// Time of the sending of the last renewal that succeeded.
     renewed_ms: AtomicU64,
@@ -89,7 +89,7 @@
             broker: Mutex::default(),
             helpers: Mutex::default(),
             workers: Mutex::default(),
-            told: Mutex::default(),
+            push_queues: Mutex::default(),
             recovered: AtomicBool::new(false),
             renewed_ms: AtomicU64::new(sent_ms),
             stop: Stop::new(),
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/timing.rs
@@ -24,8 +24,8 @@
     pub commit_gap_ms: u64,
     /// Time between two readings of the list of workers, in ms.
     pub list_ms: u64,
-    /// Longest time that a worker may wait for an end before it answers a look.
-    pub look_wait: Duration,
+    /// Longest time that a worker may wait for an end before it answers a heartbeat.
+    pub heartbeat_wait: Duration,
 }
 
 /// How much slower than ours a worker's clock may run, in percent, with a margin.
@@ -45,7 +45,7 @@
             renew_ms: 300,
             commit_gap_ms: 20,
             list_ms: 500,
-            look_wait: Duration::from_secs(2),
+            heartbeat_wait: Duration::from_secs(2),
         }
     }
 
--- a/crates/dispatch/src/worker_loop.rs
+++ b/crates/dispatch/src/worker_loop.rs
@@ -1,11 +1,11 @@
 //! The loop that watches one worker: it keeps what runs there alive, and learns what ended.
 //!
-//! The worker answers a look when something ends, or after a while. Ends are acknowledged by the next look, which is sent
+//! The worker answers a heartbeat when something ends, or after a while. Ends are acknowledged by the next heartbeat, which is sent
 //! only after they are stored.
 
 use {
     crate::{
-        api::{Addressee, LookAnswer, LookOrder, WorkerError},
+        api::{Addressee, HeartbeatAnswer, HeartbeatOrder, WorkerError},
         events::{RUN_FAILED, RUN_INTERRUPTED, WORKER_LOST, WORKER_REACHED, WORKER_REPLACED},
         orders::{ClockReading, Order, WorkerHandle, send_orders},
         term::{Term, lock},
@@ -13,13 +13,13 @@
     async_channel::Receiver,
     ragwortreel_model::WorkerId,
     ragwortreel_runtime::{Task, boot_ms, log_event, sleep_ms, spawn, timeout_ms},
-    ragwortreel_workflow::{EndCause, EndedRun, LookReport},
+    ragwortreel_workflow::{EndCause, EndedRun, HeartbeatReport},
     std::{sync::Arc, time::Duration},
 };
 
-/// Pauses after looks that were not answered, in ms; the last one is repeated.
+/// Pauses after heartbeats that were not answered, in ms; the last one is repeated.
 const PAUSES_MS: [u64; 4] = [50, 150, 300, 600];
-/// Longest time to wait for ends to be stored before the worker is kept alive by another look, in ms.
+/// Longest time to wait for ends to be stored before the worker is kept alive by another heartbeat, in ms.
 const STORED_WAIT_MS: u64 = 1_500;
 
 struct Watch {
@@ -81,20 +81,26 @@
         let keep = clock.filter(|_| self.failures == 0);
         let keep_until_ms = keep.map(|clock| clock.at(sent_ms) + timing.lease_ms);
         let is_first = keep.is_none();
-        let order = LookOrder {
+        let order = HeartbeatOrder {
             keep_until_ms,
             ends_stored: self.ends_stored,
             wait: if is_first {
                 Duration::ZERO
             } else {
-                timing.look_wait
+                timing.heartbeat_wait
             },
         };
         let lease_until_ms = sent_ms + timing.lease_bound_ms();
         if keep_until_ms.is_some() {
             lock(&self.term.scheduler).extend_lease(&self.to.worker, lease_until_ms);
         }
-        let result = self.term.cell.parts.workers.look(&self.to, order).await;
+        let result = self
+            .term
+            .cell
+            .parts
+            .workers
+            .heartbeat(&self.to, order)
+            .await;
         match result {
             Ok(answer) => {
                 let read_ms = boot_ms();
@@ -119,7 +125,7 @@
     }
 
     /// Whether a new life answers under the same name; its ends are numbered anew.
-    fn is_new_life(&mut self, answer: &LookAnswer) -> bool {
+    fn is_new_life(&mut self, answer: &HeartbeatAnswer) -> bool {
         let former = self.born_ms.replace(answer.born_ms);
         if former.is_none_or(|former| former == answer.born_ms) {
             return false;
@@ -136,17 +142,17 @@
             "worker" => self.to.worker.to_string(), "term" => self.term.number);
     }
 
-    async fn answered(&mut self, answer: LookAnswer, sent_ms: u64, lease_until_ms: u64) {
+    async fn answered(&mut self, answer: HeartbeatAnswer, sent_ms: u64, lease_until_ms: u64) {
         self.failures = 0;
         let has_ends = !answer.ended.is_empty();
         self.log_ends(&answer.ended);
-        let report = LookReport {
+        let report = HeartbeatReport {
             sent_ms,
             lease_until_ms,
             running: answer.running,
             ended: answer.ended,
         };
-        lock(&self.term.scheduler).look(&self.to.worker, report, boot_ms());
+        lock(&self.term.scheduler).heartbeat(&self.to.worker, report, boot_ms());
         self.term.wake();
         if !has_ends {
             return;
@@ -176,7 +182,7 @@
         }
     }
 
-    /// Notes a look without an answer; false when the worker's life is over.
+    /// Notes a heartbeat without an answer; false when the worker's life is over.
     async fn failed(&mut self, err: &WorkerError) -> bool {
         match err {
             WorkerError::OtherLife { .. } => {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The package is synchronous and has no clock or network of its own: each call carries the time. The leader of a cell
 //! drives one [`Scheduler`]: it reports what callers, workers and the advice service say, and carries out the
-//! [`Action`]s that [`Scheduler::decide`] returns. Workers need not guard their own capacity, so the books kept here are what
+//! [`Action`]s that [`Scheduler::decide`] returns. Workers need not guard their own capacity, so the accounting here is what
 //! keeps a worker from being overcommitted.
 
 mod action;
@@ -25,5 +25,5 @@
     progress::{JobChange, PlacedTasks, Progress, StepProgress, TaskFailures},
     scheduler::Scheduler,
     state::Certainty,
-    worker::{EndCause, EndedRun, LookReport, RunningTask, StartOutcome, WorkerSpec},
+    worker::{EndCause, EndedRun, HeartbeatReport, RunningTask, StartOutcome, WorkerSpec},
 };
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -1,12 +1,12 @@
-//! The books of a cell: jobs, their tasks, and what may run on which worker.
+//! Jobs of a cell, their tasks, and what may run on which worker.
 //!
 //! A task is started again only when its earlier run is proven gone: its worker listed the end, no longer lists the run
-//! in a look that was sent after the start was confirmed, or its lease has lapsed. Every start is part of the stored
+//! in a heartbeat that was sent after the start was confirmed, or its lease has lapsed. Every start is part of the stored
 //! progress before it is sent, so a new leader knows where the tasks of the one before it may run.
 
 use {
     crate::{
-        Action, Certainty, EndCause, EndedRun, JobChange, JobRequest, LookReport, Progress,
+        Action, Certainty, EndCause, EndedRun, HeartbeatReport, JobChange, JobRequest, Progress,
         StartOutcome, StepKey, StopOrder, TaskKey, WorkerSpec,
         state::{Job, Place, Rank, StepState, WORTHLESS_FACTOR},
         worker::{Phase, Run, Worker},
@@ -117,7 +117,7 @@
         self.complete_if_done(&id);
     }
 
-    /// Enters a run of an earlier leader into the books of its worker, whose next look tells whether it is alive.
+    /// Reserves room for a run of an earlier leader; its worker's next heartbeat says whether it is alive.
     fn restore_run(&mut self, id: &WorkerId, task: TaskKey, job: &mut Job) {
         let need = job.request.steps[task.step.step as usize].need;
         let Some(state) = job.task_mut(&task) else {
@@ -208,7 +208,7 @@
                 .runs
                 .get(task)
                 .is_some_and(|known| known.number == run)
-                || worker.strays.get(task) == Some(&run)
+                || worker.orphans.get(task) == Some(&run)
         })
     }
 
@@ -240,7 +240,7 @@
     }
 
     /// Records what a worker lists; returns the number of runs that it lists as ended.
-    pub fn look(&mut self, id: &WorkerId, report: LookReport, now_ms: u64) {
+    pub fn heartbeat(&mut self, id: &WorkerId, report: HeartbeatReport, now_ms: u64) {
         self.now_ms = now_ms;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -298,7 +298,7 @@
             let Some(worker) = self.workers.get_mut(id) else {
                 return;
             };
-            if worker.strays.insert(task.clone(), run) != Some(run) {
+            if worker.orphans.insert(task.clone(), run) != Some(run) {
                 self.push_stop(id, task, run);
             }
         }
@@ -358,7 +358,7 @@
             return;
         };
         worker
-            .strays
+            .orphans
             .retain(|task, run| listed.get(task) == Some(run));
         let mut gone = Vec::new();
         let mut unsure = Vec::new();
@@ -562,7 +562,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.strays.clear();
+        worker.orphans.clear();
         let tasks: Vec<TaskKey> = worker.runs.keys().cloned().collect();
         for task in tasks {
             self.run_gone(id, &task);
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -65,7 +65,7 @@
 
 /// What a worker says about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct LookReport {
+pub struct HeartbeatReport {
     /// Time at which the question was sent; what was started before and is not listed does not run.
     pub sent_ms: u64,
     /// Time from which everything on the worker has certainly lapsed unless it is held again.
@@ -115,13 +115,13 @@
     Stopped(u64),
 }
 
-/// A worker with the books kept on it.
+/// A worker with what may run on it.
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) spec: WorkerSpec,
     /// Whether it is in the platform's list.
     pub(crate) listed: bool,
-    /// Whether it answered its last look under this leader.
+    /// Whether it answered its last heartbeat under this leader.
     pub(crate) reachable: bool,
     /// Whether it ever did; from then on it refuses orders of earlier leaders.
     pub(crate) heard: bool,
@@ -131,7 +131,7 @@
     pub(crate) held: Resources,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     /// Runs of unknown jobs; nothing starts here until they are gone.
-    pub(crate) strays: BTreeMap<TaskKey, u32>,
+    pub(crate) orphans: BTreeMap<TaskKey, u32>,
     pub(crate) lease_until_ms: u64,
     /// Failed runs in a row, and the time until which it is set aside for that.
     pub(crate) failures: u32,
@@ -148,7 +148,7 @@
             used: Resources::ZERO,
             held: Resources::ZERO,
             runs: BTreeMap::new(),
-            strays: BTreeMap::new(),
+            orphans: BTreeMap::new(),
             lease_until_ms: 0,
             failures: 0,
             set_aside_until_ms: 0,
@@ -160,7 +160,7 @@
         self.listed
             && self.reachable
             && !self.spec.draining
-            && self.strays.is_empty()
+            && self.orphans.is_empty()
             && self.set_aside_until_ms <= now_ms
     }
 
--- a/crates/workflow/tests/scheduler.rs
+++ b/crates/workflow/tests/scheduler.rs
@@ -115,14 +115,14 @@
         cell.answer(&starts[0], StartOutcome::Unknown);
         assert!(cell.starts().is_empty());
         // The worker does not list it: it is stopped there, so that it cannot begin later.
-        cell.look_empty(starts[0].worker.as_str());
+        cell.heartbeat_empty(starts[0].worker.as_str());
         let (started, stops) = cell.decide();
         assert!(started.is_empty());
         assert_eq!(stops.len(), 1);
         cell.now_ms += 10;
         cell.scheduler.stop_result(&stops[0].worker, &stops[0].task, stops[0].run, cell.now_ms);
         assert!(cell.starts().is_empty());
-        cell.look_empty(starts[0].worker.as_str());
+        cell.heartbeat_empty(starts[0].worker.as_str());
         assert_eq!(cell.starts().len(), 1);
     };
 
@@ -261,9 +261,9 @@
         let starts = cell.starts();
         cell.confirm(&starts);
         let name = starts[0].task.to_string();
-        cell.look_with("w1", &[&name]);
+        cell.heartbeat_with("w1", &[&name]);
         cell.now_ms += 4_000;
-        cell.look_with("w1", &[&name]);
+        cell.heartbeat_with("w1", &[&name]);
         let (_, stops) = cell.decide();
         assert_eq!(stops.len(), 1);
     };
@@ -271,12 +271,12 @@
     /// Guards against runs of jobs that ended or are not known, which would hold room for nothing.
     unknown_run_is_stopped_and_blocks_its_worker: |cell| {
         cell.list(&[worker("w1", 4_000)]);
-        cell.look_with("w1", &["ghost.0.0.0"]);
+        cell.heartbeat_with("w1", &["ghost.0.0.0"]);
         cell.accept(job("a", queue(0), vec![step(1, 1_000)]));
         let (started, stops) = cell.decide();
         assert!(started.is_empty());
         assert_eq!(stops.len(), 1);
-        cell.look_empty("w1");
+        cell.heartbeat_empty("w1");
         assert_eq!(cell.starts().len(), 1);
     };
 }
@@ -330,7 +330,7 @@
     second.list_only(&[worker("w1", 1_000), worker("w2", 1_000)]);
     second.recover(job("a", queue(0), vec![step(3, 1_000)]), &change.progress);
     second.now_ms += 1;
-    second.look_empty(other);
+    second.heartbeat_empty(other);
     let again = second.starts();
     assert_eq!(again.len(), 1, "only the other worker has room");
     assert_ne!(
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -5,9 +5,9 @@
 use {
     ragwortreel_model::{JobId, JobState, Resources, WorkerId},
     ragwortreel_workflow::{
-        Action, AdviceCost, AdviceRequest, Certainty, EndCause, EndedRun, JobChange, JobRequest,
-        LookReport, Progress, QueuePolicy, RunningTask, Scheduler, StartOrder, StartOutcome, Step,
-        StopOrder, WorkerSpec,
+        Action, AdviceCost, AdviceRequest, Certainty, EndCause, EndedRun, HeartbeatReport,
+        JobChange, JobRequest, Progress, QueuePolicy, RunningTask, Scheduler, StartOrder,
+        StartOutcome, Step, StopOrder, WorkerSpec,
     },
     std::{collections::BTreeSet, sync::Arc},
 };
@@ -96,12 +96,12 @@
     pub fn list(&mut self, specs: &[WorkerSpec]) {
         self.list_only(specs);
         for spec in specs {
-            let report = LookReport {
+            let report = HeartbeatReport {
                 sent_ms: 0,
                 lease_until_ms: self.now_ms + LEASE_BOUND_MS,
-                ..LookReport::default()
+                ..HeartbeatReport::default()
             };
-            self.scheduler.look(&spec.id, report, self.now_ms);
+            self.scheduler.heartbeat(&spec.id, report, self.now_ms);
         }
     }
 
@@ -173,23 +173,23 @@
                 cause,
                 checkpoint: Arc::from(""),
             };
-            let report = LookReport {
+            let report = HeartbeatReport {
                 sent_ms: 0,
                 lease_until_ms: self.now_ms + LEASE_BOUND_MS,
                 running: Vec::new(),
                 ended: vec![ended],
             };
-            self.scheduler.look(&start.worker, report, self.now_ms);
+            self.scheduler.heartbeat(&start.worker, report, self.now_ms);
         }
     }
 
     /// Has a worker list nothing.
-    pub fn look_empty(&mut self, worker: &str) {
-        self.look_with(worker, &[]);
+    pub fn heartbeat_empty(&mut self, worker: &str) {
+        self.heartbeat_with(worker, &[]);
     }
 
     /// Has a worker list first runs of tasks.
-    pub fn look_with(&mut self, worker: &str, tasks: &[&str]) {
+    pub fn heartbeat_with(&mut self, worker: &str, tasks: &[&str]) {
         self.now_ms += 10;
         let running = tasks.iter().map(|task| RunningTask {
             task: task.parse().expect("a task's name"),
@@ -197,13 +197,14 @@
             checkpoint: Arc::from(""),
             percent: 0,
         });
-        let report = LookReport {
+        let report = HeartbeatReport {
             sent_ms: self.now_ms,
             lease_until_ms: self.now_ms + LEASE_BOUND_MS,
             running: running.collect(),
             ended: Vec::new(),
         };
-        self.scheduler.look(&worker_id(worker), report, self.now_ms);
+        self.scheduler
+            .heartbeat(&worker_id(worker), report, self.now_ms);
     }
 
     pub fn changes(&mut self) -> Vec<JobChange> {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,4 +1,4 @@
-//! The story of one job from the logs of many instances.
+//! The timeline of one job from the logs of many instances.
 
 use {
     crate::{config::read, error::Error, output},
@@ -35,14 +35,14 @@
     }
 }
 
-/// Prints the story of a job.
+/// Prints the timeline of a job.
 pub fn run(id: &str, files: &[PathBuf]) -> Result<(), Error> {
     let mut lines = Vec::new();
     for file in files {
         let text = read(file)?;
         lines.extend(String::from_utf8_lossy(&text).lines().filter_map(parse));
     }
-    output::print(&tell(id, lines))
+    output::print(&format_timeline(id, lines))
 }
 
 /// Reads a line; text before the JSON object, such as a collector's prefix, is passed over.
@@ -53,8 +53,8 @@
     Some(Line { ts_ms, fields })
 }
 
-/// The story of a job, in order of time.
-fn tell(id: &str, mut lines: Vec<Line>) -> String {
+/// The timeline of a job, in order of time.
+fn format_timeline(id: &str, mut lines: Vec<Line>) -> String {
     lines.sort_by_key(|line| line.ts_ms);
     let own = || lines.iter().filter(|line| line.is_about(id));
     let (Some(first), Some(last)) = (own().next(), own().next_back()) else {
@@ -77,7 +77,7 @@
     if left_out > 0 {
         let _ = writeln!(
             text,
-            "{left_out} lines were dropped meanwhile; the story may have gaps"
+            "{left_out} lines were dropped meanwhile; the timeline may have gaps"
         );
     }
     text
