--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -260,7 +260,14 @@
         for (id, instance) in &self.instances {
             lines.push(format!("{id}: {:?}", instance.control.figures()));
         }
-        for prefix in ["pool/", "quota/", "instance/", "slots/", "settled/", "journal/"] {
+        for prefix in [
+            "pool/",
+            "quota/",
+            "instance/",
+            "slots/",
+            "settled/",
+            "journal/",
+        ] {
             let rows = self.platform.peek_all(prefix);
             lines.extend(rows.iter().map(|row| format!("{}: {}", row.key, row.value)));
         }
