--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -125,18 +125,6 @@
         is_fresh.then(|| state.pending.get(queue).copied().unwrap_or(0))
     }
 
-    /// Number of jobs that are known.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.lock().jobs.len()
-    }
-
-    /// Whether no job is known.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     /// The leader's row and its version.
     #[must_use]
     pub fn leader(&self) -> Option<(LeaderRow, u64)> {
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -460,12 +460,6 @@
         self.learn_share(queue, counts);
     }
 
-    /// Time at which the next decision is due without any further event.
-    #[must_use]
-    pub fn next_due_ms(&self) -> Option<u64> {
-        (!self.waiting.is_empty() || !self.scheduled.is_empty()).then_some(self.now_ms + 50)
-    }
-
     /// Decides what to do now; `wall_ms` is the Unix time, for scheduled jobs.
     pub fn decide(&mut self, now_ms: u64, wall_ms: u64) -> Vec<Action> {
         self.now_ms = now_ms;
@@ -496,11 +490,6 @@
             .collect()
     }
 
-    /// Puts back changes whose storing failed.
-    pub fn put_back(&mut self, jobs: impl IntoIterator<Item = JobId>) {
-        self.changed.extend(jobs);
-    }
-
     /// Notes that what is placed of a job must be stored.
     pub(crate) fn placed(&mut self, id: &JobId) {
         self.changed.insert(id.clone());
