Let old_rows_are_removed begin where all members know each other

ShareLedger::may_remove forbids that removal on purpose: the paused one does not count the newcomer as silent and may go on using shares of epoch 2 by the word of the other members, so only the platform's list or a refused connection may end it. The test paused a member that may not have learned of the owner yet.

Ruled out: an open promise, a conflict of the transaction, a lease that is still extended by the row (the trace shows none of them).

The test now waits until all three report that the epoch of all three is settled; its bound stays. A new test plays the other case: the silent member stays for three leases and leaves as soon as the platform lists it as terminated.

--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -700,6 +700,13 @@
             .cloned()
             .collect();
         let (killed, other) = (others[0].clone(), others[1].clone());
+        // A silent member that has not learned of the remaining one stays until the platform lists it as terminated
+        // (see the next test), so all three learn of each other before one is paused.
+        cell.until("all members know the epoch of all three", |cell| {
+            let mut controls = cell.instances.values().map(|found| &found.control);
+            controls.all(|it| it.slot_members().len() == 3 && it.is_share_settled())
+        })
+        .await;
         cell.kill(&killed);
         cell.instances[&other].gate.pause();
         let is_gone =
@@ -730,3 +737,50 @@
         assert_eq!(cell.owner("riga-a"), Some(other));
     });
 }
+
+/// A member that fell silent before it learned of another one may still use the shares of the older epoch, so the other
+/// must keep it in the slots row however long it is silent; the platform's word that it ended must be enough to remove it.
+#[test]
+fn silent_member_that_never_learned_of_the_other_goes_by_the_list() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a"], 0);
+        for id in ["e1", "e2"] {
+            cell.start(id, "riga-a");
+        }
+        cell.ready().await;
+        cell.until("the first two share", |cell| {
+            let mut controls = cell.instances.values().map(|found| &found.control);
+            controls.all(|it| it.slot_members().len() == 2 && it.is_share_settled())
+        })
+        .await;
+        cell.instances["e2"].gate.pause();
+        cell.start("e3", "riga-a");
+        cell.until("the third one joins", |cell| {
+            cell.control("e3").slot_members().len() == 3
+        })
+        .await;
+        cell.kill("e1");
+        let lists = |cell: &Cell, id: &str| {
+            let members = cell.control("e3").slot_members();
+            members.contains(&name(InstanceId::new, id))
+        };
+        cell.until("the killed one is removed", |cell| !lists(cell, "e1"))
+            .await;
+        let silent_until = cell.clock.now_ms() + 3 * cell.timings.lease_ms;
+        cell.until("three leases later", |cell| {
+            assert!(lists(cell, "e2"), "a member that may use an older share");
+            cell.clock.now_ms() >= silent_until
+        })
+        .await;
+        let address = cell.instances["e2"].address;
+        cell.platform.put_instance(ListedInstance {
+            id: name(InstanceId::new, "e2"),
+            zone: cell.zones[0].clone(),
+            address,
+            state: InstanceState::Terminated,
+            role: ListedRole::Entry,
+        });
+        cell.until("the listed one is removed", |cell| !lists(cell, "e2"))
+            .await;
+    });
+}
