--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -44,6 +44,7 @@
         while !self.is_over() {
             match self.cell.parts.feed.part(MEMBERS, MAIN).await {
                 Ok(members) => {
+                    self.cell.note_store("read members", None);
                     let mut strong = Vec::new();
                     for row in members.rows {
                         strong.extend(self.add_member(&row.key, row.value.as_deref()));
--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -21,7 +21,7 @@
     },
     ragwortreel_model::{InstanceId, WorkerId},
     ragwortreel_platform::{
-        ChangeFeed, ChangedRow, FeedError, PlatformError, ResilientTable, TableService, Txn, Write,
+        ChangeFeed, ChangedRow, FeedError, ResilientTable, TableService, Txn, Write,
     },
     ragwortreel_runtime::{Logger, Stop, boot_ms, log_event, sleep_ms, spawn},
     std::{
@@ -247,9 +247,9 @@
         writes: vec![write],
     };
     while !stop.is_requested() {
-        let result: Result<_, PlatformError> = cell.parts.table.commit(txn.clone()).await;
-        if result.is_ok() {
-            return;
+        match cell.parts.table.commit(txn.clone()).await {
+            Ok(_) => return cell.note_store("register", None),
+            Err(err) => cell.note_store("register", Some(&err)),
         }
         sleep_ms(STORE_PAUSE_MS).await;
     }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -7,7 +7,7 @@
     crate::{
         CellMetrics,
         board::Board,
-        events::{JOB_ACCEPTED, JOB_CANCELLED, JOB_REFUSED, JOB_UNKNOWN},
+        events::{BAD_ROW, JOB_ACCEPTED, JOB_CANCELLED, JOB_REFUSED, JOB_UNKNOWN, READ_FAILED},
         health::StoreHealth,
         rows::{CANCEL_MARK, STATE, cancel_key, cancel_name, decode_state, job_key, job_part, key},
     },
@@ -229,18 +229,29 @@
         match table.get_by(&key(STATE, id.as_str()), deadline).await {
             Ok(None) => {}
             Ok(Some(row)) => {
-                return decode_state(&row.value)
-                    .map_or(StateAnswer::Unavailable, StateAnswer::Known);
+                return match decode_state(&row.value) {
+                    Ok(state) => StateAnswer::Known(state),
+                    Err(err) => {
+                        log_event!(self.log, BAD_ROW; "row" => id.to_string(),
+                            "problem" => err.to_string());
+                        StateAnswer::Unavailable
+                    }
+                };
             }
-            Err(_) => return StateAnswer::Unavailable,
+            Err(err) => return self.read_failed(id, &err),
         }
         match table.get_by(&job_key(id), deadline).await {
             Ok(None) => StateAnswer::NoJob,
             Ok(Some(_)) => StateAnswer::Known(JobState::Queued),
-            Err(_) => StateAnswer::Unavailable,
+            Err(err) => self.read_failed(id, &err),
         }
     }
 
+    fn read_failed(&self, id: &JobId, err: &PlatformError) -> StateAnswer {
+        log_event!(self.log, READ_FAILED; "job" => id.to_string(), "problem" => err.to_string());
+        StateAnswer::Unavailable
+    }
+
     /// Cancels a job.
     pub async fn cancel(&self, id: &JobId, deadline: Instant) -> CancelOutcome {
         match self.state(id, deadline).await {
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -24,9 +24,11 @@
     CONFIGURATION = 2121, Info, "a configuration is in force";
     JOURNAL_CONFLICT = 2122, Warning, "the leader's row was changed by another instance";
     CELL_SUMMARY = 2123, Info, "summary of the leader's work";
+    MEMBER_LOST = 2124, Info, "an instance does not answer calls for advice";
     STEP_STARTED = 2125, Info, "tasks of a step are placed; their starts follow when that is stored";
     ADVICE_ANSWERED = 2126, Info, "the advice service named the workers that may run a step";
     RUN_FAILED = 2127, Info, "a run failed";
     RUN_INTERRUPTED = 2128, Info, "a run was stopped, lapsed, or lost another member of its gang";
-    MEMBER_LOST = 2124, Info, "an instance does not answer calls for advice";
+    JOURNAL_SLOW = 2129, Warning, "a transaction of the journal was slow; starts and states waited for it";
+    READ_FAILED = 2130, Warning, "the store did not answer a question about a job";
 }
--- a/crates/dispatch/src/finished.rs
+++ b/crates/dispatch/src/finished.rs
@@ -109,7 +109,10 @@
             writes: writes.collect(),
         };
         match self.cell.parts.table.commit(txn).await {
-            Ok(outcome) => matches!(outcome, TxnOutcome::Committed { .. }),
+            Ok(outcome) => {
+                self.cell.note_store("clear finished jobs", None);
+                matches!(outcome, TxnOutcome::Committed { .. })
+            }
             Err(err) => {
                 self.cell.note_store("clear finished jobs", Some(&err));
                 false
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -4,12 +4,14 @@
     crate::{
         CellMetrics,
         events::{STORE_BACK, STORE_LOST},
+        outages::{Began, Outages},
+        term::lock,
     },
     ragwortreel_runtime::{Logger, boot_ms, log_event},
     std::{
         fmt::Display,
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicU64, Ordering},
         },
     },
@@ -24,12 +26,11 @@
 /// Longest such time, in ms; most outages last a few seconds.
 const MAX_RETRY_MS: u64 = 4_000;
 
-/// When the store answered, and since when it does not.
+/// When the store answered, and which steps it does not answer.
 #[derive(Debug)]
 pub(crate) struct StoreHealth {
     answered_ms: AtomicU64,
-    /// Time of the first failure since the last answer; 0 while the store answers.
-    lost_ms: AtomicU64,
+    outages: Mutex<Outages>,
     metrics: Arc<CellMetrics>,
     log: Logger,
 }
@@ -38,7 +39,7 @@
     pub(crate) fn new(log: Logger, metrics: Arc<CellMetrics>) -> Self {
         Self {
             answered_ms: AtomicU64::new(0),
-            lost_ms: AtomicU64::new(0),
+            outages: Mutex::default(),
             metrics,
             log,
         }
@@ -48,24 +49,17 @@
     pub(crate) fn answered(&self, step: &'static str) {
         let now_ms = boot_ms();
         self.answered_ms.store(now_ms, Ordering::Relaxed);
-        let lost_ms = self.lost_ms.swap(0, Ordering::Relaxed);
-        if lost_ms > 0 {
-            log_event!(self.log, STORE_BACK; "step" => step,
-                "lost_for_ms" => now_ms.saturating_sub(lost_ms));
+        if let Some(lost_for_ms) = lock(&self.outages).answered(step, now_ms) {
+            log_event!(self.log, STORE_BACK; "step" => step, "lost_for_ms" => lost_for_ms);
         }
     }
 
     /// Notes a call that was not answered.
     pub(crate) fn failed(&self, step: &'static str, problem: &dyn Display) {
         self.metrics.store_failure(step);
-        let first = self.lost_ms.compare_exchange(
-            0,
-            boot_ms().max(1),
-            Ordering::Relaxed,
-            Ordering::Relaxed,
-        );
-        if first.is_ok() {
-            log_event!(self.log, STORE_LOST; "step" => step, "problem" => problem.to_string());
+        if let Some(Began { left_out }) = lock(&self.outages).failed(step, boot_ms()) {
+            log_event!(self.log, STORE_LOST; "step" => step, "problem" => problem.to_string(),
+                "left_out" => left_out);
         }
     }
 
@@ -78,10 +72,7 @@
     ///
     /// An outage that has lasted for some time will most likely last as long again.
     pub(crate) fn retry_after_ms(&self) -> u64 {
-        let lost_ms = match self.lost_ms.load(Ordering::Relaxed) {
-            0 => 0,
-            since_ms => boot_ms().saturating_sub(since_ms),
-        };
+        let lost_ms = lock(&self.outages).age_ms(boot_ms());
         lost_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS)
     }
 }
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -6,10 +6,10 @@
 
 use {
     crate::{
-        events::{JOB_ENDED, JOURNAL_CONFLICT},
+        events::{JOB_ENDED, JOURNAL_CONFLICT, JOURNAL_SLOW},
         leadership::{encode, leader_txn},
         orders::Order,
-        rows::{LOAD, LeaderRow, STATE, StateRow, WORKERS, WorkersRow, key},
+        rows::{LOAD, LeaderRow, STATE, StateRow, WORKERS, WorkersRow, json, key},
         term::{Term, lock},
     },
     async_channel::{Receiver, Sender},
@@ -31,6 +31,9 @@
 const LOAD_MS: u64 = 500;
 /// Time that the renewal for a planned stop may take, in ms.
 const RELEASE_MS: u64 = 1_500;
+/// Duration from which a transaction gets a line of its own, in ms: half of the time for which a renewal allows starts.
+/// Slower ones delay what callers see, and as each line takes this long, there are at most two a second.
+const SLOW_MS: u64 = 500;
 
 /// Row of the leader as it was last stored.
 struct Stored {
@@ -163,8 +166,11 @@
         let mut txn = leader_txn(&row, stored.version);
         txn.writes.extend(rows);
         let workers = self.add_own_rows(stored, &mut txn);
+        let begun_ms = boot_ms();
+        let mut attempts = 0;
         loop {
             let sent_ms = boot_ms();
+            attempts += 1;
             let version = match self.cell.parts.table.commit(txn.clone()).await {
                 Ok(TxnOutcome::Committed { versions }) => versions.first().copied(),
                 Ok(TxnOutcome::Conflict { current }) => {
@@ -187,10 +193,13 @@
             };
             if let Some(version) = version {
                 self.cell.note_store("journal", None);
-                self.cell
-                    .parts
-                    .metrics
-                    .journal(boot_ms().saturating_sub(sent_ms));
+                let took_ms = boot_ms().saturating_sub(begun_ms);
+                self.cell.parts.metrics.journal(took_ms);
+                if took_ms >= SLOW_MS {
+                    log_event!(self.cell.parts.log, JOURNAL_SLOW; "term" => self.number,
+                        "took_ms" => took_ms, "attempts" => attempts,
+                        "rows" => txn.writes.len());
+                }
                 self.renewed(sent_ms);
                 stored.renewed_ms = sent_ms;
                 stored.row = row;
@@ -207,22 +216,20 @@
     /// Adds the rows by which the leader informs the others; returns the workers as they will be stored.
     fn add_own_rows(&self, stored: &mut Stored, txn: &mut Txn) -> WorkersRow {
         let now_ms = boot_ms();
-        let mut add = |name, json: Result<String, serde_json::Error>| {
-            if let Ok(json) = json {
-                txn.writes.push(Write {
-                    key: key(STATE, name),
-                    value: Some(json.into()),
-                });
-            }
+        let mut add = |name, value: String| {
+            txn.writes.push(Write {
+                key: key(STATE, name),
+                value: Some(value.into()),
+            });
         };
         // Before the stored jobs are read, the waiting ones are not known.
         if self.has_recovered() && now_ms >= stored.load_ms + LOAD_MS {
             stored.load_ms = now_ms;
-            add(LOAD, serde_json::to_string(&lock(&self.scheduler).load()));
+            add(LOAD, json(&lock(&self.scheduler).load()));
         }
         let workers = self.worker_addresses();
         if workers != stored.workers {
-            add(WORKERS, serde_json::to_string(&workers));
+            add(WORKERS, json(&workers));
         }
         workers
     }
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -9,7 +9,7 @@
         Cell,
         cell::STORE_PAUSE_MS,
         events::TAKEOVER_FAILED,
-        rows::{LEADER, LeaderRow, MAIN, STATE, key},
+        rows::{LEADER, LeaderRow, MAIN, STATE, json, key},
         term::Term,
     },
     ragwortreel_platform::{Check, FeedError, PlatformError, TableRows, Txn, TxnOutcome, Write},
@@ -204,7 +204,7 @@
 
 /// The value of the leader's row.
 pub(crate) fn encode(row: &LeaderRow) -> Arc<str> {
-    serde_json::to_string(row).unwrap_or_default().into()
+    json(row).into()
 }
 
 /// Transaction that replaces the leader's row if it has a version.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod leadership;
 mod metrics;
 mod orders;
+mod outages;
 mod push;
 pub mod rows;
 mod strength;
@@ -29,6 +30,7 @@
     cell::{Cell, CellConfig, CellParts},
     desk::{CancelOutcome, JobDesk, NewJob, StateAnswer, SubmitOutcome},
     metrics::CellMetrics,
+    outages::{Began, Outages},
     strength::Strength,
     timing::Timing,
 };
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -82,6 +82,12 @@
     JobId::new(name.strip_suffix(CANCEL)?).ok()
 }
 
+/// JSON of a row's value.
+pub(crate) fn json(row: &impl Serialize) -> String {
+    // Serializing fails only for maps whose keys are not text, which no row has.
+    serde_json::to_string(row).expect("rows hold numbers, text, lists and maps by text")
+}
+
 /// Who leads.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderRow {
@@ -111,7 +117,7 @@
 /// The value of an instance's row.
 #[must_use]
 pub fn encode_member(row: &MemberRow) -> Arc<str> {
-    serde_json::to_string(row).unwrap_or_default().into()
+    json(row).into()
 }
 
 /// Workers that may run something, with their addresses.
@@ -148,7 +154,7 @@
         let rest = if self.progress.steps.is_empty() {
             String::new()
         } else {
-            serde_json::to_string(&self.progress).unwrap_or_default()
+            json(&self.progress)
         };
         format!("{letter}{rest}").into()
     }
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -171,7 +171,10 @@
                 return None;
             }
             match self.read_all().await {
-                Ok(cursor) => return Some(cursor),
+                Ok(cursor) => {
+                    self.cell.note_store("recover", None);
+                    return Some(cursor);
+                }
                 Err(err) => {
                     self.cell.note_store("recover", Some(&err));
                     sleep_ms(PAUSE_MS).await;
@@ -339,7 +342,10 @@
         while !self.is_over() {
             sleep_ms(self.cell.cfg.timing.list_ms).await;
             match self.cell.parts.source.workers().await {
-                Ok(listed) => self.apply_workers(listed, &WorkersRow::new()),
+                Ok(listed) => {
+                    self.cell.note_store("list workers", None);
+                    self.apply_workers(listed, &WorkersRow::new());
+                }
                 Err(err) => self.cell.note_store("list workers", Some(&err)),
             }
         }
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -210,32 +210,26 @@
         -> BurnCountsReply;
 }
 
-#[async_trait]
-impl HelperPeer for EntryClient {
-    async fn advise(&self, req: AdviseRequest) -> Result<AdviseReply, EntryError> {
-        let deadline = Instant::now() + Duration::from_millis(req.timeout_ms);
-        let run =
-            |call, origin| async move { HelperClient::with_origin(call, origin).advise(req).await };
-        self.call("advise", deadline, run).await
-    }
-
-    async fn show_states(&self, req: ShowStatesRequest) -> Result<ShowStatesReply, EntryError> {
-        let deadline = Instant::now() + self.limits.short_call;
-        let run = |call, origin| async move {
-            HelperClient::with_origin(call, origin)
-                .show_states(req)
-                .await
-        };
-        self.call("show states", deadline, run).await
-    }
+macro_rules! helper {
+    ($($name:ident($step:literal, $req:ident, $limit:expr) -> $reply:ident;)*) => {
+        #[async_trait]
+        impl HelperPeer for EntryClient {
+            $(async fn $name(&self, req: $req) -> Result<$reply, EntryError> {
+                let limit: fn(&ClientLimits, &$req) -> Duration = $limit;
+                let deadline = Instant::now() + limit(&self.limits, &req);
+                let run = |call, origin| async move {
+                    HelperClient::with_origin(call, origin).$name(req).await
+                };
+                self.call($step, deadline, run).await
+            })*
+        }
+    };
+}
 
-    async fn hand_rows(&self, req: HandRowsRequest) -> Result<HandRowsReply, EntryError> {
-        let deadline = Instant::now() + self.limits.short_call;
-        let run = |call, origin| async move {
-            HelperClient::with_origin(call, origin).hand_rows(req).await
-        };
-        self.call("hand rows", deadline, run).await
-    }
+helper! {
+    advise("advise", AdviseRequest, |_, req| Duration::from_millis(req.timeout_ms)) -> AdviseReply;
+    show_states("show states", ShowStatesRequest, |limits, _| limits.short_call) -> ShowStatesReply;
+    hand_rows("hand rows", HandRowsRequest, |limits, _| limits.short_call) -> HandRowsReply;
 }
 
 impl HelperConnector for TonicConnector {
