Count a job as waiting until a start is confirmed, and say how old the count is

The count now leaves out only jobs of which a start is confirmed, listed or ended, and the published load carries the age of the reading; an instance shows no count that is older than 2 s in all. The reading waits at most 0.4 s, so that a quiet cell keeps its count.

Test: jobs_wait_until_a_start_is_confirmed fails before.

--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -22,7 +22,7 @@
 struct State {
     jobs: BTreeMap<JobId, JobState>,
     pending: BTreeMap<Arc<str>, u64>,
-    /// Time at which the leader last said how many jobs wait.
+    /// Time for which the leader last said how many jobs wait.
     pending_ms: u64,
     leader: Option<(LeaderRow, u64)>,
     admission: Admission,
@@ -78,10 +78,11 @@
 
     fn apply_load(&self, value: &str, now_ms: u64) -> Result<(), String> {
         let load: Load = serde_json::from_str(value).map_err(|err| err.to_string())?;
+        let as_of_ms = now_ms.saturating_sub(load.age_ms);
         let mut state = self.lock();
         state.pending.clone_from(&load.pending);
-        state.pending_ms = now_ms;
-        state.admission.update(load, now_ms);
+        state.pending_ms = as_of_ms;
+        state.admission.update(load, as_of_ms);
         Ok(())
     }
 
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -225,7 +225,9 @@
         // Before the stored jobs are read, the waiting ones are not known.
         if self.has_recovered() && now_ms >= stored.load_ms + LOAD_MS {
             stored.load_ms = now_ms;
-            add(LOAD, json(&lock(&self.scheduler).load()));
+            let mut load = lock(&self.scheduler).load();
+            load.age_ms = self.jobs_age_ms();
+            add(LOAD, json(&load));
         }
         let workers = self.worker_addresses();
         if workers != stored.workers {
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -39,8 +39,9 @@
 
 /// Pause after a failed call to the store, in ms.
 const PAUSE_MS: u64 = 200;
-/// Longest time that the store may wait for new jobs before it answers.
-const JOBS_WAIT: Duration = Duration::from_secs(1);
+/// Longest time that the store may wait for new jobs before it answers. The number of waiting jobs is published with the
+/// age of the last reading, and callers get none that is older than 2 s.
+const JOBS_WAIT: Duration = Duration::from_millis(400);
 /// Pause between two readings of new jobs, in ms. The instances hand jobs over themselves; the readings find what got
 /// lost on the way.
 const JOBS_PAUSE_MS: u64 = 100;
@@ -66,6 +67,8 @@
     /// Queues of states to push, by instance.
     pub(crate) push_queues: Mutex<BTreeMap<InstanceId, StatesTx>>,
     recovered: AtomicBool,
+    /// Time of the sending of the last reading of the table of jobs that succeeded.
+    jobs_read_ms: AtomicU64,
     /// Time of the sending of the last renewal that succeeded.
     renewed_ms: AtomicU64,
     pub(crate) stop: Stop,
@@ -91,6 +94,7 @@
             workers: Mutex::default(),
             push_queues: Mutex::default(),
             recovered: AtomicBool::new(false),
+            jobs_read_ms: AtomicU64::new(0),
             renewed_ms: AtomicU64::new(sent_ms),
             stop: Stop::new(),
             wake_tx,
@@ -115,6 +119,11 @@
         self.renewed_ms.fetch_max(sent_ms, Ordering::Relaxed);
     }
 
+    /// Time for which jobs may have been stored that this term does not know, in ms.
+    pub(crate) fn jobs_age_ms(&self) -> u64 {
+        boot_ms().saturating_sub(self.jobs_read_ms.load(Ordering::Relaxed))
+    }
+
     fn unrenewed_ms(&self) -> u64 {
         boot_ms().saturating_sub(self.renewed_ms.load(Ordering::Relaxed))
     }
@@ -226,6 +235,7 @@
 
     /// Reads all parts of the table of jobs side by side.
     async fn read_jobs(&self) -> Result<TableRows, PlatformError> {
+        let sent_ms = boot_ms();
         let readings = JOB_PARTS.map(|part| {
             let feed = Arc::clone(&self.cell.parts.feed);
             spawn(async move { feed.part(JOBS, part).await })
@@ -239,6 +249,7 @@
             all.rows.extend(part.rows);
             all.version = all.version.min(part.version);
         }
+        self.jobs_read_ms.store(sent_ms, Ordering::Relaxed);
         Ok(all)
     }
 
@@ -313,9 +324,13 @@
     async fn follow_jobs(self: Arc<Self>, mut cursor: u64) {
         let feed = &self.cell.parts.feed;
         while !self.is_over() {
+            let sent_ms = boot_ms();
             let result = feed.changes(JOBS, cursor, JOBS_WAIT).await;
             let rows = match result {
-                Ok(rows) => rows,
+                Ok(rows) => {
+                    self.jobs_read_ms.store(sent_ms, Ordering::Relaxed);
+                    rows
+                }
                 Err(FeedError::HistoryGone) => match self.read_jobs().await {
                     Ok(rows) => rows,
                     Err(err) => {
--- a/crates/workflow/src/admission.rs
+++ b/crates/workflow/src/admission.rs
@@ -29,6 +29,9 @@
     pub ahead_s: BTreeMap<Arc<str>, BTreeMap<u32, f64>>,
     /// Jobs without a started task, by queue; scheduled ones are not counted.
     pub pending: BTreeMap<Arc<str>, u64>,
+    /// Time for which the leader may not have heard of new jobs, in ms.
+    #[serde(default)]
+    pub age_ms: u64,
 }
 
 /// A job that is refused.
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -90,6 +90,7 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             state: JobState::Queued,
+            begun: false,
             request: Arc::new(request),
         };
         if job.request.schedule.is_some() {
@@ -493,7 +494,7 @@
     /// Notes that what is placed of a job must be stored.
     pub(crate) fn placed(&mut self, id: &JobId) {
         self.changed.insert(id.clone());
-        self.started(id);
+        self.show_running(id);
     }
 
     /// Names of all workers that may run something, for the next leader.
@@ -502,11 +503,12 @@
         self.workers.keys().cloned().collect()
     }
 
-    /// Jobs without a started task, by queue; scheduled ones are not counted.
+    /// Jobs of which no task is known to have begun, by queue; scheduled ones are not counted. A start that is decided
+    /// and not confirmed may wait for the journal as long as the store is slow.
     pub(crate) fn pending(&self) -> BTreeMap<Arc<str>, u64> {
         let mut pending: BTreeMap<Arc<str>, u64> = BTreeMap::new();
         for job in self.jobs.values() {
-            if job.state == JobState::Queued && job.request.schedule.is_none() {
+            if !job.begun && !job.state.is_final() && job.request.schedule.is_none() {
                 *pending
                     .entry(Arc::clone(&job.request.policy.name))
                     .or_default() += 1;
@@ -599,8 +601,15 @@
         }));
     }
 
-    /// Notes that a job is no longer waiting for its first start.
+    /// Notes that a task of a job has begun.
     pub(crate) fn started(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.begun = true;
+        }
+        self.show_running(id);
+    }
+
+    fn show_running(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id)
             && job.state == JobState::Queued
         {
--- a/crates/workflow/src/state.rs
+++ b/crates/workflow/src/state.rs
@@ -81,6 +81,8 @@
     pub(crate) occurrences: BTreeMap<u32, Vec<StepState>>,
     pub(crate) next_occurrence: u32,
     pub(crate) state: JobState,
+    /// Whether a task of it is known to have begun under this leader.
+    pub(crate) begun: bool,
 }
 
 impl Job {
--- a/crates/workflow/tests/scheduler.rs
+++ b/crates/workflow/tests/scheduler.rs
@@ -443,3 +443,18 @@
     );
     assert!(cell.starts().is_empty());
 }
+
+/// Guards against a count of waiting jobs that leaves out jobs whose starts wait for a slow journal: on a grown fleet 117
+/// jobs were said to wait while 293 had waited for five seconds.
+#[test]
+fn jobs_wait_until_a_start_is_confirmed() {
+    let mut cell = Cell::new(1);
+    cell.list(&[worker("w", 4_000)]);
+    cell.accept(job("j", queue(0), vec![step(1, 1_000)]));
+    let starts = cell.starts();
+    assert_eq!(starts.len(), 1);
+    let waiting = |cell: &Cell| cell.scheduler.load().pending.values().sum::<u64>();
+    assert_eq!(waiting(&cell), 1, "decided, not confirmed");
+    cell.confirm(&starts);
+    assert_eq!(waiting(&cell), 0);
+}
