Start a gang at the answer, and have gangs ask about different workers

A step now starts at its answer, on the room that was kept. A worker counts as having less room for a gang for each gang that waits for an answer about it, and other steps choose such workers last. With that, twice the needed room is asked about.

Tests: gang_takes_the_room_that_was_kept_for_its_answer and gangs_ask_about_different_workers fail before.

--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -21,12 +21,14 @@
 const FIRST_ALLOWED_SHARE: f64 = 0.4;
 /// Weight of a new answer in the learned share.
 const SHARE_WEIGHT: f64 = 0.1;
+/// Parts of a slot that the order of workers by room tells apart.
+const FINE: u32 = 60;
 /// Most workers that one call for advice names; a limit of the service.
 const MAX_NAMED: usize = 100;
 /// Room asked about in relation to the room needed. Some of it is taken by others before the answer comes, and another
-/// call costs far more than some more names in this one: with 1.4 a wide step took 2.5 calls, and waited 3.1 s instead
-/// of 1.8 s for its start (`fleet` test, quiet load); beyond 3 nothing was gained.
-const ASK_FACTOR: f64 = 3.0;
+/// call costs far more than some more names in this one. From 1.4 to 3, wide jobs of the `fleet` test waited 1.8 instead
+/// of 3.0 s for their start; since gangs spread their questions, 2, 3 and 4 are equal.
+const ASK_FACTOR: f64 = 2.0;
 /// Time beyond the cost of a call for which room is kept for the answer, in ms; a call may wait for others.
 const HOLD_EXTRA_MS: u64 = 500;
 
@@ -121,17 +123,7 @@
             return (Tried::Settled, 0);
         };
         let (waiting, pending) = (step.waiting(), step.advice.pending);
-        let usable = if needs_advice {
-            let ticketed = step.advice.ticketed(now_ms);
-            self.candidates(key, ticketed.filter_map(|id| self.workers.get(id)))
-        } else {
-            self.candidates(key, self.workers.values())
-        };
-        let chosen = self.assign(key, usable, waiting, gang);
-        let started = chosen.len();
-        if started > 0 {
-            self.start(key, chosen);
-        }
+        let started = self.start_what_may(key);
         if started == waiting {
             return (Tried::Settled, started);
         }
@@ -144,6 +136,29 @@
         (self.ask(key, waiting - started, gang), started)
     }
 
+    /// Starts what has room on the workers that may run a step now; returns the number of starts.
+    pub(crate) fn start_what_may(&mut self, key: &StepKey) -> usize {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return 0;
+        };
+        let Some(step) = job.step(key) else {
+            return 0;
+        };
+        let usable = if job.request.policy.advice.is_some() {
+            let ticketed = step.advice.ticketed(self.now_ms);
+            self.candidates(key, ticketed.filter_map(|id| self.workers.get(id)))
+        } else {
+            self.candidates(key, self.workers.values())
+        };
+        let gang = job.request.steps[key.step as usize].gang;
+        let chosen = self.assign(key, usable, step.waiting(), gang);
+        let started = chosen.len();
+        if started > 0 {
+            self.start(key, chosen);
+        }
+        started
+    }
+
     /// Workers among some that have room for at least one task of the step.
     fn candidates<'a>(
         &'a self,
@@ -216,6 +231,8 @@
             (
                 !it.on_preferred_rack,
                 it.worker.failures,
+                // Others leave alone what a gang asks about, where they have a choice.
+                !gang && it.worker.asking_gangs > 0,
                 it.free_milli_cores,
             )
         });
@@ -348,10 +365,18 @@
             workers.dedup();
             workers
         } else {
-            name_workers(&allowed, unknown, wanted_room * ASK_FACTOR, share)
+            name_workers(&allowed, unknown, wanted_room * ASK_FACTOR, share, gang)
         };
         #[expect(clippy::cast_precision_loss, reason = "at most a hundred workers")]
         let cost_ms = cost.call_ms + cost.worker_ms * workers.len() as f64;
+        if gang {
+            for id in &workers {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.asking_gangs += 1;
+                }
+            }
+            self.asking_gangs.insert(key.clone(), workers.clone());
+        }
         if let Some(step) = self.step_mut(key) {
             step.advice.pending = true;
         }
@@ -423,8 +448,21 @@
     mut unknown: Vec<Candidate<'_>>,
     wanted: f64,
     share: f64,
+    gang: bool,
 ) -> Vec<WorkerId> {
-    unknown.sort_by_key(|it| (!it.on_preferred_rack, it.worker.failures, Reverse(it.slots)));
+    // The emptiest workers are named first. Gangs that all asked about the same ones would take them from each other, so
+    // each counts as having less room for every gang that waits for an answer about it.
+    unknown.sort_by_key(|it| {
+        let asking = it.worker.asking_gangs;
+        let room = if gang {
+            FINE * it.slots / (1 + asking)
+        } else {
+            it.slots
+        };
+        let avoided = !gang && asking > 0;
+        let worst = (!it.on_preferred_rack, it.worker.failures, avoided);
+        (worst, Reverse(room))
+    });
     let mut room: f64 = allowed.iter().map(|it| f64::from(it.slots)).sum();
     let mut named: Vec<WorkerId> = allowed.iter().map(|it| it.worker.spec.id.clone()).collect();
     for it in unknown {
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -41,6 +41,8 @@
     scheduled: BTreeSet<JobId>,
     changed: BTreeSet<JobId>,
     pub(crate) actions: Vec<Action>,
+    /// Gangs that wait for an answer, and the workers that they asked about.
+    pub(crate) asking_gangs: BTreeMap<StepKey, Vec<WorkerId>>,
     /// Learned share of workers that a queue's steps may use.
     pub(crate) allowed_share: BTreeMap<Arc<str>, f64>,
 }
@@ -62,6 +64,7 @@
             scheduled: BTreeSet::new(),
             changed: BTreeSet::new(),
             actions: Vec::new(),
+            asking_gangs: BTreeMap::new(),
             allowed_share: BTreeMap::new(),
         }
     }
@@ -439,6 +442,7 @@
     ) {
         self.now_ms = now_ms;
         self.release_hold(key);
+        self.note_answer(key);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
@@ -459,6 +463,20 @@
         let counts = (good.count(), fresh.len());
         step.advice.record(asked, allowed, now_ms, ticket_ms);
         self.learn_share(queue, counts);
+        // The room that was kept for the answer is taken at once. If it were free until this step's turn, another gang's
+        // renewal would take it and lose it the same way, and none of them would ever start.
+        if self.step_mut(key).is_some_and(|step| step.rank.is_some()) {
+            self.start_what_may(key);
+        }
+    }
+
+    /// Notes that a step no longer waits for an answer about workers.
+    fn note_answer(&mut self, key: &StepKey) {
+        for id in self.asking_gangs.remove(key).unwrap_or_default() {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.asking_gangs = worker.asking_gangs.saturating_sub(1);
+            }
+        }
     }
 
     /// Decides what to do now; `wall_ms` is the Unix time, for scheduled jobs.
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -129,6 +129,8 @@
     pub(crate) used: Resources,
     /// Room kept for gangs whose tickets are being renewed.
     pub(crate) held: Resources,
+    /// Gangs that have asked whether they may run here and wait for the answer.
+    pub(crate) asking_gangs: u32,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     /// Runs of unknown jobs; nothing starts here until they are gone.
     pub(crate) orphans: BTreeMap<TaskKey, u32>,
@@ -147,6 +149,7 @@
             heard: false,
             used: Resources::ZERO,
             held: Resources::ZERO,
+            asking_gangs: 0,
             runs: BTreeMap::new(),
             orphans: BTreeMap::new(),
             lease_until_ms: 0,
--- a/crates/workflow/tests/scheduler.rs
+++ b/crates/workflow/tests/scheduler.rs
@@ -4,7 +4,9 @@
 
 use {
     ragwortreel_model::JobState,
-    ragwortreel_workflow::{Admission, Certainty, EndCause, Progress, Schedule, StartOutcome},
+    ragwortreel_workflow::{
+        Admission, AdviceRequest, Certainty, EndCause, Progress, Schedule, StartOutcome,
+    },
     std::sync::Arc,
     support::{Cell, job, queue, step, worker},
 };
@@ -426,6 +428,77 @@
     assert!(again.iter().all(|ask| !ask.workers.is_empty()));
 }
 
+/// Has all named workers allowed.
+fn allow_all(cell: &mut Cell, ask: &AdviceRequest) {
+    let allowed = ask
+        .workers
+        .iter()
+        .map(|id| (id.clone(), Arc::from("ticket")));
+    let allowed = Some(allowed.collect());
+    let now_ms = cell.now_ms;
+    cell.scheduler
+        .advised(&ask.step, &ask.workers, allowed, now_ms);
+}
+
+/// Guards against a gang that loses the room which was kept for the answer: on a grown fleet such gangs asked again every
+/// two seconds until the end of the day and never ran, though most of the room was free.
+#[test]
+fn gang_takes_the_room_that_was_kept_for_its_answer() {
+    let mut cell = Cell::new(1);
+    cell.list(&["w1", "w2", "w3"].map(|name| worker(name, 4_000)));
+    let mut advised = queue(1);
+    advised.advice = Some(support::advice());
+    let mut gang = step(2, 2_000);
+    gang.gang = true;
+    cell.accept(job("gang", advised, vec![gang]));
+    let first = cell.asks();
+    // The room is gone when the first answer comes, and free again after the tickets have expired.
+    cell.accept(job("filler", queue(0), vec![step(3, 4_000)]));
+    let (filler, _) = cell.decide();
+    cell.confirm(&filler);
+    allow_all(&mut cell, &first[0]);
+    assert!(cell.starts().is_empty());
+    cell.now_ms += 2_000;
+    cell.end(&filler, EndCause::Done);
+    let renewal = cell.asks();
+    assert_eq!(renewal.len(), 1);
+    // A more important job comes while the answer is under way.
+    cell.accept(job("urgent", queue(0), vec![step(3, 4_000)]));
+    assert_eq!(cell.starts().len(), 2, "the room on one worker is kept");
+    allow_all(&mut cell, &renewal[0]);
+    let starts = cell.starts();
+    assert_eq!(starts.len(), 2);
+    assert!(
+        starts
+            .iter()
+            .all(|start| start.task.step == renewal[0].step)
+    );
+}
+
+/// Guards against gangs that all ask about the emptiest workers and take them from each other.
+#[test]
+fn gangs_ask_about_different_workers() {
+    let mut cell = Cell::new(1);
+    let specs: Vec<_> = (0..40)
+        .map(|number| worker(&format!("w{number:02}"), 4_000))
+        .collect();
+    cell.list(&specs);
+    let mut advised = queue(1);
+    advised.advice = Some(support::advice());
+    for name in ["a", "b"] {
+        let mut gang = step(2, 4_000);
+        gang.gang = true;
+        cell.accept(job(name, advised.clone(), vec![gang]));
+    }
+    let asks = cell.asks();
+    assert_eq!(asks.len(), 2);
+    let shared = asks[0]
+        .workers
+        .iter()
+        .filter(|id| asks[1].workers.contains(id));
+    assert_eq!(shared.count(), 0);
+}
+
 /// Guards against a repeat of a job that is accepted twice by different instances.
 #[test]
 fn repeated_job_changes_nothing() {
