--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -14,6 +14,7 @@
 mod gang;
 mod history;
 mod hol;
+mod logs;
 mod outage;
 mod outage_routing;
 mod place;
@@ -53,6 +54,7 @@
     case("failover", "placement after the loss of a pool's owner", || Ok(failover::run())),
     case("drain", "planned stops of entry instances and backend servers", drain::run),
     case("outage", "acknowledged writes and requests while the store is down for 30 s", outage::run),
+    case("logs", "volume of a leader's log and its part of the processor time", logs::run),
     case("silent", "open connections go silent while new ones work", silent::run),
 ];
 
@@ -81,6 +83,12 @@
     {
         return run_instance(rest);
     }
+    if args
+        .first()
+        .is_some_and(|first| first == logs::INSTANCE_COMMAND)
+    {
+        return ragwortreel::run(&args).map_err(|err| err.to_string());
+    }
     let mut options = Options::new();
     options.optflag("", "json", "print one JSON object a line");
     options.optflag("h", "help", "print this help");
--- a/src/cell_daemon.rs
+++ b/src/cell_daemon.rs
@@ -12,8 +12,8 @@
     ragwortreel_http::{Handler, Request, Response, Server, ServerLimits},
     ragwortreel_platform::{ResilientConfig, ResilientTable, TableService},
     ragwortreel_runtime::{
-        Level, Logger, Stop, handle_signals, log_event, run_here, sleep_ms, slog::o, spawn,
-        stdout_logger, timeout,
+        Logger, Stop, handle_signals, log_event, run_here, sleep_ms, slog::o, spawn, stdout_logger,
+        timeout,
     },
     std::{net::SocketAddr, path::Path, sync::Arc, time::Duration},
 };
@@ -30,7 +30,8 @@
 /// Runs an instance until it is asked to stop.
 pub fn run(file: &Path) -> Result<(), Error> {
     let settings = CellSettings::load(file)?;
-    let log = stdout_logger(Level::Info).map_err(|err| Error::start("starting the log", &err))?;
+    let log = stdout_logger(settings.log_level.level());
+    let log = log.map_err(|err| Error::start("starting the log", &err))?;
     let log = log.new(o!("instance" => settings.instance.to_string()));
     let stop = Stop::new();
     let (reload_log, path) = (log.clone(), file.to_owned());
--- a/src/cell_settings.rs
+++ b/src/cell_settings.rs
@@ -3,7 +3,10 @@
 //! The platform fills in `platform/settings.json.template` from its own fields; after that only these names are used.
 
 use {
-    crate::{config::read, error::Error},
+    crate::{
+        config::{LogLevel, read},
+        error::Error,
+    },
     ragwortreel_model::{InstanceId, SettingsError, Zone},
     serde::Deserialize,
     std::{net::SocketAddr, path::Path},
@@ -37,6 +40,9 @@
     pub lease_ms: u64,
     /// Time from a request to stop until the process is killed, in s.
     pub stop_s: f64,
+    /// Least severe level that is logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
 }
 
 /// The platform's store and its rates.
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -57,6 +57,10 @@
                 ("lease.json", r#"{"instance":"a","zone":"z","caller_address":"127.0.0.1:1","ready_address":"127.0.0.1:2",
                     "helper_address":"127.0.0.1:3","metrics_address":"127.0.0.1:4","store":{"address":"127.0.0.1:5",
                     "writes_per_s":9,"reads_per_s":9},"cpu_share":0.25,"link_mbit_s":9,"lease_ms":3000,"stop_s":6}"#),
+                ("level.json", r#"{"instance":"a","zone":"z","caller_address":"127.0.0.1:1","ready_address":"127.0.0.1:2",
+                    "helper_address":"127.0.0.1:3","metrics_address":"127.0.0.1:4","store":{"address":"127.0.0.1:5",
+                    "writes_per_s":9,"reads_per_s":9},"cpu_share":0.25,"link_mbit_s":9,"lease_ms":9000,"stop_s":6,
+                    "log_level":"loud"}"#),
                 ("log.json", "12.5 front-1 {\"ts\":7,\"msg\":\"stored\",\"event\":2115,\"job\":\"0a\",\"instance\":\"front-1\"}\n"),
             ]);
             let output = env.run(&$args);
@@ -84,6 +88,7 @@
     set_without_base: ["settings", "set", "tree.json"] => 2 "--base is missing";
     check_accepts_an_instance: ["check", "cell.json"] => 0 "cell.json: instance settings accepted";
     check_names_a_short_lease: ["check", "lease.json"] => 3 "lease_ms: expected at least 4000";
+    check_names_an_unknown_level: ["check", "level.json"] => 3 "log_level";
     cell_without_settings: ["cell"] => 2 "--settings is missing";
     cell_with_bad_settings: ["cell", "--settings", "lease.json"] => 3 "lease_ms";
     explain_tells: ["explain", "0a", "log.json"] => 0 "2115 stored";
