--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -4,7 +4,7 @@
 
 use {
     ragwortreel_control::{SettingsChange, Timings},
-    ragwortreel_model::{JobState, Workspace, WorkspaceSettings},
+    ragwortreel_model::{Clock, JobState, Workspace, WorkspaceSettings},
     ragwortreel_runtime::{block_on, sleep_ms},
     ragwortreel_standins::Outage,
     ragwortreel_worker::WorkerTimeouts,
@@ -94,6 +94,32 @@
     });
 }
 
+/// Guards against an owner that starts tasks while it is cut off from the table: another instance may own the pool by
+/// then, and the workers that it has not reached would not refuse the start. Two things stop it, the lapsed lease and the
+/// record that each start needs in the table; with either of them left out this test still passes.
+#[test]
+fn owner_without_its_lease_starts_nothing() {
+    block_on(async {
+        let mut cell = Cell::new(&["riga-a"], 1);
+        cell.start("e1", "riga-a");
+        cell.ready().await;
+        let lease_ms = cell.timings.lease_ms;
+        cell.submit("e1", job("first", 4, Some(2 * lease_ms))).await;
+        cell.until("four run", |cell| cell.running() == 4).await;
+        cell.submit("e1", job("second", 4, Some(300))).await;
+        cell.instances["e1"].gate.cut_table(true);
+        cell.until("the first job has ended", |cell| cell.running() == 0)
+            .await;
+        let later_ms = cell.clock.now_ms() + lease_ms;
+        cell.until("a lease later", |cell| cell.clock.now_ms() >= later_ms)
+            .await;
+        assert_eq!(cell.fleet.history().runs().len(), 4, "runs of the first");
+        cell.instances["e1"].gate.cut_table(false);
+        cell.until_succeeded("second").await;
+        cell.assert_sound();
+    });
+}
+
 /// An owner that was paused past its lease must not act on it when it resumes: its late commands are refused.
 #[test]
 fn paused_owner_is_fenced() {
