--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -29,6 +29,8 @@
 
 /// Time from a decision until a start or stop has reached its worker, in ms: a stored group and two hops.
 const ORDER_MS: u64 = 30;
+/// Time from the end of a run until the scheduler hears of it, in ms: one hop with its answer.
+const REPORT_MS: u64 = 4;
 /// Time between two decisions, in ms.
 const DECIDE_MS: u64 = 10;
 /// Time between two publications of the load, in ms.
@@ -198,7 +200,8 @@
     specs: BTreeMap<WorkerId, WorkerSpec>,
     speeds: BTreeMap<WorkerId, f64>,
     running: BTreeMap<WorkerId, BTreeMap<TaskKey, Running>>,
-    gangs: BTreeMap<(StepKey, u32), Vec<WorkerId>>,
+    /// Members of a gang's run that have started.
+    gangs: BTreeMap<(StepKey, u32), Vec<(WorkerId, TaskKey)>>,
     jobs: BTreeMap<JobId, Known>,
     events: BinaryHeap<Reverse<(u64, u64)>>,
     bodies: BTreeMap<u64, Event>,
@@ -482,7 +485,7 @@
                 outcome.calls += 1;
                 outcome.calls_ms += assigned.request.cost_ms;
             }
-            let at_ms = self.now_ms + assigned.request.cost_ms as u64 + 4;
+            let at_ms = self.now_ms + assigned.request.cost_ms as u64 + REPORT_MS;
             self.push(at_ms, Event::Advised(assigned.instance, assigned.request));
         }
     }
@@ -539,44 +542,45 @@
             .entry(order.worker.clone())
             .or_default()
             .insert(order.task.clone(), running);
-        let fails = self.classes[class].fails;
-        if !self.classes[class].gang {
-            let took_ms = work_ms / self.speeds[&order.worker];
-            let fails = self.rng.f64() < fails;
-            let (part, cause) = if fails {
-                (self.rng.f64(), EndCause::Failed)
-            } else {
-                (1.0, EndCause::Done)
-            };
-            let at_ms = now_ms + (took_ms * part) as u64 + 4;
-            self.push(
-                at_ms,
-                Event::End(order.worker.clone(), order.task.clone(), order.run, cause),
-            );
-            return;
+        if self.classes[class].gang {
+            self.join_gang(order, wanted, work_ms);
+        } else {
+            self.plan_end(order, work_ms);
         }
+    }
+
+    /// Plans the end of a task that runs on its own.
+    fn plan_end(&mut self, order: &StartOrder, work_ms: f64) {
+        let class = self.jobs[&order.task.step.job].class;
+        let took_ms = work_ms / self.speeds[&order.worker];
+        let fails = self.rng.f64() < self.classes[class].fails;
+        let (part, cause) = if fails {
+            (self.rng.f64(), EndCause::Failed)
+        } else {
+            (1.0, EndCause::Done)
+        };
+        let at_ms = self.now_ms + (took_ms * part) as u64 + REPORT_MS;
+        let end = Event::End(order.worker.clone(), order.task.clone(), order.run, cause);
+        self.push(at_ms, end);
+    }
+
+    /// Plans the ends of a gang with its last member; it runs as fast as its slowest worker, and one failure ends all.
+    fn join_gang(&mut self, order: &StartOrder, wanted: usize, work_ms: f64) {
+        let class = self.jobs[&order.task.step.job].class;
         let key = (order.task.step.clone(), order.run);
         let members = self.gangs.entry(key).or_default();
-        members.push(order.worker.clone());
+        members.push((order.worker.clone(), order.task.clone()));
         if members.len() < wanted {
             return;
         }
-        let slowest = members
-            .iter()
-            .map(|id| self.speeds[id])
-            .fold(f64::MAX, f64::min);
-        let took_ms = work_ms / slowest;
-        let count = members.len();
-        let fails = self.rng.f64() < 1.0 - (1.0 - fails).powi(count as i32);
+        let members = members.clone();
+        let speeds = members.iter().map(|(worker, _)| self.speeds[worker]);
+        let took_ms = work_ms / speeds.fold(f64::MAX, f64::min);
+        let sound = (1.0 - self.classes[class].fails).powi(wanted as i32);
+        let fails = self.rng.f64() >= sound;
         let part = if fails { self.rng.f64() } else { 1.0 };
-        let at_ms = now_ms + (took_ms * part) as u64 + 4;
-        let step = &order.task.step;
-        let all: Vec<(WorkerId, TaskKey)> = (self.running.iter())
-            .flat_map(|(id, runs)| runs.iter().map(move |(task, it)| (id, task, it)))
-            .filter(|(_, task, it)| task.step == *step && it.run == order.run)
-            .map(|(id, task, _)| (id.clone(), task.clone()))
-            .collect();
-        for (index, (worker, task)) in all.into_iter().enumerate() {
+        let at_ms = self.now_ms + (took_ms * part) as u64 + REPORT_MS;
+        for (index, (worker, task)) in members.into_iter().enumerate() {
             let cause = match (fails, index) {
                 (false, _) => EndCause::Done,
                 (true, 0) => EndCause::Failed,
