Ask about a gang on an idle fleet even if little room is promised

A gang was asked about only when the learned share of allowed workers promised enough room; of two idle workers with room for four tasks each, less than four were promised, so gangs of four never got a call, and no event could change that. Ruled out: the store, the workers and the advice service, all of which answered.

A gang that could fit is now asked about when at least half of its service's cores are free; waiting would not bring much more room.

Test: gang_is_asked_about_on_an_idle_fleet fails before (no call).

--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -354,7 +354,9 @@
             room(&allowed) as f64 + share * room(&unknown) as f64,
             wanted as f64,
         );
-        if expected <= 0.0 || (gang && expected < wanted_room) {
+        let possible = room(&allowed) + room(&unknown);
+        let is_promising = expected >= wanted_room || self.is_mostly_idle(key);
+        if expected <= 0.0 || (gang && (possible < wanted || !is_promising)) {
             return Tried::Blocked;
         }
         let workers = if is_renewal {
@@ -392,6 +394,22 @@
         Tried::Settled
     }
 
+    /// Whether at least half of the cores of a step's service are free, so that waiting promises little more room. A gang
+    /// for which the expected room is too small would otherwise never be asked about on an idle fleet.
+    fn is_mostly_idle(&self, key: &StepKey) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return false;
+        };
+        let service = &job.request.policy.service;
+        let open = self.workers.values();
+        let open = open.filter(|it| it.is_open(self.now_ms) && it.spec.service == *service);
+        let (free, all) = open.fold((0, 0), |(free, all), it| {
+            let (has, left) = (it.spec.capacity.milli_cores, it.free().milli_cores);
+            (free + left, all + has)
+        });
+        2 * free >= all
+    }
+
     /// Keeps room for a gang while its tickets are renewed.
     fn hold(
         &mut self,
--- a/crates/workflow/tests/scheduler.rs
+++ b/crates/workflow/tests/scheduler.rs
@@ -476,6 +476,25 @@
     );
 }
 
+/// Guards against a gang that is never asked about because the share of workers that was learned promises too little room:
+/// on two idle workers, five gangs of four waited for ever (soak seed 52).
+#[test]
+fn gang_is_asked_about_on_an_idle_fleet() {
+    let mut cell = Cell::new(1);
+    cell.list(&["w1", "w2"].map(|name| worker(name, 4_000)));
+    let mut advised = queue(1);
+    advised.advice = Some(support::advice());
+    let mut gang = step(4, 1_000);
+    gang.gang = true;
+    // The share that is assumed at first promises 3.2 of the 4 tasks.
+    cell.accept(job("gang", advised, vec![gang]));
+    let asks = cell.asks();
+    assert_eq!(asks.len(), 1);
+    assert_eq!(asks[0].workers.len(), 2);
+    allow_all(&mut cell, &asks[0]);
+    assert_eq!(cell.starts().len(), 4);
+}
+
 /// Guards against gangs that all ask about the emptiest workers and take them from each other.
 #[test]
 fn gangs_ask_about_different_workers() {
