--- a/bench/src/logs.rs
+++ b/bench/src/logs.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::report::{Measure, Unit, count},
-    ragwortreel_dzintars_standin::Cell,
+    ragwortreel_dzintars_standin::{Cell, one_step},
     std::{
         env, fs,
         path::Path,
@@ -79,13 +79,13 @@
     let log = || fs::read(cell.log(0)).map_err(|err| format!("the instance's log: {err}"));
     let (bytes_before, cpu_before) = (log()?.len(), cpu_s(process)?);
     let begun = Instant::now();
-    let steps = r#"[{"count":3,"cpu":500,"est_ms":200}]"#;
+    let steps = one_step(3, 500, 200);
     let mut jobs = 0;
     while begun.elapsed() < RUN {
         let due = Duration::from_secs(1) * jobs / JOBS_A_SECOND;
         cell.sleep(due.saturating_sub(begun.elapsed()));
         jobs += 1;
-        let status = cell.submit(0, "advised", u64::from(jobs), "run_ms=200 cpu=500", steps);
+        let status = cell.submit(0, "advised", u64::from(jobs), "run_ms=200 cpu=500", &steps);
         if status != 200 {
             return Err(format!("job {jobs} got {status}"));
         }
