--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -120,7 +120,7 @@
             let starts = mem::take(&mut *lock(&self.journal.starts));
             let changes = lock(&self.scheduler).take_changes();
             let is_due = boot_ms() >= stored.renewed_ms + timing.renew_ms;
-            if changes.is_empty() && !is_due {
+            if changes.is_empty() && starts.is_empty() && !is_due {
                 drop(acknowledged);
                 continue;
             }
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -43,6 +43,8 @@
     pub(crate) actions: Vec<Action>,
     /// Gangs that wait for an answer, and the workers that they asked about.
     pub(crate) asking_gangs: BTreeMap<StepKey, Vec<WorkerId>>,
+    /// Steps whose answers came since the last decision.
+    answered: Vec<StepKey>,
     /// Learned share of workers that a queue's steps may use.
     pub(crate) allowed_share: BTreeMap<Arc<str>, f64>,
 }
@@ -65,6 +67,7 @@
             changed: BTreeSet::new(),
             actions: Vec::new(),
             asking_gangs: BTreeMap::new(),
+            answered: Vec::new(),
             allowed_share: BTreeMap::new(),
         }
     }
@@ -441,8 +444,8 @@
         now_ms: u64,
     ) {
         self.now_ms = now_ms;
-        self.release_hold(key);
         self.note_answer(key);
+        self.answered.push(key.clone());
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
@@ -463,10 +466,16 @@
         let counts = (good.count(), fresh.len());
         step.advice.record(asked, allowed, now_ms, ticket_ms);
         self.learn_share(queue, counts);
-        // The room that was kept for the answer is taken at once. If it were free until this step's turn, another gang's
-        // renewal would take it and lose it the same way, and none of them would ever start.
-        if self.step_mut(key).is_some_and(|step| step.rank.is_some()) {
-            self.start_what_may(key);
+    }
+
+    /// Starts steps on the room that was kept for their answers, before anything else is decided. If that room were free
+    /// until the step's turn, another gang's renewal would take it and lose it the same way, and none would ever start.
+    fn start_answered(&mut self) {
+        for key in mem::take(&mut self.answered) {
+            self.release_hold(&key);
+            if self.step_mut(&key).is_some_and(|step| step.rank.is_some()) {
+                self.start_what_may(&key);
+            }
         }
     }
 
@@ -484,6 +493,7 @@
         self.now_ms = now_ms;
         self.drop_lapsed();
         self.open_due(wall_ms);
+        self.start_answered();
         self.place_waiting();
         mem::take(&mut self.actions)
     }
--- a/crates/workflow/tests/scheduler.rs
+++ b/crates/workflow/tests/scheduler.rs
@@ -476,6 +476,21 @@
     );
 }
 
+/// Guards against a start that is decided outside a decision: the journal would store it before the leader has the order to
+/// send, and the order would be lost with the next empty transaction. A job of a calm day never ran for it.
+#[test]
+fn answer_alone_starts_nothing() {
+    let mut cell = Cell::new(1);
+    cell.list(&["w1", "w2"].map(|name| worker(name, 4_000)));
+    let mut advised = queue(1);
+    advised.advice = Some(support::advice());
+    cell.accept(job("a", advised, vec![step(1, 1_000)]));
+    let asks = cell.asks();
+    allow_all(&mut cell, &asks[0]);
+    assert!(cell.changes().is_empty(), "nothing is placed yet");
+    assert_eq!(cell.starts().len(), 1);
+}
+
 /// Guards against a gang that is never asked about because the share of workers that was learned promises too little room:
 /// on two idle workers, five gangs of four waited for ever (soak seed 52).
 #[test]
