--- a/bench/src/logs.rs
+++ b/bench/src/logs.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::report::{Measure, Unit, count},
+    ragwortreel::telemetry::process_usage,
     ragwortreel_dzintars_standin::{Cell, one_step},
     std::{
         env, fs,
@@ -23,8 +24,6 @@
 const PAIRS: usize = 3;
 const WORKERS: usize = 24;
 const MILLI_CORES: u64 = 16_000;
-/// Ticks of the kernel's clock of processor time in a second, a constant of its interface.
-const TICKS_A_SECOND: f64 = 100.0;
 /// Budget of one process, in KB/s: what its buffer of 256 KiB, emptied four times a second, can carry.
 const MAX_KB_S: f64 = 1_048.0;
 /// Budget of lines a second: the same buffer with lines of 256 bytes.
@@ -105,12 +104,7 @@
 
 /// Processor time of a process so far, in s.
 fn cpu_s(process: u32) -> Result<f64, String> {
-    let path = format!("/proc/{process}/stat");
-    let text = fs::read_to_string(&path).map_err(|err| format!("{path}: {err}"))?;
-    // The name in brackets may hold spaces; user and system time are the 12th and 13th fields after it.
-    let fields = text.rsplit(')').next().unwrap_or_default();
-    let ticks = fields.split_whitespace().skip(11).take(2);
-    let ticks: Result<Vec<u32>, _> = ticks.map(str::parse).collect();
-    let ticks = ticks.map_err(|err| format!("{path}: {err}"))?;
-    Ok(f64::from(ticks.iter().sum::<u32>()) / TICKS_A_SECOND)
+    let dir = Path::new("/proc").join(process.to_string());
+    let usage = process_usage(&dir).ok_or_else(|| format!("no figures in {}", dir.display()))?;
+    Ok(usage.cpu_seconds)
 }
--- a/crates/control/src/backends.rs
+++ b/crates/control/src/backends.rs
@@ -4,12 +4,10 @@
 //! leaving or terminated is never taken for live again under the same name and address.
 
 use {
-    crate::{
-        api::Backend,
-        shared::{Shared, lock},
-    },
+    crate::{api::Backend, shared::Shared},
     ragwortreel_model::InstanceId,
     ragwortreel_platform::{InstanceState, ListedInstance, ListedRole},
+    ragwortreel_runtime::lock,
     std::{collections::BTreeMap, sync::Arc},
 };
 
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -17,7 +17,7 @@
         rows::{self, PoolRow},
         service::Service,
         settings::SettingsStore,
-        shared::{Shared, lock},
+        shared::Shared,
         slots::{self, SlotState},
         store::{Definite, commit_definite, limited},
     },
@@ -26,7 +26,7 @@
     ragwortreel_model::{Clock, InstanceId, JobId, JobSpec, JobStatus, WorkerId, Workspace},
     ragwortreel_platform::{InstanceList, ObjectStore, TableService, Txn},
     ragwortreel_routing::SlotShares,
-    ragwortreel_runtime::{Logger, Stop, log_event, sleep_ms, spawn, timeout_ms},
+    ragwortreel_runtime::{Logger, Stop, lock, log_event, sleep_ms, spawn, timeout_ms},
     ragwortreel_worker::WorkerConnector,
     std::{
         collections::BTreeMap,
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -7,12 +7,12 @@
         ownership, peers,
         rows::{self, DRAINS, INSTANCES, InstanceRow, POOLS, SETTINGS_HEAD, SETTLED, SLOTS},
         settings,
-        shared::{Shared, lock},
+        shared::Shared,
         slots,
         store::limited,
     },
     ragwortreel_platform::{Row, Txn, TxnOutcome},
-    ragwortreel_runtime::{log_event, sleep_ms},
+    ragwortreel_runtime::{lock, log_event, sleep_ms},
     std::sync::Arc,
 };
 
--- a/crates/control/src/owner/link.rs
+++ b/crates/control/src/owner/link.rs
@@ -4,11 +4,11 @@
     crate::{
         owner::{Message, OwnerHandle, WorkerReport},
         rows::RunKey,
-        shared::{Shared, lock},
+        shared::Shared,
     },
     async_channel::{Receiver, Sender},
     ragwortreel_model::{Assignment, WorkerId},
-    ragwortreel_runtime::{timeout_at, timeout_ms},
+    ragwortreel_runtime::{lock, timeout_at, timeout_ms},
     ragwortreel_worker::{
         HeartbeatReply, HeartbeatRequest, KnownTasks, StartRequest, TaskCommand, WorkerClient,
         WorkerError,
--- a/crates/control/src/owner/mod.rs
+++ b/crates/control/src/owner/mod.rs
@@ -17,7 +17,7 @@
         api::{JobError, PoolFigures},
         events::RECOVERY_FAILED,
         rows::{PreviousOwner, QuotaRow, RunKey, SnapshotRow},
-        shared::{Shared, lock},
+        shared::Shared,
         store::Definite,
     },
     async_channel::{Receiver, Sender},
@@ -25,7 +25,7 @@
     pool::PoolOwner,
     ragwortreel_entry::generated::PoolSummary,
     ragwortreel_model::{Epoch, JobId, JobSpec, JobState, JobStatus, Pool, WorkerId, Workspace},
-    ragwortreel_runtime::{log_event, sleep_ms, spawn},
+    ragwortreel_runtime::{lock, log_event, sleep_ms, spawn},
     ragwortreel_worker::TaskTable,
     std::sync::{
         Arc, Mutex,
--- a/crates/control/src/owner/pool.rs
+++ b/crates/control/src/owner/pool.rs
@@ -10,7 +10,7 @@
             link::RunCommand, recovery::Read, shares::Shares, workers::Worker,
         },
         rows::{PreviousOwner, RunKey},
-        shared::{Shared, lock},
+        shared::Shared,
     },
     async_channel::{Receiver, Sender},
     ragwortreel_entry::generated::PoolSummary,
@@ -19,7 +19,7 @@
         TaskResult, WorkerId,
     },
     ragwortreel_placement::{Decision, PoolScheduler},
-    ragwortreel_runtime::{log_event, timeout_ms},
+    ragwortreel_runtime::{lock, log_event, timeout_ms},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
--- a/crates/control/src/owner/workers.rs
+++ b/crates/control/src/owner/workers.rs
@@ -8,13 +8,12 @@
             pool::PoolOwner,
         },
         ownership, rows,
-        shared::lock,
         store::limited,
     },
     ragwortreel_model::{Rack, Resources, TaskResult, WorkerId},
     ragwortreel_placement::{WorkerSpec, WorkerState},
     ragwortreel_platform::{InstanceState, ListedInstance, ListedRole, Txn},
-    ragwortreel_runtime::{log_event, spawn},
+    ragwortreel_runtime::{lock, log_event, spawn},
     std::sync::Arc,
 };
 
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -4,7 +4,7 @@
     crate::{
         api::{LinkState, Load},
         rows::InstanceRow,
-        shared::{Shared, lock},
+        shared::Shared,
     },
     prost::Message,
     ragwortreel_entry::{
@@ -12,7 +12,7 @@
         generated::{HeartbeatReply, HeartbeatRequest, PoolSummary, SettingsVersion},
     },
     ragwortreel_model::{Incarnation, InstanceId, Pool},
-    ragwortreel_runtime::{sleep_ms, spawn},
+    ragwortreel_runtime::{lock, sleep_ms, spawn},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -5,7 +5,7 @@
         api::JobError,
         owner::{Message, OwnerHandle, Reply, refused, row_status},
         rows::{self, JobRow},
-        shared::{Shared, lock},
+        shared::Shared,
         store::limited,
     },
     ragwortreel_entry::{
@@ -13,7 +13,7 @@
         generated::{JobMessage, JobReference, JobReply, PoolSummary, job_reply},
     },
     ragwortreel_model::{InstanceId, JobId, JobSpec, JobStatus, Pool, Resources, Workspace},
-    ragwortreel_runtime::timeout_ms,
+    ragwortreel_runtime::{lock, timeout_ms},
     std::{cmp::Reverse, collections::BTreeMap, sync::Arc},
 };
 
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,11 +1,7 @@
 //! Answers to the calls of other entry instances.
 
 use {
-    crate::{
-        peers, routing, settings,
-        shared::{Shared, lock},
-        slots,
-    },
+    crate::{peers, routing, settings, shared::Shared, slots},
     async_trait::async_trait,
     ragwortreel_entry::{
         EntryService,
@@ -17,6 +13,7 @@
         },
     },
     ragwortreel_model::{JobId, JobSpec, Pool, Workspace},
+    ragwortreel_runtime::lock,
     std::sync::Arc,
 };
 
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -15,12 +15,12 @@
     ragwortreel_entry::PeerConnector,
     ragwortreel_model::{Clock, InstanceId, Pool, Zone},
     ragwortreel_platform::{InstanceList, ListedInstance, ObjectStore, TableService},
-    ragwortreel_runtime::{Logger, Stop},
+    ragwortreel_runtime::{Logger, Stop, lock},
     ragwortreel_worker::WorkerConnector,
     std::{
         collections::BTreeMap,
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            Arc, Mutex, PoisonError, RwLock,
             atomic::{AtomicBool, Ordering},
         },
     },
@@ -66,11 +66,6 @@
     pub placements: Placements,
 }
 
-/// Locks a mutex; a panic of another holder does not spread.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Shared {
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
--- a/crates/control/src/slots.rs
+++ b/crates/control/src/slots.rs
@@ -4,7 +4,7 @@
     crate::{
         events::SLOT_EPOCH,
         rows::{self, SlotsRow},
-        shared::{Shared, lock},
+        shared::Shared,
         store::{Definite, commit_definite},
         view::{Versioned, View},
     },
@@ -17,7 +17,7 @@
     ragwortreel_model::{Epoch, InstanceId},
     ragwortreel_platform::{Check, InstanceState, Txn, Write},
     ragwortreel_routing::{BackendId, ReleaseReport, ShareLedger, SlotLimits, SlotShares},
-    ragwortreel_runtime::{Task, log_event, spawn},
+    ragwortreel_runtime::{Task, lock, log_event, spawn},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -4,14 +4,14 @@
     crate::{
         events::{ADVICE_ANSWERED, ADVICE_FAILED, BAD_ROW, MEMBER_LOST},
         rows::{MAIN, MEMBERS, MemberRow},
-        term::{Term, lock},
+        term::Term,
     },
     ragwortreel_entry::{
         HelperPeer,
         generated::{AdviseRequest, ShowStatesRequest},
     },
     ragwortreel_model::{InstanceId, WorkerId},
-    ragwortreel_runtime::{boot_ms, log_event, sleep_ms, spawn},
+    ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms, spawn},
     ragwortreel_workflow::{AdviceRequest, Assigned},
     std::{sync::Arc, time::Duration},
 };
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -7,11 +7,11 @@
     },
     ragwortreel_model::{JobId, JobState},
     ragwortreel_platform::ChangedRow,
-    ragwortreel_runtime::{Logger, log_event},
+    ragwortreel_runtime::{Logger, lock, log_event},
     ragwortreel_workflow::{Admission, JobRequest, Load, Refusal},
     std::{
         collections::BTreeMap,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard},
     },
 };
 
@@ -46,7 +46,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Replaces everything by a reading of the whole table.
--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -23,12 +23,12 @@
     ragwortreel_platform::{
         ChangeFeed, ChangedRow, FeedError, ResilientTable, TableService, Txn, Write,
     },
-    ragwortreel_runtime::{Logger, Stop, boot_ms, log_event, sleep_ms, spawn},
+    ragwortreel_runtime::{Logger, Stop, boot_ms, lock, log_event, sleep_ms, spawn},
     std::{
         fmt::Display,
         net::SocketAddr,
         sync::{
-            Arc, Mutex, PoisonError, Weak,
+            Arc, Mutex, Weak,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
@@ -129,13 +129,12 @@
     /// Records whether this instance leads.
     pub(crate) fn lead(&self, term: Option<&Arc<Term>>) {
         self.parts.metrics.leads(term.map(|term| term.number));
-        *self.term.lock().unwrap_or_else(PoisonError::into_inner) =
-            term.map_or_else(Weak::new, Arc::downgrade);
+        *lock(&self.term) = term.map_or_else(Weak::new, Arc::downgrade);
     }
 
     /// The term of this instance, if it leads and has read the stored jobs.
     pub(crate) fn term(&self) -> Option<Arc<Term>> {
-        let term = self.term.lock().unwrap_or_else(PoisonError::into_inner);
+        let term = lock(&self.term);
         term.upgrade().filter(|term| term.has_recovered())
     }
 
@@ -158,7 +157,7 @@
     }
 
     fn routes(&self) -> Arc<CellRoutes> {
-        Arc::clone(&self.routes.lock().unwrap_or_else(PoisonError::into_inner))
+        Arc::clone(&lock(&self.routes))
     }
 
     /// The queue that takes a request.
@@ -192,7 +191,7 @@
         let Some(routes) = routes else {
             return;
         };
-        let mut current = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut current = lock(&self.routes);
         // An answer that was under way for long may be older than what is in force.
         if routes.version <= current.version {
             return;
--- a/crates/dispatch/src/finished.rs
+++ b/crates/dispatch/src/finished.rs
@@ -7,11 +7,11 @@
 use {
     crate::{
         rows::{STATE, cancel_key, job_key, job_part, key},
-        term::{Term, lock},
+        term::Term,
     },
     ragwortreel_model::JobId,
     ragwortreel_platform::{Check, Txn, TxnOutcome, Write},
-    ragwortreel_runtime::{boot_ms, sleep_ms},
+    ragwortreel_runtime::{boot_ms, lock, sleep_ms},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         mem,
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -5,9 +5,8 @@
         CellMetrics,
         events::{STORE_BACK, STORE_LOST},
         outages::{Began, Outages},
-        term::lock,
     },
-    ragwortreel_runtime::{Logger, boot_ms, log_event},
+    ragwortreel_runtime::{Logger, boot_ms, lock, log_event},
     std::{
         fmt::Display,
         sync::{
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -4,10 +4,10 @@
     crate::{
         api::{Addressee, TaskStart, WorkerError},
         events::{START_UNKNOWN, STOP_FAILED, TASK_NOT_STARTED},
-        term::{Term, lock},
+        term::Term,
     },
     async_channel::{Receiver, Sender},
-    ragwortreel_runtime::{boot_ms, log_event, sleep_ms},
+    ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms},
     ragwortreel_workflow::{StartOrder, StartOutcome, StopOrder, TaskKey},
     std::{
         net::SocketAddr,
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -22,7 +22,9 @@
     ragwortreel_entry::HelperPeer,
     ragwortreel_model::{InstanceId, JobId, WorkerId},
     ragwortreel_platform::{ChangedRow, FeedError, PlatformError, TableRows},
-    ragwortreel_runtime::{Stop, boot_ms, future, log_event, sleep_ms, spawn, timeout_ms, unix_ms},
+    ragwortreel_runtime::{
+        Stop, boot_ms, future, lock, log_event, sleep_ms, spawn, timeout_ms, unix_ms,
+    },
     ragwortreel_workflow::{
         Action, AdviceBroker, Certainty, JobRequest, Progress, Scheduler, StartOrder, StepKey,
     },
@@ -30,7 +32,7 @@
         collections::BTreeMap,
         net::SocketAddr,
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
@@ -76,10 +78,6 @@
     wake_rx: Receiver<()>,
 }
 
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Term {
     pub(crate) fn new(cell: Arc<Cell>, row: LeaderRow, version: u64, sent_ms: u64) -> Arc<Self> {
         let lease_bound_ms = cell.cfg.timing.lease_bound_ms();
--- a/crates/dispatch/src/worker_loop.rs
+++ b/crates/dispatch/src/worker_loop.rs
@@ -8,11 +8,11 @@
         api::{Addressee, HeartbeatAnswer, HeartbeatOrder, WorkerError},
         events::{RUN_FAILED, RUN_INTERRUPTED, WORKER_LOST, WORKER_REACHED, WORKER_REPLACED},
         orders::{ClockReading, Order, WorkerHandle, send_orders},
-        term::{Term, lock},
+        term::Term,
     },
     async_channel::Receiver,
     ragwortreel_model::WorkerId,
-    ragwortreel_runtime::{Task, boot_ms, log_event, sleep_ms, spawn, timeout_ms},
+    ragwortreel_runtime::{Task, boot_ms, lock, log_event, sleep_ms, spawn, timeout_ms},
     ragwortreel_workflow::{EndCause, EndedRun, HeartbeatReport},
     std::{sync::Arc, time::Duration},
 };
--- a/crates/platform/src/once.rs
+++ b/crates/platform/src/once.rs
@@ -16,8 +16,8 @@
 use {
     crate::api::{PlatformError, Row, TableService, TxnOutcome},
     ragwortreel_model::Workspace,
-    ragwortreel_runtime::{Logger, sleep, spawn, timeout_at},
-    record::{ClaimRecord, ClaimState, claim_key, current_minute, to_hex},
+    ragwortreel_runtime::{Logger, sleep, spawn, timeout_at, unix_minute},
+    record::{ClaimRecord, ClaimState, claim_key, to_hex},
     settle::{Background, Settled, Settlement, claim_txn, state_txn},
     sha2::{Digest, Sha256},
     std::{
@@ -257,7 +257,8 @@
             attempt,
             holder: Arc::clone(&self.holder),
             digest: Arc::clone(&self.digest),
-            minute: current_minute(),
+            // Only the removal of old claims depends on the time of day.
+            minute: unix_minute(),
             state: ClaimState::Running,
         }
     }
--- a/crates/platform/src/once/record.rs
+++ b/crates/platform/src/once/record.rs
@@ -3,10 +3,7 @@
 use {
     ragwortreel_model::Workspace,
     serde::{Deserialize, Serialize},
-    std::{
-        sync::Arc,
-        time::{SystemTime, UNIX_EPOCH},
-    },
+    std::sync::Arc,
 };
 
 /// Largest body of a stored answer; larger ones are not stored, and repeats of their requests get no replay.
@@ -150,9 +147,3 @@
 pub(crate) fn claim_of_age_key<'a>(age_key: &'a str, prefix: &str) -> Option<&'a str> {
     age_key.strip_prefix(prefix)
 }
-
-/// Wall-clock minutes since 1970. Only the removal of old claims depends on it.
-pub(crate) fn current_minute() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_secs() / 60)
-}
--- a/crates/platform/src/once/sweep.rs
+++ b/crates/platform/src/once/sweep.rs
@@ -9,9 +9,9 @@
     crate::{
         api::{Check, PlatformError, Row, TableService, Txn, TxnOutcome, Write},
         events,
-        once::record::{claim_of_age_key, current_minute, minute_prefix},
+        once::record::{claim_of_age_key, minute_prefix},
     },
-    ragwortreel_runtime::{Logger, Stop, future, log_event, sleep_ms},
+    ragwortreel_runtime::{Logger, Stop, future, log_event, sleep_ms, unix_minute},
     std::sync::Arc,
 };
 
@@ -39,7 +39,7 @@
     while !stop.is_requested() {
         let pause = sleep_ms(fastrand::u64(SWEEP_PAUSE_MS / 2..SWEEP_PAUSE_MS * 3 / 2));
         future::or(pause, stop.requested()).await;
-        let Some(until) = current_minute().checked_sub(RETENTION_MINUTES) else {
+        let Some(until) = unix_minute().checked_sub(RETENTION_MINUTES) else {
             return;
         };
         match sweep(&*table, until).await {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,9 +1,10 @@
-//! Executor threads, timers, the stop signal and numbered log events.
+//! Executor threads, timers, locks, the stop signal and numbered log events.
 //!
 //! One `async-executor` serves the whole process; `async-io` drives its sockets and timers. Tasks are detached or
 //! awaited through the handle that [`spawn`] returns.
 
 mod executor;
+mod lock;
 mod log;
 mod stop;
 mod time;
@@ -12,7 +13,10 @@
 pub use async_executor::Task;
 pub use executor::{Spawner, block_on, run_here, spawn, start_threads};
 pub use futures_lite::future;
+pub use lock::lock;
 pub use log::{Event, Level, discard_logger, json_logger, stdout_logger};
 pub use slog::{self, Logger};
 pub use stop::{Stop, StopGuard, handle_signals, stop_on_signals};
-pub use time::{Elapsed, boot_ms, sleep, sleep_ms, timeout, timeout_at, timeout_ms, unix_ms};
+pub use time::{
+    Elapsed, boot_ms, sleep, sleep_ms, timeout, timeout_at, timeout_ms, unix_minute, unix_ms,
+};
--- a/crates/runtime/src/log.rs
+++ b/crates/runtime/src/log.rs
@@ -6,12 +6,12 @@
 //! 1600, caller 1700, daemon 1800, routing 1900, placement 2000, dispatch 2100, platform adapter 2200.
 
 use {
-    crate::unix_ms,
+    crate::{lock, unix_ms},
     slog::{Drain, FnValue, Logger, PushFnValue, o},
     std::{
         io::{self, Write},
         mem,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard},
         thread,
         time::Duration,
     },
@@ -80,7 +80,7 @@
 
 impl LineBuffer {
     fn lock(&self) -> MutexGuard<'_, Waiting> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.waiting)
     }
 
     /// Writes what waits, for as long as the process runs.
--- a/crates/runtime/src/time.rs
+++ b/crates/runtime/src/time.rs
@@ -73,6 +73,12 @@
     u64::try_from(ms.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Time of day in minutes since 1970.
+#[must_use]
+pub fn unix_minute() -> u64 {
+    unix_ms() / 60_000
+}
+
 /// Time of day in ms since 1970.
 #[must_use]
 pub fn unix_ms() -> u64 {
--- a/src/burn.rs
+++ b/src/burn.rs
@@ -9,11 +9,11 @@
 use {
     crate::output::Table,
     ragwortreel_model::{ServiceName, SloSettings, Workspace},
+    ragwortreel_runtime::unix_minute,
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, VecDeque},
         sync::{Mutex, PoisonError},
-        time::{SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -163,7 +163,7 @@
             minutes: VecDeque::new(),
         });
         counts.slo.clone_from(slo);
-        counts.count(minute_now(), good);
+        counts.count(unix_minute(), good);
     }
 
     /// All counts so far.
@@ -171,18 +171,12 @@
     pub fn counts(&self) -> BurnCounts {
         let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         BurnCounts {
-            minute: minute_now(),
+            minute: unix_minute(),
             services: services.values().cloned().collect(),
         }
     }
 }
 
-fn minute_now() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_secs() / 60)
-}
-
 /// Burn over one window.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct Window {
--- a/src/cell_settings.rs
+++ b/src/cell_settings.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::{
-        config::{LogLevel, read},
+        config::{LogLevel, load_with},
         error::Error,
     },
     ragwortreel_model::{InstanceId, SettingsError, Zone},
@@ -67,11 +67,7 @@
     ///
     /// Returns an error when the file cannot be read, or names the path in the document and what was expected there.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let json = read(path)?;
-        Self::parse(&json).map_err(|source| Error::Settings {
-            path: path.to_owned(),
-            source,
-        })
+        load_with(path, Self::parse)
     }
 
     /// Parses and checks a document.
--- a/src/client.rs
+++ b/src/client.rs
@@ -94,10 +94,7 @@
         base: u64,
     ) -> Result<(), Error> {
         let json = config::read(file)?;
-        check_settings(workspace, &json).map_err(|source| Error::Settings {
-            path: file.to_owned(),
-            source,
-        })?;
+        check_settings(workspace, &json).map_err(Error::settings(file))?;
         let response = self
             .send(
                 "changing settings",
@@ -112,10 +109,7 @@
 
     async fn submit(&self, file: &Path) -> Result<(), Error> {
         let json = config::read(file)?;
-        let invalid = |source| Error::Settings {
-            path: file.to_owned(),
-            source,
-        };
+        let invalid = Error::settings(file);
         let spec: JobSpec = ragwortreel_model::parse_json(&json).map_err(invalid)?;
         spec.check()
             .map_err(|err| invalid(SettingsError::new(err.field, err.problem)))?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -109,11 +109,7 @@
     ///
     /// Returns an error when the file cannot be read, or names the path in the document and what was expected there.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let json = read(path)?;
-        Self::parse(&json).map_err(|source| Error::Settings {
-            path: path.to_owned(),
-            source,
-        })
+        load_with(path, Self::parse)
     }
 
     /// Parses and checks a document.
@@ -168,3 +164,15 @@
         source,
     })
 }
+
+/// Reads a file and parses it.
+///
+/// # Errors
+///
+/// Returns an error that names the file, and the path in it where something else was expected.
+pub fn load_with<T>(
+    path: &Path,
+    parse: impl FnOnce(&[u8]) -> Result<T, SettingsError>,
+) -> Result<T, Error> {
+    parse(&read(path)?).map_err(Error::settings(path))
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -4,7 +4,10 @@
     crate::exit_codes::Exit,
     derive_more::{Display, Error},
     ragwortreel_model::SettingsError,
-    std::{io, path::PathBuf},
+    std::{
+        io,
+        path::{Path, PathBuf},
+    },
 };
 
 /// Why the program ended without success.
@@ -76,6 +79,14 @@
         }
     }
 
+    /// What a problem in a settings file becomes.
+    pub fn settings(path: &Path) -> impl Fn(SettingsError) -> Self + Copy {
+        |source| Self::Settings {
+            path: path.to_owned(),
+            source,
+        }
+    }
+
     /// A part that cannot start.
     pub fn start(step: &'static str, problem: &impl ToString) -> Self {
         Self::Start {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,11 +64,7 @@
 }
 
 fn standin(file: &Path) -> Result<(), Error> {
-    let json = config::read(file)?;
-    let config = ragwortreel_model::parse_json(&json).map_err(|source| Error::Settings {
-        path: file.to_owned(),
-        source,
-    })?;
+    let config = config::load_with(file, ragwortreel_model::parse_json)?;
     let stop = Stop::new();
     stop_on_signals(stop.clone())
         .map_err(|err| Error::start("installing signal handlers", &err))?;
@@ -82,10 +78,7 @@
     for file in files {
         let json = config::read(file)?;
         let value: serde_json::Value =
-            ragwortreel_model::parse_json(&json).map_err(|source| Error::Settings {
-                path: file.clone(),
-                source,
-            })?;
+            ragwortreel_model::parse_json(&json).map_err(Error::settings(file))?;
         let is_cell = value.get("ready_address").is_some();
         let is_daemon = value.get("instance").is_some();
         let result = if is_cell {
@@ -95,10 +88,7 @@
         } else {
             ragwortreel_model::Settings::parse(&json).map(|_| "settings tree")
         };
-        let kind = result.map_err(|source| Error::Settings {
-            path: file.clone(),
-            source,
-        })?;
+        let kind = result.map_err(Error::settings(file))?;
         output::print(&format!("{}: {kind} accepted\n", file.display()))?;
     }
     Ok(())
