Simplify how a step is asked about

The duration of a call, the room of some workers, the open workers of a service and a step's declaration each had several copies in place.rs and scheduler.rs; each has one function now, and what follows from the step is no longer passed beside it.

--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -18,6 +18,15 @@
     pub ticket_ms: u64,
 }
 
+impl AdviceCost {
+    /// Duration of a call that names some workers, in ms.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "at most a hundred workers")]
+    pub fn of_call(&self, workers: usize) -> f64 {
+        self.call_ms + self.worker_ms * workers as f64
+    }
+}
+
 /// How the jobs of a queue are treated.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueuePolicy {
--- a/crates/workflow/src/load.rs
+++ b/crates/workflow/src/load.rs
@@ -33,7 +33,7 @@
             let Some(step) = job.step(key).filter(|step| !step.has_room) else {
                 continue;
             };
-            let spec = &job.request.steps[key.step as usize];
+            let spec = job.spec(key);
             #[expect(
                 clippy::cast_precision_loss,
                 reason = "estimates are far below 2^52 ms"
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -67,7 +67,7 @@
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
-            let need = job.request.steps[key.step as usize].need;
+            let need = job.spec(&key).need;
             let service = Arc::clone(&job.request.policy.service);
             if let Some(kept) = reserved.get(&service) {
                 let room = free.get(&service).copied().unwrap_or_default();
@@ -110,7 +110,6 @@
             return (Tried::Settled, 0);
         };
         let needs_advice = job.request.policy.advice.is_some();
-        let gang = job.request.steps[key.step as usize].gang;
         let Some(step) = job.step(key) else {
             return (Tried::Settled, 0);
         };
@@ -135,7 +134,7 @@
         if pending {
             return (Tried::Settled, started);
         }
-        (self.ask(key, waiting - started, gang), started)
+        (self.ask(key, waiting - started), started)
     }
 
     /// Starts what has room on the workers that may run a step now; returns the number of starts.
@@ -152,8 +151,7 @@
         } else {
             self.candidates(key, self.workers.values())
         };
-        let gang = job.request.steps[key.step as usize].gang;
-        let chosen = self.assign(key, usable, step.waiting(), gang);
+        let chosen = self.assign(key, usable, step.waiting());
         let started = chosen.len();
         if started > 0 {
             self.start(key, chosen);
@@ -170,7 +168,7 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return Vec::new();
         };
-        let spec = &job.request.steps[key.step as usize];
+        let spec = job.spec(key);
         let most = spec.tasks.min(spec.max_per_worker.unwrap_or(u32::MAX));
         let mut here: BTreeMap<&WorkerId, u32> = BTreeMap::new();
         if spec.max_per_worker.is_some()
@@ -216,18 +214,18 @@
         key: &StepKey,
         mut usable: Vec<Candidate<'_>>,
         waiting: usize,
-        gang: bool,
     ) -> Vec<(u32, WorkerId)> {
-        let total: usize = usable.iter().map(|it| it.slots as usize).sum();
-        if waiting == 0 || total == 0 || (gang && total < waiting) {
-            return Vec::new();
-        }
         let Some(job) = self.jobs.get(&key.job) else {
             return Vec::new();
         };
         let Some(step) = job.step(key) else {
             return Vec::new();
         };
+        let gang = job.spec(key).gang;
+        let total = room_of(&usable);
+        if waiting == 0 || total == 0 || (gang && total < waiting) {
+            return Vec::new();
+        }
         // Tight packing leaves whole workers free for wide tasks.
         usable.sort_by_key(|it| {
             (
@@ -238,7 +236,7 @@
                 it.free_milli_cores,
             )
         });
-        if job.request.steps[key.step as usize].one_rack {
+        if job.spec(key).one_rack {
             prefer_one_rack(&mut usable, waiting);
         }
         let mut chosen = Vec::new();
@@ -267,7 +265,7 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let spec = &job.request.steps[key.step as usize];
+        let spec = job.spec(key);
         let (need, gang) = (spec.need, spec.gang);
         let payload = Arc::clone(&job.request.payload);
         let Some(step) = job.step(key) else {
@@ -325,17 +323,15 @@
     }
 
     /// Asks which workers with room may run the rest of a step.
-    fn ask(&mut self, key: &StepKey, wanted: usize, gang: bool) -> Tried {
+    fn ask(&mut self, key: &StepKey, wanted: usize) -> Tried {
         let Some(job) = self.jobs.get(&key.job) else {
             return Tried::Settled;
         };
         let (Some(cost), Some(step)) = (job.request.policy.advice.clone(), job.step(key)) else {
             return Tried::Settled;
         };
-        let (priority, need) = (
-            job.request.policy.priority,
-            job.request.steps[key.step as usize].need,
-        );
+        let (priority, spec) = (job.request.policy.priority, job.spec(key));
+        let (need, gang) = (spec.need, spec.gang);
         let share = (self.allowed_share.get(&job.request.policy.name))
             .copied()
             .unwrap_or(FIRST_ALLOWED_SHARE);
@@ -347,23 +343,24 @@
                 None => unknown.push(candidate),
             }
         }
-        let room = |list: &[Candidate<'_>]| list.iter().map(|it| it.slots as usize).sum::<usize>();
-        let is_renewal = room(&allowed) >= wanted;
+        let (allowed_room, unknown_room) = (room_of(&allowed), room_of(&unknown));
+        let is_renewal = allowed_room >= wanted;
         #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
         let (expected, wanted_room) = (
-            room(&allowed) as f64 + share * room(&unknown) as f64,
+            allowed_room as f64 + share * unknown_room as f64,
             wanted as f64,
         );
-        let possible = room(&allowed) + room(&unknown);
-        let is_promising = expected >= wanted_room || self.is_mostly_idle(key);
-        if expected <= 0.0 || (gang && (possible < wanted || !is_promising)) {
+        let may_suffice = allowed_room + unknown_room >= wanted;
+        let is_promising = || expected >= wanted_room || self.is_mostly_idle(key);
+        if expected <= 0.0 || (gang && !(may_suffice && is_promising())) {
             return Tried::Blocked;
         }
+        let holds_room = is_renewal && gang;
         let workers = if is_renewal {
-            let chosen = self.assign(key, allowed, wanted, gang);
+            let chosen = self.assign(key, allowed, wanted);
             let mut workers: Vec<WorkerId> = chosen.into_iter().map(|(_, it)| it).collect();
-            if gang {
-                self.hold(key, &workers, need, &cost);
+            if holds_room {
+                self.hold(key, &workers, need, cost.of_call(workers.len()));
             }
             workers.sort();
             workers.dedup();
@@ -371,8 +368,7 @@
         } else {
             name_workers(&allowed, unknown, wanted_room * ASK_FACTOR, share, gang)
         };
-        #[expect(clippy::cast_precision_loss, reason = "at most a hundred workers")]
-        let cost_ms = cost.call_ms + cost.worker_ms * workers.len() as f64;
+        let cost_ms = cost.of_call(workers.len());
         if gang {
             for id in &workers {
                 if let Some(worker) = self.workers.get_mut(id) {
@@ -385,7 +381,7 @@
             step.advice.pending = true;
         }
         self.actions.push(Action::Ask(AdviceRequest {
-            holds_room: is_renewal && gang,
+            holds_room,
             step: key.clone(),
             workers,
             priority,
@@ -400,31 +396,18 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return false;
         };
-        let service = &job.request.policy.service;
-        let open = self.workers.values();
-        let open = open.filter(|it| it.is_open(self.now_ms) && it.spec.service == *service);
-        let (free, all) = open.fold((0, 0), |(free, all), it| {
-            let (has, left) = (it.spec.capacity.milli_cores, it.free().milli_cores);
-            (free + left, all + has)
-        });
-        2 * free >= all
+        let open = self.open_workers(&job.request.policy.service);
+        let capacity = open.map(|it| it.spec.capacity.milli_cores).sum::<u64>();
+        2 * self.free_room(&job.request.policy.service).milli_cores >= capacity
     }
 
     /// Keeps room for a gang while its tickets are renewed.
-    fn hold(
-        &mut self,
-        key: &StepKey,
-        workers: &[WorkerId],
-        need: Resources,
-        cost: &crate::AdviceCost,
-    ) {
+    fn hold(&mut self, key: &StepKey, workers: &[WorkerId], need: Resources, cost_ms: f64) {
         for id in workers {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.held += need;
             }
         }
-        #[expect(clippy::cast_precision_loss, reason = "at most a hundred workers")]
-        let cost_ms = cost.call_ms + cost.worker_ms * workers.len() as f64;
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -450,6 +433,11 @@
     }
 }
 
+/// Number of tasks for which some workers have room.
+fn room_of(workers: &[Candidate<'_>]) -> usize {
+    workers.iter().map(|it| it.slots as usize).sum()
+}
+
 /// Moves the workers of a rack that can hold everything to the front.
 fn prefer_one_rack(usable: &mut [Candidate<'_>], waiting: usize) {
     let mut slots: BTreeMap<Option<&Arc<str>>, usize> = BTreeMap::new();
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -126,7 +126,7 @@
 
     /// Reserves room for a run of an earlier leader; its worker's next heartbeat says whether it is alive.
     fn restore_run(&mut self, id: &WorkerId, task: TaskKey, job: &mut Job) {
-        let need = job.request.steps[task.step.step as usize].need;
+        let need = job.spec(&task.step).need;
         let Some(state) = job.task_mut(&task) else {
             return;
         };
@@ -729,7 +729,7 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
-        let spec = &job.request.steps[task.step.step as usize];
+        let spec = job.spec(&task.step);
         let (gang, endless) = (spec.gang, spec.endless);
         if endless {
             return;
@@ -755,7 +755,7 @@
             return;
         };
         let attempts = job.request.policy.attempts;
-        let spec = &job.request.steps[task.step.step as usize];
+        let spec = job.spec(&task.step);
         let (gang, endless) = (spec.gang, spec.endless);
         let Some(step) = job.step_mut(&task.step) else {
             return;
@@ -784,7 +784,7 @@
         let Some(job) = self.jobs.get(&task.step.job) else {
             return;
         };
-        let spec = &job.request.steps[task.step.step as usize];
+        let spec = job.spec(&task.step);
         if !spec.gang || job.state.is_final() {
             return;
         }
@@ -893,12 +893,16 @@
         }
     }
 
+    /// Workers of a service that may be given tasks now.
+    pub(crate) fn open_workers<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
+        let open = move |it: &&Worker| &*it.spec.service == service && it.is_open(self.now_ms);
+        self.workers.values().filter(open)
+    }
+
     /// Room that no run and no hold takes on all open workers of a service.
     pub(crate) fn free_room(&self, service: &str) -> Resources {
-        let open =
-            |worker: &&Worker| &*worker.spec.service == service && worker.is_open(self.now_ms);
         let mut sum = Resources::ZERO;
-        for worker in self.workers.values().filter(open) {
+        for worker in self.open_workers(service) {
             sum += worker.free();
         }
         sum
--- a/crates/workflow/src/state.rs
+++ b/crates/workflow/src/state.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        JobRequest, PlacedTasks, Progress, StepKey, StepProgress, TaskFailures, TaskKey,
+        JobRequest, PlacedTasks, Progress, Step, StepKey, StepProgress, TaskFailures, TaskKey,
         advice::StepAdvice,
     },
     ragwortreel_model::{JobId, JobState, Resources, WorkerId},
@@ -118,6 +118,11 @@
         self.rank(now_ms) != *rank
     }
 
+    /// A step as the caller declared it.
+    pub(crate) fn spec(&self, key: &StepKey) -> &Step {
+        &self.request.steps[key.step as usize]
+    }
+
     pub(crate) fn step(&self, key: &StepKey) -> Option<&StepState> {
         self.occurrences
             .get(&key.occurrence)?
