--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -44,7 +44,7 @@
         while !self.is_over() {
             match self.cell.parts.feed.part(MEMBERS, MAIN).await {
                 Ok(members) => {
-                    self.cell.note_store("read members", None);
+                    self.cell.health.answered("read members");
                     let mut strong = Vec::new();
                     for row in members.rows {
                         strong.extend(self.add_member(&row.key, row.value.as_deref()));
@@ -54,7 +54,7 @@
                         return self.release("a stronger instance can lead").await;
                     }
                 }
-                Err(err) => self.cell.note_store("read members", Some(&err)),
+                Err(err) => self.cell.health.failed("read members", &err),
             }
             sleep_ms(MEMBERS_MS).await;
         }
@@ -196,6 +196,7 @@
         match helper.advise(req).await {
             Ok(reply) if reply.answered => {
                 let allowed = reply.allowed.into_iter().filter_map(|it| {
+                    // A name that cannot be a worker's was not among those asked about.
                     let worker = WorkerId::new(&it.worker).ok()?;
                     Some((worker, Arc::from(it.ticket)))
                 });
--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -25,7 +25,6 @@
     },
     ragwortreel_runtime::{Logger, Stop, boot_ms, lock, log_event, sleep_ms, spawn},
     std::{
-        fmt::Display,
         net::SocketAddr,
         sync::{
             Arc, Mutex, Weak,
@@ -87,7 +86,7 @@
     desk: JobDesk,
     routes: Mutex<Arc<CellRoutes>>,
     pub(crate) synced: AtomicBool,
-    health: Arc<StoreHealth>,
+    pub(crate) health: Arc<StoreHealth>,
     /// The term of this instance, while it leads.
     term: Mutex<Weak<Term>>,
     /// Time at which the leader last pushed states.
@@ -174,14 +173,6 @@
         leadership::follow(self, stop).await;
     }
 
-    /// Notes whether the store answered a call.
-    pub(crate) fn note_store(&self, step: &'static str, problem: Option<&dyn Display>) {
-        match problem {
-            None => self.health.answered(step),
-            Some(problem) => self.health.failed(step, problem),
-        }
-    }
-
     /// Stored rows that this instance's callers brought and the leader does not know yet.
     pub(crate) fn hand_over(&self) -> &HandOver {
         &self.hand_over
@@ -214,7 +205,7 @@
         };
         match result {
             Ok((routes, version)) => {
-                cell.note_store("read configuration", None);
+                cell.health.answered("read configuration");
                 after = Some(version);
                 cell.put_in_force(routes);
                 if !cell.has_routes() {
@@ -223,7 +214,7 @@
             }
             Err(FeedError::HistoryGone) => after = None,
             Err(FeedError::Failed(err)) => {
-                cell.note_store("read configuration", Some(&err));
+                cell.health.failed("read configuration", &err);
                 // A change may have been missed with the lost answer.
                 after = None;
                 sleep_ms(STORE_PAUSE_MS).await;
@@ -247,8 +238,8 @@
     };
     while !stop.is_requested() {
         match cell.parts.table.commit(txn.clone()).await {
-            Ok(_) => return cell.note_store("register", None),
-            Err(err) => cell.note_store("register", Some(&err)),
+            Ok(_) => return cell.health.answered("register"),
+            Err(err) => cell.health.failed("register", &err),
         }
         sleep_ms(STORE_PAUSE_MS).await;
     }
--- a/crates/dispatch/src/finished.rs
+++ b/crates/dispatch/src/finished.rs
@@ -110,11 +110,11 @@
         };
         match self.cell.parts.table.commit(txn).await {
             Ok(outcome) => {
-                self.cell.note_store("clear finished jobs", None);
+                self.cell.health.answered("clear finished jobs");
                 matches!(outcome, TxnOutcome::Committed { .. })
             }
             Err(err) => {
-                self.cell.note_store("clear finished jobs", Some(&err));
+                self.cell.health.failed("clear finished jobs", &err);
                 false
             }
         }
--- a/crates/dispatch/src/hand_over.rs
+++ b/crates/dispatch/src/hand_over.rs
@@ -3,18 +3,20 @@
 //! The leader also follows the table of jobs, so a row that cannot be handed over is only seen a little later.
 
 use {
-    crate::{Cell, rows::LeaderRow},
+    crate::{Began, Cell, Outages, events::HAND_OVER_FAILED, rows::LeaderRow},
     async_channel::{Receiver, Sender},
     ragwortreel_entry::{
         HelperPeer,
         generated::{HandRowsRequest, StoredRow},
     },
     ragwortreel_platform::ChangedRow,
+    ragwortreel_runtime::{boot_ms, log_event},
     std::sync::Arc,
 };
 
 /// Rows that wait to be handed over; further ones are left to the table.
 const MAX_WAITING: usize = 256;
+const STEP: &str = "hand rows over";
 
 /// Rows that wait to be handed over.
 #[derive(Debug)]
@@ -32,6 +34,7 @@
 /// Hands rows over as they come; those that come during a call share the next one.
 pub(crate) async fn run(cell: Arc<Cell>) {
     let mut peer: Option<(LeaderRow, Arc<dyn HelperPeer>)> = None;
+    let mut outages = Outages::default();
     while let Ok(first) = cell.hand_over().rows.recv().await {
         let mut rows = vec![first];
         while let Ok(row) = cell.hand_over().rows.try_recv() {
@@ -42,6 +45,7 @@
             continue;
         }
         let Some((leader, _)) = cell.board.leader() else {
+            // Whoever leads first finds the rows in the table.
             continue;
         };
         let is_same = |(known, _): &(LeaderRow, Arc<dyn HelperPeer>)| {
@@ -59,7 +63,16 @@
         let req = HandRowsRequest {
             rows: rows.collect(),
         };
-        // The leader finds the rows in the table as well.
-        let _ = connection.hand_rows(req).await;
+        let problem = match connection.hand_rows(req).await {
+            Ok(reply) if reply.taken => {
+                outages.answered(STEP, boot_ms());
+                continue;
+            }
+            Ok(_) => "the instance does not lead, or has not read the stored jobs".to_owned(),
+            Err(err) => err.to_string(),
+        };
+        if let Some(Began { left_out }) = outages.failed(STEP, boot_ms()) {
+            log_event!(cell.parts.log, HAND_OVER_FAILED; "problem" => problem, "left_out" => left_out);
+        }
     }
 }
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -92,15 +92,15 @@
         lock(&self.starts).push((start, decided_ms));
     }
 
-    /// Tells the other instances that leadership is free.
-    pub(crate) async fn release(&self, term: &Term) {
+    /// Tells the other instances that leadership is free; false when that could not be stored, so that they take over only
+    /// after the usual time.
+    pub(crate) async fn release(&self, term: &Term) -> bool {
         let released = timeout_ms(RELEASE_MS, async {
             let mut stored = self.stored.lock().await;
             stored.row.released = true;
             term.store(&mut stored, Vec::new()).await
         });
-        // Without the row the others take over after the usual time.
-        let _ = released.await;
+        released.await.unwrap_or(false)
     }
 }
 
@@ -184,7 +184,7 @@
                     found.map(|found| found.version)
                 }
                 Err(err) => {
-                    self.cell.note_store("journal", Some(&err));
+                    self.cell.health.failed("journal", &err);
                     // Only the first repeat of a transaction that may have taken effect goes out at once: an outage
                     // that resets connections was met by two hundred attempts a second.
                     if attempts > 1 || matches!(err, PlatformError::NotDone { .. }) {
@@ -194,7 +194,7 @@
                 }
             };
             if let Some(version) = version {
-                self.cell.note_store("journal", None);
+                self.cell.health.answered("journal");
                 let took_ms = boot_ms().saturating_sub(begun_ms);
                 self.cell.parts.metrics.journal(took_ms);
                 if took_ms >= SLOW_MS {
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -75,7 +75,7 @@
         };
         match result {
             Ok(rows) => {
-                self.cell.note_store("read states", None);
+                self.cell.health.answered("read states");
                 self.apply(&rows);
                 self.lead_if_needed().await;
                 let pushed_ms =
@@ -90,7 +90,7 @@
             }
             Err(FeedError::HistoryGone) => self.cursor = None,
             Err(FeedError::Failed(err)) => {
-                self.cell.note_store("read states", Some(&err));
+                self.cell.health.failed("read states", &err);
                 // The leader could not renew either, perhaps; it gets its full time again.
                 self.leader_changed_ms = boot_ms() + STORE_PAUSE_MS;
                 sleep_ms(STORE_PAUSE_MS).await;
--- a/crates/dispatch/src/outages.rs
+++ b/crates/dispatch/src/outages.rs
@@ -1,4 +1,4 @@
-//! Outages of the store as an instance's steps see them.
+//! Outages of the store, or of another instance, as this instance's steps see them.
 //!
 //! The store has parts that fail on their own, so each step has its own outage: one state for all steps would begin and
 //! end with every answer of a part that still works.
@@ -29,7 +29,7 @@
     left_out: u64,
 }
 
-/// Outages of the store by step.
+/// Outages by step.
 #[derive(Debug, Default)]
 pub struct Outages {
     steps: BTreeMap<&'static str, Outage>,
--- a/crates/dispatch/src/push.rs
+++ b/crates/dispatch/src/push.rs
@@ -3,14 +3,14 @@
 //! The others also follow the table of states, so a state whose push fails is only shown a little later.
 
 use {
-    crate::{rows::StateRow, term::Term},
+    crate::{Began, Outages, events::PUSH_FAILED, rows::StateRow, term::Term},
     async_channel::{Receiver, Sender},
     ragwortreel_entry::{
         HelperPeer,
         generated::{ShowStatesRequest, StoredRow},
     },
     ragwortreel_model::{JobId, JobState},
-    ragwortreel_runtime::{sleep_ms, spawn},
+    ragwortreel_runtime::{boot_ms, log_event, sleep_ms, spawn},
     ragwortreel_workflow::Progress,
     std::sync::Arc,
 };
@@ -19,6 +19,7 @@
 const MAX_WAITING: usize = 1_024;
 /// Pause between two calls to an instance, in ms; states that come meanwhile share one.
 const PAUSE_MS: u64 = 20;
+const STEP: &str = "push states";
 
 /// Sends states to one instance.
 pub(crate) type StatesTx = Sender<(JobId, JobState)>;
@@ -33,6 +34,7 @@
 }
 
 async fn push_states(term: Arc<Term>, peer: Arc<dyn HelperPeer>, rx: Receiver<(JobId, JobState)>) {
+    let mut outages = Outages::default();
     while let Ok(first) = rx.recv().await {
         if term.is_over() {
             return;
@@ -53,8 +55,17 @@
             term: term.number,
             states: states.collect(),
         };
-        // An instance that does not answer finds the states in the table.
-        let _ = peer.show_states(req).await;
+        match peer.show_states(req).await {
+            Ok(_) => {
+                outages.answered(STEP, boot_ms());
+            }
+            Err(err) => {
+                if let Some(Began { left_out }) = outages.failed(STEP, boot_ms()) {
+                    log_event!(term.cell.parts.log, PUSH_FAILED; "problem" => err.to_string(),
+                        "left_out" => left_out);
+                }
+            }
+        }
         sleep_ms(PAUSE_MS).await;
     }
 }
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -150,9 +150,9 @@
         if self.is_over() {
             return;
         }
-        self.journal.release(self).await;
+        let stored = self.journal.release(self).await;
         log_event!(self.cell.parts.log, LEADERSHIP_RELEASED; "term" => self.number,
-            "reason" => reason.to_owned());
+            "reason" => reason.to_owned(), "stored" => stored);
         self.stop.request();
     }
 
@@ -179,11 +179,11 @@
             }
             match self.read_all().await {
                 Ok(cursor) => {
-                    self.cell.note_store("recover", None);
+                    self.cell.health.answered("recover");
                     return Some(cursor);
                 }
                 Err(err) => {
-                    self.cell.note_store("recover", Some(&err));
+                    self.cell.health.failed("recover", &err);
                     sleep_ms(PAUSE_MS).await;
                 }
             }
@@ -332,18 +332,18 @@
                 Err(FeedError::HistoryGone) => match self.read_jobs().await {
                     Ok(rows) => rows,
                     Err(err) => {
-                        self.cell.note_store("read jobs", Some(&err));
+                        self.cell.health.failed("read jobs", &err);
                         sleep_ms(PAUSE_MS).await;
                         continue;
                     }
                 },
                 Err(FeedError::Failed(err)) => {
-                    self.cell.note_store("read jobs", Some(&err));
+                    self.cell.health.failed("read jobs", &err);
                     sleep_ms(PAUSE_MS).await;
                     continue;
                 }
             };
-            self.cell.note_store("read jobs", None);
+            self.cell.health.answered("read jobs");
             cursor = rows.version;
             self.take_rows(&rows.rows);
             sleep_ms(JOBS_PAUSE_MS).await;
@@ -356,10 +356,10 @@
             sleep_ms(self.cell.cfg.timing.list_ms).await;
             match self.cell.parts.source.workers().await {
                 Ok(listed) => {
-                    self.cell.note_store("list workers", None);
+                    self.cell.health.answered("list workers");
                     self.apply_workers(listed, &WorkersRow::new());
                 }
-                Err(err) => self.cell.note_store("list workers", Some(&err)),
+                Err(err) => self.cell.health.failed("list workers", &err),
             }
         }
     }
