Share the builders that the new tests repeat

Gangs, queues with advice, and instances that the platform lists as terminated have one builder each in the tests' support; the tests keep what they assert.

--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -725,13 +725,7 @@
         // Once the platform lists the owner as terminated, the next one settles it and its row is not needed any more.
         let address = cell.instances[&owner].address;
         cell.kill(&owner);
-        cell.platform.put_instance(ListedInstance {
-            id: name(InstanceId::new, &owner),
-            zone: cell.zones[0].clone(),
-            address,
-            state: InstanceState::Terminated,
-            role: ListedRole::Entry,
-        });
+        cell.list_as_terminated(&owner, address);
         cell.until("the owner's row is removed", |cell| is_gone(cell, &owner))
             .await;
         assert_eq!(cell.owner("riga-a"), Some(other));
@@ -773,13 +767,7 @@
         })
         .await;
         let address = cell.instances["e2"].address;
-        cell.platform.put_instance(ListedInstance {
-            id: name(InstanceId::new, "e2"),
-            zone: cell.zones[0].clone(),
-            address,
-            state: InstanceState::Terminated,
-            role: ListedRole::Entry,
-        });
+        cell.list_as_terminated("e2", address);
         cell.until("the listed one is removed", |cell| !lists(cell, "e2"))
             .await;
     });
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -237,14 +237,7 @@
             &support::name(ragwortreel_model::InstanceId::new, &owner),
             ragwortreel_platform::InstanceState::Terminated,
         );
-        cell.platform
-            .put_instance(ragwortreel_platform::ListedInstance {
-                id: support::name(ragwortreel_model::InstanceId::new, &owner),
-                zone: cell.zones[0].clone(),
-                address: cell.instances[&owner].address,
-                state: ragwortreel_platform::InstanceState::Terminated,
-                role: ragwortreel_platform::ListedRole::Entry,
-            });
+        cell.list_as_terminated(&owner, cell.instances[&owner].address);
         cell.kill(&owner);
         let lost = worker_runs(&cell);
         cell.until_succeeded("j").await;
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -233,6 +233,17 @@
         self.network.close(instance.address);
     }
 
+    /// Has the platform list an entry instance of the first zone as ended.
+    pub fn list_as_terminated(&self, id: &str, address: SocketAddr) {
+        self.platform.put_instance(ListedInstance {
+            id: name(InstanceId::new, id),
+            zone: self.zones[0].clone(),
+            address,
+            state: InstanceState::Terminated,
+            role: ListedRole::Entry,
+        });
+    }
+
     pub fn control(&self, id: &str) -> &Control {
         &self.instances[id].control
     }
--- a/crates/workflow/tests/scheduler.rs
+++ b/crates/workflow/tests/scheduler.rs
@@ -8,7 +8,7 @@
         Admission, AdviceRequest, Certainty, EndCause, Progress, Schedule, StartOutcome,
     },
     std::sync::Arc,
-    support::{Cell, job, queue, step, worker},
+    support::{Cell, advised_queue, gang, job, queue, step, worker},
 };
 
 /// Names each case of a function that takes a fresh cell.
@@ -67,8 +67,7 @@
     /// Guards against a gang of which only a part is started.
     gang_starts_whole_or_not: |cell| {
         cell.list(&[worker("w1", 2_000), worker("w2", 1_000)]);
-        let mut gang = step(4, 1_000);
-        gang.gang = true;
+        let gang = gang(4, 1_000);
         cell.accept(job("a", queue(0), vec![gang]));
         assert!(cell.starts().is_empty());
         cell.list(&[worker("w1", 2_000), worker("w2", 2_000)]);
@@ -80,8 +79,7 @@
     /// Guards against a gang that goes on, or starts again, while some of its members still run.
     gang_restarts_only_when_all_members_are_gone: |cell| {
         cell.list(&[worker("w1", 4_000)]);
-        let mut gang = step(3, 1_000);
-        gang.gang = true;
+        let gang = gang(3, 1_000);
         cell.accept(job("a", queue(0), vec![gang]));
         let starts = cell.starts();
         cell.confirm(&starts[..2]);
@@ -364,8 +362,7 @@
 fn admission_answers_the_lack_of_room_only() {
     let mut cell = Cell::new(1);
     cell.list(&[worker("w1", 4_000)]);
-    let mut advised = queue(0);
-    advised.advice = Some(support::advice());
+    let advised = advised_queue(0);
     for number in 0..100 {
         let name = format!("a{number}");
         cell.accept(job(&name, advised.clone(), vec![step(1, 1_000)]));
@@ -398,8 +395,7 @@
         .map(|number| worker(&format!("w{number:02}"), 4_000))
         .collect();
     cell.list(&workers);
-    let mut advised = queue(0);
-    advised.advice = Some(support::advice());
+    let advised = advised_queue(0);
     cell.accept(job("a", advised, vec![step(2, 4_000)]));
     let asks = cell.asks();
     assert_eq!(asks.len(), 1);
@@ -446,10 +442,8 @@
 fn gang_takes_the_room_that_was_kept_for_its_answer() {
     let mut cell = Cell::new(1);
     cell.list(&["w1", "w2", "w3"].map(|name| worker(name, 4_000)));
-    let mut advised = queue(1);
-    advised.advice = Some(support::advice());
-    let mut gang = step(2, 2_000);
-    gang.gang = true;
+    let advised = advised_queue(1);
+    let gang = gang(2, 2_000);
     cell.accept(job("gang", advised, vec![gang]));
     let first = cell.asks();
     // The room is gone when the first answer comes, and free again after the tickets have expired.
@@ -482,8 +476,7 @@
 fn answer_alone_starts_nothing() {
     let mut cell = Cell::new(1);
     cell.list(&["w1", "w2"].map(|name| worker(name, 4_000)));
-    let mut advised = queue(1);
-    advised.advice = Some(support::advice());
+    let advised = advised_queue(1);
     cell.accept(job("a", advised, vec![step(1, 1_000)]));
     let asks = cell.asks();
     allow_all(&mut cell, &asks[0]);
@@ -497,10 +490,8 @@
 fn gang_is_asked_about_on_an_idle_fleet() {
     let mut cell = Cell::new(1);
     cell.list(&["w1", "w2"].map(|name| worker(name, 4_000)));
-    let mut advised = queue(1);
-    advised.advice = Some(support::advice());
-    let mut gang = step(4, 1_000);
-    gang.gang = true;
+    let advised = advised_queue(1);
+    let gang = gang(4, 1_000);
     // The share that is assumed at first promises 3.2 of the 4 tasks.
     cell.accept(job("gang", advised, vec![gang]));
     let asks = cell.asks();
@@ -518,11 +509,9 @@
         .map(|number| worker(&format!("w{number:02}"), 4_000))
         .collect();
     cell.list(&specs);
-    let mut advised = queue(1);
-    advised.advice = Some(support::advice());
+    let advised = advised_queue(1);
     for name in ["a", "b"] {
-        let mut gang = step(2, 4_000);
-        gang.gang = true;
+        let gang = gang(2, 4_000);
         cell.accept(job(name, advised.clone(), vec![gang]));
     }
     let asks = cell.asks();
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -49,6 +49,22 @@
     }
 }
 
+/// A queue whose tasks need advice.
+pub fn advised_queue(priority: u32) -> QueuePolicy {
+    QueuePolicy {
+        advice: Some(advice()),
+        ..queue(priority)
+    }
+}
+
+/// Tasks of one second that must run at the same time.
+pub fn gang(tasks: u32, milli_cores: u64) -> Step {
+    Step {
+        gang: true,
+        ..step(tasks, milli_cores)
+    }
+}
+
 /// Tasks of one second.
 pub fn step(tasks: u32, milli_cores: u64) -> Step {
     Step {
