--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -8,7 +8,7 @@
     },
     ragwortreel_entry::{
         HelperPeer,
-        generated::{AdviseRequest, ShowStatesRequest},
+        generated::{AdviseRequest, JobStatesRequest},
     },
     ragwortreel_model::{InstanceId, WorkerId},
     ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms, spawn},
@@ -80,8 +80,6 @@
             return row.can_lead.then(|| Arc::clone(peer));
         }
         let peer = self.cell.parts.helpers.connect_helper(row.address);
-        let queue = self.start_pushing(Arc::clone(&peer));
-        lock(&self.push_queues).insert(instance.clone(), queue);
         lock(&self.broker).join(instance.clone());
         helpers.insert(instance, (row.address, Arc::clone(&peer)));
         row.can_lead.then_some(peer)
@@ -90,11 +88,7 @@
     /// Whether one of some instances answers, so that it can take over from this weak one.
     async fn is_any_reachable(&self, peers: Vec<Arc<dyn HelperPeer>>) -> bool {
         for peer in peers {
-            let nothing = ShowStatesRequest {
-                term: self.number,
-                states: Vec::new(),
-            };
-            if peer.show_states(nothing).await.is_ok() {
+            if peer.job_states(JobStatesRequest::default()).await.is_ok() {
                 return true;
             }
         }
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -1,26 +1,48 @@
-//! What an instance knows of all jobs of the cell, from following their stored states.
+//! What an instance knows of the cell: who leads, the load, and some states of jobs that never change again.
 
 use {
     crate::{
         events::BAD_ROW,
-        rows::{LEADER, LOAD, LeaderRow, WORKERS, decode_state},
+        rows::{LEADER, LOAD, LeaderRow},
     },
     ragwortreel_model::{JobId, JobState},
     ragwortreel_platform::ChangedRow,
     ragwortreel_runtime::{Logger, lock, log_event},
     ragwortreel_workflow::{Admission, JobRequest, Load, Refusal},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
         sync::{Arc, Mutex, MutexGuard},
     },
 };
 
 /// Age from which the number of waiting jobs is not shown, in ms; callers are promised one that is at most 2 s old.
 const MAX_PENDING_AGE_MS: u64 = 2_000;
+/// Jobs that an instance remembers; each takes about 200 bytes.
+const MAX_JOBS: usize = 4_096;
+
+/// The jobs that were noted last.
+#[derive(Debug, Default)]
+struct RecentJobs {
+    states: BTreeMap<JobId, JobState>,
+    order: VecDeque<JobId>,
+}
+
+impl RecentJobs {
+    fn note(&mut self, id: JobId, state: JobState) {
+        if self.states.insert(id.clone(), state).is_none() {
+            self.order.push_back(id);
+        }
+        if self.order.len() > MAX_JOBS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.states.remove(&oldest);
+        }
+    }
+}
 
 #[derive(Debug, Default)]
 struct State {
-    jobs: BTreeMap<JobId, JobState>,
+    jobs: RecentJobs,
     pending: BTreeMap<Arc<str>, u64>,
     /// Time for which the leader last said how many jobs wait.
     pending_ms: u64,
@@ -28,7 +50,7 @@
     admission: Admission,
 }
 
-/// Jobs of the cell as one instance knows them.
+/// The cell as one instance knows it.
 #[derive(Debug)]
 pub struct Board {
     state: Mutex<State>,
@@ -49,20 +71,13 @@
         lock(&self.state)
     }
 
-    /// Replaces everything by a reading of the whole table.
-    pub fn replace(&self, rows: &[ChangedRow], now_ms: u64) {
-        self.lock().jobs.clear();
-        self.apply(rows, now_ms);
-    }
-
-    /// Applies changed rows.
+    /// Applies changed rows of the leader's table.
     pub fn apply(&self, rows: &[ChangedRow], now_ms: u64) {
         for row in rows {
             let result = match (&*row.key, &row.value) {
                 (LEADER, Some(value)) => self.apply_leader(value, row.version),
                 (LOAD, Some(value)) => self.apply_load(value, now_ms),
-                (LEADER | LOAD | WORKERS, _) => Ok(()),
-                (name, value) => self.apply_job(name, value.as_deref()),
+                _ => Ok(()),
             };
             if let Err(problem) = result {
                 log_event!(self.log, BAD_ROW; "row" => row.key.to_string(), "problem" => problem);
@@ -86,36 +101,32 @@
         Ok(())
     }
 
-    fn apply_job(&self, name: &str, value: Option<&str>) -> Result<(), String> {
-        let id = JobId::new(name).map_err(|err| err.to_string())?;
-        let Some(value) = value else {
-            self.lock().jobs.remove(&id);
-            return Ok(());
-        };
-        let state = decode_state(value).map_err(|err| err.to_string())?;
-        self.show(id, state);
-        Ok(())
-    }
-
     /// Records a job that this instance has just stored.
     pub fn accepted(&self, id: JobId) {
-        let mut state = self.lock();
-        state.jobs.entry(id).or_insert(JobState::Queued);
+        self.lock().jobs.note(id, JobState::Queued);
     }
 
-    /// Records a state that is stored. A final one stays, because a push may arrive after a later reading.
-    pub fn show(&self, id: JobId, state: JobState) {
-        let mut known = self.lock();
-        let shown = known.jobs.entry(id).or_insert(state);
-        if !shown.is_final() {
-            *shown = state;
-        }
+    /// Records a state that is stored and final.
+    pub fn ended(&self, id: JobId, state: JobState) {
+        self.lock().jobs.note(id, state);
     }
 
-    /// State of a job, if it is known here.
+    /// Whether this instance has stored or seen a job.
     #[must_use]
-    pub fn job(&self, id: &JobId) -> Option<JobState> {
-        self.lock().jobs.get(id).copied()
+    pub fn knows(&self, id: &JobId) -> bool {
+        self.lock().jobs.states.contains_key(id)
+    }
+
+    /// Final state of a job, if it is known here.
+    #[must_use]
+    pub fn final_state(&self, id: &JobId) -> Option<JobState> {
+        let state = self.lock();
+        state
+            .jobs
+            .states
+            .get(id)
+            .copied()
+            .filter(|it| it.is_final())
     }
 
     /// Number of a queue's jobs of which nothing has started; `None` when the leader has not said so for too long.
--- a/crates/dispatch/src/cell.rs
+++ b/crates/dispatch/src/cell.rs
@@ -5,8 +5,8 @@
         Board, CellMetrics, JobDesk, Strength, Timing,
         api::{AdviceCalls, CellRoutes, CellSource, Route, WorkerCalls},
         events::CONFIGURATION,
-        hand_over::{self, HandOver},
         health::StoreHealth,
+        leader_link::{self, LeaderPeer, LeaderRx, leader_channel},
         leadership,
         rows::{self, MemberRow},
         term::Term,
@@ -16,19 +16,19 @@
         HelperConnector, HelperService,
         generated::{
             AdviseReply, AdviseRequest, AllowedWorker, HandRowsReply, HandRowsRequest,
-            ShowStatesReply, ShowStatesRequest, StoredRow,
+            JobStatesReply, JobStatesRequest, StoredRow,
         },
     },
-    ragwortreel_model::{InstanceId, WorkerId},
+    ragwortreel_model::{InstanceId, JobId, WorkerId},
     ragwortreel_platform::{
         ChangeFeed, ChangedRow, FeedError, ResilientTable, TableService, Txn, Write,
     },
-    ragwortreel_runtime::{Logger, Stop, boot_ms, lock, log_event, sleep_ms, spawn},
+    ragwortreel_runtime::{Logger, Stop, lock, log_event, sleep_ms, spawn},
     std::{
         net::SocketAddr,
         sync::{
             Arc, Mutex, Weak,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
@@ -89,9 +89,8 @@
     pub(crate) health: Arc<StoreHealth>,
     /// The term of this instance, while it leads.
     term: Mutex<Weak<Term>>,
-    /// Time at which the leader last pushed states.
-    pub(crate) pushed_ms: AtomicU64,
-    hand_over: HandOver,
+    leader_rx: LeaderRx,
+    leader_peer: LeaderPeer,
 }
 
 impl Cell {
@@ -101,9 +100,10 @@
         let board = Arc::new(Board::new(parts.log.clone()));
         let health = StoreHealth::new(parts.log.clone(), Arc::clone(&parts.metrics));
         let health = Arc::new(health);
-        let (hand_over, stored_rows) = HandOver::new();
+        let (leader_tx, leader_rx) = leader_channel();
+        let leader_peer = LeaderPeer::new(Arc::clone(&board), Arc::clone(&parts.helpers));
         let desk = JobDesk {
-            stored_rows,
+            leader: leader_tx,
             board: Arc::clone(&board),
             tables: parts.grouped.clone(),
             health: Arc::clone(&health),
@@ -120,8 +120,8 @@
             synced: AtomicBool::new(false),
             health,
             term: Mutex::default(),
-            pushed_ms: AtomicU64::new(0),
-            hand_over,
+            leader_rx,
+            leader_peer,
         })
     }
 
@@ -169,13 +169,19 @@
     pub async fn run(self: Arc<Self>, stop: Stop) {
         spawn(follow_routes(Arc::clone(&self), stop.clone())).detach();
         spawn(register(Arc::clone(&self), stop.clone())).detach();
-        spawn(hand_over::run(Arc::clone(&self))).detach();
+        spawn(leader_link::hand_rows_over(Arc::clone(&self))).detach();
+        spawn(leader_link::ask_states(Arc::clone(&self))).detach();
         leadership::follow(self, stop).await;
     }
 
-    /// Stored rows that this instance's callers brought and the leader does not know yet.
-    pub(crate) fn hand_over(&self) -> &HandOver {
-        &self.hand_over
+    /// What this instance's callers want from the leader.
+    pub(crate) const fn leader_rx(&self) -> &LeaderRx {
+        &self.leader_rx
+    }
+
+    /// Connection to the leader.
+    pub(crate) const fn leader_peer(&self) -> &LeaderPeer {
+        &self.leader_peer
     }
 
     fn put_in_force(&self, routes: Option<CellRoutes>) {
@@ -273,12 +279,19 @@
         }
     }
 
-    async fn show_states(&self, req: ShowStatesRequest) -> ShowStatesReply {
-        self.pushed_ms.store(boot_ms(), Ordering::Relaxed);
-        let rows = req.states.into_iter().map(changed_row);
-        let rows: Vec<ChangedRow> = rows.collect();
-        self.board.apply(&rows, boot_ms());
-        ShowStatesReply {}
+    async fn job_states(&self, req: JobStatesRequest) -> JobStatesReply {
+        let Some(term) = self.term() else {
+            return JobStatesReply::default();
+        };
+        let state = |name: &String| {
+            // A name that cannot be a job's is one of an unknown job.
+            let state = JobId::new(name).ok().and_then(|id| term.stored_state(&id));
+            state.map_or_else(String::new, |state| rows::letter(state).to_string())
+        };
+        JobStatesReply {
+            leads: true,
+            states: req.jobs.iter().map(state).collect(),
+        }
     }
 
     async fn hand_rows(&self, req: HandRowsRequest) -> HandRowsReply {
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -9,13 +9,11 @@
         board::Board,
         events::{BAD_ROW, JOB_ACCEPTED, JOB_CANCELLED, JOB_REFUSED, JOB_UNKNOWN, READ_FAILED},
         health::StoreHealth,
+        leader_link::LeaderTx,
         rows::{CANCEL_MARK, STATE, cancel_key, cancel_name, decode_state, job_key, job_part, key},
     },
-    async_channel::Sender,
     ragwortreel_model::{JobId, JobState},
-    ragwortreel_platform::{
-        ChangedRow, Check, PlatformError, ResilientTable, Txn, TxnOutcome, Write,
-    },
+    ragwortreel_platform::{Check, PlatformError, ResilientTable, Txn, TxnOutcome, Write},
     ragwortreel_runtime::{Logger, boot_ms, log_event, sleep_ms, unix_ms},
     ragwortreel_workflow::{JobRequest, QueuePolicy, Schedule, Step},
     std::{sync::Arc, time::Instant},
@@ -80,8 +78,8 @@
 /// Answers callers.
 pub struct JobDesk {
     pub(crate) board: Arc<Board>,
-    /// Rows that are stored, for the leader.
-    pub(crate) stored_rows: Sender<ChangedRow>,
+    /// Way to the leader.
+    pub(crate) leader: LeaderTx,
     /// The store by parts of the jobs, so that a slow or missing part delays only its own jobs.
     pub(crate) tables: Vec<Arc<ResilientTable>>,
     pub(crate) health: Arc<StoreHealth>,
@@ -116,7 +114,7 @@
         job: NewJob,
         deadline: Instant,
     ) -> SubmitOutcome {
-        if self.board.job(&job.id).is_some() {
+        if self.board.knows(&job.id) {
             return SubmitOutcome::Accepted;
         }
         let request = JobRequest {
@@ -131,6 +129,17 @@
             return SubmitOutcome::Invalid(err.to_string().into());
         }
         if let Err(refusal) = self.board.admit(&request, boot_ms()) {
+            // A repeat of a job that is stored already must not be told that it does not run.
+            let table = &self.tables[job_part(&request.id)];
+            match table.get_by(&job_key(&request.id), deadline).await {
+                Ok(None) => {}
+                Ok(Some(_)) => return SubmitOutcome::Accepted,
+                Err(err) => {
+                    log_event!(self.log, JOB_UNKNOWN; "job" => request.id.to_string(),
+                        "reason" => err.to_string());
+                    return SubmitOutcome::Unknown;
+                }
+            }
             log_event!(self.log, JOB_REFUSED; "job" => request.id.to_string(),
                 "queue" => policy.name.to_string(), "reason" => "too much work is ahead",
                 "objective_ms" => request.objective_ms(), "retry_after_ms" => refusal.retry_after_ms);
@@ -162,7 +171,7 @@
             // A conflict means that the job is stored already, by an earlier attempt of the caller or of ours.
             Ok(TxnOutcome::Committed { .. } | TxnOutcome::Conflict { .. }) => {
                 self.board.accepted(request.id.clone());
-                self.hand_over(id, &json);
+                self.leader.hand_over(id, &json);
                 log_event!(self.log, JOB_ACCEPTED; "job" => id.to_owned(),
                     "queue" => request.policy.name.to_string());
                 SubmitOutcome::Accepted
@@ -182,15 +191,6 @@
         }
     }
 
-    /// Gives the leader a row that is stored. When too many wait it finds the row in the table.
-    fn hand_over(&self, name: &str, value: &Arc<str>) {
-        let _ = self.stored_rows.try_send(ChangedRow {
-            key: Arc::from(name),
-            value: Some(Arc::clone(value)),
-            version: 0,
-        });
-    }
-
     /// Sends a transaction until its outcome is known. An error says `NotDone` only when no attempt can take effect.
     async fn commit(
         &self,
@@ -221,10 +221,23 @@
 
     /// State of a job.
     pub async fn state(&self, id: &JobId, deadline: Instant) -> StateAnswer {
-        if let Some(state) = self.board.job(id) {
+        if let Some(state) = self.board.final_state(id) {
             return StateAnswer::Known(state);
         }
-        // It may have been accepted elsewhere and not have started yet.
+        let answer = match self.leader.state(id).await {
+            Some(state) => StateAnswer::Known(state),
+            None => self.stored_state(id, deadline).await,
+        };
+        if let StateAnswer::Known(state) = answer
+            && state.is_final()
+        {
+            self.board.ended(id.clone(), state);
+        }
+        answer
+    }
+
+    /// State of a job as the store has it.
+    async fn stored_state(&self, id: &JobId, deadline: Instant) -> StateAnswer {
         let table = &self.tables[job_part(id)];
         match table.get_by(&key(STATE, id.as_str()), deadline).await {
             Ok(None) => {}
@@ -270,7 +283,8 @@
         match self.commit(id, txn, deadline).await {
             Ok(_) => {
                 log_event!(self.log, JOB_CANCELLED; "job" => id.to_string());
-                self.hand_over(&cancel_name(id), &Arc::from(CANCEL_MARK));
+                self.leader
+                    .hand_over(&cancel_name(id), &Arc::from(CANCEL_MARK));
                 CancelOutcome::Stored
             }
             Err(PlatformError::NotDone { .. }) => CancelOutcome::Refused,
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -32,5 +32,5 @@
     JOURNAL_SLOW = 2129, Warning, "a transaction of the journal was slow; starts and states waited for it";
     READ_FAILED = 2130, Warning, "the store did not answer a question about a job";
     HAND_OVER_FAILED = 2131, Info, "the leader did not take stored rows; it finds them in the table";
-    PUSH_FAILED = 2132, Info, "an instance did not take stored states; it finds them in the table";
+    STATES_FAILED = 2132, Info, "the leader did not tell states of jobs; the store is asked";
 }
--- a/crates/dispatch/src/finished.rs
+++ b/crates/dispatch/src/finished.rs
@@ -95,7 +95,12 @@
             .map(|job| (key(STATE, job.as_str()), None))
             .collect();
         if self.write(rows.collect()).await && self.write(states).await {
-            lock(&self.finished.all).retain(|job| !jobs.contains(job));
+            let mut all = lock(&self.finished.all);
+            let mut shown = lock(&self.shown);
+            for job in &jobs {
+                all.remove(job);
+                shown.remove(job);
+            }
         } else {
             lock(&self.finished.empty).extend(jobs.into_iter().map(|job| (0, job)));
         }
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -9,7 +9,7 @@
         events::{JOB_ENDED, JOURNAL_CONFLICT, JOURNAL_SLOW},
         leadership::{encode, leader_txn},
         orders::Order,
-        rows::{LOAD, LeaderRow, STATE, StateRow, WORKERS, WorkersRow, json, key},
+        rows::{LEADERS, LOAD, LeaderRow, StateRow, WORKERS, json, key},
         term::Term,
     },
     async_channel::{Receiver, Sender},
@@ -18,13 +18,16 @@
     ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms, timeout_ms},
     ragwortreel_workflow::{JobChange, StartOrder},
     std::{
+        collections::BTreeMap,
         mem,
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, atomic::Ordering},
     },
 };
 
-/// Rows of one transaction beside the leader's own three; the store takes at most 100.
-const MAX_ROWS: usize = 90;
+/// Rows of one transaction beside the leader's own two and those of the workers; the store takes at most 100.
+const MAX_ROWS: usize = 80;
+/// Bytes of their values; the store takes 1 MB, in which a value takes a third more.
+const MAX_BYTES: usize = 500_000;
 /// Pause before a transaction is sent again, in ms: a tenth of the time for which a renewal allows starts.
 const RETRY_MS: u64 = 100;
 /// Time between two publications of the load, in ms.
@@ -41,7 +44,9 @@
     version: u64,
     renewed_ms: u64,
     load_ms: u64,
-    workers: WorkersRow,
+    /// Rows of the known workers, and the count of changes that they stand for.
+    workers: BTreeMap<String, String>,
+    workers_changed: u64,
 }
 
 /// State of the leader's writes.
@@ -62,7 +67,8 @@
             version,
             renewed_ms: boot_ms(),
             load_ms: 0,
-            workers: WorkersRow::new(),
+            workers: BTreeMap::new(),
+            workers_changed: 0,
         };
         Self {
             stored: AsyncMutex::new(stored),
@@ -134,7 +140,8 @@
             for (start, decided_ms) in starts {
                 self.send(&start.worker.clone(), Order::Start(start, decided_ms));
             }
-            self.push_stored(&changes);
+            let shown = changes.iter().map(|it| (it.job.clone(), it.state));
+            self.show(shown);
             for change in changes.iter().filter(|change| change.state.is_final()) {
                 log_event!(self.cell.parts.log, JOB_ENDED; "job" => change.job.to_string(),
                     "queue" => change.queue.to_string(), "state" => change.state.to_string(),
@@ -148,24 +155,13 @@
         }
     }
 
-    /// Pushes stored states to all instances.
-    fn push_stored(&self, changes: &[JobChange]) {
-        for change in changes {
-            self.cell.board.show(change.job.clone(), change.state);
-            for queue in lock(&self.push_queues).values() {
-                // An instance that is behind finds the state in the table.
-                let _ = queue.try_send((change.job.clone(), change.state));
-            }
-        }
-    }
-
     /// Stores rows with a renewal, until it is certain that they are stored; false when the term is over.
     async fn store(&self, stored: &mut Stored, rows: Vec<Write>) -> bool {
         let mut row = stored.row.clone();
         row.renewal += 1;
         let mut txn = leader_txn(&row, stored.version);
         txn.writes.extend(rows);
-        let workers = self.add_own_rows(stored, &mut txn);
+        self.add_own_rows(stored, &mut txn);
         let begun_ms = boot_ms();
         let mut attempts = 0;
         loop {
@@ -206,7 +202,6 @@
                 stored.renewed_ms = sent_ms;
                 stored.row = row;
                 stored.version = version;
-                stored.workers = workers;
                 return true;
             }
             if self.is_over() {
@@ -215,12 +210,13 @@
         }
     }
 
-    /// Adds the rows by which the leader informs the others; returns the workers as they will be stored.
-    fn add_own_rows(&self, stored: &mut Stored, txn: &mut Txn) -> WorkersRow {
+    /// Adds the rows by which the leader informs the others. The transaction is sent until it is stored or the term is
+    /// over, so the rows count as stored.
+    fn add_own_rows(&self, stored: &mut Stored, txn: &mut Txn) {
         let now_ms = boot_ms();
-        let mut add = |name, value: String| {
+        let mut add = |table, name: &str, value: String| {
             txn.writes.push(Write {
-                key: key(STATE, name),
+                key: key(table, name),
                 value: Some(value.into()),
             });
         };
@@ -229,13 +225,20 @@
             stored.load_ms = now_ms;
             let mut load = lock(&self.scheduler).load();
             load.age_ms = self.jobs_age_ms();
-            add(LOAD, json(&load));
+            add(LEADERS, LOAD, json(&load));
         }
-        let workers = self.worker_addresses();
-        if workers != stored.workers {
-            add(WORKERS, json(&workers));
+        let changed = self.workers_changed.load(Ordering::Acquire);
+        if changed == stored.workers_changed {
+            return;
+        }
+        stored.workers_changed = changed;
+        for (name, row) in self.worker_rows() {
+            let value = json(&row);
+            if stored.workers.get(&name) != Some(&value) {
+                add(WORKERS, &name, value.clone());
+                stored.workers.insert(name, value);
+            }
         }
-        workers
     }
 }
 
@@ -255,5 +258,22 @@
     if rows.is_empty() {
         return vec![rows];
     }
-    rows.chunks(MAX_ROWS).map(<[Write]>::to_vec).collect()
+    let mut groups = vec![Vec::new()];
+    let mut bytes = 0;
+    for row in rows {
+        let size = row.value.as_ref().map_or(0, |value| value.len());
+        let is_full = groups
+            .last()
+            .is_none_or(|group| group.len() >= MAX_ROWS || bytes + size > MAX_BYTES);
+        if is_full {
+            groups.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(group) = groups.last_mut() {
+            group.push(row);
+        }
+    }
+    groups.retain(|group| !group.is_empty());
+    groups
 }
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -1,6 +1,6 @@
 //! Which instance leads the cell.
 //!
-//! All instances follow the table of states, in which the leader renews its row. An instance takes over when the row has
+//! All instances follow a small table in which the leader renews its row. An instance takes over when the row has
 //! not changed for some time while the store answered, when the leader gave up, or when the row names a former life of
 //! the instance itself. The taking is one conditional write, so at most one succeeds.
 
@@ -9,7 +9,7 @@
         Cell,
         cell::STORE_PAUSE_MS,
         events::TAKEOVER_FAILED,
-        rows::{LEADER, LeaderRow, MAIN, STATE, json, key},
+        rows::{LEADER, LEADERS, LeaderRow, MAIN, json, key},
         term::Term,
     },
     ragwortreel_platform::{Check, FeedError, PlatformError, TableRows, Txn, TxnOutcome, Write},
@@ -22,12 +22,16 @@
 
 /// Longest time that the store may wait for a change before it answers; bounds the delay of a takeover.
 const FEED_WAIT: Duration = Duration::from_millis(400);
-/// Pause between two readings of changes, in ms; changes that come meanwhile share one answer.
-const FEED_PAUSE_MS: u64 = 40;
-/// The same while the leader pushes the changes itself; then the readings only watch the leader.
-const PUSHED_PAUSE_MS: u64 = 300;
-/// Time after a push for which the leader counts as pushing, in ms.
-const PUSHED_MS: u64 = 1_000;
+/// Pause between two readings of changes while a leader renews its row, in ms: an instance that can lead sees a renewal
+/// that is missing within half of the time between a leader's last start and a takeover.
+const FEED_PAUSE_MS: u64 = 300;
+/// The same for an instance that leaves the lead to stronger ones. With the time between two publications of the load it
+/// stays below the 2 s that the count of waiting jobs may be old.
+const WEAK_PAUSE_MS: u64 = 700;
+/// The same while no leader renews its row.
+const VACANT_PAUSE_MS: u64 = 40;
+/// Time without a change of the leader's row from which it counts as vacant for these pauses, in ms.
+const QUIET_MS: u64 = 1_000;
 /// Longest random delay of a takeover, in ms, so that not all instances try at once.
 const TAKEOVER_JITTER_MS: u64 = 60;
 /// Delay for each second that this instance has run, in ms, and the longest such delay. Instances are restarted in turn,
@@ -35,7 +39,7 @@
 const AGE_DELAY_MS: u64 = 4;
 const MAX_AGE_DELAY_MS: u64 = 200;
 
-/// Follows the states of all jobs, and leads when no other instance does.
+/// Follows the leader's table, and leads when no other instance does.
 pub(crate) async fn follow(cell: Arc<Cell>, stop: Stop) {
     let mut follower = Follower {
         delay_ms: cell.cfg.strength.delay_ms() + fastrand::u64(0..TAKEOVER_JITTER_MS),
@@ -70,27 +74,19 @@
     async fn step(&mut self) {
         let feed = &self.cell.parts.feed;
         let result = match self.cursor {
-            None => feed.part(STATE, MAIN).await.map_err(FeedError::Failed),
-            Some(after) => feed.changes(STATE, after, FEED_WAIT).await,
+            None => feed.part(LEADERS, MAIN).await.map_err(FeedError::Failed),
+            Some(after) => feed.changes(LEADERS, after, FEED_WAIT).await,
         };
         match result {
             Ok(rows) => {
-                self.cell.health.answered("read states");
+                self.cell.health.answered("follow leader");
                 self.apply(&rows);
                 self.lead_if_needed().await;
-                let pushed_ms =
-                    boot_ms().saturating_sub(self.cell.pushed_ms.load(Ordering::Relaxed));
-                let is_pushed = pushed_ms < PUSHED_MS || self.term.is_some();
-                sleep_ms(if is_pushed {
-                    PUSHED_PAUSE_MS
-                } else {
-                    FEED_PAUSE_MS
-                })
-                .await;
+                sleep_ms(self.pause_ms()).await;
             }
             Err(FeedError::HistoryGone) => self.cursor = None,
             Err(FeedError::Failed(err)) => {
-                self.cell.health.failed("read states", &err);
+                self.cell.health.failed("follow leader", &err);
                 // The leader could not renew either, perhaps; it gets its full time again.
                 self.leader_changed_ms = boot_ms() + STORE_PAUSE_MS;
                 sleep_ms(STORE_PAUSE_MS).await;
@@ -98,17 +94,24 @@
         }
     }
 
+    fn pause_ms(&self) -> u64 {
+        let is_quiet = boot_ms().saturating_sub(self.leader_changed_ms) >= QUIET_MS;
+        if is_quiet && self.term.is_none() {
+            VACANT_PAUSE_MS
+        } else if self.cell.cfg.strength.is_full() {
+            FEED_PAUSE_MS
+        } else {
+            WEAK_PAUSE_MS
+        }
+    }
+
     fn apply(&mut self, changes: &TableRows) {
         let now_ms = boot_ms();
         if self.cursor.is_none() && self.leader_changed_ms == 0 {
             self.leader_changed_ms = now_ms;
         }
-        if self.cursor.is_none() {
-            self.cell.board.replace(&changes.rows, now_ms);
-            self.cell.synced.store(true, Ordering::Relaxed);
-        } else {
-            self.cell.board.apply(&changes.rows, now_ms);
-        }
+        self.cell.board.apply(&changes.rows, now_ms);
+        self.cell.synced.store(true, Ordering::Relaxed);
         self.cursor = Some(changes.version);
         let version = self.cell.board.leader().map_or(0, |(_, version)| version);
         if version != self.leader_version {
@@ -188,7 +191,7 @@
             Err(err @ PlatformError::NotDone { .. }) => return Err(err),
             Err(PlatformError::Unknown { .. }) => {
                 // Perhaps it took effect.
-                let found = self.cell.parts.table.get(&key(STATE, LEADER)).await?;
+                let found = self.cell.parts.table.get(&key(LEADERS, LEADER)).await?;
                 let ours = found.filter(|found| found.value == encode(&row));
                 let Some(found) = ours else {
                     return Ok(None);
@@ -211,11 +214,11 @@
 pub(crate) fn leader_txn(row: &LeaderRow, version: u64) -> Txn {
     Txn {
         checks: vec![Check {
-            key: key(STATE, LEADER),
+            key: key(LEADERS, LEADER),
             version,
         }],
         writes: vec![Write {
-            key: key(STATE, LEADER),
+            key: key(LEADERS, LEADER),
             value: Some(encode(row)),
         }],
     }
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -5,9 +5,9 @@
 //! | `jobs`, ID | by the identifier's hash | the instance that accepts the job | the job; emptied when its final state is stored |
 //! | `jobs`, ID`.cancel` | the same | the instance that takes the cancellation | a mark |
 //! | `state`, ID | `main` | the leader | state and progress, from the first start on |
-//! | `state`, `!leader` | `main` | the leader | who leads, in which term |
-//! | `state`, `!workers` | `main` | the leader | workers that may run something, with their addresses |
-//! | `state`, `!load` | `main` | the leader | waiting work and jobs, for admission and callers |
+//! | `leader`, `leader` | `main` | the leader | who leads, in which term |
+//! | `leader`, `load` | `main` | the leader | waiting work and jobs, for admission and callers |
+//! | `workers`, bucket | `main` | the leader | workers that may run something, with their addresses |
 //! | `members`, INSTANCE | `main` | each instance | its address for other instances, and whether it can lead |
 //!
 //! The store runs the transactions of a part one after the other. When it is slow, a part takes only a few a second, so
@@ -24,16 +24,20 @@
 
 /// Table of jobs that are not finished.
 pub const JOBS: &str = "jobs";
-/// Table of the states of jobs, and of what the leader publishes.
+/// Table of the states of jobs.
 pub const STATE: &str = "state";
 /// Table of the instances of the cell.
 pub const MEMBERS: &str = "members";
-/// Row of the leader; `!` sorts before all identifiers and cannot stand in one.
-pub const LEADER: &str = "!leader";
-/// Row of the known workers.
-pub const WORKERS: &str = "!workers";
+/// Table of what the leader publishes, which all instances follow.
+pub const LEADERS: &str = "leader";
+/// Row of the leader.
+pub const LEADER: &str = "leader";
 /// Row of the load.
-pub const LOAD: &str = "!load";
+pub const LOAD: &str = "load";
+/// Table of the known workers.
+pub const WORKERS: &str = "workers";
+/// Rows that the known workers are divided into. A row holds 64 KB, which is about 1,100 workers.
+pub const WORKER_ROWS: u64 = 16;
 /// Ending of a cancellation mark.
 const CANCEL: &str = ".cancel";
 
@@ -70,6 +74,19 @@
     format!("{JOBS}/{}/{}", JOB_PARTS[job_part(job)], cancel_name(job)).into()
 }
 
+/// Name of the row that holds a worker's address.
+#[must_use]
+pub fn worker_row(worker: &WorkerId) -> String {
+    let hash = xxh3_64(worker.as_str().as_bytes());
+    worker_row_name(hash % WORKER_ROWS)
+}
+
+/// Name of a row of known workers by its number.
+#[must_use]
+pub fn worker_row_name(number: u64) -> String {
+    format!("{number:02}")
+}
+
 /// Name of a job's cancellation mark in its part.
 #[must_use]
 pub fn cancel_name(job: &JobId) -> String {
@@ -144,13 +161,7 @@
     /// The value of the row: a letter for the state, then the progress.
     #[must_use]
     pub fn encode(&self) -> Arc<str> {
-        let letter = match self.state {
-            JobState::Queued => 'q',
-            JobState::Running => 'r',
-            JobState::Succeeded => 's',
-            JobState::Failed => 'f',
-            JobState::Cancelled => 'x',
-        };
+        let letter = letter(self.state);
         let rest = if self.progress.steps.is_empty() {
             String::new()
         } else {
@@ -177,6 +188,18 @@
     }
 }
 
+/// Letter that a job's stored value begins with.
+#[must_use]
+pub const fn letter(state: JobState) -> char {
+    match state {
+        JobState::Queued => 'q',
+        JobState::Running => 'r',
+        JobState::Succeeded => 's',
+        JobState::Failed => 'f',
+        JobState::Cancelled => 'x',
+    }
+}
+
 /// Reads only the state, which is all that an instance shows.
 ///
 /// # Errors
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Cell,
-        api::ListedWorker,
+        api::{ListedWorker, WorkerChange},
         events::{
             BAD_ROW, BECAME_LEADER, CELL_SUMMARY, LEADERSHIP_LOST, LEADERSHIP_RELEASED, RECOVERED,
             STEP_STARTED,
@@ -11,20 +11,17 @@
         finished::FinishedJobs,
         journal::Journal,
         orders::{Order, WorkerHandle},
-        push::StatesTx,
         rows::{
-            JOB_PARTS, JOBS, LeaderRow, MAIN, STATE, StateRow, WORKERS, WorkersRow, cancelled_job,
-            key,
+            JOB_PARTS, JOBS, LeaderRow, MAIN, STATE, StateRow, WORKER_ROWS, WORKERS, WorkersRow,
+            cancelled_job, decode_state, key, worker_row, worker_row_name,
         },
         worker_loop::run_worker,
     },
     async_channel::{Receiver, Sender},
     ragwortreel_entry::HelperPeer,
-    ragwortreel_model::{InstanceId, JobId, WorkerId},
+    ragwortreel_model::{InstanceId, JobId, JobState, WorkerId},
     ragwortreel_platform::{ChangedRow, FeedError, PlatformError, TableRows},
-    ragwortreel_runtime::{
-        Stop, boot_ms, future, lock, log_event, sleep_ms, spawn, timeout_ms, unix_ms,
-    },
+    ragwortreel_runtime::{Stop, boot_ms, lock, log_event, sleep_ms, spawn, timeout_ms, unix_ms},
     ragwortreel_workflow::{
         Action, AdviceBroker, Certainty, JobRequest, Progress, Scheduler, StartOrder, StepKey,
     },
@@ -47,11 +44,21 @@
 /// Pause between two readings of new jobs, in ms. The instances hand jobs over themselves; the readings find what got
 /// lost on the way.
 const JOBS_PAUSE_MS: u64 = 100;
+/// Longest time that the store may wait for a change of the list of workers before it answers.
+const WORKERS_WAIT: Duration = Duration::from_millis(400);
 /// Time between two decisions while tasks wait, in ms; tickets and leases expire without an event.
 const DECIDE_MS: u64 = 50;
+/// Shortest time between two decisions, in ms. What happens meanwhile shares one; the journal makes starts wait for longer.
+const DECIDE_GAP_MS: u64 = 5;
 /// Time between two summary lines, in ms.
 const SUMMARY_MS: u64 = 5_000;
 
+/// Versions of the store from which changes are followed.
+struct Cursors {
+    jobs: u64,
+    workers: u64,
+}
+
 /// A connection to another instance, with the address that it goes to.
 type Helper = (SocketAddr, Arc<dyn HelperPeer>);
 
@@ -66,8 +73,12 @@
     /// Connections to the other instances, with the addresses that they go to.
     pub(crate) helpers: Mutex<BTreeMap<InstanceId, Helper>>,
     pub(crate) workers: Mutex<BTreeMap<WorkerId, WorkerHandle>>,
-    /// Queues of states to push, by instance.
-    pub(crate) push_queues: Mutex<BTreeMap<InstanceId, StatesTx>>,
+    /// The platform's list of workers as it was read last.
+    listed: Mutex<BTreeMap<WorkerId, ListedWorker>>,
+    /// Counts changes of `workers`, so that their rows are made anew only after one.
+    pub(crate) workers_changed: AtomicU64,
+    /// States of jobs as they are stored.
+    pub(crate) shown: Mutex<BTreeMap<JobId, JobState>>,
     recovered: AtomicBool,
     /// Time of the sending of the last reading of the table of jobs that succeeded.
     jobs_read_ms: AtomicU64,
@@ -90,7 +101,9 @@
             broker: Mutex::default(),
             helpers: Mutex::default(),
             workers: Mutex::default(),
-            push_queues: Mutex::default(),
+            listed: Mutex::default(),
+            workers_changed: AtomicU64::new(0),
+            shown: Mutex::default(),
             recovered: AtomicBool::new(false),
             jobs_read_ms: AtomicU64::new(0),
             renewed_ms: AtomicU64::new(sent_ms),
@@ -159,28 +172,28 @@
     pub(crate) async fn run(self: Arc<Self>) {
         log_event!(self.cell.parts.log, BECAME_LEADER; "term" => self.number);
         spawn(Arc::clone(&self).keep_journal()).detach();
-        let Some(cursor) = self.recover().await else {
+        let Some(cursors) = self.recover().await else {
             return;
         };
         self.recovered.store(true, Ordering::Relaxed);
-        spawn(Arc::clone(&self).follow_jobs(cursor)).detach();
-        spawn(Arc::clone(&self).follow_workers()).detach();
+        spawn(Arc::clone(&self).follow_jobs(cursors.jobs)).detach();
+        spawn(Arc::clone(&self).follow_workers(cursors.workers)).detach();
         spawn(Arc::clone(&self).follow_members()).detach();
         spawn(Arc::clone(&self).summarise()).detach();
         spawn(Arc::clone(&self).clear_finished()).detach();
         self.decide_forever().await;
     }
 
-    /// Reads all stored jobs; returns the version from which new ones are followed.
-    async fn recover(self: &Arc<Self>) -> Option<u64> {
+    /// Reads all stored jobs and the list of workers; returns the versions from which changes are followed.
+    async fn recover(self: &Arc<Self>) -> Option<Cursors> {
         loop {
             if self.is_over() {
                 return None;
             }
             match self.read_all().await {
-                Ok(cursor) => {
+                Ok(cursors) => {
                     self.cell.health.answered("recover");
-                    return Some(cursor);
+                    return Some(cursors);
                 }
                 Err(err) => {
                     self.cell.health.failed("recover", &err);
@@ -190,25 +203,29 @@
         }
     }
 
-    async fn read_all(self: &Arc<Self>) -> Result<u64, PlatformError> {
+    async fn read_all(self: &Arc<Self>) -> Result<Cursors, PlatformError> {
         let parts = &self.cell.parts;
         let jobs = self.read_jobs().await?;
         let states = parts.feed.part(STATE, MAIN).await?;
-        let listed = parts.source.workers().await?;
+        let (listed, listed_version) = parts.source.workers().await?;
         let states: BTreeMap<Arc<str>, Arc<str>> = (states.rows.into_iter())
             .filter_map(|row| Some((row.key, row.value?)))
             .collect();
-        let known = states
-            .get(WORKERS)
-            .map(|value| serde_json::from_str::<WorkersRow>(value));
-        let known = match known {
-            Some(Ok(known)) => known,
-            Some(Err(err)) => {
-                log_event!(parts.log, BAD_ROW; "row" => WORKERS, "problem" => err.to_string());
-                WorkersRow::new()
+        let mut known = WorkersRow::new();
+        for row in parts.feed.part(WORKERS, MAIN).await?.rows {
+            match serde_json::from_str::<WorkersRow>(row.value.as_deref().unwrap_or("{}")) {
+                Ok(some) => known.extend(some),
+                Err(err) => {
+                    log_event!(parts.log, BAD_ROW; "row" => row.key.to_string(),
+                        "problem" => err.to_string());
+                }
             }
-            None => WorkersRow::new(),
-        };
+        }
+        // A value without a state is reported when its job is read.
+        let shown = states
+            .iter()
+            .filter_map(|(name, value)| Some((JobId::new(name).ok()?, decode_state(value).ok()?)));
+        self.show(shown);
         let count = jobs.rows.len();
         log_event!(parts.log, RECOVERED; "term" => self.number, "rows" => count,
             "listed_workers" => listed.len(), "known_workers" => known.len());
@@ -228,7 +245,10 @@
             scheduler.extend_lease(&worker, until_ms);
         }
         drop(scheduler);
-        Ok(jobs.version)
+        Ok(Cursors {
+            jobs: jobs.version,
+            workers: listed_version,
+        })
     }
 
     /// Reads all parts of the table of jobs side by side.
@@ -351,23 +371,63 @@
     }
 
     /// Keeps the list of workers up to date.
-    async fn follow_workers(self: Arc<Self>) {
+    async fn follow_workers(self: Arc<Self>, cursor: u64) {
+        let source = &self.cell.parts.source;
+        let mut cursor = Some(cursor);
         while !self.is_over() {
             sleep_ms(self.cell.cfg.timing.list_ms).await;
-            match self.cell.parts.source.workers().await {
-                Ok(listed) => {
+            let result = match cursor {
+                None => source.workers().await.map_err(FeedError::Failed),
+                Some(after) => match source.next_workers(after, WORKERS_WAIT).await {
+                    Ok((changes, version)) => {
+                        self.cell.health.answered("list workers");
+                        cursor = Some(version);
+                        if !changes.is_empty() {
+                            self.change_workers(changes);
+                        }
+                        continue;
+                    }
+                    Err(err) => Err(err),
+                },
+            };
+            match result {
+                Ok((listed, version)) => {
                     self.cell.health.answered("list workers");
+                    cursor = Some(version);
                     self.apply_workers(listed, &WorkersRow::new());
                 }
-                Err(err) => self.cell.health.failed("list workers", &err),
+                Err(FeedError::HistoryGone) => cursor = None,
+                Err(FeedError::Failed(err)) => {
+                    self.cell.health.failed("list workers", &err);
+                    // A change may have been missed with the lost answer.
+                    cursor = None;
+                }
+            }
+        }
+    }
+
+    /// Takes over changes of the list of workers.
+    fn change_workers(self: &Arc<Self>, changes: Vec<WorkerChange>) {
+        let mut listed = lock(&self.listed).clone();
+        for change in changes {
+            match change {
+                WorkerChange::Listed(worker) => {
+                    listed.insert(worker.spec.id.clone(), worker);
+                }
+                WorkerChange::Gone(id) => {
+                    listed.remove(&id);
+                }
             }
         }
+        self.apply_workers(listed.into_values().collect(), &WorkersRow::new());
     }
 
     /// Takes over a list of workers, and starts a loop for each new one.
     fn apply_workers(self: &Arc<Self>, listed: Vec<ListedWorker>, known: &WorkersRow) {
         let mut addresses = known.clone();
         addresses.extend(listed.iter().map(|it| (it.spec.id.clone(), it.address)));
+        let by_id = listed.iter().map(|it| (it.spec.id.clone(), it.clone()));
+        *lock(&self.listed) = by_id.collect();
         let specs = listed.into_iter().map(|worker| worker.spec).collect();
         {
             let mut scheduler = lock(&self.scheduler);
@@ -383,18 +443,36 @@
             }
             let (handle, orders) = WorkerHandle::new(address);
             workers.insert(id.clone(), handle.clone());
+            self.workers_changed.fetch_add(1, Ordering::Release);
             spawn(run_worker(Arc::clone(self), id, handle, orders)).detach();
         }
         drop(workers);
         self.wake();
     }
 
-    /// Workers that may run something, with their addresses.
-    pub(crate) fn worker_addresses(&self) -> WorkersRow {
-        let workers = lock(&self.workers);
-        (workers.iter())
-            .map(|(id, handle)| (id.clone(), handle.address))
-            .collect()
+    /// Workers that may run something, with their addresses, by the names of their rows.
+    pub(crate) fn worker_rows(&self) -> BTreeMap<String, WorkersRow> {
+        let mut rows: BTreeMap<String, WorkersRow> = (0..WORKER_ROWS)
+            .map(|number| (worker_row_name(number), WorkersRow::new()))
+            .collect();
+        for (id, handle) in &*lock(&self.workers) {
+            let row = rows.entry(worker_row(id)).or_default();
+            row.insert(id.clone(), handle.address);
+        }
+        rows
+    }
+
+    /// Records states that are stored.
+    pub(crate) fn show(&self, states: impl IntoIterator<Item = (JobId, JobState)>) {
+        lock(&self.shown).extend(states);
+    }
+
+    /// State of a job as it is stored, if this term knows the job.
+    pub(crate) fn stored_state(&self, job: &JobId) -> Option<JobState> {
+        if let Some(state) = lock(&self.shown).get(job) {
+            return Some(*state);
+        }
+        lock(&self.scheduler).knows(job).then_some(JobState::Queued)
     }
 
     async fn decide_forever(self: &Arc<Self>) {
@@ -418,7 +496,7 @@
                 self.assign_advice();
             }
             self.journal.wake();
-            future::yield_now().await;
+            sleep_ms(DECIDE_GAP_MS).await;
         }
     }
 
--- a/crates/dispatch/src/worker_loop.rs
+++ b/crates/dispatch/src/worker_loop.rs
@@ -14,7 +14,10 @@
     ragwortreel_model::WorkerId,
     ragwortreel_runtime::{Task, boot_ms, lock, log_event, sleep_ms, spawn, timeout_ms},
     ragwortreel_workflow::{EndCause, EndedRun, HeartbeatReport},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
 /// Pauses after heartbeats that were not answered, in ms; the last one is repeated.
@@ -64,6 +67,7 @@
     }
     drop(orders);
     lock(&term.workers).remove(&worker);
+    term.workers_changed.fetch_add(1, Ordering::Release);
 }
 
 impl Watch {
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -5,8 +5,8 @@
         AdviseReply, AdviseRequest, BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply,
         ConfirmSlotEpochRequest, DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse,
         HandRowsReply, HandRowsRequest, HeartbeatReply, HeartbeatRequest, JobMessage, JobReference,
-        JobReply, ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree, SettingsVersion,
-        ShowStatesReply, ShowStatesRequest,
+        JobReply, JobStatesReply, JobStatesRequest, ReleaseSlotsReply, ReleaseSlotsRequest,
+        SettingsTree, SettingsVersion,
     },
     async_trait::async_trait,
     derive_more::{Display, Error},
@@ -107,7 +107,7 @@
     /// Asks the advice service.
     async fn advise(&self, req: AdviseRequest) -> AdviseReply;
     /// Takes over stored states of jobs.
-    async fn show_states(&self, req: ShowStatesRequest) -> ShowStatesReply;
+    async fn job_states(&self, req: JobStatesRequest) -> JobStatesReply;
     /// Takes over stored jobs, if this instance leads.
     async fn hand_rows(&self, req: HandRowsRequest) -> HandRowsReply;
 }
@@ -126,7 +126,7 @@
     /// # Errors
     ///
     /// Returns an error when the peer did not answer in time.
-    async fn show_states(&self, req: ShowStatesRequest) -> Result<ShowStatesReply, EntryError>;
+    async fn job_states(&self, req: JobStatesRequest) -> Result<JobStatesReply, EntryError>;
     /// Hands the peer stored jobs.
     ///
     /// # Errors
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -9,8 +9,8 @@
             AdviseReply, AdviseRequest, BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply,
             ConfirmSlotEpochRequest, DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse,
             HandRowsReply, HandRowsRequest, HeartbeatReply, HeartbeatRequest, JobMessage,
-            JobReference, JobReply, ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree,
-            SettingsVersion, ShowStatesReply, ShowStatesRequest, entry_client::EntryClient as Stub,
+            JobReference, JobReply, JobStatesReply, JobStatesRequest, ReleaseSlotsReply,
+            ReleaseSlotsRequest, SettingsTree, SettingsVersion, entry_client::EntryClient as Stub,
             helper_client::HelperClient,
         },
     },
@@ -228,7 +228,7 @@
 
 helper! {
     advise("advise", AdviseRequest, |_, req| Duration::from_millis(req.timeout_ms)) -> AdviseReply;
-    show_states("show states", ShowStatesRequest, |limits, _| limits.short_call) -> ShowStatesReply;
+    job_states("job states", JobStatesRequest, |limits, _| limits.short_call) -> JobStatesReply;
     hand_rows("hand rows", HandRowsRequest, |limits, _| limits.short_call) -> HandRowsReply;
 }
 
--- a/crates/entry/src/generated.rs
+++ b/crates/entry/src/generated.rs
@@ -291,16 +291,20 @@
     #[prost(string, tag = "2")]
     pub value: ::prost::alloc::string::String,
 }
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct ShowStatesRequest {
-    /// Term of the sender.
-    #[prost(uint32, tag = "1")]
-    pub term: u32,
-    #[prost(message, repeated, tag = "2")]
-    pub states: ::prost::alloc::vec::Vec<StoredRow>,
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct JobStatesRequest {
+    #[prost(string, repeated, tag = "1")]
+    pub jobs: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct JobStatesReply {
+    /// False when the receiver does not lead; it knows no states then.
+    #[prost(bool, tag = "1")]
+    pub leads: bool,
+    /// One for each job in the order of the question: the first letter of its stored value, or nothing for an unknown job.
+    #[prost(string, repeated, tag = "2")]
+    pub states: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct ShowStatesReply {}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HandRowsRequest {
     #[prost(message, repeated, tag = "1")]
@@ -1272,20 +1276,20 @@
                 .insert(GrpcMethod::new("ragwortreel.entry.v1.Helper", "Advise"));
             self.inner.unary(req, path, codec).await
         }
-        /// Tells stored states of jobs, so that the receiver need not wait for the store's changes.
-        pub async fn show_states(
+        /// Returns the stored states of jobs, which the leader knows without the store.
+        pub async fn job_states(
             &mut self,
-            request: impl tonic::IntoRequest<super::ShowStatesRequest>,
-        ) -> std::result::Result<tonic::Response<super::ShowStatesReply>, tonic::Status> {
+            request: impl tonic::IntoRequest<super::JobStatesRequest>,
+        ) -> std::result::Result<tonic::Response<super::JobStatesReply>, tonic::Status> {
             self.inner.ready().await.map_err(|e| {
                 tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
             })?;
             let codec = tonic_prost::ProstCodec::default();
             let path =
-                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Helper/ShowStates");
+                http::uri::PathAndQuery::from_static("/ragwortreel.entry.v1.Helper/JobStates");
             let mut req = request.into_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("ragwortreel.entry.v1.Helper", "ShowStates"));
+                .insert(GrpcMethod::new("ragwortreel.entry.v1.Helper", "JobStates"));
             self.inner.unary(req, path, codec).await
         }
         /// Hands the leader rows of jobs that are stored, so that it need not wait for the store's changes.
@@ -1324,11 +1328,11 @@
             &self,
             request: tonic::Request<super::AdviseRequest>,
         ) -> std::result::Result<tonic::Response<super::AdviseReply>, tonic::Status>;
-        /// Tells stored states of jobs, so that the receiver need not wait for the store's changes.
-        async fn show_states(
+        /// Returns the stored states of jobs, which the leader knows without the store.
+        async fn job_states(
             &self,
-            request: tonic::Request<super::ShowStatesRequest>,
-        ) -> std::result::Result<tonic::Response<super::ShowStatesReply>, tonic::Status>;
+            request: tonic::Request<super::JobStatesRequest>,
+        ) -> std::result::Result<tonic::Response<super::JobStatesReply>, tonic::Status>;
         /// Hands the leader rows of jobs that are stored, so that it need not wait for the store's changes.
         async fn hand_rows(
             &self,
@@ -1446,19 +1450,19 @@
                     };
                     Box::pin(fut)
                 }
-                "/ragwortreel.entry.v1.Helper/ShowStates" => {
+                "/ragwortreel.entry.v1.Helper/JobStates" => {
                     #[allow(non_camel_case_types)]
-                    struct ShowStatesSvc<T: Helper>(pub Arc<T>);
-                    impl<T: Helper> tonic::server::UnaryService<super::ShowStatesRequest> for ShowStatesSvc<T> {
-                        type Response = super::ShowStatesReply;
+                    struct JobStatesSvc<T: Helper>(pub Arc<T>);
+                    impl<T: Helper> tonic::server::UnaryService<super::JobStatesRequest> for JobStatesSvc<T> {
+                        type Response = super::JobStatesReply;
                         type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::ShowStatesRequest>,
+                            request: tonic::Request<super::JobStatesRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut =
-                                async move { <T as Helper>::show_states(&inner, request).await };
+                                async move { <T as Helper>::job_states(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -1468,7 +1472,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = ShowStatesSvc(inner);
+                        let method = JobStatesSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -10,8 +10,8 @@
             AdviseReply, AdviseRequest, BurnCountsReply, BurnCountsRequest, ConfirmSlotEpochReply,
             ConfirmSlotEpochRequest, DrainReply, DrainRequest, ForwardedRequest, ForwardedResponse,
             HandRowsReply, HandRowsRequest, HeartbeatReply, HeartbeatRequest, JobMessage,
-            JobReference, JobReply, ReleaseSlotsReply, ReleaseSlotsRequest, SettingsTree,
-            SettingsVersion, ShowStatesReply, ShowStatesRequest,
+            JobReference, JobReply, JobStatesReply, JobStatesRequest, ReleaseSlotsReply,
+            ReleaseSlotsRequest, SettingsTree, SettingsVersion,
             entry_server::{Entry, EntryServer as Generated},
             helper_server::{Helper, HelperServer},
         },
@@ -39,8 +39,8 @@
     tower_service::Service,
 };
 
-/// Most open connections; a cell has at most 9 members in each of 8 zones.
-const MAX_CONNECTIONS: usize = 128;
+/// Most open connections: two from each instance of a cell of 1,160, the largest that is planned.
+const MAX_CONNECTIONS: usize = 2_400;
 /// Most calls in flight on a connection.
 const MAX_STREAMS: u32 = 256;
 /// Time between two probes of a connection. Silence is found by the client's probes each second; these only end the
@@ -234,11 +234,11 @@
         Ok(Response::new(self.service.advise(req.into_inner()).await))
     }
 
-    async fn show_states(
+    async fn job_states(
         &self,
-        req: Request<ShowStatesRequest>,
-    ) -> Result<Response<ShowStatesReply>, Status> {
-        let reply = self.service.show_states(req.into_inner()).await;
+        req: Request<JobStatesRequest>,
+    ) -> Result<Response<JobStatesReply>, Status> {
+        let reply = self.service.job_states(req.into_inner()).await;
         Ok(Response::new(reply))
     }
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,12 +6,13 @@
         collections::BTreeMap,
         net::SocketAddr,
         sync::{Mutex, MutexGuard, PoisonError},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
-/// Addresses after which idle connections of all addresses are checked for their age.
-const MAX_IDLE_ADDRESSES: usize = 256;
+/// Time between two checks of all idle connections for their age. They are far more than one address's, so that a check
+/// at each use would cost more than the requests.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// HTTP/1.1 client; shared by reference.
 ///
@@ -22,7 +23,13 @@
 pub struct Client {
     limits: ClientLimits,
     // Shared by all senders; the lock is held only to take or put a connection.
-    idle: Mutex<BTreeMap<SocketAddr, Vec<Idle>>>,
+    idle: Mutex<IdleConnections>,
+}
+
+#[derive(Debug, Default)]
+struct IdleConnections {
+    by_address: BTreeMap<SocketAddr, Vec<Idle>>,
+    swept: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -64,13 +71,13 @@
     }
 
     fn give_up_idle(&self, addr: SocketAddr) {
-        self.lock().remove(&addr);
+        self.lock().by_address.remove(&addr);
     }
 
     /// Number of idle connections to an address.
     #[must_use]
     pub fn idle_connections(&self, addr: SocketAddr) -> usize {
-        self.lock().get(&addr).map_or(0, Vec::len)
+        self.lock().by_address.get(&addr).map_or(0, Vec::len)
     }
 
     async fn exchange(
@@ -93,36 +100,42 @@
     /// The most recently used idle connection that is still fit.
     fn take(&self, addr: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock();
-        let connections = idle.get_mut(&addr)?;
+        let connections = idle.by_address.get_mut(&addr)?;
         while let Some(Idle { connection, since }) = connections.pop() {
             if since.elapsed() < self.limits.idle_time && connection.is_quiet() {
                 return Some(connection);
             }
         }
-        idle.remove(&addr);
+        idle.by_address.remove(&addr);
         None
     }
 
     fn put(&self, connection: Connection) {
         let mut idle = self.lock();
         let limit = self.limits.idle_time;
-        if idle.len() >= MAX_IDLE_ADDRESSES {
-            idle.retain(|_, connections| {
-                connections.retain(|idle| idle.since.elapsed() < limit);
+        let now = Instant::now();
+        let is_fresh = |idle: &Idle| now.duration_since(idle.since) < limit;
+        if idle
+            .swept
+            .is_none_or(|swept| now.duration_since(swept) >= SWEEP_INTERVAL)
+        {
+            idle.swept = Some(now);
+            idle.by_address.retain(|_, connections| {
+                connections.retain(is_fresh);
                 !connections.is_empty()
             });
         }
-        let connections = idle.entry(connection.peer()).or_default();
-        connections.retain(|idle| idle.since.elapsed() < limit);
+        let connections = idle.by_address.entry(connection.peer()).or_default();
+        connections.retain(is_fresh);
         if connections.len() < self.limits.max_idle_per_address {
             connections.push(Idle {
                 connection,
-                since: Instant::now(),
+                since: now,
             });
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<Idle>>> {
+    fn lock(&self) -> MutexGuard<'_, IdleConnections> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -17,6 +17,10 @@
 const MAX_TRIES: usize = 96;
 /// Most steps without room that one decision meets before it gives up on the rest.
 const MAX_BLOCKED: usize = 12;
+/// Time after which a step that found no room is tried again, in ms. Each try looks at all workers of the service, and on
+/// a full fleet decisions follow each other within some milliseconds. A gang needs more room than comes free in a moment.
+const BLOCKED_MS: u64 = 20;
+const BLOCKED_GANG_MS: u64 = 50;
 /// Share of workers that a queue's steps may use, assumed before any was learned.
 const FIRST_ALLOWED_SHARE: f64 = 0.4;
 /// Weight of a new answer in the learned share.
@@ -76,8 +80,22 @@
                     continue;
                 }
             }
-            let (tried, started) = self.try_step(&key);
+            let (tried, started) = if self.is_blocked(&key) {
+                (Tried::Blocked, 0)
+            } else {
+                self.try_step(&key)
+            };
             self.note_room(&key, matches!(tried, Tried::Settled));
+            if matches!(tried, Tried::Blocked) && !self.is_blocked(&key) {
+                let gang = self
+                    .jobs
+                    .get(&key.job)
+                    .is_some_and(|job| job.spec(&key).gang);
+                let until_ms = self.now_ms + if gang { BLOCKED_GANG_MS } else { BLOCKED_MS };
+                if let Some(step) = self.step_mut(&key) {
+                    step.blocked_until_ms = until_ms;
+                }
+            }
             if let Some(room) = free.get_mut(&service) {
                 let taken = need.checked_mul(started as u64).unwrap_or(need);
                 *room = room.saturating_sub(&taken);
@@ -97,6 +115,12 @@
         }
     }
 
+    /// Whether a step found no room a short time ago.
+    fn is_blocked(&self, key: &StepKey) -> bool {
+        let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
+        step.is_some_and(|step| self.now_ms < step.blocked_until_ms)
+    }
+
     fn note_room(&mut self, key: &StepKey, has_room: bool) {
         if let Some(step) = self.step_mut(key) {
             step.has_room = has_room;
--- a/crates/workflow/src/state.rs
+++ b/crates/workflow/src/state.rs
@@ -50,6 +50,8 @@
     pub(crate) gang_failed_run: u32,
     /// Whether it waits for an answer about workers and not for room, as of the last try.
     pub(crate) has_room: bool,
+    /// Time until which it is not tried again after it found no room.
+    pub(crate) blocked_until_ms: u64,
     /// Rank under which it waits, if it does.
     pub(crate) rank: Option<Rank>,
     pub(crate) advice: StepAdvice,
