Finish a log line before the next one begins

Change: what the output does not take goes first the next time; meanwhile new lines wait in their bounded buffer and are counted when it is full. Test: lines_stay_whole_when_the_output_takes_only_a_part, which loses the rest of the first line without the change.

--- a/crates/runtime/src/log.rs
+++ b/crates/runtime/src/log.rs
@@ -9,7 +9,7 @@
     crate::{lock, unix_ms},
     slog::{Drain, FnValue, Logger, PushFnValue, o},
     std::{
-        io::{self, Write},
+        io::{self, ErrorKind, Write},
         mem,
         sync::{Arc, Mutex, MutexGuard},
         thread,
@@ -65,6 +65,9 @@
 /// Time between two writes; one write for many lines costs one system call.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
 
+#[cfg(test)]
+mod tests;
+
 /// Lines that wait to be written.
 #[derive(Debug, Default)]
 struct Waiting {
@@ -83,21 +86,46 @@
         lock(&self.waiting)
     }
 
+    /// Takes the lines that wait, with one about those that were dropped.
+    fn take(&self) -> Vec<u8> {
+        let Waiting { mut bytes, dropped } = mem::take(&mut *self.lock());
+        if dropped > 0 {
+            let ts = unix_ms();
+            let line = format!(
+                "{{\"ts\":{ts},\"level\":\"WARN\",\"event\":1001,\"dropped_lines\":{dropped}}}\n"
+            );
+            bytes.extend_from_slice(line.as_bytes());
+        }
+        bytes
+    }
+
     /// Writes what waits, for as long as the process runs.
     fn write_forever(&self, mut out: impl Write) {
+        let mut begun = Vec::new();
         loop {
             thread::sleep(FLUSH_INTERVAL);
-            let Waiting { mut bytes, dropped } = mem::take(&mut *self.lock());
-            if dropped > 0 {
-                let ts = unix_ms();
-                let line = format!(
-                    "{{\"ts\":{ts},\"level\":\"WARN\",\"event\":1001,\"dropped_lines\":{dropped}}}\n"
-                );
-                bytes.extend_from_slice(line.as_bytes());
+            self.write_once(&mut out, &mut begun);
+        }
+    }
+
+    /// Writes as much as the output takes. What it does not take stays in `begun` and goes first the next time, so that no
+    /// line is cut by another one.
+    fn write_once(&self, out: &mut impl Write, begun: &mut Vec<u8>) {
+        if begun.is_empty() {
+            *begun = self.take();
+        }
+        let mut written = 0;
+        while written < begun.len() {
+            match out.write(&begun[written..]) {
+                Ok(count) if count > 0 => written += count,
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                Err(err) if err.kind() == ErrorKind::WouldBlock => break,
+                // Nothing can be reported when the log itself cannot be written.
+                Ok(_) | Err(_) => written = begun.len(),
             }
-            // Nothing can be reported when the log itself cannot be written.
-            let _ = out.write_all(&bytes).and_then(|()| out.flush());
         }
+        begun.drain(..written);
+        let _ = out.flush();
     }
 }
 
