Spread jobs over 64 parts, refuse at once in a silent store, take over sooner

Jobs lay in eight parts, which a slow store (x64) works off at five transactions a second each, 40 in all; 147 instances make 130 groups a second. In an outage each instance had to lose five calls of a part before its breaker opened; with one job a second and instance that never happened, so callers waited 2.8 s each for an unknown outcome. A leader was given 1.3 s whatever the store's speed. It now writes the time into its row, 0.7 s while transactions are fast, and its own permission is always 0.25 s shorter. An instance as strong as the last leader does not wait for stronger ones.

The summary line tells each second's decisions, transactions and starts.

Ruled out: the leader's processor (decisions 2 ms, timers on time).

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -11,7 +11,7 @@
         generated::{AdviseRequest, JobStatesRequest},
     },
     ragwortreel_model::{InstanceId, WorkerId},
-    ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms, spawn},
+    ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms},
     ragwortreel_workflow::{AdviceRequest, Assigned},
     std::{sync::Arc, time::Duration},
 };
@@ -116,7 +116,8 @@
             let Some(assigned) = assigned else {
                 return;
             };
-            spawn(Arc::clone(self).call(assigned)).detach();
+            self.spawn_task("advice", Arc::clone(self).call(assigned))
+                .detach();
         }
     }
 
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -117,6 +117,12 @@
         if self.board.knows(&job.id) {
             return SubmitOutcome::Accepted;
         }
+        if Instant::now() >= deadline {
+            // Whoever has so little time left has asked before, perhaps with an unknown outcome.
+            log_event!(self.log, JOB_UNKNOWN; "job" => job.id.to_string(),
+                "reason" => "the caller's deadline has passed");
+            return SubmitOutcome::Unknown;
+        }
         let request = JobRequest {
             id: job.id,
             policy: policy.clone(),
@@ -198,6 +204,14 @@
         txn: Txn,
         deadline: Instant,
     ) -> Result<TxnOutcome, PlatformError> {
+        let not_sent = |problem: &str| PlatformError::NotDone {
+            step: "commit",
+            peer: Arc::from("table"),
+            problem: Arc::from(problem),
+        };
+        if self.health.is_silent() {
+            return Err(not_sent("the store does not answer this instance"));
+        }
         let table = &self.tables[job_part(job)];
         let mut unknown = None;
         loop {
@@ -207,16 +221,13 @@
                 Err(PlatformError::NotDone { .. }) => {}
                 Err(err @ PlatformError::Unknown { .. }) => unknown = Some(err),
             }
-            if Instant::now() >= deadline {
+            // While the store is silent to this instance, another one may reach it; the caller need not wait here.
+            if Instant::now() >= deadline || self.health.is_silent() {
                 break;
             }
             sleep_ms(RETRY_MS).await;
         }
-        Err(unknown.unwrap_or(PlatformError::NotDone {
-            step: "commit",
-            peer: Arc::from("table"),
-            problem: Arc::from("the deadline passed"),
-        }))
+        Err(unknown.unwrap_or_else(|| not_sent("the deadline passed")))
     }
 
     /// State of a job.
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -33,4 +33,5 @@
     READ_FAILED = 2130, Warning, "the store did not answer a question about a job";
     HAND_OVER_FAILED = 2131, Info, "the leader did not take stored rows; it finds them in the table";
     STATES_FAILED = 2132, Info, "the leader did not tell states of jobs; the store is asked";
+    TASK_PANICKED = 2133, Error, "a task of the leader panicked; another instance takes over";
 }
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -20,6 +20,9 @@
 ///
 /// The store is asked at least twice in this time. The platform needs two more seconds to send callers elsewhere.
 const STALE_MS: u64 = 1_200;
+/// Time without an answer of the store after which this instance sends it no callers' requests, in ms. The store is asked
+/// at least twice in this time whatever callers do, and a request that it does not answer holds its caller for seconds.
+const SILENT_MS: u64 = 1_500;
 /// Shortest time after which a caller is asked to come back when the store takes nothing, in ms.
 const MIN_RETRY_MS: u64 = 1_000;
 /// Longest such time, in ms; most outages last a few seconds.
@@ -67,6 +70,11 @@
         boot_ms().saturating_sub(self.answered_ms.load(Ordering::Relaxed)) < STALE_MS
     }
 
+    /// Whether the store has not answered any call of this instance for some time.
+    pub(crate) fn is_silent(&self) -> bool {
+        boot_ms().saturating_sub(self.answered_ms.load(Ordering::Relaxed)) >= SILENT_MS
+    }
+
     /// Time after which a caller whose request the store did not take should come back, in ms.
     ///
     /// An outage that has lasted for some time will most likely last as long again.
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        Timing,
         events::{JOB_ENDED, JOURNAL_CONFLICT, JOURNAL_SLOW},
         leadership::{encode, leader_txn},
         orders::Order,
@@ -44,6 +45,8 @@
     version: u64,
     renewed_ms: u64,
     load_ms: u64,
+    /// Time that the slowest of the recent transactions took, in ms.
+    slow_ms: u64,
     /// Rows of the known workers, and the count of changes that they stand for.
     workers: BTreeMap<String, String>,
     workers_changed: u64,
@@ -67,6 +70,7 @@
             version,
             renewed_ms: boot_ms(),
             load_ms: 0,
+            slow_ms: 0,
             workers: BTreeMap::new(),
             workers_changed: 0,
         };
@@ -159,6 +163,9 @@
     async fn store(&self, stored: &mut Stored, rows: Vec<Write>) -> bool {
         let mut row = stored.row.clone();
         row.renewal += 1;
+        row.takeover_ms = Timing::takeover_ms(stored.slow_ms);
+        // Others may see a shorter time from now on, and a longer one only once it is certain that it is stored.
+        self.shorten_permission(row.takeover_ms);
         let mut txn = leader_txn(&row, stored.version);
         txn.writes.extend(rows);
         self.add_own_rows(stored, &mut txn);
@@ -193,12 +200,18 @@
                 self.cell.health.answered("journal");
                 let took_ms = boot_ms().saturating_sub(begun_ms);
                 self.cell.parts.metrics.journal(took_ms);
+                let values = txn.writes.iter().filter_map(|write| write.value.as_ref());
+                let bytes = values.map(|value| value.len()).sum();
+                lock(&self.figures).transaction(took_ms, bytes);
                 if took_ms >= SLOW_MS {
                     log_event!(self.cell.parts.log, JOURNAL_SLOW; "term" => self.number,
                         "took_ms" => took_ms, "attempts" => attempts,
                         "rows" => txn.writes.len());
                 }
                 self.renewed(sent_ms);
+                self.set_permission(row.takeover_ms);
+                // One in ten of the former figure is forgotten with each transaction, so some slow seconds are remembered.
+                stored.slow_ms = took_ms.max(stored.slow_ms * 9 / 10);
                 stored.renewed_ms = sent_ms;
                 stored.row = row;
                 stored.version = version;
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -6,14 +6,14 @@
 
 use {
     crate::{
-        Cell,
+        Cell, Timing,
         cell::STORE_PAUSE_MS,
         events::TAKEOVER_FAILED,
         rows::{LEADER, LEADERS, LeaderRow, MAIN, json, key},
         term::Term,
     },
     ragwortreel_platform::{Check, FeedError, PlatformError, TableRows, Txn, TxnOutcome, Write},
-    ragwortreel_runtime::{Stop, boot_ms, log_event, sleep_ms, spawn},
+    ragwortreel_runtime::{Stop, boot_ms, log_event, sleep_ms},
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -42,13 +42,14 @@
 /// Follows the leader's table, and leads when no other instance does.
 pub(crate) async fn follow(cell: Arc<Cell>, stop: Stop) {
     let mut follower = Follower {
-        delay_ms: cell.cfg.strength.delay_ms() + fastrand::u64(0..TAKEOVER_JITTER_MS),
+        jitter_ms: fastrand::u64(0..TAKEOVER_JITTER_MS),
         started_ms: boot_ms(),
         cell,
         cursor: None,
         leader_version: 0,
         leader_changed_ms: 0,
         term: None,
+        is_store_lost: false,
     };
     while !stop.is_requested() {
         follower.step().await;
@@ -64,10 +65,12 @@
     /// Version of the leader's row, and when it was last seen to change.
     leader_version: u64,
     leader_changed_ms: u64,
-    /// Time for which this instance leaves the lead to others, in ms.
-    delay_ms: u64,
+    /// Random time for which this instance leaves the lead to others, in ms.
+    jitter_ms: u64,
     started_ms: u64,
     term: Option<Arc<Term>>,
+    /// Whether the last call to the store failed.
+    is_store_lost: bool,
 }
 
 impl Follower {
@@ -80,6 +83,12 @@
         match result {
             Ok(rows) => {
                 self.cell.health.answered("follow leader");
+                if self.is_store_lost {
+                    self.is_store_lost = false;
+                    for table in &self.cell.parts.grouped {
+                        table.probe_soon();
+                    }
+                }
                 self.apply(&rows);
                 self.lead_if_needed().await;
                 sleep_ms(self.pause_ms()).await;
@@ -87,6 +96,7 @@
             Err(FeedError::HistoryGone) => self.cursor = None,
             Err(FeedError::Failed(err)) => {
                 self.cell.health.failed("follow leader", &err);
+                self.is_store_lost = true;
                 // The leader could not renew either, perhaps; it gets its full time again.
                 self.leader_changed_ms = boot_ms() + STORE_PAUSE_MS;
                 sleep_ms(STORE_PAUSE_MS).await;
@@ -147,12 +157,19 @@
 
     fn is_vacant(&self) -> bool {
         let silent_ms = boot_ms().saturating_sub(self.leader_changed_ms);
+        let strength = self.cell.cfg.strength;
         let Some((leader, _)) = self.cell.board.leader() else {
-            return silent_ms >= self.delay_ms;
+            return silent_ms >= strength.delay_ms() + self.jitter_ms;
+        };
+        // Where the leader was no stronger, most likely nobody is.
+        let weakness_ms = if strength < leader.strength {
+            strength.delay_ms()
+        } else {
+            0
         };
         let age_ms = boot_ms().saturating_sub(self.started_ms);
         let age_delay_ms = (age_ms * AGE_DELAY_MS / 1_000).min(MAX_AGE_DELAY_MS);
-        let delay_ms = self.delay_ms + age_delay_ms;
+        let delay_ms = weakness_ms + self.jitter_ms + age_delay_ms;
         let is_former_life =
             leader.instance == self.cell.cfg.instance && leader.life != self.cell.life;
         if is_former_life {
@@ -161,7 +178,7 @@
         if leader.released {
             return silent_ms >= delay_ms;
         }
-        silent_ms >= self.cell.cfg.timing.takeover_ms + delay_ms
+        silent_ms >= leader.takeover_ms + delay_ms
     }
 
     async fn take_over(&self) -> Result<Option<Arc<Term>>, PlatformError> {
@@ -177,6 +194,8 @@
             term: number,
             renewal: 0,
             released: false,
+            strength: self.cell.cfg.strength,
+            takeover_ms: Timing::LONGEST_TAKEOVER_MS,
         };
         let sent_ms = boot_ms();
         let outcome = self
@@ -200,7 +219,8 @@
             }
         };
         let term = Term::new(Arc::clone(&self.cell), row, version, sent_ms);
-        spawn(Arc::clone(&term).run()).detach();
+        term.spawn_task("decisions", Arc::clone(&term).run())
+            .detach();
         Ok(Some(term))
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod cell;
 mod desk;
 pub mod events;
+mod figures;
 mod finished;
 mod health;
 mod journal;
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -142,6 +142,7 @@
         StartOutcome::Unknown => "unknown",
     };
     term.cell.parts.metrics.start(label, took_ms);
+    lock(&term.figures).start(took_ms);
     let log = &term.cell.parts.log;
     match result {
         Ok(()) => {}
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -14,6 +14,7 @@
 //! callers' jobs are spread over parts of their own and the leader's journal has one for itself.
 
 use {
+    crate::{Strength, Timing},
     derive_more::{Display, Error},
     ragwortreel_model::{InstanceId, JobId, JobState, WorkerId},
     ragwortreel_workflow::Progress,
@@ -45,15 +46,21 @@
 pub const CANCEL_MARK: &str = "1";
 /// Part of everything that is not spread.
 pub const MAIN: &str = "main";
-/// Parts that jobs are spread over. A store that is fifty times slower than usual runs six transactions a second in
-/// each, which carries the design size of 40 jobs a second.
-pub const JOB_PARTS: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7"];
+/// Number of parts that jobs are spread over. A store that is sixty times slower than usual runs five transactions a second
+/// in each, so these carry 300 instances of which each stores one group of jobs a second.
+pub const JOB_PARTS: usize = 64;
+
+/// Name of a part that holds jobs.
+#[must_use]
+pub fn job_part_name(number: usize) -> String {
+    format!("{number:02}")
+}
 
 /// Number of the part that holds a job.
 #[must_use]
 pub fn job_part(job: &JobId) -> usize {
     let hash = xxh3_64(job.as_str().as_bytes());
-    usize::try_from(hash % JOB_PARTS.len() as u64).unwrap_or(0)
+    usize::try_from(hash % JOB_PARTS as u64).unwrap_or(0)
 }
 
 /// Key of a row in the main part.
@@ -65,13 +72,14 @@
 /// Key of a job.
 #[must_use]
 pub fn job_key(job: &JobId) -> Arc<str> {
-    format!("{JOBS}/{}/{job}", JOB_PARTS[job_part(job)]).into()
+    format!("{JOBS}/{}/{job}", job_part_name(job_part(job))).into()
 }
 
 /// Key of a job's cancellation mark.
 #[must_use]
 pub fn cancel_key(job: &JobId) -> Arc<str> {
-    format!("{JOBS}/{}/{}", JOB_PARTS[job_part(job)], cancel_name(job)).into()
+    let part = job_part_name(job_part(job));
+    format!("{JOBS}/{part}/{}", cancel_name(job)).into()
 }
 
 /// Name of the row that holds a worker's address.
@@ -106,7 +114,7 @@
 }
 
 /// Who leads.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRow {
     /// The leader.
     pub instance: InstanceId,
@@ -120,6 +128,17 @@
     pub renewal: u64,
     /// Whether the leader has given up.
     pub released: bool,
+    /// How much of a leader's work it can do; instances that can do as much need not leave the lead to stronger ones.
+    #[serde(default)]
+    pub strength: Strength,
+    /// Time without a change of this row after which another instance takes over, in ms. The leader starts tasks for a
+    /// shorter time after a renewal, so it may only use a longer time once that is stored.
+    #[serde(default = "longest_takeover_ms")]
+    pub takeover_ms: u64,
+}
+
+const fn longest_takeover_ms() -> u64 {
+    Timing::LONGEST_TAKEOVER_MS
 }
 
 /// An instance of the cell.
--- a/crates/dispatch/src/strength.rs
+++ b/crates/dispatch/src/strength.rs
@@ -1,5 +1,7 @@
 //! How well an instance can do the work of a leader.
 
+use serde::{Deserialize, Serialize};
+
 /// Processor time that a leader needs, in cores: the slope of `docs/CAPACITY.md` at the design size.
 const NEEDED_CORES: f64 = 0.25;
 /// Bandwidth that a leader needs, in Mbit/s. The journal of a cell of 350 workers takes 20 Mbit/s, and a leader with less
@@ -10,7 +12,7 @@
 const WEAKNESS_DELAY_MS: f64 = 1_200.0;
 
 /// Share of a leader's work that an instance can do, from 0 to 1.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Strength(f64);
 
 impl Strength {
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -2,18 +2,19 @@
 
 use {
     crate::{
-        Cell,
+        Cell, Timing,
         api::{ListedWorker, WorkerChange},
         events::{
             BAD_ROW, BECAME_LEADER, CELL_SUMMARY, LEADERSHIP_LOST, LEADERSHIP_RELEASED, RECOVERED,
-            STEP_STARTED,
+            STEP_STARTED, TASK_PANICKED,
         },
+        figures::TermFigures,
         finished::FinishedJobs,
         journal::Journal,
         orders::{Order, WorkerHandle},
         rows::{
             JOB_PARTS, JOBS, LeaderRow, MAIN, STATE, StateRow, WORKER_ROWS, WORKERS, WorkersRow,
-            cancelled_job, decode_state, key, worker_row, worker_row_name,
+            cancelled_job, decode_state, job_part_name, key, worker_row, worker_row_name,
         },
         worker_loop::run_worker,
     },
@@ -21,12 +22,16 @@
     ragwortreel_entry::HelperPeer,
     ragwortreel_model::{InstanceId, JobId, JobState, WorkerId},
     ragwortreel_platform::{ChangedRow, FeedError, PlatformError, TableRows},
-    ragwortreel_runtime::{Stop, boot_ms, lock, log_event, sleep_ms, spawn, timeout_ms, unix_ms},
+    ragwortreel_runtime::{
+        Stop, Task, boot_ms, catch_panic, catch_panic_in, lock, log_event, sleep_ms, spawn,
+        timeout_ms, unix_ms,
+    },
     ragwortreel_workflow::{
         Action, AdviceBroker, Certainty, JobRequest, Progress, Scheduler, StartOrder, StepKey,
     },
     std::{
         collections::BTreeMap,
+        future::Future,
         net::SocketAddr,
         sync::{
             Arc, Mutex,
@@ -51,7 +56,7 @@
 /// Shortest time between two decisions, in ms. What happens meanwhile shares one; the journal makes starts wait for longer.
 const DECIDE_GAP_MS: u64 = 5;
 /// Time between two summary lines, in ms.
-const SUMMARY_MS: u64 = 5_000;
+const SUMMARY_MS: u64 = 1_000;
 
 /// Versions of the store from which changes are followed.
 struct Cursors {
@@ -77,6 +82,8 @@
     listed: Mutex<BTreeMap<WorkerId, ListedWorker>>,
     /// Counts changes of `workers`, so that their rows are made anew only after one.
     pub(crate) workers_changed: AtomicU64,
+    /// Figures for the next summary.
+    pub(crate) figures: Mutex<TermFigures>,
     /// States of jobs as they are stored.
     pub(crate) shown: Mutex<BTreeMap<JobId, JobState>>,
     recovered: AtomicBool,
@@ -84,6 +91,8 @@
     jobs_read_ms: AtomicU64,
     /// Time of the sending of the last renewal that succeeded.
     renewed_ms: AtomicU64,
+    /// Time after it for which tasks may be started.
+    start_valid_ms: AtomicU64,
     pub(crate) stop: Stop,
     wake_tx: Sender<()>,
     wake_rx: Receiver<()>,
@@ -92,6 +101,7 @@
 impl Term {
     pub(crate) fn new(cell: Arc<Cell>, row: LeaderRow, version: u64, sent_ms: u64) -> Arc<Self> {
         let lease_bound_ms = cell.cfg.timing.lease_bound_ms();
+        let start_valid_ms = Timing::start_valid_ms(row.takeover_ms);
         let (wake_tx, wake_rx) = async_channel::bounded(1);
         Arc::new(Self {
             number: row.term,
@@ -103,10 +113,12 @@
             workers: Mutex::default(),
             listed: Mutex::default(),
             workers_changed: AtomicU64::new(0),
+            figures: Mutex::default(),
             shown: Mutex::default(),
             recovered: AtomicBool::new(false),
             jobs_read_ms: AtomicU64::new(0),
             renewed_ms: AtomicU64::new(sent_ms),
+            start_valid_ms: AtomicU64::new(start_valid_ms),
             stop: Stop::new(),
             wake_tx,
             wake_rx,
@@ -135,13 +147,25 @@
         boot_ms().saturating_sub(self.jobs_read_ms.load(Ordering::Relaxed))
     }
 
+    /// Sets the time for which a renewal allows starts, from the time after which others take over.
+    pub(crate) fn set_permission(&self, takeover_ms: u64) {
+        let allowed_ms = Timing::start_valid_ms(takeover_ms);
+        self.start_valid_ms.store(allowed_ms, Ordering::Relaxed);
+    }
+
+    /// The same, unless it is shorter already.
+    pub(crate) fn shorten_permission(&self, takeover_ms: u64) {
+        let allowed_ms = Timing::start_valid_ms(takeover_ms);
+        self.start_valid_ms.fetch_min(allowed_ms, Ordering::Relaxed);
+    }
+
     fn unrenewed_ms(&self) -> u64 {
         boot_ms().saturating_sub(self.renewed_ms.load(Ordering::Relaxed))
     }
 
     /// Whether no other instance can lead yet, so that tasks may be started.
     pub(crate) fn may_start(&self) -> bool {
-        !self.is_over() && self.unrenewed_ms() < self.cell.cfg.timing.start_valid_ms
+        !self.is_over() && self.unrenewed_ms() < self.start_valid_ms.load(Ordering::Relaxed)
     }
 
     /// Whether running tasks may be kept alive.
@@ -149,6 +173,27 @@
         !self.is_over() && self.unrenewed_ms() < self.cell.cfg.timing.keep_alive_ms
     }
 
+    /// Runs a task of this term. Its panic ends the term and not the process: what it was changing may be half changed,
+    /// so another instance goes on from what is stored.
+    pub(crate) fn spawn_task(
+        self: &Arc<Self>,
+        name: &'static str,
+        future: impl Future<Output = ()> + Send + 'static,
+    ) -> Task<()> {
+        let term = Arc::clone(self);
+        spawn(async move {
+            if let Err(problem) = catch_panic(future).await {
+                term.panicked(name, &problem);
+            }
+        })
+    }
+
+    fn panicked(&self, task: &'static str, problem: &str) {
+        log_event!(self.cell.parts.log, TASK_PANICKED; "task" => task, "term" => self.number,
+            "problem" => problem.to_owned());
+        self.depose("a task of the term panicked");
+    }
+
     /// Ends the term because another instance leads, or may.
     pub(crate) fn depose(&self, reason: &str) {
         if !self.is_over() {
@@ -171,16 +216,21 @@
 
     pub(crate) async fn run(self: Arc<Self>) {
         log_event!(self.cell.parts.log, BECAME_LEADER; "term" => self.number);
-        spawn(Arc::clone(&self).keep_journal()).detach();
+        self.spawn_task("journal", Arc::clone(&self).keep_journal())
+            .detach();
         let Some(cursors) = self.recover().await else {
             return;
         };
         self.recovered.store(true, Ordering::Relaxed);
-        spawn(Arc::clone(&self).follow_jobs(cursors.jobs)).detach();
-        spawn(Arc::clone(&self).follow_workers(cursors.workers)).detach();
-        spawn(Arc::clone(&self).follow_members()).detach();
-        spawn(Arc::clone(&self).summarise()).detach();
-        spawn(Arc::clone(&self).clear_finished()).detach();
+        let term = || Arc::clone(&self);
+        self.spawn_task("jobs", term().follow_jobs(cursors.jobs))
+            .detach();
+        self.spawn_task("workers", term().follow_workers(cursors.workers))
+            .detach();
+        self.spawn_task("members", term().follow_members()).detach();
+        self.spawn_task("summary", term().summarise()).detach();
+        self.spawn_task("finished jobs", term().clear_finished())
+            .detach();
         self.decide_forever().await;
     }
 
@@ -254,10 +304,12 @@
     /// Reads all parts of the table of jobs side by side.
     async fn read_jobs(&self) -> Result<TableRows, PlatformError> {
         let sent_ms = boot_ms();
-        let readings = JOB_PARTS.map(|part| {
-            let feed = Arc::clone(&self.cell.parts.feed);
-            spawn(async move { feed.part(JOBS, part).await })
-        });
+        let readings: Vec<_> = (0..JOB_PARTS)
+            .map(|number| {
+                let feed = Arc::clone(&self.cell.parts.feed);
+                spawn(async move { feed.part(JOBS, &job_part_name(number)).await })
+            })
+            .collect();
         let mut all = TableRows {
             rows: Vec::new(),
             version: u64::MAX,
@@ -304,6 +356,9 @@
             Ok(request) => request,
             Err(err) => return bad(err.to_string()),
         };
+        if let Err(err) = request.check() {
+            return bad(err.to_string());
+        }
         if self.finished.contains(&request.id) {
             return;
         }
@@ -330,11 +385,15 @@
 
     /// Takes over rows of jobs that were stored during this term.
     pub(crate) fn take_rows(&self, rows: &[ChangedRow]) {
-        let mut scheduler = lock(&self.scheduler);
-        for row in rows {
-            self.accept(&mut scheduler, row, None, Certainty::Fresh);
+        let taken = catch_panic_in(|| {
+            let mut scheduler = lock(&self.scheduler);
+            for row in rows {
+                self.accept(&mut scheduler, row, None, Certainty::Fresh);
+            }
+        });
+        if let Err(problem) = taken {
+            self.panicked("take rows", &problem);
         }
-        drop(scheduler);
         self.wake();
     }
 
@@ -444,7 +503,8 @@
             let (handle, orders) = WorkerHandle::new(address);
             workers.insert(id.clone(), handle.clone());
             self.workers_changed.fetch_add(1, Ordering::Release);
-            spawn(run_worker(Arc::clone(self), id, handle, orders)).detach();
+            let watch = run_worker(Arc::clone(self), id, handle, orders);
+            self.spawn_task("worker", watch).detach();
         }
         drop(workers);
         self.wake();
@@ -486,7 +546,14 @@
                 sleep_ms(DECIDE_MS).await;
                 continue;
             }
-            let actions = lock(&self.scheduler).decide(boot_ms(), unix_ms());
+            let begun_ms = boot_ms();
+            let spare_askers = lock(&self.broker).spare();
+            let actions = {
+                let mut scheduler = lock(&self.scheduler);
+                scheduler.set_spare_askers(spare_askers);
+                scheduler.decide(begun_ms, unix_ms())
+            };
+            lock(&self.figures).decision(boot_ms().saturating_sub(begun_ms));
             let has_changes = !actions.is_empty();
             self.log_starts(&actions);
             for action in actions {
@@ -536,11 +603,20 @@
 
     async fn summarise(self: Arc<Self>) {
         while !self.is_over() {
+            let begun_ms = boot_ms();
             sleep_ms(SUMMARY_MS).await;
+            // A timer that fires late tells how long other tasks keep the processor, or that there is too little of it.
+            let lag_ms = boot_ms().saturating_sub(begun_ms + SUMMARY_MS);
             let (running, waiting) = lock(&self.scheduler).counts();
+            let figures = lock(&self.figures).take();
             log_event!(self.cell.parts.log, CELL_SUMMARY; "term" => self.number,
                 "running" => running, "waiting" => waiting,
-                "unrenewed_ms" => self.unrenewed_ms());
+                "unrenewed_ms" => self.unrenewed_ms(), "timer_lag_ms" => lag_ms,
+                "decisions" => figures.decisions, "decision_max_ms" => figures.decision_max_ms,
+                "transactions" => figures.transactions,
+                "transaction_max_ms" => figures.transaction_max_ms,
+                "stored_bytes" => figures.stored_bytes, "starts" => figures.starts,
+                "start_max_ms" => figures.start_max_ms, "start_sum_ms" => figures.start_sum_ms);
         }
     }
 
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/timing.rs
@@ -7,14 +7,6 @@
 pub struct Timing {
     /// Longest time for which a worker keeps a task without being asked, in ms; the platform's bound.
     pub lease_ms: u64,
-    /// Time without a change of the leader's row after which another instance takes over, in ms. It is the longest stall
-    /// that short jobs survive within their objective; a store that is fifty times slower than usual still takes a
-    /// renewal in half of it.
-    pub takeover_ms: u64,
-    /// Time after the sending of its last successful renewal for which a leader starts tasks, in ms.
-    ///
-    /// It is shorter than `takeover_ms`, so two leaders never start tasks at the same time.
-    pub start_valid_ms: u64,
     /// Time after its last successful renewal for which a leader that the store does not answer keeps tasks alive, in
     /// ms. Outages of the store last several seconds; the next leader waits this long for workers that it cannot reach.
     pub keep_alive_ms: u64,
@@ -33,14 +25,40 @@
 /// Time that an order may be under way when its lease is computed, in ms.
 const ORDER_SLACK_MS: u64 = 700;
 
+/// Time by which a leader stops starting tasks before another instance may take over, in ms: the difference between the
+/// sending of a renewal and the reading of its row, and a timer that fires late.
+const TAKEOVER_MARGIN_MS: u64 = 250;
+/// Times of a transaction by which a takeover waits longer. An observer sees two transactions later than they begin, each
+/// after one reading, and a single slow one must not change the leader.
+const TRANSACTION_FACTOR: u64 = 6;
+
 impl Timing {
+    /// Shortest time without a change of the leader's row after which another instance takes over, in ms: two renewals.
+    pub const SHORTEST_TAKEOVER_MS: u64 = 700;
+    /// Longest such time, in ms: the longest stall that short jobs survive within their objective; a store that is fifty
+    /// times slower than usual still takes a renewal in half of it.
+    pub const LONGEST_TAKEOVER_MS: u64 = 1_300;
+
+    /// Time after which another instance takes over while transactions take some time, in ms.
+    #[must_use]
+    pub fn takeover_ms(transaction_ms: u64) -> u64 {
+        let slow_ms = transaction_ms.saturating_mul(TRANSACTION_FACTOR);
+        (Self::SHORTEST_TAKEOVER_MS + slow_ms).min(Self::LONGEST_TAKEOVER_MS)
+    }
+
+    /// Time after the sending of its last successful renewal for which a leader starts tasks, in ms.
+    ///
+    /// It is shorter than the time of a takeover, so two leaders never start tasks at the same time.
+    #[must_use]
+    pub const fn start_valid_ms(takeover_ms: u64) -> u64 {
+        takeover_ms.saturating_sub(TAKEOVER_MARGIN_MS)
+    }
+
     /// Times for a platform whose workers keep tasks for at most `lease_ms`.
     #[must_use]
     pub const fn new(lease_ms: u64) -> Self {
         Self {
             lease_ms,
-            takeover_ms: 1_300,
-            start_valid_ms: 1_050,
             keep_alive_ms: 8_000,
             renew_ms: 300,
             commit_gap_ms: 20,
--- a/crates/dispatch/src/worker_loop.rs
+++ b/crates/dispatch/src/worker_loop.rs
@@ -12,7 +12,7 @@
     },
     async_channel::Receiver,
     ragwortreel_model::WorkerId,
-    ragwortreel_runtime::{Task, boot_ms, lock, log_event, sleep_ms, spawn, timeout_ms},
+    ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms, timeout_ms},
     ragwortreel_workflow::{EndCause, EndedRun, HeartbeatReport},
     std::{
         sync::{Arc, atomic::Ordering},
@@ -46,12 +46,8 @@
         address: handle.address,
         fence: u64::from(term.number),
     };
-    let orders: Task<()> = spawn(send_orders(
-        Arc::clone(&term),
-        to.clone(),
-        handle.clone(),
-        orders_rx,
-    ));
+    let sender = send_orders(Arc::clone(&term), to.clone(), handle.clone(), orders_rx);
+    let orders = term.spawn_task("orders", sender);
     let mut watch = Watch {
         term: Arc::clone(&term),
         to,
@@ -91,7 +87,8 @@
             wait: if is_first {
                 Duration::ZERO
             } else {
-                timing.heartbeat_wait
+                let look_ms = lock(&self.term.scheduler).look_ms(&self.to.worker);
+                timing.heartbeat_wait.min(Duration::from_millis(look_ms))
             },
         };
         let lease_until_ms = sent_ms + timing.lease_bound_ms();
--- a/crates/dispatch/tests/rows.rs
+++ b/crates/dispatch/tests/rows.rs
@@ -3,11 +3,14 @@
 use {
     ragwortreel_dispatch::{
         Strength,
-        rows::{JOB_PARTS, StateRow, cancel_key, cancelled_job, decode_state, job_key, job_part},
+        rows::{
+            JOB_PARTS, StateRow, WorkersRow, cancel_key, cancelled_job, decode_state, job_key,
+            job_part, worker_row,
+        },
     },
     ragwortreel_model::{JobId, JobState, WorkerId},
     ragwortreel_workflow::{PlacedTasks, Progress, StepProgress},
-    std::collections::BTreeSet,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 fn id(number: u64) -> JobId {
@@ -61,7 +64,7 @@
         assert_eq!(cancelled_job(id.as_str()), None);
         parts.insert(job_part(&id));
     }
-    assert_eq!(parts.len(), JOB_PARTS.len(), "all parts are used");
+    assert_eq!(parts.len(), JOB_PARTS, "all parts are used");
 }
 
 /// Guards against a leader on a machine whose processor or link cannot carry the cell.
@@ -73,3 +76,21 @@
     assert!(!Strength::new(0.5, 10.0).is_full());
     assert!(Strength::new(0.12, 10.0) < Strength::new(0.12, 200.0));
 }
+
+/// Guards against a row of worker addresses that grows beyond the 64 KB that the store takes; one row for all was full at
+/// 1,100 workers.
+#[test]
+fn addresses_of_all_workers_fit_into_their_rows() {
+    let mut rows: BTreeMap<String, WorkersRow> = BTreeMap::new();
+    for number in 0..12_000_u32 {
+        let worker = WorkerId::new(&format!("i-{:010x}", u64::from(number) * 0x9e37_79b9));
+        let worker = worker.expect("a name");
+        let address = "10.100.200.250:65535".parse().expect("an address");
+        let row = rows.entry(worker_row(&worker)).or_default();
+        row.insert(worker, address);
+    }
+    for (name, row) in rows {
+        let value = serde_json::to_string(&row).expect("a row");
+        assert!(value.len() < 60_000, "{name}: {} bytes", value.len());
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/timing.rs
@@ -0,0 +1,33 @@
+//! Times of leadership.
+
+use ragwortreel_dispatch::{Strength, Timing};
+
+/// Guards against a leader that was paused and still starts tasks when another instance may lead.
+#[test]
+fn permission_ends_before_a_takeover_begins() {
+    for transaction_ms in 0..5_000 {
+        let takeover_ms = Timing::takeover_ms(transaction_ms);
+        assert!(Timing::start_valid_ms(takeover_ms) + 200 <= takeover_ms);
+        assert!(takeover_ms <= Timing::LONGEST_TAKEOVER_MS);
+        let timing = Timing::new(10_000);
+        assert!(
+            timing.renew_ms < Timing::start_valid_ms(takeover_ms),
+            "a renewal comes before the permission ends"
+        );
+    }
+}
+
+/// Guards against a leader that is replaced because the store is slow: at the longest time a store that answers a
+/// transaction in 350 ms takes a renewal in half of it.
+#[test]
+fn slow_store_gets_the_longest_time() {
+    assert_eq!(Timing::takeover_ms(350), Timing::LONGEST_TAKEOVER_MS);
+    assert_eq!(Timing::takeover_ms(0), Timing::SHORTEST_TAKEOVER_MS);
+}
+
+/// Guards against a cell of weak instances whose strengths differ by nothing that counts.
+#[test]
+fn equal_instances_have_equal_strengths() {
+    assert!(Strength::new(0.12, 2.0) >= Strength::new(0.12, 2.0));
+    assert!(Strength::new(0.12, 2.0) < Strength::new(0.5, 200.0));
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -24,7 +24,7 @@
         service::service_fn,
     },
     ragwortreel_runtime::{
-        Logger, Stop, log_event, sleep, spawn, timeout,
+        Logger, Stop, catch_panic, log_event, sleep, spawn, timeout,
         traffic::{Counted, ENTRY_LINK},
     },
     smol_hyper::rt::{FuturesIo, SmolTimer},
@@ -228,25 +228,29 @@
     burn_counts(BurnCountsRequest) -> BurnCountsReply;
 }
 
+/// Answers a call; a panic of its handler fails only this call.
+async fn whole<T>(reply: impl Future<Output = T>) -> Result<Response<T>, Status> {
+    let reply = catch_panic(reply).await.map_err(Status::internal)?;
+    Ok(Response::new(reply))
+}
+
 #[async_trait]
 impl Helper for HelperHandler {
     async fn advise(&self, req: Request<AdviseRequest>) -> Result<Response<AdviseReply>, Status> {
-        Ok(Response::new(self.service.advise(req.into_inner()).await))
+        whole(self.service.advise(req.into_inner())).await
     }
 
     async fn job_states(
         &self,
         req: Request<JobStatesRequest>,
     ) -> Result<Response<JobStatesReply>, Status> {
-        let reply = self.service.job_states(req.into_inner()).await;
-        Ok(Response::new(reply))
+        whole(self.service.job_states(req.into_inner())).await
     }
 
     async fn hand_rows(
         &self,
         req: Request<HandRowsRequest>,
     ) -> Result<Response<HandRowsReply>, Status> {
-        let reply = self.service.hand_rows(req.into_inner()).await;
-        Ok(Response::new(reply))
+        whole(self.service.hand_rows(req.into_inner())).await
     }
 }
--- a/crates/platform/src/breaker.rs
+++ b/crates/platform/src/breaker.rs
@@ -92,6 +92,15 @@
         Change::Opened
     }
 
+    /// Notes a call that got no answer in its time. One is enough: a service that answers is far faster, and an instance
+    /// that makes few calls would keep its callers waiting for each of them.
+    pub fn timed_out(&self) -> Change {
+        let mut state = self.lock();
+        state.failures = state.failures.max(FAILURES_TO_OPEN);
+        drop(state);
+        self.failure()
+    }
+
     /// Time to wait before the next probe: random between the shortest wait and a bound that doubles each time.
     #[must_use]
     pub fn next_wait(&self) -> Duration {
--- a/crates/platform/src/resilient.rs
+++ b/crates/platform/src/resilient.rs
@@ -18,7 +18,7 @@
     async_channel::{Receiver, Sender},
     async_lock::Semaphore,
     async_trait::async_trait,
-    ragwortreel_runtime::{Logger, log_event, sleep, spawn, timeout_at},
+    ragwortreel_runtime::{Logger, log_event, spawn, timeout, timeout_at},
     std::{
         future::Future,
         sync::{
@@ -151,6 +151,9 @@
     read_rate: RateLimit,
     counters: Counters,
     in_flight: Arc<Semaphore>,
+    /// Ends the wait before a probe.
+    probe_tx: Sender<()>,
+    probe_rx: Receiver<()>,
     log: Logger,
 }
 
@@ -176,8 +179,11 @@
     pub fn new(inner: Arc<dyn TableService>, cfg: ResilientConfig, log: Logger) -> Self {
         let (queue_tx, queue_rx) = async_channel::bounded(QUEUE_LIMIT);
         let share = f64::from(cfg.instances.max(1));
+        let (probe_tx, probe_rx) = async_channel::bounded(1);
         let shared = Arc::new(Shared {
             inner,
+            probe_tx,
+            probe_rx,
             breaker: Breaker::new(cfg.seed),
             write_rate: RateLimit::new(cfg.writes_per_s / share),
             read_rate: RateLimit::new(cfg.reads_per_s / share),
@@ -203,6 +209,14 @@
         read_rate.set_per_s(cfg.reads_per_s / share);
     }
 
+    /// Probes the service at once if the breaker is open, because other calls of this instance are answered again.
+    pub fn probe_soon(&self) {
+        if self.shared.breaker.is_open() {
+            // The channel holds one message, which is enough.
+            let _ = self.shared.probe_tx.try_send(());
+        }
+    }
+
     /// Figures for metrics.
     #[must_use]
     pub fn figures(&self) -> TableFigures {
@@ -333,21 +347,38 @@
         limit: Instant,
         call: impl Future<Output = Result<T, PlatformError>>,
     ) -> Result<T, PlatformError> {
-        let result = timeout_at(limit, call).await;
-        let result = result.unwrap_or_else(|_| Err(unknown(step, "no answer in time")));
-        match &result {
-            Ok(_) => self.breaker.success(),
-            Err(err) => self.note_failure(err),
+        let time = limit.saturating_duration_since(Instant::now());
+        let full_time = Duration::from_millis(self.cfg.call_timeout_ms);
+        let is_cut_short = time < full_time * 9 / 10;
+        match timeout_at(limit, call).await {
+            Ok(Ok(answer)) => {
+                self.breaker.success();
+                Ok(answer)
+            }
+            Ok(Err(err)) => {
+                self.note_failure(&err, self.breaker.failure());
+                Err(err)
+            }
+            Err(_) => {
+                let err = unknown(step, "no answer in time");
+                // A call whose caller had little time says nothing about the service.
+                let change = if is_cut_short {
+                    self.breaker.failure()
+                } else {
+                    self.breaker.timed_out()
+                };
+                self.note_failure(&err, change);
+                Err(err)
+            }
         }
-        result
     }
 
-    fn note_failure(self: &Arc<Self>, err: &PlatformError) {
+    fn note_failure(self: &Arc<Self>, err: &PlatformError, change: Change) {
         count(match err {
             PlatformError::NotDone { .. } => &self.counters.not_done,
             PlatformError::Unknown { .. } => &self.counters.unknown,
         });
-        if self.breaker.failure() == Change::Opened {
+        if change == Change::Opened {
             log_event!(self.log, events::BREAKER_OPENED; "problem" => err.to_string());
             spawn(probe(Arc::clone(self))).detach();
         }
@@ -374,7 +405,8 @@
 // Reads until the service answers. A read is used, because a probe must not put a caller's write at risk.
 async fn probe(shared: Arc<Shared>) {
     loop {
-        sleep(shared.breaker.next_wait()).await;
+        // An elapsed time is the end of the wait; a message ends it early.
+        let _ = timeout(shared.breaker.next_wait(), shared.probe_rx.recv()).await;
         let limit = shared.call_limit();
         if !shared.read_rate.take(limit).await {
             continue;
--- a/crates/platform/tests/resilient.rs
+++ b/crates/platform/tests/resilient.rs
@@ -256,3 +256,32 @@
         assert!(started.elapsed() >= Duration::from_millis(350));
     });
 }
+
+/// Guards against callers of an instance that makes few calls, each of which waits its full time in an outage before the
+/// breaker opens; and against a breaker that stays open for seconds when other calls are answered again.
+#[test]
+fn one_silent_call_opens_the_breaker_and_a_hint_probes_at_once() {
+    block_on(async {
+        let (platform, table) = setup(config());
+        platform
+            .faults()
+            .update(|f| f.outage = Some(Outage::Silent));
+        let lost = table.commit(put("a", 0)).await;
+        assert!(
+            matches!(lost, Err(PlatformError::Unknown { .. })),
+            "{lost:?}"
+        );
+        assert!(table.figures().breaker_open);
+        // Long enough for the wait before a probe to grow to some seconds.
+        sleep_ms(3_000).await;
+        platform.faults().clear();
+        // A probe that was sent in the outage ends after its time limit of 300 ms.
+        let until = Instant::now() + Duration::from_millis(600);
+        while table.figures().breaker_open && Instant::now() < until {
+            table.probe_soon();
+            sleep_ms(10).await;
+        }
+        assert!(!table.figures().breaker_open);
+        assert!(table.commit(put("b", 0)).await.is_ok());
+    });
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,6 +6,7 @@
 mod executor;
 mod lock;
 mod log;
+mod panics;
 mod stop;
 mod time;
 pub mod traffic;
@@ -15,6 +16,7 @@
 pub use futures_lite::future;
 pub use lock::lock;
 pub use log::{Event, Level, discard_logger, json_logger, stdout_logger};
+pub use panics::{catch_panic, catch_panic_in};
 pub use slog::{self, Logger};
 pub use stop::{Stop, StopGuard, handle_signals, stop_on_signals};
 pub use time::{
--- a/src/cell_daemon.rs
+++ b/src/cell_daemon.rs
@@ -129,17 +129,19 @@
         instances: SHARING_INSTANCES,
         ..ResilientConfig::default()
     };
-    let grouped = JOB_PARTS.map(|_| {
-        let table = ResilientTable::new(Arc::clone(&table), config.clone(), log.clone());
-        Arc::new(table)
-    });
+    let grouped: Vec<_> = (0..JOB_PARTS)
+        .map(|_| {
+            let table = ResilientTable::new(Arc::clone(&table), config.clone(), log.clone());
+            Arc::new(table)
+        })
+        .collect();
     // Without an advice service no queue asks; the address is then never called.
     let advice_address = settings.advice_address.unwrap_or(settings.store.address);
     let advice: Arc<dyn AdviceCalls> = Arc::new(PlatformAdvice::new(advice_address));
     let parts = CellParts {
         table,
         feed: Arc::clone(&store) as _,
-        grouped: grouped.into(),
+        grouped,
         source: store,
         workers: Arc::new(PlatformWorkers::new()),
         advice,
