Let gangs ask through several instances at once, find stalls by estimate

Cause: a gang of 32 found room for a part among 100 workers and asked again, 1.5 s each time, while 120 of 147 instances had no call to make. A short task on a worker that stands still was found after 3.5 s, whatever its length, and a worker that was paused for that long lost its tasks for standing still.

Change: up to four calls at once while instances are spare. A run counts as stalled by its estimate (0.7 to 3.5 s) and two lists in a row; lists after a silence do not count. A blocked step is tried again early once a part of the room that it waits for came free. Occurrences open up to a bound.

--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -22,8 +22,8 @@
 pub(crate) struct StepAdvice {
     /// `None` for a worker that is not allowed.
     answers: BTreeMap<WorkerId, Option<Ticket>>,
-    /// Whether a question is under way.
-    pub(crate) pending: bool,
+    /// Calls that are under way.
+    pub(crate) calls: usize,
 }
 
 impl StepAdvice {
--- a/crates/workflow/src/broker.rs
+++ b/crates/workflow/src/broker.rs
@@ -92,6 +92,12 @@
         self.idle.len() + self.busy.len()
     }
 
+    /// Number of instances that no call needs now.
+    #[must_use]
+    pub fn spare(&self) -> usize {
+        self.idle.len().saturating_sub(self.waiting.len())
+    }
+
     /// Queues a call; gives it back when too many wait.
     ///
     /// # Errors
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -122,8 +122,9 @@
     pub accepted_ms: u64,
 }
 
-/// Most tasks in all steps of a job; bounds the memory that one request can claim.
-const MAX_TASKS: u64 = 10_000;
+/// Most tasks in all steps of a job, and in all of its occurrences that are open at once; bounds the memory that one
+/// request can claim.
+pub(crate) const MAX_TASKS: u64 = 10_000;
 
 /// A job that cannot be accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
@@ -165,6 +166,12 @@
         Ok(())
     }
 
+    /// Number of occurrences of the steps.
+    #[must_use]
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.times)
+    }
+
     /// Estimated length of the longest chain of steps, in ms.
     #[must_use]
     pub fn chain_ms(&self) -> u64 {
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         Action, AdviceRequest, Scheduler, StartOrder, StepKey, TaskKey,
-        state::{Place, Rank},
+        state::{Place, Rank, StepState},
         worker::{Phase, Run, Worker, times_in},
     },
     ragwortreel_model::{Resources, WorkerId},
@@ -21,6 +21,8 @@
 /// a full fleet decisions follow each other within some milliseconds. A gang needs more room than comes free in a moment.
 const BLOCKED_MS: u64 = 20;
 const BLOCKED_GANG_MS: u64 = 50;
+/// It is tried earlier once room for one in so many of its waiting tasks came free.
+const BLOCKED_PART: u64 = 4;
 /// Share of workers that a queue's steps may use, assumed before any was learned.
 const FIRST_ALLOWED_SHARE: f64 = 0.4;
 /// Weight of a new answer in the learned share.
@@ -29,6 +31,8 @@
 const FINE: u32 = 60;
 /// Most workers that one call for advice names; a limit of the service.
 const MAX_NAMED: usize = 100;
+/// Fewest workers that each of several calls for one gang names, so that the fixed part of a call's cost is not most of it.
+const MIN_NAMED: usize = 25;
 /// Room asked about in relation to the room needed. Some of it is taken by others before the answer comes, and another
 /// call costs far more than some more names in this one. From 1.4 to 3, wide jobs of the `fleet` test waited 1.8 instead
 /// of 3.0 s for their start; since gangs spread their questions, 2, 3 and 4 are equal.
@@ -87,14 +91,7 @@
             };
             self.note_room(&key, matches!(tried, Tried::Settled));
             if matches!(tried, Tried::Blocked) && !self.is_blocked(&key) {
-                let gang = self
-                    .jobs
-                    .get(&key.job)
-                    .is_some_and(|job| job.spec(&key).gang);
-                let until_ms = self.now_ms + if gang { BLOCKED_GANG_MS } else { BLOCKED_MS };
-                if let Some(step) = self.step_mut(&key) {
-                    step.blocked_until_ms = until_ms;
-                }
+                self.block(&key);
             }
             if let Some(room) = free.get_mut(&service) {
                 let taken = need.checked_mul(started as u64).unwrap_or(need);
@@ -118,7 +115,29 @@
     /// Whether a step found no room a short time ago.
     fn is_blocked(&self, key: &StepKey) -> bool {
         let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
-        step.is_some_and(|step| self.now_ms < step.blocked_until_ms)
+        step.is_some_and(|step| {
+            self.now_ms < step.blocked_until_ms && self.freed_milli_cores < step.blocked_until_freed
+        })
+    }
+
+    /// Leaves a step alone for a while, or until a part of the room that it waits for came free.
+    fn block(&mut self, key: &StepKey) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let spec = job.spec(key);
+        let wait_ms = if spec.gang {
+            BLOCKED_GANG_MS
+        } else {
+            BLOCKED_MS
+        };
+        let tasks = job.step(key).map_or(0, StepState::waiting) as u64;
+        let wanted = spec.need.milli_cores * (tasks / BLOCKED_PART).max(1);
+        let (until_ms, until_freed) = (self.now_ms + wait_ms, self.freed_milli_cores + wanted);
+        if let Some(step) = self.step_mut(key) {
+            step.blocked_until_ms = until_ms;
+            step.blocked_until_freed = until_freed;
+        }
     }
 
     fn note_room(&mut self, key: &StepKey, has_room: bool) {
@@ -147,7 +166,7 @@
         let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key)) else {
             return (Tried::Settled, 0);
         };
-        let (waiting, pending) = (step.waiting(), step.advice.pending);
+        let (waiting, is_asking) = (step.waiting(), step.advice.calls > 0);
         let started = self.start_what_may(key);
         if started == waiting {
             return (Tried::Settled, started);
@@ -155,7 +174,7 @@
         if !needs_advice {
             return (Tried::Blocked, started);
         }
-        if pending {
+        if is_asking {
             return (Tried::Settled, started);
         }
         (self.ask(key, waiting - started), started)
@@ -331,6 +350,7 @@
                     phase: Phase::Starting,
                     percent: 0,
                     moved_ms: now_ms,
+                    still_lists: 0,
                 };
                 worker.add(order.task.clone(), run);
                 worker.lease_until_ms = worker.lease_until_ms.max(now_ms + self.lease_bound_ms);
@@ -380,6 +400,7 @@
             return Tried::Blocked;
         }
         let holds_room = is_renewal && gang;
+        let calls = self.parallel_calls();
         let workers = if is_renewal {
             let chosen = self.assign(key, allowed, wanted);
             let mut workers: Vec<WorkerId> = chosen.into_iter().map(|(_, it)| it).collect();
@@ -390,27 +411,44 @@
             workers.dedup();
             workers
         } else {
-            name_workers(&allowed, unknown, wanted_room * ASK_FACTOR, share, gang)
+            let most = if gang { calls * MAX_NAMED } else { MAX_NAMED };
+            name_workers(
+                &allowed,
+                unknown,
+                (wanted_room * ASK_FACTOR, most),
+                share,
+                gang,
+            )
         };
-        let cost_ms = cost.of_call(workers.len());
+        let calls = if gang && !is_renewal {
+            calls.min(workers.len().div_ceil(MIN_NAMED))
+        } else {
+            1
+        };
+        let calls: Vec<Vec<WorkerId>> = (workers.chunks(workers.len().div_ceil(calls).max(1)))
+            .map(<[WorkerId]>::to_vec)
+            .collect();
         if gang {
             for id in &workers {
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.asking_gangs += 1;
                 }
             }
-            self.asking_gangs.insert(key.clone(), workers.clone());
+            self.asking_gangs.insert(key.clone(), workers);
         }
         if let Some(step) = self.step_mut(key) {
-            step.advice.pending = true;
+            step.advice.calls = calls.len();
+        }
+        for workers in calls {
+            let cost_ms = cost.of_call(workers.len());
+            self.actions.push(Action::Ask(AdviceRequest {
+                holds_room,
+                step: key.clone(),
+                workers,
+                priority,
+                cost_ms,
+            }));
         }
-        self.actions.push(Action::Ask(AdviceRequest {
-            holds_room,
-            step: key.clone(),
-            workers,
-            priority,
-            cost_ms,
-        }));
         Tried::Settled
     }
 
@@ -479,7 +517,7 @@
 fn name_workers(
     allowed: &[Candidate<'_>],
     mut unknown: Vec<Candidate<'_>>,
-    wanted: f64,
+    (wanted, most): (f64, usize),
     share: f64,
     gang: bool,
 ) -> Vec<WorkerId> {
@@ -499,12 +537,12 @@
     let mut room: f64 = allowed.iter().map(|it| f64::from(it.slots)).sum();
     let mut named: Vec<WorkerId> = allowed.iter().map(|it| it.worker.spec.id.clone()).collect();
     for it in unknown {
-        if room >= wanted || named.len() >= MAX_NAMED {
+        if room >= wanted || named.len() >= most {
             break;
         }
         room += share * f64::from(it.slots);
         named.push(it.worker.spec.id.clone());
     }
-    named.truncate(MAX_NAMED);
+    named.truncate(most);
     named
 }
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -25,9 +25,20 @@
 const FAILURES_IN_A_ROW: u32 = 3;
 /// Time for which a failing worker is set aside before it gets another task, in ms.
 const SET_ASIDE_MS: u64 = 5_000;
-/// Time without progress after which a run is stopped and started elsewhere, in ms. A task of 45 s that runs six times
-/// slower than usual still moves by one percent in this time.
-const STALL_MS: u64 = 3_500;
+/// Time without progress after which a run is stopped and started elsewhere, as a part of the estimate, in percent. A task
+/// that takes ten times its estimate on a worker six times slower than usual still moves by one percent in this time.
+const STALL_PERCENT: u64 = 80;
+/// Bounds of that time, in ms. A start from saved progress takes a third of the lower one; the upper one is enough for a
+/// task of 45 s on such a worker.
+const MIN_STALL_MS: u64 = 700;
+const MAX_STALL_MS: u64 = 3_500;
+/// Lists in a row that must show no progress. One alone may come from a worker that was paused since the one before.
+const STILL_LISTS: u32 = 2;
+
+/// Spare instances for each further call that a gang makes at once, so that several gangs find some.
+const SPARE_A_CALL: usize = 8;
+/// Most calls that a gang makes at once; more of them are hardly shorter, since each has a fixed part.
+const MAX_PARALLEL_CALLS: usize = 4;
 
 /// Scheduler of a cell.
 #[derive(Debug)]
@@ -45,6 +56,10 @@
     pub(crate) asking_gangs: BTreeMap<StepKey, Vec<WorkerId>>,
     /// Steps whose answers came since the last decision.
     answered: Vec<StepKey>,
+    /// Thousandths of a core that came free in all, for steps that wait for room.
+    pub(crate) freed_milli_cores: u64,
+    /// Instances that no call for advice needs, as the driver last said.
+    spare_askers: usize,
     /// Learned share of workers that a queue's steps may use.
     pub(crate) allowed_share: BTreeMap<Arc<str>, f64>,
 }
@@ -68,6 +83,8 @@
             actions: Vec::new(),
             asking_gangs: BTreeMap::new(),
             answered: Vec::new(),
+            freed_milli_cores: 0,
+            spare_askers: 0,
             allowed_share: BTreeMap::new(),
         }
     }
@@ -87,6 +104,7 @@
         }
         let accepted_ms = now_ms.saturating_sub(age_ms);
         let objective_ms = request.objective_ms();
+        let occurrences = request.occurrences();
         let id = request.id.clone();
         let mut job = Job {
             accepted_ms,
@@ -105,7 +123,8 @@
             job.open_occurrence(0);
         }
         for step in &progress.steps {
-            while job.next_occurrence <= step.occurrence {
+            let last = step.occurrence.min(occurrences.saturating_sub(1));
+            while job.next_occurrence <= last {
                 job.open_occurrence(job.next_occurrence);
             }
             job.restore(step);
@@ -136,6 +155,7 @@
             phase: Phase::Confirmed(self.now_ms),
             percent: 0,
             moved_ms: self.now_ms,
+            still_lists: 0,
         };
         self.add_unlisted(id);
         let until_ms = self.now_ms + self.lease_bound_ms;
@@ -171,6 +191,8 @@
         let listed: BTreeSet<WorkerId> = specs.iter().map(|spec| spec.id.clone()).collect();
         for spec in specs {
             if let Some(worker) = self.workers.get_mut(&spec.id) {
+                let former = worker.spec.capacity.milli_cores;
+                self.freed_milli_cores += spec.capacity.milli_cores.saturating_sub(former);
                 worker.spec = spec;
                 worker.listed = true;
             } else {
@@ -246,6 +268,13 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if !worker.reachable {
+            self.freed_milli_cores += worker.spec.capacity.milli_cores;
+            // While it was silent it may have been paused, which says nothing about its tasks.
+            for run in worker.runs.values_mut() {
+                (run.moved_ms, run.still_lists) = (now_ms, 0);
+            }
+        }
         worker.reachable = true;
         if !worker.heard {
             // No earlier leader can extend the lease from now on.
@@ -268,12 +297,10 @@
 
     fn see_running(&mut self, id: &WorkerId, task: &TaskKey, run: u32, percent: u32) {
         let now_ms = self.now_ms;
+        let stall_ms = self.stall_ms(task);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let endless = (self.jobs.get(&task.step.job))
-            .and_then(|job| job.request.steps.get(task.step.step as usize))
-            .is_some_and(|step| step.endless);
         if let Some(known) = worker.runs.get_mut(task)
             && known.number == run
         {
@@ -281,12 +308,14 @@
                 known.phase = Phase::Confirmed(now_ms);
                 known.moved_ms = now_ms;
             }
-            if known.percent != percent {
-                (known.percent, known.moved_ms) = (percent, now_ms);
+            if known.percent == percent {
+                known.still_lists += 1;
+            } else {
+                (known.percent, known.moved_ms, known.still_lists) = (percent, now_ms, 0);
             }
             let stalled = matches!(known.phase, Phase::Confirmed(_))
-                && !endless
-                && known.moved_ms + STALL_MS < now_ms;
+                && known.still_lists >= STILL_LISTS
+                && stall_ms.is_some_and(|stall_ms| known.moved_ms + stall_ms < now_ms);
             if stalled {
                 worker.failures += 1;
                 worker.set_aside_until_ms = now_ms + SET_ASIDE_MS;
@@ -305,6 +334,26 @@
         }
     }
 
+    /// Time without progress after which a task counts as stalled; tasks without an end make no progress.
+    fn stall_ms(&self, task: &TaskKey) -> Option<u64> {
+        let job = self.jobs.get(&task.step.job)?;
+        let step = job.request.steps.get(task.step.step as usize)?;
+        let stall_ms = step.estimate_ms.saturating_mul(STALL_PERCENT) / 100;
+        (!step.endless).then(|| stall_ms.clamp(MIN_STALL_MS, MAX_STALL_MS))
+    }
+
+    /// Longest time until a worker should be asked again so that a stalled task on it is found in time, in ms.
+    #[must_use]
+    pub fn look_ms(&self, worker: &WorkerId) -> u64 {
+        let tasks = self
+            .workers
+            .get(worker)
+            .into_iter()
+            .flat_map(|it| it.runs.keys());
+        let stalls = tasks.filter_map(|task| self.stall_ms(task));
+        stalls.min().unwrap_or(MAX_STALL_MS)
+    }
+
     /// Takes over a run that an earlier leader started; false when the job has no use for it.
     fn adopt(&mut self, id: &WorkerId, task: &TaskKey, run: u32, percent: u32) -> bool {
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
@@ -317,6 +366,9 @@
             return false;
         };
         let need = step.need;
+        if task.step.occurrence >= job.request.occurrences() {
+            return false;
+        }
         while job.next_occurrence <= task.step.occurrence && job.request.schedule.is_some() {
             job.open_occurrence(job.next_occurrence);
         }
@@ -334,6 +386,7 @@
             phase: Phase::Confirmed(self.now_ms),
             percent,
             moved_ms: self.now_ms,
+            still_lists: 0,
         };
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add(task.clone(), run);
@@ -358,9 +411,13 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        let had_orphans = !worker.orphans.is_empty();
         worker
             .orphans
             .retain(|task, run| listed.get(task) == Some(run));
+        if had_orphans && worker.orphans.is_empty() {
+            self.freed_milli_cores += worker.spec.capacity.milli_cores;
+        }
         let mut gone = Vec::new();
         let mut unsure = Vec::new();
         for (task, run) in &worker.runs {
@@ -444,7 +501,13 @@
         now_ms: u64,
     ) {
         self.now_ms = now_ms;
-        self.note_answer(key);
+        let calls = self.step_mut(key).map_or(0, |step| {
+            step.advice.calls = step.advice.calls.saturating_sub(1);
+            step.advice.calls
+        });
+        if calls == 0 {
+            self.note_answer(key);
+        }
         self.answered.push(key.clone());
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
@@ -455,7 +518,6 @@
         let Some(step) = job.step_mut(key) else {
             return;
         };
-        step.advice.pending = false;
         let Some(allowed) = allowed else {
             return;
         };
@@ -488,6 +550,16 @@
         }
     }
 
+    /// Takes over how many instances no call for advice needs now.
+    pub fn set_spare_askers(&mut self, spare: usize) {
+        self.spare_askers = spare;
+    }
+
+    /// Calls that a gang may have under way at once.
+    pub(crate) fn parallel_calls(&self) -> usize {
+        (self.spare_askers / SPARE_A_CALL).clamp(1, MAX_PARALLEL_CALLS)
+    }
+
     /// Decides what to do now; `wall_ms` is the Unix time, for scheduled jobs.
     pub fn decide(&mut self, now_ms: u64, wall_ms: u64) -> Vec<Action> {
         self.now_ms = now_ms;
@@ -593,6 +665,7 @@
             };
             let before = job.next_occurrence;
             while job.next_occurrence < schedule.times
+                && job.has_room_for_occurrence()
                 && schedule.first_ms + u64::from(job.next_occurrence) * schedule.period_ms
                     <= wall_ms
             {
@@ -661,7 +734,9 @@
             .get(&task)
             .is_some_and(|known| known.number == run);
         if was_known {
-            worker.remove(&task);
+            if let Some(gone) = worker.remove(&task) {
+                self.freed_milli_cores += gone.need.milli_cores;
+            }
             match cause {
                 EndCause::Done => worker.failures = 0,
                 EndCause::Failed => worker.failures += 1,
@@ -707,9 +782,10 @@
     /// Records that a run is gone without a listed end.
     fn run_gone(&mut self, id: &WorkerId, task: &TaskKey) {
         let worker = self.workers.get_mut(id);
-        if worker.and_then(|worker| worker.remove(task)).is_none() {
+        let Some(gone) = worker.and_then(|worker| worker.remove(task)) else {
             return;
-        }
+        };
+        self.freed_milli_cores += gone.need.milli_cores;
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
--- a/crates/workflow/src/state.rs
+++ b/crates/workflow/src/state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         JobRequest, PlacedTasks, Progress, Step, StepKey, StepProgress, TaskFailures, TaskKey,
-        advice::StepAdvice,
+        advice::StepAdvice, job::MAX_TASKS,
     },
     ragwortreel_model::{JobId, JobState, Resources, WorkerId},
     std::{collections::BTreeMap, sync::Arc},
@@ -50,8 +50,9 @@
     pub(crate) gang_failed_run: u32,
     /// Whether it waits for an answer about workers and not for room, as of the last try.
     pub(crate) has_room: bool,
-    /// Time until which it is not tried again after it found no room.
+    /// Time until which it is not tried again after it found no room, and the freed cores from which it is tried earlier.
     pub(crate) blocked_until_ms: u64,
+    pub(crate) blocked_until_freed: u64,
     /// Rank under which it waits, if it does.
     pub(crate) rank: Option<Rank>,
     pub(crate) advice: StepAdvice,
@@ -106,6 +107,16 @@
         self.next_occurrence = number + 1;
     }
 
+    /// Whether another occurrence may be open beside those that are not done.
+    pub(crate) fn has_room_for_occurrence(&self) -> bool {
+        let steps = self.occurrences.values().flatten();
+        let open: usize = steps
+            .map(|step| step.tasks.len() - step.done as usize)
+            .sum();
+        let tasks = self.request.steps.iter().map(|step| u64::from(step.tasks));
+        open as u64 + tasks.sum::<u64>() <= MAX_TASKS
+    }
+
     pub(crate) fn rank(&self, now_ms: u64) -> Rank {
         let lateness = if now_ms > self.worthless_ms {
             2
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -98,6 +98,8 @@
     /// Share of the work done when it last changed, in percent, and the time of that change.
     pub(crate) percent: u32,
     pub(crate) moved_ms: u64,
+    /// Lists in a row that showed no progress while the worker answered without a gap.
+    pub(crate) still_lists: u32,
 }
 
 /// How much is known about a run.
--- a/crates/workflow/tests/fleet.rs
+++ b/crates/workflow/tests/fleet.rs
@@ -125,3 +125,64 @@
     assert!(calls_a_step <= 2.5, "{calls_a_step} calls a step\n{report}");
     assert!(report.served() >= 0.85, "{report}");
 }
+
+/// The load of the users' fleet of hundreds of instances at three elevenths of its size: tasks are wide against a worker, and
+/// there are enough instances for all calls, so the workers fill up.
+fn heavy_classes() -> Vec<Class> {
+    let mut all = classes();
+    let wide = &mut all[WIDE];
+    (wide.per_second, wide.worth, wide.width, wide.widest) = (1.75, 7.7, 32.0, 45);
+    (wide.need, wide.work_ms) = (Resources::new(9_000, 34_000, 0), 5_300.0);
+    wide.advice = advice(637.0, 9.1);
+    let batch = &mut all[BATCH];
+    (batch.per_second, batch.worth, batch.width, batch.widest) = (2.95, 2.85, 32.0, 120);
+    (batch.need, batch.work_ms) = (Resources::new(5_500, 11_000, 0), 2_900.0);
+    batch.advice = advice(182.0, 2.6);
+    let short = &mut all[SHORT];
+    (short.per_second, short.worth, short.width, short.widest) = (30.0, 0.392, 4.5, 27);
+    (short.need, short.work_ms) = (Resources::new(7_800, 22_000, 0), 850.0);
+    short.advice = advice(18.2, 0.26);
+    all
+}
+
+fn play_heavy(seed: u64, bursts: &[Burst]) -> Report {
+    let capacity = Resources::new(32_000, 131_072, 0);
+    let fleet = Fleet::new(seed, 300, capacity, 40, heavy_classes());
+    let report = fleet.play(PLAY_MS, bursts);
+    println!("{report}");
+    report
+}
+
+fn burst(class: usize, from_ms: u64, times: f64) -> Burst {
+    let to_ms = from_ms + 4_000;
+    Burst {
+        class,
+        from_ms,
+        to_ms,
+        times,
+    }
+}
+
+/// Guards against urgent work that waits behind long work on a fleet that bursts of all classes fill up one after the other.
+#[test]
+fn urgent_jobs_stay_in_time_in_bursts_of_all_classes() {
+    for seed in 1..=3 {
+        let bursts = [
+            burst(BATCH, 4_000, 2.5),
+            burst(SHORT, 8_000, 1.9),
+            burst(WIDE, 12_000, 2.0),
+        ];
+        let report = play_heavy(seed, &bursts);
+        assert!(report.classes[SHORT].in_time_part() >= 0.95, "{report}");
+        assert!(report.classes[BATCH].in_time_part() >= 0.95, "{report}");
+    }
+}
+
+/// Guards against gangs that ask about a hundred workers, find room for a part, and ask again: with one call at a time 0.78
+/// of the wide jobs were in time at a calm load, while three quarters of the instances had no call to make.
+#[test]
+fn gangs_ask_through_several_instances_that_have_no_other_call() {
+    let in_time = (1..=3).map(|seed| play_heavy(seed, &[]).classes[WIDE].in_time_part());
+    let mean = in_time.sum::<f64>() / 3.0;
+    assert!(mean >= 0.8, "{mean} of the wide jobs are in time");
+}
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -415,6 +415,7 @@
                 self.push(self.now_ms + LOAD_MS, Event::Load);
             }
             Event::Decide => {
+                self.scheduler.set_spare_askers(self.broker.spare());
                 let actions = self.scheduler.decide(self.now_ms, self.now_ms);
                 self.carry_out(actions);
                 self.note_ends();
