Send starts after the transaction that stores them, urgent ones first

All starts waited for the last one, and those decided over 1 s ago were given back as too old and decided anew: 264 and 401 of 837 jobs in two windows were accepted and ended too late.

Change: changes are sorted by priority, the starts of a transaction are sent when it is stored, and their age counts from then.

What binds there still: one transaction after the other, 80 rows each.

--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -9,17 +9,18 @@
         Timing,
         events::{JOB_ENDED, JOURNAL_CONFLICT, JOURNAL_SLOW},
         leadership::{encode, leader_txn},
-        orders::Order,
+        orders::{Order, StartTimes},
         rows::{LEADERS, LOAD, LeaderRow, StateRow, WORKERS, json, key},
         term::Term,
     },
     async_channel::{Receiver, Sender},
     async_lock::Mutex as AsyncMutex,
+    ragwortreel_model::JobId,
     ragwortreel_platform::{PlatformError, Txn, TxnOutcome, Write},
     ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms, timeout_ms},
     ragwortreel_workflow::{JobChange, StartOrder},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         mem,
         sync::{Arc, Mutex, atomic::Ordering},
     },
@@ -127,38 +128,60 @@
             }
             // Acknowledgements are taken before the changes, so that these hold all that was known then.
             let acknowledged = mem::take(&mut *lock(&self.journal.acknowledgements));
-            let starts = mem::take(&mut *lock(&self.journal.starts));
-            let changes = lock(&self.scheduler).take_changes();
+            let mut starts = mem::take(&mut *lock(&self.journal.starts));
+            let mut changes = lock(&self.scheduler).take_changes();
+            // Of several transactions the first is stored earlier, which counts when the store is slow.
+            changes.sort_by_key(|change| change.priority);
             let is_due = boot_ms() >= stored.renewed_ms + timing.renew_ms;
             if changes.is_empty() && starts.is_empty() && !is_due {
                 drop(acknowledged);
                 continue;
             }
             for group in groups_of(&changes) {
-                if !self.store(&mut stored, group).await {
+                let rows = group.iter().map(row_of).collect();
+                if !self.store(&mut stored, rows).await {
                     return;
                 }
+                let jobs: BTreeSet<&JobId> = group.iter().map(|change| &change.job).collect();
+                let is_stored =
+                    |start: &mut (StartOrder, u64)| jobs.contains(&start.0.task.step.job);
+                self.send_starts(starts.extract_if(.., is_stored).collect());
+                self.note_stored(group);
             }
             drop(acknowledged);
             drop(stored);
-            for (start, decided_ms) in starts {
-                self.send(&start.worker.clone(), Order::Start(start, decided_ms));
-            }
-            let shown = changes.iter().map(|it| (it.job.clone(), it.state));
-            self.show(shown);
-            for change in changes.iter().filter(|change| change.state.is_final()) {
-                log_event!(self.cell.parts.log, JOB_ENDED; "job" => change.job.to_string(),
-                    "queue" => change.queue.to_string(), "state" => change.state.to_string(),
-                    "age_ms" => change.age_ms, "term" => self.number);
-                let state = change.state.to_string();
-                let metrics = &self.cell.parts.metrics;
-                metrics.job_ended(&change.queue, &state, change.age_ms);
-                self.forget(&change.job);
-            }
+            // The jobs of these were stored by the transactions before.
+            self.send_starts(starts);
             sleep_ms(timing.commit_gap_ms).await;
         }
     }
 
+    /// Sends starts that are stored.
+    fn send_starts(&self, starts: Vec<(StartOrder, u64)>) {
+        let stored_ms = boot_ms();
+        for (start, decided_ms) in starts {
+            let times = StartTimes {
+                decided_ms,
+                stored_ms,
+            };
+            self.send(&start.worker.clone(), Order::Start(start, times));
+        }
+    }
+
+    /// Shows states that are stored, and forgets jobs that have ended.
+    fn note_stored(&self, changes: &[JobChange]) {
+        self.show(changes.iter().map(|it| (it.job.clone(), it.state)));
+        for change in changes.iter().filter(|change| change.state.is_final()) {
+            log_event!(self.cell.parts.log, JOB_ENDED; "job" => change.job.to_string(),
+                "queue" => change.queue.to_string(), "state" => change.state.to_string(),
+                "age_ms" => change.age_ms, "term" => self.number);
+            let state = change.state.to_string();
+            let metrics = &self.cell.parts.metrics;
+            metrics.job_ended(&change.queue, &state, change.age_ms);
+            self.forget(&change.job);
+        }
+    }
+
     /// Stores rows with a renewal, until it is certain that they are stored; false when the term is over.
     async fn store(&self, stored: &mut Stored, rows: Vec<Write>) -> bool {
         let mut row = stored.row.clone();
@@ -255,38 +278,30 @@
     }
 }
 
-/// Rows of changed jobs, divided into transactions; at least one, for the renewal.
-fn groups_of(changes: &[JobChange]) -> Vec<Vec<Write>> {
-    let rows = changes.iter().map(|change| {
-        let state = StateRow {
-            state: change.state,
-            progress: change.progress.clone(),
-        };
-        Write {
-            key: Term::state_key(&change.job),
-            value: Some(state.encode()),
-        }
-    });
-    let rows: Vec<Write> = rows.collect();
-    if rows.is_empty() {
-        return vec![rows];
+/// The row of a changed job.
+fn row_of(change: &JobChange) -> Write {
+    let state = StateRow {
+        state: change.state,
+        progress: change.progress.clone(),
+    };
+    Write {
+        key: Term::state_key(&change.job),
+        value: Some(state.encode()),
     }
-    let mut groups = vec![Vec::new()];
-    let mut bytes = 0;
-    for row in rows {
-        let size = row.value.as_ref().map_or(0, |value| value.len());
-        let is_full = groups
-            .last()
-            .is_none_or(|group| group.len() >= MAX_ROWS || bytes + size > MAX_BYTES);
-        if is_full {
-            groups.push(Vec::new());
-            bytes = 0;
+}
+
+/// Changes divided by transactions; at least one, for the renewal.
+fn groups_of(changes: &[JobChange]) -> Vec<&[JobChange]> {
+    let mut groups = Vec::new();
+    let (mut begin, mut bytes) = (0, 0);
+    for (index, change) in changes.iter().enumerate() {
+        let size = change.progress.size_hint();
+        if index - begin >= MAX_ROWS || (index > begin && bytes + size > MAX_BYTES) {
+            groups.push(&changes[begin..index]);
+            (begin, bytes) = (index, 0);
         }
         bytes += size;
-        if let Some(group) = groups.last_mut() {
-            group.push(row);
-        }
     }
-    groups.retain(|group| !group.is_empty());
+    groups.push(&changes[begin..]);
     groups
 }
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -15,7 +15,7 @@
     },
 };
 
-/// Age at which a start that was not sent is given back, in ms; its worker is behind, another may be free.
+/// Time after which a stored start that was not sent is given back, in ms; its worker is behind, another may be free.
 const MAX_START_AGE_MS: u64 = 1_000;
 /// Pause before a stop is sent again, in ms.
 const STOP_RETRY_MS: u64 = 300;
@@ -23,12 +23,19 @@
 /// Something to send to a worker.
 #[derive(Debug)]
 pub(crate) enum Order {
-    /// A start, and the time of its decision.
-    Start(StartOrder, u64),
+    /// A start that is stored.
+    Start(StartOrder, StartTimes),
     /// A stop.
     Stop(StopOrder),
 }
 
+/// When a start was decided, and when that was stored.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StartTimes {
+    pub(crate) decided_ms: u64,
+    pub(crate) stored_ms: u64,
+}
+
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClockReading {
@@ -75,8 +82,8 @@
             return;
         }
         match order {
-            Order::Start(start, decided_ms) => {
-                send_start(&term, &to, &handle, start, decided_ms).await;
+            Order::Start(start, times) => {
+                send_start(&term, &to, &handle, start, times).await;
             }
             Order::Stop(stop) => send_stop(&term, &to, stop).await,
         }
@@ -88,7 +95,7 @@
     to: &Addressee,
     handle: &WorkerHandle,
     order: StartOrder,
-    decided_ms: u64,
+    times: StartTimes,
 ) {
     let now_ms = boot_ms();
     let clock = *lock(&handle.clock);
@@ -97,7 +104,7 @@
         // It was given up while it waited to be stored or sent.
         return;
     }
-    let may_send = term.may_start() && now_ms < decided_ms + MAX_START_AGE_MS;
+    let may_send = term.may_start() && now_ms < times.stored_ms + MAX_START_AGE_MS;
     let result = match clock.filter(|_| may_send) {
         Some(clock) => {
             let start = TaskStart {
@@ -117,7 +124,7 @@
         }),
     };
     let outcome = outcome_of(&result);
-    note_start(term, to, &task, run, decided_ms, &result);
+    note_start(term, to, &task, run, times.decided_ms, &result);
     if matches!(result, Err(WorkerError::Fenced { .. })) {
         term.depose("a worker has seen a later leader");
     }
--- a/crates/workflow/src/progress.rs
+++ b/crates/workflow/src/progress.rs
@@ -65,6 +65,34 @@
     pub steps: Vec<StepProgress>,
 }
 
+/// Rough size of a worker's name with the tasks that run on it, in bytes of JSON.
+const PLACED_BYTES: usize = 64;
+/// The same for a saved progress.
+const SAVED_BYTES: usize = 64;
+/// The same for everything else of a step, but for numbers of tasks.
+const STEP_BYTES: usize = 64;
+/// The same for the number of a task.
+const NUMBER_BYTES: usize = 6;
+
+impl Progress {
+    /// Rough size of the stored form, in bytes; on the large side.
+    #[must_use]
+    pub fn size_hint(&self) -> usize {
+        let of_step = |step: &StepProgress| {
+            let placed = step
+                .placed
+                .iter()
+                .map(|it| PLACED_BYTES + NUMBER_BYTES * it.tasks.len());
+            STEP_BYTES
+                + placed.sum::<usize>()
+                + NUMBER_BYTES * step.done.len()
+                + STEP_BYTES * step.failures.len()
+                + SAVED_BYTES * step.saved.len()
+        };
+        STEP_BYTES + self.steps.iter().map(of_step).sum::<usize>()
+    }
+}
+
 /// A job whose stored state is to be replaced.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobChange {
@@ -74,6 +102,8 @@
     pub state: JobState,
     /// The job's queue.
     pub queue: Arc<str>,
+    /// Order of importance; 0 comes first.
+    pub priority: u32,
     /// Time since its acceptance, in ms.
     pub age_ms: u64,
     /// Its progress; empty once the state is final.
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -578,6 +578,7 @@
                 let job = self.jobs.get(&id)?;
                 Some(JobChange {
                     queue: Arc::clone(&job.request.policy.name),
+                    priority: job.request.policy.priority,
                     age_ms: self.now_ms.saturating_sub(job.accepted_ms),
                     state: job.state,
                     progress: if job.state.is_final() {
