--- a/crates/platform/tests/resilient.rs
+++ b/crates/platform/tests/resilient.rs
@@ -263,9 +263,7 @@
 fn one_silent_call_opens_the_breaker_and_a_hint_probes_at_once() {
     block_on(async {
         let (platform, table) = setup(config());
-        platform
-            .faults()
-            .update(|f| f.outage = Some(Outage::Silent));
+        platform.faults().update(|f| f.latency_ms = 60_000);
         let lost = table.commit(put("a", 0)).await;
         assert!(
             matches!(lost, Err(PlatformError::Unknown { .. })),
