Read the list of workers whole again

The list was followed by its changes.

Change: the list is read whole each 0.8 s, or each half millisecond a worker. Test: list_of_workers_is_read_in_time bounds the pause by the time for which a leaving worker may get work.

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -17,15 +17,6 @@
     pub address: SocketAddr,
 }
 
-/// A change of the list of workers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum WorkerChange {
-    /// A worker is new, or its entry has changed.
-    Listed(ListedWorker),
-    /// A worker is not listed any more, or its entry names no usable worker.
-    Gone(WorkerId),
-}
-
 /// Failure of a call to a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum WorkerError {
@@ -214,17 +205,8 @@
 /// What the platform tells about workers and configuration.
 #[async_trait]
 pub trait CellSource: Send + Sync {
-    /// Reads the list of workers, with the version of the store from which changes can be followed; entries that name no
-    /// usable worker are left out.
-    async fn workers(
-        &self,
-    ) -> Result<(Vec<ListedWorker>, u64), ragwortreel_platform::PlatformError>;
-    /// Waits for changes of the list after a version of the store.
-    async fn next_workers(
-        &self,
-        after: u64,
-        wait: Duration,
-    ) -> Result<(Vec<WorkerChange>, u64), ragwortreel_platform::FeedError>;
+    /// Reads the list of workers; entries that name no usable worker are left out.
+    async fn workers(&self) -> Result<Vec<ListedWorker>, ragwortreel_platform::PlatformError>;
     /// Reads the configuration, with the version of the store from which changes can be followed.
     async fn routes(
         &self,
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Cell, Timing,
-        api::{ListedWorker, WorkerChange},
+        api::ListedWorker,
         events::{
             BAD_ROW, BECAME_LEADER, CELL_SUMMARY, LEADERSHIP_LOST, LEADERSHIP_RELEASED, RECOVERED,
             STEP_STARTED, TASK_PANICKED,
@@ -49,8 +49,6 @@
 /// Pause between two readings of new jobs, in ms. The instances hand jobs over themselves; the readings find what got
 /// lost on the way.
 const JOBS_PAUSE_MS: u64 = 100;
-/// Longest time that the store may wait for a change of the list of workers before it answers.
-const WORKERS_WAIT: Duration = Duration::from_millis(400);
 /// Time between two decisions while tasks wait, in ms; tickets and leases expire without an event.
 const DECIDE_MS: u64 = 50;
 /// Shortest time between two decisions, in ms. What happens meanwhile shares one; the journal makes starts wait for longer.
@@ -58,12 +56,6 @@
 /// Time between two summary lines, in ms.
 const SUMMARY_MS: u64 = 1_000;
 
-/// Versions of the store from which changes are followed.
-struct Cursors {
-    jobs: u64,
-    workers: u64,
-}
-
 /// A connection to another instance, with the address that it goes to.
 type Helper = (SocketAddr, Arc<dyn HelperPeer>);
 
@@ -78,8 +70,6 @@
     /// Connections to the other instances, with the addresses that they go to.
     pub(crate) helpers: Mutex<BTreeMap<InstanceId, Helper>>,
     pub(crate) workers: Mutex<BTreeMap<WorkerId, WorkerHandle>>,
-    /// The platform's list of workers as it was read last.
-    listed: Mutex<BTreeMap<WorkerId, ListedWorker>>,
     /// Counts changes of `workers`, so that their rows are made anew only after one.
     pub(crate) workers_changed: AtomicU64,
     /// Figures for the next summary.
@@ -111,7 +101,6 @@
             broker: Mutex::default(),
             helpers: Mutex::default(),
             workers: Mutex::default(),
-            listed: Mutex::default(),
             workers_changed: AtomicU64::new(0),
             figures: Mutex::default(),
             shown: Mutex::default(),
@@ -218,15 +207,13 @@
         log_event!(self.cell.parts.log, BECAME_LEADER; "term" => self.number);
         self.spawn_task("journal", Arc::clone(&self).keep_journal())
             .detach();
-        let Some(cursors) = self.recover().await else {
+        let Some(cursor) = self.recover().await else {
             return;
         };
         self.recovered.store(true, Ordering::Relaxed);
         let term = || Arc::clone(&self);
-        self.spawn_task("jobs", term().follow_jobs(cursors.jobs))
-            .detach();
-        self.spawn_task("workers", term().follow_workers(cursors.workers))
-            .detach();
+        self.spawn_task("jobs", term().follow_jobs(cursor)).detach();
+        self.spawn_task("workers", term().follow_workers()).detach();
         self.spawn_task("members", term().follow_members()).detach();
         self.spawn_task("summary", term().summarise()).detach();
         self.spawn_task("finished jobs", term().clear_finished())
@@ -234,16 +221,16 @@
         self.decide_forever().await;
     }
 
-    /// Reads all stored jobs and the list of workers; returns the versions from which changes are followed.
-    async fn recover(self: &Arc<Self>) -> Option<Cursors> {
+    /// Reads all stored jobs; returns the version from which new ones are followed.
+    async fn recover(self: &Arc<Self>) -> Option<u64> {
         loop {
             if self.is_over() {
                 return None;
             }
             match self.read_all().await {
-                Ok(cursors) => {
+                Ok(cursor) => {
                     self.cell.health.answered("recover");
-                    return Some(cursors);
+                    return Some(cursor);
                 }
                 Err(err) => {
                     self.cell.health.failed("recover", &err);
@@ -253,11 +240,11 @@
         }
     }
 
-    async fn read_all(self: &Arc<Self>) -> Result<Cursors, PlatformError> {
+    async fn read_all(self: &Arc<Self>) -> Result<u64, PlatformError> {
         let parts = &self.cell.parts;
         let jobs = self.read_jobs().await?;
         let states = parts.feed.part(STATE, MAIN).await?;
-        let (listed, listed_version) = parts.source.workers().await?;
+        let listed = parts.source.workers().await?;
         let states: BTreeMap<Arc<str>, Arc<str>> = (states.rows.into_iter())
             .filter_map(|row| Some((row.key, row.value?)))
             .collect();
@@ -295,10 +282,7 @@
             scheduler.extend_lease(&worker, until_ms);
         }
         drop(scheduler);
-        Ok(Cursors {
-            jobs: jobs.version,
-            workers: listed_version,
-        })
+        Ok(jobs.version)
     }
 
     /// Reads all parts of the table of jobs side by side.
@@ -429,64 +413,26 @@
         }
     }
 
-    /// Keeps the list of workers up to date.
-    async fn follow_workers(self: Arc<Self>, cursor: u64) {
-        let source = &self.cell.parts.source;
-        let mut cursor = Some(cursor);
+    /// Keeps the list of workers up to date. It is read whole: the store tells of each heartbeat of a worker as a change, and
+    /// followed by its changes the list fell seconds behind on 3,000 workers.
+    async fn follow_workers(self: Arc<Self>) {
         while !self.is_over() {
-            sleep_ms(self.cell.cfg.timing.list_ms).await;
-            let result = match cursor {
-                None => source.workers().await.map_err(FeedError::Failed),
-                Some(after) => match source.next_workers(after, WORKERS_WAIT).await {
-                    Ok((changes, version)) => {
-                        self.cell.health.answered("list workers");
-                        cursor = Some(version);
-                        if !changes.is_empty() {
-                            self.change_workers(changes);
-                        }
-                        continue;
-                    }
-                    Err(err) => Err(err),
-                },
-            };
-            match result {
-                Ok((listed, version)) => {
+            let count = lock(&self.workers).len() as u64;
+            sleep_ms(self.cell.cfg.timing.list_pause_ms(count)).await;
+            match self.cell.parts.source.workers().await {
+                Ok(listed) => {
                     self.cell.health.answered("list workers");
-                    cursor = Some(version);
                     self.apply_workers(listed, &WorkersRow::new());
                 }
-                Err(FeedError::HistoryGone) => cursor = None,
-                Err(FeedError::Failed(err)) => {
-                    self.cell.health.failed("list workers", &err);
-                    // A change may have been missed with the lost answer.
-                    cursor = None;
-                }
-            }
-        }
-    }
-
-    /// Takes over changes of the list of workers.
-    fn change_workers(self: &Arc<Self>, changes: Vec<WorkerChange>) {
-        let mut listed = lock(&self.listed).clone();
-        for change in changes {
-            match change {
-                WorkerChange::Listed(worker) => {
-                    listed.insert(worker.spec.id.clone(), worker);
-                }
-                WorkerChange::Gone(id) => {
-                    listed.remove(&id);
-                }
+                Err(err) => self.cell.health.failed("list workers", &err),
             }
         }
-        self.apply_workers(listed.into_values().collect(), &WorkersRow::new());
     }
 
     /// Takes over a list of workers, and starts a loop for each new one.
     fn apply_workers(self: &Arc<Self>, listed: Vec<ListedWorker>, known: &WorkersRow) {
         let mut addresses = known.clone();
         addresses.extend(listed.iter().map(|it| (it.spec.id.clone(), it.address)));
-        let by_id = listed.iter().map(|it| (it.spec.id.clone(), it.clone()));
-        *lock(&self.listed) = by_id.collect();
         let specs = listed.into_iter().map(|worker| worker.spec).collect();
         {
             let mut scheduler = lock(&self.scheduler);
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/timing.rs
@@ -14,7 +14,7 @@
     pub renew_ms: u64,
     /// Shortest time between two transactions of the journal, in ms; ends that come meanwhile share one.
     pub commit_gap_ms: u64,
-    /// Time between two readings of the list of workers, in ms.
+    /// Shortest time between two readings of the list of workers, in ms.
     pub list_ms: u64,
     /// Longest time that a worker may wait for an end before it answers a heartbeat.
     pub heartbeat_wait: Duration,
@@ -62,11 +62,18 @@
             keep_alive_ms: 8_000,
             renew_ms: 300,
             commit_gap_ms: 20,
-            list_ms: 500,
+            list_ms: 800,
             heartbeat_wait: Duration::from_secs(2),
         }
     }
 
+    /// Time between two readings of the list of workers, in ms: half a millisecond a worker, so that a reading of some
+    /// milliseconds a page stays a small part of it, and 4,000 workers are still read within 2 s.
+    #[must_use]
+    pub fn list_pause_ms(&self, workers: u64) -> u64 {
+        self.list_ms.max(workers / 2)
+    }
+
     /// Time after an order by which everything that it keeps alive has certainly lapsed, in ms.
     #[must_use]
     pub const fn lease_bound_ms(&self) -> u64 {
--- a/crates/dispatch/tests/timing.rs
+++ b/crates/dispatch/tests/timing.rs
@@ -31,3 +31,13 @@
     assert!(Strength::new(0.12, 2.0) >= Strength::new(0.12, 2.0));
     assert!(Strength::new(0.12, 2.0) < Strength::new(0.5, 200.0));
 }
+
+/// Guards against a list of workers that is so old on a large fleet that a worker which leaves still gets tasks: no new ones
+/// within 2 s on a small fleet, within 4 s on thousands of workers.
+#[test]
+fn list_of_workers_is_read_in_time() {
+    let timing = Timing::new(10_000);
+    assert!(timing.list_pause_ms(48) <= 1_000);
+    assert!(timing.list_pause_ms(1_100) <= 1_000);
+    assert!(timing.list_pause_ms(4_000) <= 2_000);
+}
