Look once whether a step is blocked, and correct three comments

place_waiting asked twice for each step whether it was blocked; once is enough, since a try changes neither time nor the room that came free.

--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -30,13 +30,13 @@
 const MAX_ROWS: usize = 80;
 /// Bytes of their values; the store takes 1 MB, in which a value takes a third more.
 const MAX_BYTES: usize = 500_000;
-/// Pause before a transaction is sent again, in ms: a tenth of the time for which a renewal allows starts.
+/// Pause before a transaction is sent again, in ms: a tenth of the longest time for which a renewal allows starts.
 const RETRY_MS: u64 = 100;
 /// Time between two publications of the load, in ms.
 const LOAD_MS: u64 = 500;
 /// Time that the renewal for a planned stop may take, in ms.
 const RELEASE_MS: u64 = 1_500;
-/// Duration from which a transaction gets a line of its own, in ms: half of the time for which a renewal allows starts.
+/// Duration from which a transaction gets a line of its own, in ms: half of the longest time for which a renewal allows starts.
 /// Slower ones delay what callers see, and as each line takes this long, there are at most two a second.
 const SLOW_MS: u64 = 500;
 
--- a/crates/dispatch/src/leadership.rs
+++ b/crates/dispatch/src/leadership.rs
@@ -22,8 +22,8 @@
 
 /// Longest time that the store may wait for a change before it answers; bounds the delay of a takeover.
 const FEED_WAIT: Duration = Duration::from_millis(400);
-/// Pause between two readings of changes while a leader renews its row, in ms: an instance that can lead sees a renewal
-/// that is missing within half of the time between a leader's last start and a takeover.
+/// Pause between two readings of changes while a leader renews its row, in ms: two readings fall into the shortest time
+/// after which an instance takes over.
 const FEED_PAUSE_MS: u64 = 300;
 /// The same for an instance that leaves the lead to stronger ones. With the time between two publications of the load it
 /// stays below the 2 s that the count of waiting jobs may be old.
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -84,13 +84,14 @@
                     continue;
                 }
             }
-            let (tried, started) = if self.is_blocked(&key) {
+            let was_blocked = self.is_blocked(&key);
+            let (tried, started) = if was_blocked {
                 (Tried::Blocked, 0)
             } else {
                 self.try_step(&key)
             };
             self.note_room(&key, matches!(tried, Tried::Settled));
-            if matches!(tried, Tried::Blocked) && !self.is_blocked(&key) {
+            if matches!(tried, Tried::Blocked) && !was_blocked {
                 self.block(&key);
             }
             if let Some(room) = free.get_mut(&service) {
