Log where a configuration came from, and count its reads by result

The lines of an instance that stays behind did not tell whether its polls got no response, got responses without a change, or got the newer version and dropped it.

Event 2121 now has the version of the row, the version of the store after which the instance continues, the number of changes of the row in the response, the time that the response took, and the number of reads without a change since the former configuration. Event 2145 has the version of the row and the number of changes. configuration_reads_total counts all reads by result. No decision changes.

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -208,6 +208,19 @@
     Unreadable,
 }
 
+/// Response to a read of the configuration.
+#[derive(Debug, Clone)]
+pub struct ConfigResponse {
+    /// What the response contains.
+    pub read: ConfigRead,
+    /// Version of the store after which changes can be followed.
+    pub store_version: u64,
+    /// Version of the configuration's row; 0 if the response does not contain it.
+    pub row_version: u64,
+    /// Number of changes of the row that the response lists.
+    pub changes: usize,
+}
+
 impl CellRoutes {
     /// Builds a configuration from routes in any order.
     #[must_use]
@@ -243,12 +256,12 @@
 pub trait CellSource: Send + Sync {
     /// Reads the list of workers; skips invalid entries.
     async fn workers(&self) -> Result<Vec<ListedWorker>, ragwortreel_platform::PlatformError>;
-    /// Reads the configuration, and the version of the store after which changes can be followed.
-    async fn routes(&self) -> Result<(ConfigRead, u64), ragwortreel_platform::PlatformError>;
+    /// Reads the configuration.
+    async fn routes(&self) -> Result<ConfigResponse, ragwortreel_platform::PlatformError>;
     /// Waits up to `wait` for a change of the configuration after a version of the store.
     async fn next_routes(
         &self,
         after: u64,
         wait: Duration,
-    ) -> Result<(ConfigRead, u64), ragwortreel_platform::FeedError>;
+    ) -> Result<ConfigResponse, ragwortreel_platform::FeedError>;
 }
--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Cell, CellMetrics,
-        api::{CellRoutes, ConfigRead},
+        api::{CellRoutes, ConfigRead, ConfigResponse},
         cell::STORE_RETRY_MS,
         events::{CONFIGURATION_APPLIED, CONFIGURATION_NOT_APPLIED},
     },
@@ -25,11 +25,26 @@
 /// Long-poll timeout for changes of the configuration in a cell without workspaces.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Read that returned a configuration, as logged with its effect.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ReadDetails {
+    /// Version of the configuration's row.
+    pub(crate) row_version: u64,
+    /// Version of the store after which changes are followed.
+    pub(crate) store_version: u64,
+    /// Number of changes of the row that the response lists.
+    pub(crate) changes: usize,
+    /// Time from the call to its response, in ms.
+    pub(crate) took_ms: u64,
+}
+
 /// Configuration in force.
 pub(crate) struct Configuration {
     routes: Mutex<Arc<CellRoutes>>,
     /// Version of the last configuration that was not applied, so that it is logged only once.
     refused_version: AtomicU64,
+    /// Number of reads without a change since the last configuration was applied.
+    unchanged_reads: AtomicU64,
     metrics: Arc<CellMetrics>,
     log: Logger,
 }
@@ -39,6 +54,7 @@
         Self {
             routes: Mutex::default(),
             refused_version: AtomicU64::new(u64::MAX),
+            unchanged_reads: AtomicU64::new(0),
             metrics,
             log,
         }
@@ -63,7 +79,7 @@
     /// Applies a configuration with a higher version than the one in force. Returns whether the configuration is in
     /// force now: one of the same version is if it has the same content.
     #[must_use]
-    pub(crate) fn apply(&self, routes: CellRoutes) -> bool {
+    pub(crate) fn apply(&self, routes: CellRoutes, read: ReadDetails) -> bool {
         let mut current = lock(&self.routes);
         if routes == **current {
             return true;
@@ -72,17 +88,56 @@
         if routes.version <= current.version {
             if self.refused_version.swap(routes.version, Relaxed) != routes.version {
                 log_event!(self.log, CONFIGURATION_NOT_APPLIED; "version" => routes.version,
-                    "current_version" => current.version);
+                    "current_version" => current.version, "row_version" => read.row_version,
+                    "changes" => read.changes);
             }
             return false;
         }
         self.refused_version.store(u64::MAX, Relaxed);
         log_event!(self.log, CONFIGURATION_APPLIED; "version" => routes.version,
-            "former_version" => current.version);
+            "former_version" => current.version, "row_version" => read.row_version,
+            "store_version" => read.store_version, "changes" => read.changes,
+            "took_ms" => read.took_ms,
+            "unchanged_reads" => self.unchanged_reads.swap(0, Relaxed));
         self.metrics.set_configuration(routes.version);
         *current = Arc::new(routes);
         true
     }
+
+    fn record_unchanged(&self) {
+        self.unchanged_reads.fetch_add(1, Relaxed);
+    }
+}
+
+/// Applies the response to a call that was sent at this time, in ms, and counts it by its result.
+fn apply_response(cell: &Cell, response: ConfigResponse, sent_ms: u64) {
+    let details = ReadDetails {
+        row_version: response.row_version,
+        store_version: response.store_version,
+        changes: response.changes,
+        took_ms: cell.freshness.now_ms().saturating_sub(sent_ms),
+    };
+    let result = match response.read {
+        ConfigRead::Unchanged => {
+            cell.configuration.record_unchanged();
+            cell.freshness.record_unchanged(sent_ms);
+            "unchanged"
+        }
+        ConfigRead::Readable(routes) => {
+            if cell.configuration.apply(routes, details) {
+                cell.freshness.record_readable(sent_ms);
+                "in-force"
+            } else {
+                cell.freshness.record_unreadable();
+                "not-applied"
+            }
+        }
+        ConfigRead::Unreadable => {
+            cell.freshness.record_unreadable();
+            "unreadable"
+        }
+    };
+    cell.deps.metrics.record_configuration_read(result);
 }
 
 /// Keeps the configuration and the proof of its age up to date.
@@ -100,27 +155,21 @@
             Some(after) => source.next_routes(after, poll_timeout).await,
         };
         match result {
-            Ok((read, version)) => {
+            Ok(response) => {
                 cell.health.record_success("read configuration");
-                after = Some(version);
-                match read {
-                    ConfigRead::Unchanged => cell.freshness.record_unchanged(sent_ms),
-                    ConfigRead::Readable(routes) => {
-                        if cell.configuration.apply(routes) {
-                            cell.freshness.record_readable(sent_ms);
-                        } else {
-                            cell.freshness.record_unreadable();
-                        }
-                    }
-                    ConfigRead::Unreadable => cell.freshness.record_unreadable(),
-                }
+                after = Some(response.store_version);
+                apply_response(&cell, response, sent_ms);
                 if !cell.has_routes() {
                     sleep_ms(STORE_RETRY_MS).await;
                 }
             }
-            Err(FeedError::HistoryGone) => after = None,
+            Err(FeedError::HistoryGone) => {
+                cell.deps.metrics.record_configuration_read("history-gone");
+                after = None;
+            }
             Err(FeedError::Failed(err)) => {
                 cell.health.record_failure("read configuration", &err);
+                cell.deps.metrics.record_configuration_read("failed");
                 // The lost response may have held a change, so the whole configuration is read again.
                 after = None;
                 sleep_ms(STORE_RETRY_MS).await;
--- a/crates/dispatch/src/configuration/tests.rs
+++ b/crates/dispatch/src/configuration/tests.rs
@@ -1,7 +1,7 @@
 //! Order of configurations.
 
 use {
-    super::Configuration,
+    super::{Configuration, ReadDetails},
     crate::{CellMetrics, api::CellRoutes},
     ragwortreel_model::Workspace,
     ragwortreel_runtime::discard_logger,
@@ -22,11 +22,11 @@
     let meter = opentelemetry::global::meter("test");
     let metrics = Arc::new(CellMetrics::new(&meter));
     let configuration = Configuration::new(metrics, discard_logger());
-    assert!(configuration.apply(routes(2, "k")));
-    assert!(configuration.apply(routes(2, "k")));
-    assert!(!configuration.apply(routes(2, "other")));
-    assert!(!configuration.apply(routes(1, "k")));
+    assert!(configuration.apply(routes(2, "k"), ReadDetails::default()));
+    assert!(configuration.apply(routes(2, "k"), ReadDetails::default()));
+    assert!(!configuration.apply(routes(2, "other"), ReadDetails::default()));
+    assert!(!configuration.apply(routes(1, "k"), ReadDetails::default()));
     assert_eq!(*configuration.routes(), routes(2, "k"));
-    assert!(configuration.apply(routes(3, "other")));
+    assert!(configuration.apply(routes(3, "other"), ReadDetails::default()));
     assert_eq!(*configuration.routes(), routes(3, "other"));
 }
--- a/crates/dispatch/src/job_frontend/tests.rs
+++ b/crates/dispatch/src/job_frontend/tests.rs
@@ -5,7 +5,7 @@
     crate::{
         AccessControl, AccessError, Caller, CellMetrics, CellView, KeyFreshness,
         api::CellRoutes,
-        configuration::Configuration,
+        configuration::{Configuration, ReadDetails},
         health::StoreHealth,
         leader_client::leader_channel,
         rows::{JOB_PARTITIONS, LOAD_ROW, STATES_TABLE, cancel_key, job_key, main_key},
@@ -45,6 +45,13 @@
     configuration: Arc<Configuration>,
 }
 
+impl Fixture {
+    /// Puts a configuration into force.
+    fn configure(&self, routes: CellRoutes) {
+        assert!(self.configuration.apply(routes, ReadDetails::default()));
+    }
+}
+
 #[async_trait]
 impl TableService for Fixture {
     async fn commit(&self, txn: Txn) -> Result<TxnOutcome, PlatformError> {
@@ -128,7 +135,7 @@
     let metrics = Arc::new(CellMetrics::new(&meter));
     let clock = Arc::new(ManualClock::default());
     let configuration = Arc::new(Configuration::new(Arc::clone(&metrics), log.clone()));
-    assert!(configuration.apply(routes(1, &["a", "b"])));
+    assert!(configuration.apply(routes(1, &["a", "b"]), ReadDetails::default()));
     let freshness = Arc::new(KeyFreshness::new(
         Some(REVOCATION_MS),
         Arc::clone(&clock) as _,
@@ -234,7 +241,7 @@
 /// queue, for example in an instance that was suspended.
 #[test]
 fn queued_transactions_need_a_fresh_proof_and_a_known_key() {
-    let withdraw: fn(&Fixture) = |store| assert!(store.configuration.apply(routes(2, &["b"])));
+    let withdraw: fn(&Fixture) = |store| store.configure(routes(2, &["b"]));
     for (change, err) in [
         (expire as fn(&Fixture), AccessError::StaleProof),
         (withdraw, AccessError::UnknownKey),
@@ -259,7 +266,7 @@
 #[test]
 fn withdrawn_keys_are_noticed_before_the_transaction() {
     let (frontend, store) = frontend();
-    assert!(store.configuration.apply(routes(2, &["b"])));
+    store.configure(routes(2, &["b"]));
     let submitted = submit(&frontend, &caller("a"));
     assert_eq!(submitted, SubmitOutcome::Denied(AccessError::UnknownKey));
     assert_eq!(*lock(&store.writes), []);
@@ -277,7 +284,7 @@
     assert_eq!(state, StateOutcome::Denied(denied));
     let cancelled = block_on(frontend.cancel(&caller, &id(), deadline()));
     assert_eq!(cancelled, CancelOutcome::Denied(denied));
-    assert!(store.configuration.apply(CellRoutes::new(2, [])));
+    store.configure(CellRoutes::new(2, []));
     assert_eq!(submit(&frontend, &caller), SubmitOutcome::Accepted);
 }
 
@@ -376,7 +383,7 @@
 #[test]
 fn conflicts_cost_no_read_without_workspaces() {
     let (frontend, store) = frontend();
-    assert!(store.configuration.apply(CellRoutes::new(2, [])));
+    store.configure(CellRoutes::new(2, []));
     lock(&store.rows).insert(job_key(&id()), Arc::from(""));
     assert_eq!(
         submit(&frontend, &Caller::Unrestricted),
@@ -409,7 +416,7 @@
             let cancelled = block_on(frontend.cancel(caller, &id(), deadline()));
             assert_eq!(cancelled, CancelOutcome::Refused, "{job}");
         }
-        assert!(store.configuration.apply(CellRoutes::new(2, [])));
+        store.configure(CellRoutes::new(2, []));
         assert_eq!(get(&Caller::Unrestricted), StateOutcome::Known(known));
         let submitted = submit(&frontend, &Caller::Unrestricted);
         assert_eq!(submitted, SubmitOutcome::Accepted);
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -36,6 +36,7 @@
     terms: Counter<u64>,
     leader_term: Gauge<u64>,
     configuration: Gauge<u64>,
+    configuration_reads: Counter<u64>,
     unknown_keys: Counter<u64>,
     stale_proofs: Counter<u64>,
     workspace_refusals: Counter<u64>,
@@ -103,6 +104,10 @@
                 "requests not run because the configuration was not proven to be the newest",
             ),
             configuration: gauge("configuration_version", "configuration in force"),
+            configuration_reads: counter(
+                "configuration_reads",
+                "reads of the configuration by result",
+            ),
             workspace_refusals: counter(
                 "workspace_refusals",
                 "jobs refused because of the load, by workspace and reason",
@@ -218,6 +223,11 @@
         }
     }
 
+    pub(crate) fn record_configuration_read(&self, result: &'static str) {
+        self.configuration_reads
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn set_configuration(&self, version: u64) {
         self.configuration.record(version, &[]);
     }
