Take the last of several changes of a row in one response of the change feed

Callers got 404 for a route that an acknowledged configuration had, for up to 7 s: an instance that was suspended while the configuration changed four times applied the first of them (84) and never the last (92). In a cell with workspaces such an instance also accepted a withdrawn key, because the older configuration counted as a proof.

Cause: the store's feed lists every change of a row, in order. The adapter took the first entry with the name of the configuration's row, as if the response were a state, and continued after the version of the response, which is past all entries.

ChangeFeed::changes now promises each row once, with its last change, and the adapter keeps that promise, so that no reader of any table can meet a superseded entry. The other readers (leader's row and load, jobs and cancellations) apply entries in order and were right before; they do less work now.

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -217,8 +217,8 @@
     pub store_version: u64,
     /// Version of the configuration's row; 0 if the response does not contain it.
     pub row_version: u64,
-    /// Number of changes of the row that the response lists.
-    pub changes: usize,
+    /// Number of changes of the operators' rows that the response left out because the same row changed again.
+    pub superseded: usize,
 }
 
 impl CellRoutes {
--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -32,8 +32,8 @@
     pub(crate) row_version: u64,
     /// Version of the store after which changes are followed.
     pub(crate) store_version: u64,
-    /// Number of changes of the row that the response lists.
-    pub(crate) changes: usize,
+    /// Number of changes that the response left out because the same row changed again.
+    pub(crate) superseded: usize,
     /// Time from the call to its response, in ms.
     pub(crate) took_ms: u64,
 }
@@ -89,14 +89,14 @@
             if self.refused_version.swap(routes.version, Relaxed) != routes.version {
                 log_event!(self.log, CONFIGURATION_NOT_APPLIED; "version" => routes.version,
                     "current_version" => current.version, "row_version" => read.row_version,
-                    "changes" => read.changes);
+                    "superseded" => read.superseded);
             }
             return false;
         }
         self.refused_version.store(u64::MAX, Relaxed);
         log_event!(self.log, CONFIGURATION_APPLIED; "version" => routes.version,
             "former_version" => current.version, "row_version" => read.row_version,
-            "store_version" => read.store_version, "changes" => read.changes,
+            "store_version" => read.store_version, "superseded" => read.superseded,
             "took_ms" => read.took_ms,
             "unchanged_reads" => self.unchanged_reads.swap(0, Relaxed));
         self.metrics.set_configuration(routes.version);
@@ -114,7 +114,7 @@
     let details = ReadDetails {
         row_version: response.row_version,
         store_version: response.store_version,
-        changes: response.changes,
+        superseded: response.superseded,
         took_ms: cell.freshness.now_ms().saturating_sub(sent_ms),
     };
     let result = match response.read {
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -322,8 +322,8 @@
             })
             .collect();
         let mut all = TableRows {
-            rows: Vec::new(),
             version: u64::MAX,
+            ..TableRows::default()
         };
         for read in reads {
             let part = read.await?;
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -205,6 +205,8 @@
     pub rows: Vec<ChangedRow>,
     /// Version of the store; [`ChangeFeed::changes`] returns the changes after it.
     pub version: u64,
+    /// Number of changes that are left out because the same row changed again later.
+    pub superseded: usize,
 }
 
 /// Failure to read the changes of a table.
@@ -225,7 +227,8 @@
 pub trait ChangeFeed: Send + Sync {
     /// Reads all rows of a part of a table.
     async fn part(&self, table: &str, part: &str) -> Result<TableRows, PlatformError>;
-    /// Long-polls for up to `wait` for rows of a table, in any part, that changed after the store's version `after`.
+    /// Long-polls for up to `wait` for rows of a table, in any part, that changed after the store's version `after`. Each
+    /// row is returned once, with its last change, in the order of these changes.
     async fn changes(
         &self,
         table: &str,
