--- a/crates/model/src/resources.rs
+++ b/crates/model/src/resources.rs
@@ -23,6 +23,10 @@
 }
 
 impl Resources {
+    /// Most of each resource that one machine can have. The sum over a hundred thousand machines, also in percent, is
+    /// below 2^64.
+    pub const MAX_PER_MACHINE: u64 = 1 << 40;
+
     /// Zero of every resource.
     pub const ZERO: Self = Self {
         milli_cores: 0,
@@ -56,6 +60,14 @@
         }
     }
 
+    /// Whether a machine can have these resources; see [`Self::MAX_PER_MACHINE`].
+    #[must_use]
+    pub const fn is_capacity(&self) -> bool {
+        self.milli_cores <= Self::MAX_PER_MACHINE
+            && self.memory_mib <= Self::MAX_PER_MACHINE
+            && self.accelerators <= Self::MAX_PER_MACHINE
+    }
+
     /// Whether every resource is at most the same resource of `available`.
     #[must_use]
     pub const fn fits_in(&self, available: &Self) -> bool {
