Read each entry of the instance list on its own

Another operator reported one odd entry (deeply nested, a number too large, a port out of range) after which the processes that read the list stopped following it. An instance of `ragwortreel serve` did: the list was parsed as a whole, so that one such entry failed every read (1618) and the instance kept its former list until the entry was gone: new backend servers got no requests and workers that had left stayed listed.

Entries are now parsed one by one; those that cannot be read, whose port is 0 or whose capacity no machine can have are left out, with one line (1205) when they change.

--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -5,15 +5,20 @@
 //! connections can stop responding while new ones work.
 
 use {
-    crate::api::{
-        InstanceList, ListedInstance, ObjectStore, PlatformError, Row, TableService, Txn,
-        TxnOutcome,
+    crate::{
+        api::{
+            InstanceList, ListedInstance, ListedRole, ObjectStore, PlatformError, Row,
+            TableService, Txn, TxnOutcome,
+        },
+        events::LISTED_ENTRY_UNREADABLE,
     },
     async_trait::async_trait,
     percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
     ragwortreel_http::{Client, ClientLimits, Method, Request, Response, parse_json},
     ragwortreel_model::Zone,
+    ragwortreel_runtime::{Logger, discard_logger, lock, log_event},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::value::RawValue,
     std::{
         net::SocketAddr,
         sync::{Mutex, MutexGuard, PoisonError},
@@ -53,6 +58,13 @@
     pub instances: Vec<ListedInstance>,
 }
 
+/// Body of the response to `GET /instances`, whose entries are not parsed yet.
+#[derive(Debug, Deserialize)]
+struct RawInstances<'a> {
+    #[serde(borrow)]
+    instances: Vec<&'a RawValue>,
+}
+
 /// Client of the table service, the object store and the instance list at one address.
 #[derive(Debug)]
 pub struct HttpPlatform {
@@ -62,6 +74,9 @@
     client: Client,
     /// Last instance list with its entity tag, for conditional requests.
     cached_list: Mutex<Option<CachedList>>,
+    /// Entries that were left out of the last list, so that they are logged only when they change.
+    unreadable: Mutex<Option<UnreadableEntries>>,
+    log: Logger,
 }
 
 #[derive(Debug)]
@@ -70,6 +85,15 @@
     instances: Vec<ListedInstance>,
 }
 
+/// Entries of the instance list that are left out.
+#[derive(Debug, PartialEq, Eq)]
+struct UnreadableEntries {
+    count: usize,
+    /// Index of the first one in the list, and its problem.
+    first_index: usize,
+    first_problem: String,
+}
+
 impl HttpPlatform {
     /// Creates a client for a caller in `zone`; connections are opened on first use.
     #[must_use]
@@ -83,9 +107,17 @@
                 ..ClientLimits::default()
             }),
             cached_list: Mutex::default(),
+            unreadable: Mutex::default(),
+            log: discard_logger(),
         }
     }
 
+    /// Logs entries of the instance list that cannot be read.
+    #[must_use]
+    pub fn with_log(self, log: Logger) -> Self {
+        Self { log, ..self }
+    }
+
     async fn send(&self, step: &'static str, req: Request) -> Result<Response, PlatformError> {
         let req = req.with_header(ZONE_HEADER, self.zone.as_str());
         let deadline = Instant::now() + self.call_timeout;
@@ -204,17 +236,74 @@
             let instances = cached.as_ref().map(|cached| cached.instances.clone());
             return instances.ok_or_else(|| self.unknown(step, "unchanged, but never read before"));
         }
-        let answer: InstancesResponse = self.parse(step, &response)?;
+        let instances = self.parse_list(step, &response)?;
         let cache = |etag: &str| CachedList {
             etag: etag.to_owned(),
-            instances: answer.instances.clone(),
+            instances: instances.clone(),
         };
         *self.lock_cached_list() = response.headers.get("etag").map(cache);
-        Ok(answer.instances)
+        Ok(instances)
+    }
+}
+
+/// Parses an entry of the instance list.
+fn parse_entry(json: &str) -> Result<ListedInstance, String> {
+    let entry: ListedInstance =
+        parse_json(json.as_bytes(), MAX_RESPONSE_BYTES).map_err(|err| err.to_string())?;
+    if entry.address.port() == 0 {
+        return Err("the port is out of range".to_owned());
+    }
+    match &entry.role {
+        ListedRole::Worker { capacity, .. } if !capacity.is_capacity() => {
+            Err(format!("a capacity of {capacity} is out of range"))
+        }
+        _ => Ok(entry),
     }
 }
 
 impl HttpPlatform {
+    /// Parses each entry of the instance list on its own, and leaves out those that cannot be read.
+    fn parse_list(
+        &self,
+        step: &'static str,
+        response: &Response,
+    ) -> Result<Vec<ListedInstance>, PlatformError> {
+        if !response.is_success() {
+            return Err(self.not_done(step, &status_problem(response)));
+        }
+        let raw: RawInstances = serde_json::from_slice(&response.body)
+            .map_err(|err| self.unknown(step, &err.to_string()))?;
+        let mut instances = Vec::with_capacity(raw.instances.len());
+        let mut unreadable: Option<UnreadableEntries> = None;
+        for (index, entry) in raw.instances.iter().enumerate() {
+            match (parse_entry(entry.get()), &mut unreadable) {
+                (Ok(entry), _) => instances.push(entry),
+                (Err(_), Some(it)) => it.count += 1,
+                (Err(problem), None) => {
+                    unreadable = Some(UnreadableEntries {
+                        count: 1,
+                        first_index: index,
+                        first_problem: problem,
+                    });
+                }
+            }
+        }
+        self.log_unreadable(unreadable);
+        Ok(instances)
+    }
+
+    fn log_unreadable(&self, unreadable: Option<UnreadableEntries>) {
+        let mut logged = lock(&self.unreadable);
+        if *logged == unreadable {
+            return;
+        }
+        if let Some(it) = &unreadable {
+            log_event!(self.log, LISTED_ENTRY_UNREADABLE; "entries" => it.count,
+                "first_index" => it.first_index, "problem" => it.first_problem.clone());
+        }
+        *logged = unreadable;
+    }
+
     fn lock_cached_list(&self) -> MutexGuard<'_, Option<CachedList>> {
         self.cached_list
             .lock()
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -339,11 +339,9 @@
 impl PlatformClients {
     fn new(config: &Config, log: &Logger) -> Self {
         let client = |address| {
-            Arc::new(HttpPlatform::new(
-                address,
-                config.zone.clone(),
-                PLATFORM_CALL_TIMEOUT,
-            ))
+            let zone = config.zone.clone();
+            let client = HttpPlatform::new(address, zone, PLATFORM_CALL_TIMEOUT);
+            Arc::new(client.with_log(log.clone()))
         };
         // The control plane and the claims use separate queues, so that a burst of claims never delays a lease renewal.
         let resilient = |(writes_per_s, reads_per_s)| {
