--- a/crates/dispatch/src/configuration/tests.rs
+++ b/crates/dispatch/src/configuration/tests.rs
@@ -22,11 +22,12 @@
     let meter = opentelemetry::global::meter("test");
     let metrics = Arc::new(CellMetrics::new(&meter));
     let configuration = Configuration::new(metrics, discard_logger());
-    assert!(configuration.apply(routes(2, "k"), ReadDetails::default()));
-    assert!(configuration.apply(routes(2, "k"), ReadDetails::default()));
-    assert!(!configuration.apply(routes(2, "other"), ReadDetails::default()));
-    assert!(!configuration.apply(routes(1, "k"), ReadDetails::default()));
+    let apply = |routes| configuration.apply(routes, ReadDetails::default());
+    assert!(apply(routes(2, "k")));
+    assert!(apply(routes(2, "k")));
+    assert!(!apply(routes(2, "other")));
+    assert!(!apply(routes(1, "k")));
     assert_eq!(*configuration.routes(), routes(2, "k"));
-    assert!(configuration.apply(routes(3, "other"), ReadDetails::default()));
+    assert!(apply(routes(3, "other")));
     assert_eq!(*configuration.routes(), routes(3, "other"));
 }
--- a/crates/model/src/resources.rs
+++ b/crates/model/src/resources.rs
@@ -23,9 +23,9 @@
 }
 
 impl Resources {
-    /// Most of each resource that one machine can have. The sum over a hundred thousand machines, also in percent, is
+    /// Most of each resource that one worker can have. The sum over a hundred thousand workers, also in percent, is
     /// below 2^64.
-    pub const MAX_PER_MACHINE: u64 = 1 << 40;
+    pub const MAX_PER_WORKER: u64 = 1 << 40;
 
     /// Zero of every resource.
     pub const ZERO: Self = Self {
@@ -60,12 +60,12 @@
         }
     }
 
-    /// Whether a machine can have these resources; see [`Self::MAX_PER_MACHINE`].
+    /// Whether a worker can have these resources; see [`Self::MAX_PER_WORKER`].
     #[must_use]
-    pub const fn is_capacity(&self) -> bool {
-        self.milli_cores <= Self::MAX_PER_MACHINE
-            && self.memory_mib <= Self::MAX_PER_MACHINE
-            && self.accelerators <= Self::MAX_PER_MACHINE
+    pub const fn is_worker_capacity(&self) -> bool {
+        self.milli_cores <= Self::MAX_PER_WORKER
+            && self.memory_mib <= Self::MAX_PER_WORKER
+            && self.accelerators <= Self::MAX_PER_WORKER
     }
 
     /// Whether every resource is at most the same resource of `available`.
--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -254,7 +254,7 @@
         return Err("the port is out of range".to_owned());
     }
     match &entry.role {
-        ListedRole::Worker { capacity, .. } if !capacity.is_capacity() => {
+        ListedRole::Worker { capacity, .. } if !capacity.is_worker_capacity() => {
             Err(format!("a capacity of {capacity} is out of range"))
         }
         _ => Ok(entry),
