--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -219,6 +219,10 @@
     pub row_version: u64,
     /// Number of changes of the operators' rows that the response left out because the same row changed again.
     pub superseded: usize,
+    /// Size of the configuration; 0 if the response does not contain it.
+    pub bytes: usize,
+    /// Bytes received for this read, by all copies of its calls.
+    pub received_bytes: u64,
 }
 
 impl CellRoutes {
--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -36,6 +36,10 @@
     pub(crate) superseded: usize,
     /// Time from the call to its response, in ms.
     pub(crate) took_ms: u64,
+    /// Size of the configuration.
+    pub(crate) bytes: usize,
+    /// Bytes received for the read, by all copies of its calls.
+    pub(crate) received_bytes: u64,
 }
 
 /// Configuration in force.
@@ -97,7 +101,8 @@
         log_event!(self.log, CONFIGURATION_APPLIED; "version" => routes.version,
             "former_version" => current.version, "row_version" => read.row_version,
             "store_version" => read.store_version, "superseded" => read.superseded,
-            "took_ms" => read.took_ms,
+            "took_ms" => read.took_ms, "bytes" => read.bytes,
+            "received_bytes" => read.received_bytes,
             "unchanged_reads" => self.unchanged_reads.swap(0, Relaxed));
         self.metrics.set_configuration(routes.version);
         *current = Arc::new(routes);
@@ -115,6 +120,8 @@
         row_version: response.row_version,
         store_version: response.store_version,
         superseded: response.superseded,
+        bytes: response.bytes,
+        received_bytes: response.received_bytes,
         took_ms: cell.freshness.now_ms().saturating_sub(sent_ms),
     };
     let result = match response.read {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,7 +1,9 @@
 //! Client with a small pool of idle connections.
 
 use {
-    crate::{ClientError, ClientErrorCause, ClientLimits, Connection, Request, Response, Sent},
+    crate::{
+        ClientError, ClientErrorCause, ClientLimits, Connection, Request, Response, Sent, Transfer,
+    },
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -60,15 +62,33 @@
         req: Request,
         deadline: Instant,
     ) -> Result<Response, ClientError> {
+        self.send_tracked(addr, req, deadline, &Transfer::default())
+            .await
+    }
+
+    /// Like [`Self::send`], and records what is received.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no complete response arrives by the deadline; its `sent` field says whether any
+    /// byte of the request was sent.
+    pub async fn send_tracked(
+        &self,
+        addr: SocketAddr,
+        req: Request,
+        deadline: Instant,
+        transfer: &Transfer,
+    ) -> Result<Response, ClientError> {
+        transfer.record_copy();
         while let Some(connection) = self.take_idle(addr) {
-            match self.exchange(connection, &req, deadline).await {
+            match self.exchange(connection, &req, deadline, transfer).await {
                 // The connection broke while it was idle. Nothing was sent, so the request is retried on another one.
                 Err(err) if err.sent == Sent::Nothing && Instant::now() < deadline => {}
                 result => return result,
             }
         }
         let connection = Connection::connect(addr, &self.limits, deadline).await?;
-        self.exchange(connection, &req, deadline).await
+        self.exchange(connection, &req, deadline, transfer).await
     }
 
     fn close_idle(&self, addr: SocketAddr) {
@@ -86,8 +106,9 @@
         mut connection: Connection,
         req: &Request,
         deadline: Instant,
+        transfer: &Transfer,
     ) -> Result<Response, ClientError> {
-        let result = connection.exchange(req, deadline).await;
+        let result = connection.exchange_tracked(req, deadline, transfer).await;
         if matches!(&result, Err(err) if matches!(err.cause, ClientErrorCause::Deadline)) {
             self.close_idle(connection.peer());
         }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         ClientError, ClientErrorCause, ClientLimits, DeadlineTimer, ExchangeStep, MessageError,
-        Method, ReadError, Request, Response, Sent,
+        Method, ReadError, Request, Response, Sent, Transfer,
         codec::{decode_response, encode_request_head},
         reader::{MessageReader, ReadLimits},
         stream::{Progress, Stream},
@@ -12,8 +12,10 @@
     futures_lite::AsyncWriteExt,
     ragwortreel_runtime::{timeout_at, traffic::HTTP_CLIENT},
     std::{
+        future::{Future, poll_fn},
         io, mem,
         net::{SocketAddr, TcpStream},
+        pin::pin,
         sync::Arc,
         time::Instant,
     },
@@ -125,6 +127,22 @@
         &mut self,
         request: &Request,
         deadline: Instant,
+    ) -> Result<Response, ClientError> {
+        self.exchange_tracked(request, deadline, &Transfer::default())
+            .await
+    }
+
+    /// Like [`Self::exchange`], and records what is received.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no complete response arrives by the deadline; its `sent` field says whether any
+    /// byte of the request was sent.
+    pub async fn exchange_tracked(
+        &mut self,
+        request: &Request,
+        deadline: Instant,
+        transfer: &Transfer,
     ) -> Result<Response, ClientError> {
         self.step = ExchangeStep::Encode;
         self.sent = Sent::Nothing;
@@ -136,9 +154,9 @@
         // Moved out, because `send_and_receive` borrows `self`. If the future is dropped, a default timer remains,
         // which is not used any more.
         let mut timer = mem::take(&mut self.timer);
-        let result = timer
-            .timeout_at(deadline, self.send_and_receive(request))
-            .await;
+        let progress = self.progress();
+        let exchange = record_received(transfer, &progress, self.send_and_receive(request));
+        let result = timer.timeout_at(deadline, exchange).await;
         self.timer = timer;
         match result {
             Ok(Ok((response, reusable))) => {
@@ -224,6 +242,26 @@
     }
 }
 
+/// Runs a future and records what the connection receives meanwhile, also if the future is dropped.
+async fn record_received<T>(
+    transfer: &Transfer,
+    progress: &Progress,
+    future: impl Future<Output = T>,
+) -> T {
+    let mut future = pin!(future);
+    let mut recorded = progress.read();
+    poll_fn(|cx| {
+        let output = future.as_mut().poll(cx);
+        let read = progress.read();
+        if read > recorded {
+            transfer.record_bytes(read - recorded);
+            recorded = read;
+        }
+        output
+    })
+    .await
+}
+
 impl From<ReadError> for ClientErrorCause {
     fn from(err: ReadError) -> Self {
         match err {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,6 +18,7 @@
 mod reader;
 mod server;
 mod stream;
+mod transfer;
 
 pub use client::Client;
 pub use connection::Connection;
@@ -30,3 +31,4 @@
 pub use message::{Headers, Method, Request, Response};
 pub use server::{Handler, Server};
 pub use stream::Progress;
+pub use transfer::Transfer;
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -207,6 +207,8 @@
     pub version: u64,
     /// Number of changes that are left out because the same row changed again later.
     pub superseded: usize,
+    /// Bytes received from the service, by all copies of the calls.
+    pub received_bytes: u64,
 }
 
 /// Failure to read the changes of a table.
