Let a response of the store arrive while its bytes keep coming

What callers saw: instances on links of 10 Mbit/s kept an old configuration after it had grown to 5,600 routes. They answered 404 for new routes, ran removed ones, and in cells with workspaces accepted no key at all, so that jobs could not be read.

Cause: a read of the store had 1.5 s for its whole response, and was sent again after 0.25 s and more although its response was arriving. The copies divide the link of the instance, so none is complete when the deadline passes, and each further attempt begins anew. The class of the fault: a timeout, and a retry, that do not tell a silent peer from a response whose transfer takes time in proportion to its size.

Ruled out: the store refuses or is slow (no status 429 or 503; instances on 200 Mbit/s read the same configuration in 0.1 s), decoding is slow (the responses never arrived whole), a lost connection (reads fail 3 s before the reset).

Why this works: the deadline of a call now bounds the time without a response, as before. Once bytes arrive, it is put off until none has come for 0.5 s, by 30 s at most, and a copy is sent only when none has come for 0.1 s. A call without a response still fails after 1.5 s and is copied after 0.25 s. Small responses arrive at once, so calls and bytes do not change where configurations are small.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -66,11 +66,11 @@
             .await
     }
 
-    /// Like [`Self::send`], and records what is received.
+    /// Like [`Self::send`], and records what is received; the deadline is extended as [`Transfer`] allows.
     ///
     /// # Errors
     ///
-    /// Returns an error when no complete response arrives by the deadline; its `sent` field says whether any
+    /// Returns an error when no complete response arrives by the extended deadline; its `sent` field says whether any
     /// byte of the request was sent.
     pub async fn send_tracked(
         &self,
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -132,11 +132,11 @@
             .await
     }
 
-    /// Like [`Self::exchange`], and records what is received.
+    /// Like [`Self::exchange`], and records what is received; the deadline is extended as [`Transfer`] allows.
     ///
     /// # Errors
     ///
-    /// Returns an error when no complete response arrives by the deadline; its `sent` field says whether any
+    /// Returns an error when no complete response arrives by the extended deadline; its `sent` field says whether any
     /// byte of the request was sent.
     pub async fn exchange_tracked(
         &mut self,
@@ -156,7 +156,8 @@
         let mut timer = mem::take(&mut self.timer);
         let progress = self.progress();
         let exchange = record_received(transfer, &progress, self.send_and_receive(request));
-        let result = timer.timeout_at(deadline, exchange).await;
+        let extended = || transfer.extended(deadline);
+        let result = timer.timeout_when(extended, exchange).await;
         self.timer = timer;
         match result {
             Ok(Ok((response, reusable))) => {
--- a/crates/http/src/deadline_timer.rs
+++ b/crates/http/src/deadline_timer.rs
@@ -42,11 +42,24 @@
         &mut self,
         deadline: Instant,
         future: impl Future<Output = T>,
+    ) -> Result<T, Elapsed> {
+        self.timeout_when(|| deadline, future).await
+    }
+
+    /// Runs a future until it completes or the deadline is reached, which may be put off while the future runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Elapsed`] if the deadline is reached first.
+    pub async fn timeout_when<T>(
+        &mut self,
+        deadline: impl Fn() -> Instant,
+        future: impl Future<Output = T>,
     ) -> Result<T, Elapsed> {
         let mut future = pin!(future);
         poll_fn(|cx| match future.as_mut().poll(cx) {
             Poll::Ready(output) => Poll::Ready(Ok(output)),
-            Poll::Pending => self.poll_deadline(deadline, cx).map(|()| Err(Elapsed)),
+            Poll::Pending => self.poll_deadline(deadline(), cx).map(|()| Err(Elapsed)),
         })
         .await
     }
--- a/crates/http/src/transfer.rs
+++ b/crates/http/src/transfer.rs
@@ -2,12 +2,18 @@
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// Bytes received in response to a call, by all its copies. Shared by reference.
+///
+/// The time that a response takes grows with its size, so the deadline of a call bounds only the time without a
+/// response. A response that is arriving may take longer: until no byte has arrived for the stall timeout, or until it
+/// exceeds the deadline by the longest extension.
 #[derive(Debug, Default)]
 pub struct Transfer {
+    stall_timeout: Duration,
+    max_extension: Duration,
     // Locked only to read or update it, never across an await.
     state: Mutex<State>,
 }
@@ -20,6 +26,29 @@
 }
 
 impl Transfer {
+    /// Creates the state of a call whose deadline may be extended; that of [`Self::default`] is not.
+    #[must_use]
+    pub fn new(stall_timeout: Duration, max_extension: Duration) -> Self {
+        Self {
+            stall_timeout,
+            max_extension,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Time of the last byte; `None` before the first one.
+    #[must_use]
+    pub fn last_received(&self) -> Option<Instant> {
+        self.lock().last_received
+    }
+
+    /// Deadline of the call, extended while bytes arrive.
+    pub(crate) fn extended(&self, deadline: Instant) -> Instant {
+        let stalled = self.last_received().map(|last| last + self.stall_timeout);
+        let extended = stalled.map(|at| at.min(deadline + self.max_extension));
+        extended.map_or(deadline, |at| at.max(deadline))
+    }
+
     /// Number of copies that were sent.
     #[must_use]
     pub fn copies(&self) -> u32 {
--- a/crates/platform/src/hedge.rs
+++ b/crates/platform/src/hedge.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::api::PlatformError,
-    ragwortreel_runtime::sleep_ms,
+    ragwortreel_runtime::sleep,
     std::{
         future::{Future, poll_fn},
         pin::Pin,
@@ -81,6 +81,21 @@
     hedge_bounded(delays_ms.iter().copied(), usize::MAX, attempt).await
 }
 
+/// Like [`hedge`], for responses that may take long to arrive: a copy that is due while one is arriving would only divide
+/// its link. `receiving_until` returns the time until which a response counts as arriving; a copy is put off until then.
+///
+/// # Errors
+///
+/// Returns the error of the last copy once all copies that were sent have failed; no further copies are sent then.
+pub async fn hedge_unless_receiving<T, E, F: Future<Output = Result<T, E>>>(
+    delays_ms: &[u64],
+    receiving_until: impl Fn() -> Option<Instant>,
+    attempt: impl FnMut(usize) -> F,
+) -> Result<T, E> {
+    let delays_ms = delays_ms.iter().copied();
+    send_copies(delays_ms, usize::MAX, receiving_until, attempt).await
+}
+
 /// Like [`hedge`], with delays that may go on without end. A copy that is due while `max_pending` copies are pending is
 /// left out.
 ///
@@ -90,12 +105,23 @@
 pub async fn hedge_bounded<T, E, F: Future<Output = Result<T, E>>>(
     delays_ms: impl IntoIterator<Item = u64>,
     max_pending: usize,
+    attempt: impl FnMut(usize) -> F,
+) -> Result<T, E> {
+    send_copies(delays_ms, max_pending, || None, attempt).await
+}
+
+async fn send_copies<T, E, F: Future<Output = Result<T, E>>>(
+    delays_ms: impl IntoIterator<Item = u64>,
+    max_pending: usize,
+    receiving_until: impl Fn() -> Option<Instant>,
     mut attempt: impl FnMut(usize) -> F,
 ) -> Result<T, E> {
     let mut pending: Vec<Pin<Box<F>>> = vec![Box::pin(attempt(0))];
     let mut delays = delays_ms.into_iter();
     let mut sent = 1;
-    let mut timer = delays.next().map(|ms| Box::pin(sleep_ms(ms)));
+    let mut timer = delays
+        .next()
+        .map(|ms| Box::pin(sleep(Duration::from_millis(ms))));
     loop {
         let event = poll_fn(|cx| {
             for (index, it) in pending.iter_mut().enumerate() {
@@ -120,11 +146,18 @@
                 }
             }
             Event::Due => {
+                let now = Instant::now();
+                if let Some(until) = receiving_until().filter(|until| *until > now) {
+                    timer = Some(Box::pin(sleep(until - now)));
+                    continue;
+                }
                 if pending.len() < max_pending {
                     pending.push(Box::pin(attempt(sent)));
                     sent += 1;
                 }
-                timer = delays.next().map(|ms| Box::pin(sleep_ms(ms)));
+                timer = delays
+                    .next()
+                    .map(|ms| Box::pin(sleep(Duration::from_millis(ms))));
             }
         }
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,7 +21,7 @@
         TableService, Txn, TxnOutcome, Write,
     },
     circuit_breaker::{BreakerTransition, CircuitBreaker},
-    hedge::{ResponseTimes, hedge, hedge_bounded},
+    hedge::{ResponseTimes, hedge, hedge_bounded, hedge_unless_receiving},
     http_client::{HttpPlatform, InstancesResponse, RowResponse, RowsResponse, ZONE_HEADER},
     rate_limiter::RateLimiter,
     read_back::{ReadBackOutcome, read_back},
