Send no copies of a partition's read while the others arrive

An instance that takes over reads 64 partitions of jobs at once. On a slow link each of them waits for its turn for longer than the delay of a copy, and the copies take their share of the link as well.

Reads of partitions count as one group now: a copy of one is put off while bytes of any arrive. The deadline of a call is extended by its own bytes only.

--- a/crates/http/src/transfer.rs
+++ b/crates/http/src/transfer.rs
@@ -1,7 +1,7 @@
 //! Progress of the responses to one call, also to several copies of it.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -14,6 +14,7 @@
 pub struct Transfer {
     stall_timeout: Duration,
     max_extension: Duration,
+    group: Option<Arc<Transfer>>,
     // Locked only to read or update it, never across an await.
     state: Mutex<State>,
 }
@@ -32,19 +33,29 @@
         Self {
             stall_timeout,
             max_extension,
+            group: None,
             state: Mutex::default(),
         }
     }
 
-    /// Time of the last byte; `None` before the first one.
+    /// Counts this call among those of a group, which are made at the same time and divide a link.
+    #[must_use]
+    pub fn in_group(mut self, group: &Arc<Self>) -> Self {
+        self.group = Some(Arc::clone(group));
+        self
+    }
+
+    /// Time of the last byte of this call or of its group; `None` before the first one.
     #[must_use]
     pub fn last_received(&self) -> Option<Instant> {
-        self.lock().last_received
+        let group = self.group.as_ref().and_then(|it| it.last_received());
+        self.lock().last_received.max(group)
     }
 
     /// Deadline of the call, extended while bytes arrive.
     pub(crate) fn extended(&self, deadline: Instant) -> Instant {
-        let stalled = self.last_received().map(|last| last + self.stall_timeout);
+        let last_received = self.lock().last_received;
+        let stalled = last_received.map(|last| last + self.stall_timeout);
         let extended = stalled.map(|at| at.min(deadline + self.max_extension));
         extended.map_or(deadline, |at| at.max(deadline))
     }
@@ -66,6 +77,9 @@
     }
 
     pub(crate) fn record_bytes(&self, count: u64) {
+        if let Some(group) = &self.group {
+            group.record_bytes(count);
+        }
         let mut state = self.lock();
         state.bytes += count;
         state.last_received = Some(Instant::now());
