Read a large configuration alone when several versions were missed

What callers would see: an instance on a slow link that was suspended, or that transfers one version while others follow, stays seconds behind: 404 for new routes, old routes served.

Cause: the change feed lists each version of the configuration with its whole value. Those that later ones replaced are dropped after the transfer, which takes as long as all of them together, and meanwhile further ones follow.

Why this works: the length that the response declares is checked before its body.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -174,6 +174,11 @@
                 cell.deps.metrics.record_configuration_read("history-gone");
                 after = None;
             }
+            Err(FeedError::TooLarge) => {
+                cell.health.record_success("read configuration");
+                cell.deps.metrics.record_configuration_read("too-large");
+                after = None;
+            }
             Err(FeedError::Failed(err)) => {
                 cell.health.record_failure("read configuration", &err);
                 cell.deps.metrics.record_configuration_read("failed");
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -100,7 +100,7 @@
                 self.lead_if_needed().await;
                 sleep_ms(self.poll_interval_ms()).await;
             }
-            Err(FeedError::HistoryGone) => self.cursor = None,
+            Err(FeedError::HistoryGone | FeedError::TooLarge) => self.cursor = None,
             Err(FeedError::Failed(err)) => {
                 self.cell.health.record_failure("follow leader", &err);
                 self.is_store_lost = true;
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -422,7 +422,7 @@
                     self.jobs_read_ms.store(sent_ms, Ordering::Relaxed);
                     rows
                 }
-                Err(FeedError::HistoryGone) => match self.read_jobs().await {
+                Err(FeedError::HistoryGone | FeedError::TooLarge) => match self.read_jobs().await {
                     Ok(rows) => rows,
                     Err(err) => {
                         self.cell.health.record_failure("read jobs", &err);
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -5,6 +5,7 @@
         ClientError, ClientErrorCause, ClientLimits, DeadlineTimer, ExchangeStep, MessageError,
         Method, ReadError, Request, Response, Sent, Transfer,
         codec::{decode_response, encode_request_head},
+        head::Framing,
         reader::{MessageReader, ReadLimits},
         stream::{Progress, Stream},
     },
@@ -155,7 +156,8 @@
         // which is not used any more.
         let mut timer = mem::take(&mut self.timer);
         let progress = self.progress();
-        let exchange = record_received(transfer, &progress, self.send_and_receive(request));
+        let exchange = self.send_and_receive(request, transfer);
+        let exchange = record_received(transfer, &progress, exchange);
         let extended = || transfer.extended(deadline);
         let result = timer.timeout_when(extended, exchange).await;
         self.timer = timer;
@@ -173,6 +175,7 @@
     async fn send_and_receive(
         &mut self,
         request: &Request,
+        transfer: &Transfer,
     ) -> Result<(Response, bool), ClientErrorCause> {
         let mut head =
             encode_request_head(request, self.peer).map_err(ClientErrorCause::InvalidRequest)?;
@@ -186,10 +189,10 @@
             written = self.write(&request.body).await;
         }
         match written {
-            Ok(()) => self.read_response(request.method).await,
+            Ok(()) => self.read_response(request.method, transfer).await,
             Err(err) if self.sent == Sent::Nothing => Err(ClientErrorCause::Io(err)),
             // A server that rejects a request may respond and close before it has read the whole body.
-            Err(err) => match self.read_response(request.method).await {
+            Err(err) => match self.read_response(request.method, transfer).await {
                 Ok((response, _)) => Ok((response, false)),
                 Err(_) => Err(ClientErrorCause::Io(err)),
             },
@@ -213,6 +216,7 @@
     async fn read_response(
         &mut self,
         method: Method,
+        transfer: &Transfer,
     ) -> Result<(Response, bool), ClientErrorCause> {
         self.step = ExchangeStep::Wait;
         self.reader.wait().await?;
@@ -225,6 +229,9 @@
                 _ => {}
             }
             self.step = ExchangeStep::Body;
+            if let Framing::Length(bytes) = head.framing {
+                transfer.check_body(bytes)?;
+            }
             let reusable = !head.close;
             let body = self.reader.body(head.framing).await?;
             let response = decode_response(head, &body)?;
--- a/crates/http/src/transfer.rs
+++ b/crates/http/src/transfer.rs
@@ -1,8 +1,11 @@
 //! Progress of the responses to one call, also to several copies of it.
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+use {
+    crate::MessageError,
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
 };
 
 /// Bytes received in response to a call, by all its copies. Shared by reference.
@@ -15,6 +18,7 @@
     stall_timeout: Duration,
     max_extension: Duration,
     group: Option<Arc<Transfer>>,
+    max_body_bytes: Option<u64>,
     // Locked only to read or update it, never across an await.
     state: Mutex<State>,
 }
@@ -24,6 +28,7 @@
     copies: u32,
     bytes: u64,
     last_received: Option<Instant>,
+    is_refused: bool,
 }
 
 impl Transfer {
@@ -34,6 +39,7 @@
             stall_timeout,
             max_extension,
             group: None,
+            max_body_bytes: None,
             state: Mutex::default(),
         }
     }
@@ -45,6 +51,19 @@
         self
     }
 
+    /// Refuses a response that declares a larger body, before the body is read.
+    #[must_use]
+    pub fn with_max_body(mut self, bytes: u64) -> Self {
+        self.max_body_bytes = Some(bytes);
+        self
+    }
+
+    /// Whether a response was refused because it declares too large a body.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        self.lock().is_refused
+    }
+
     /// Time of the last byte of this call or of its group; `None` before the first one.
     #[must_use]
     pub fn last_received(&self) -> Option<Instant> {
@@ -72,6 +91,15 @@
         self.lock().bytes
     }
 
+    /// Checks the declared size of a body, and records whether it is too large.
+    pub(crate) fn check_body(&self, bytes: u64) -> Result<(), MessageError> {
+        if self.max_body_bytes.is_some_and(|most| bytes > most) {
+            self.lock().is_refused = true;
+            return Err(MessageError::BodyTooLarge);
+        }
+        Ok(())
+    }
+
     pub(crate) fn record_copy(&self) {
         self.lock().copies += 1;
     }
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -217,6 +217,10 @@
     /// The service no longer keeps the changes since the requested version; the table has to be read again.
     #[display("the history since the version is gone")]
     HistoryGone,
+    /// The changes are much larger than the rows themselves, because the same rows changed several times; the table has to
+    /// be read again.
+    #[display("the changes since the version are too large")]
+    TooLarge,
     /// The call to the service failed.
     #[display("{_0}")]
     Failed(#[error(not(source))] PlatformError),
