Measure the store's response time until the first byte of a response

What callers would see: after an instance on a slow link has received a large configuration, a lost response delays its reads by up to 1.5 s, not 0.25 s, for as long as the long transfer counts as the store's slowest response.

Cause: the delay of copies is computed from the time until a response is complete, which contains its transfer.

Why this works: copies are sent only before the first byte, so only the time until it tells when a response is late. Small responses arrive at once, so their times do not change.

--- a/crates/http/src/transfer.rs
+++ b/crates/http/src/transfer.rs
@@ -27,6 +27,7 @@
 struct State {
     copies: u32,
     bytes: u64,
+    first_received: Option<Instant>,
     last_received: Option<Instant>,
     is_refused: bool,
 }
@@ -64,6 +65,12 @@
         self.lock().is_refused
     }
 
+    /// Time of the first byte; `None` before it.
+    #[must_use]
+    pub fn first_received(&self) -> Option<Instant> {
+        self.lock().first_received
+    }
+
     /// Time of the last byte of this call or of its group; `None` before the first one.
     #[must_use]
     pub fn last_received(&self) -> Option<Instant> {
@@ -108,9 +115,11 @@
         if let Some(group) = &self.group {
             group.record_bytes(count);
         }
+        let now = Instant::now();
         let mut state = self.lock();
         state.bytes += count;
-        state.last_received = Some(Instant::now());
+        state.first_received.get_or_insert(now);
+        state.last_received = Some(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
