--- a/src/cli.rs
+++ b/src/cli.rs
@@ -48,6 +48,8 @@
     pub in_force: Option<PathBuf>,
     /// Processor capacity of the smallest worker, in thousandths of a core.
     pub worker_milli_cores: Option<u64>,
+    /// Rate of the slowest link of an instance, in Mbit/s.
+    pub link_mbps: Option<u64>,
     /// Print JSON instead of text.
     pub json: bool,
 }
@@ -240,6 +242,12 @@
         "capacity of the smallest worker, to find limits below it",
         "N",
     );
+    options.optopt(
+        "",
+        "link-mbps",
+        "rate of the slowest link of an instance, for the size of the configuration; 10 if it is not given",
+        "N",
+    );
     let matches = match parse_options("check-config FILE [IN-FORCE]", options, args)? {
         ParsedOptions::Matches(matches) => matches,
         ParsedOptions::Help(command) => return Ok(command),
@@ -248,10 +256,12 @@
     let mut files = matches.free.iter().map(PathBuf::from);
     let file = files.next();
     let worker_milli_cores = parse_number(&matches, "worker-milli-cores", 0)?;
+    let link_mbps = parse_number(&matches, "link-mbps", 0)?;
     Ok(Command::CheckConfig(CheckConfigOptions {
         file: file.ok_or_else(|| Error::usage("check-config: a file is missing"))?,
         in_force: files.next(),
         worker_milli_cores: (worker_milli_cores > 0).then_some(worker_milli_cores),
+        link_mbps: (link_mbps > 0).then_some(link_mbps),
         json: matches.opt_present("json"),
     }))
 }
--- a/src/config_check.rs
+++ b/src/config_check.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{cli::CheckConfigOptions, config::read_file, error::Error, output},
-    ragwortreel_dzintars::{ConfigReport, check_configuration},
+    ragwortreel_dzintars::{CheckedCell, ConfigReport, check_configuration},
     std::{fmt::Write as _, path::Path},
 };
 
@@ -10,7 +10,11 @@
 pub fn run(options: &CheckConfigOptions) -> Result<(), Error> {
     let text = read_text(&options.file)?;
     let in_force = options.in_force.as_deref().map(read_text).transpose()?;
-    let report = check_configuration(&text, in_force.as_deref(), options.worker_milli_cores);
+    let cell = CheckedCell {
+        worker_milli_cores: options.worker_milli_cores,
+        link_mbps: options.link_mbps,
+    };
+    let report = check_configuration(&text, in_force.as_deref(), cell);
     if options.json {
         let json = serde_json::to_string(&report);
         let json = json.map_err(|err| Error::start("writing the report", &err))?;
