Read only the failed partitions again when a leader takes over

What callers would see: after a change of leader no task starts for as long as the store refuses or loses some of its responses.

Cause: the 64 partitions of the jobs are read at once, and all of them again when the read of one fails. If one read in twenty fails, each attempt meets three failures.

Why this works: a partition whose read fails is read again, after the usual pause, until the term is over; the others keep what they have read. The version from which changes are followed is still the lowest of all partitions, and the time of the read that of the first call, so a later read of one partition loses no change.

The reads of a term move to a file of their own.

--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -12,9 +12,9 @@
         journal::Journal,
         orders::{Order, WorkerHandle},
         rows::{
-            JOB_PARTITIONS, JOBS_TABLE, LEADER_TABLE, LeaderRow, MAIN_PARTITION, OwnedState,
-            RUN_TIMES_ROW, STATES_TABLE, StateRow, WORKER_BUCKETS, WORKERS_TABLE, WorkersRow,
-            bucket_row_name, job_partition_name, main_key, parse_cancel_row_name, worker_row_name,
+            JOBS_TABLE, LeaderRow, MAIN_PARTITION, OwnedState, STATES_TABLE, StateRow,
+            WORKER_BUCKETS, WORKERS_TABLE, WorkersRow, bucket_row_name, main_key,
+            parse_cancel_row_name, worker_row_name,
         },
         term_stats::TermStats,
         worker_monitor::monitor_worker,
@@ -23,14 +23,12 @@
     async_channel::{Receiver, Sender},
     ragwortreel_entry::HelperPeer,
     ragwortreel_model::{InstanceId, JobId, JobState, WorkerId},
-    ragwortreel_platform::{ChangedRow, FeedError, PlatformError, TableRows},
+    ragwortreel_platform::{ChangedRow, FeedError, PlatformError},
     ragwortreel_runtime::{
         Stop, Task, boot_ms, catch_panic, catch_panic_sync, lock, log_event, sleep_ms, spawn,
         timeout_ms, unix_ms,
     },
-    ragwortreel_workflow::{
-        Action, AdviceBroker, JobOrigin, JobRequest, Progress, RunTimesRow, Scheduler,
-    },
+    ragwortreel_workflow::{Action, AdviceBroker, JobOrigin, JobRequest, Progress, Scheduler},
     std::{
         collections::BTreeMap,
         future::Future,
@@ -43,6 +41,8 @@
     },
 };
 
+mod reads;
+
 /// Delay before a failed store call is retried, in ms.
 const STORE_RETRY_MS: u64 = 200;
 /// Long-poll timeout for new jobs. The number of waiting jobs is published with the age of the last read, and callers
@@ -292,48 +292,6 @@
         Ok(jobs.version)
     }
 
-    /// Reads the run times that former leaders have learned; without them this leader learns them again.
-    async fn read_run_times(&self) -> Option<RunTimesRow> {
-        let rows = match self.cell.deps.feed.part(LEADER_TABLE, MAIN_PARTITION).await {
-            Ok(part) => part.rows,
-            Err(err) => {
-                self.cell.health.record_failure("recover", &err);
-                return None;
-            }
-        };
-        let row = rows.into_iter().find(|row| &*row.key == RUN_TIMES_ROW)?;
-        match serde_json::from_str(row.value.as_deref()?) {
-            Ok(row) => Some(row),
-            Err(err) => {
-                log_event!(self.cell.deps.log, INVALID_ROW; "row" => row.key.to_string(),
-                    "problem" => err.to_string());
-                None
-            }
-        }
-    }
-
-    /// Reads all partitions of the jobs table concurrently.
-    async fn read_jobs(&self) -> Result<TableRows, PlatformError> {
-        let sent_ms = boot_ms();
-        let reads: Vec<_> = (0..JOB_PARTITIONS)
-            .map(|number| {
-                let feed = Arc::clone(&self.cell.deps.feed);
-                spawn(async move { feed.part(JOBS_TABLE, &job_partition_name(number)).await })
-            })
-            .collect();
-        let mut all = TableRows {
-            version: u64::MAX,
-            ..TableRows::default()
-        };
-        for read in reads {
-            let part = read.await?;
-            all.rows.extend(part.rows);
-            all.version = all.version.min(part.version);
-        }
-        self.jobs_read_ms.store(sent_ms, Ordering::Relaxed);
-        Ok(all)
-    }
-
     fn apply_job_row(
         &self,
         scheduler: &mut Scheduler,
