--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -194,6 +194,12 @@
         cell.stop()
         os._exit(2)
 
+    def ended(number, _frame):
+        cell.stop()
+        os._exit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ended)
     watchdog = threading.Timer(LIMIT_S, give_up)
     watchdog.daemon = True
     watchdog.start()
