--- a/review/standin-2/cell.py
+++ b/review/standin-2/cell.py
@@ -67,10 +67,9 @@
         if not os.path.exists(PROGRAM):
             raise CouldNotRun("the program is not built")
         await self.store.server.start()
-        self.routes = routes
+        self.routes, self.workers = routes, workers
         self.configure()
         for worker in workers:
-            self.workers.append(worker)
             await worker.start()
         for index in range(instances):
             self.ports.append(free_ports(4))
@@ -86,7 +85,10 @@
         config = {
             "version": self.config_version,
             "routes": self.routes,
-            "services": [{"name": self.service, "health_path": "/health", "max_conns": 64, "admission_check": False}],
+            "services": [
+                {"name": name, "health_path": "/health", "max_conns": 64, "admission_check": False}
+                for name in sorted({self.service, *(it.service for it in self.workers)})
+            ],
             "limits": {"max_body_bytes": 262_144},
         }
         if self.tenants is not None:
@@ -167,27 +169,31 @@
     def starts(self, job):
         return [it for it in self.events if it["what"] == "start" and it["task"].startswith(job + ".")]
 
-    def room(self, step):
+    def up(self, service):
+        return [it for it in self.workers if it.is_up and it.service == (service or self.service)]
+
+    def room(self, step, service=None):
         """Number of tasks of a step that the workers which are up have room for now."""
         label = step.get("required_label")
-        up = [it for it in self.workers if it.is_up and (label is None or label in (it.kind, it.rack))]
+        up = [it for it in self.up(service) if label is None or label in (it.kind, it.rack)]
         return sum((it.cpu - it.used()) // step["cpu"] for it in up)
 
-    def used_share(self):
-        """Share of the cores of all workers that are up which tasks use."""
-        up = [it for it in self.workers if it.is_up]
+    def used_share(self, service=None):
+        """Share of the cores of a service's workers that are up which tasks use."""
+        up = self.up(service)
         return sum(it.used() for it in up) / sum(it.cpu for it in up)
 
-    async def waits_in_vain(self, job, step, watch_s=6.0):
+    async def waits_in_vain(self, job, step, watch_s=6.0, service=None):
         """Whether for 3 s on end a job has nothing running while there is room for it twice over and less than half of the
         service is in use: the last clause of the rule LOST. Its state is read afterwards."""
         began = None
         until = time.monotonic() + watch_s
         while time.monotonic() < until:
-            if not self.running(job) and self.room(step) >= 2 * step["count"] and self.used_share() < 0.5:
+            room, used_share = self.room(step, service), self.used_share(service)
+            if not self.running(job) and room >= 2 * step["count"] and used_share < 0.5:
                 began = began or time.monotonic()
                 if time.monotonic() - began >= 3.0:
-                    self.note("waits", job=job, room=self.room(step), used_share=round(self.used_share(), 3))
+                    self.note("waits", job=job, room=room, used_share=round(used_share, 3))
                     return True
             else:
                 began = None
@@ -235,6 +241,8 @@
     # A script's own folder holds its record.
     record = os.path.join(os.path.dirname(os.path.abspath(sys.argv[0])), "record.txt")
     cell = Cell(record)
+    # The instances are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
 
     async def run():
         return await asyncio.wait_for(case(cell, trouble), 105)
--- a/review/standin-2/worker.py
+++ b/review/standin-2/worker.py
@@ -17,8 +17,9 @@
 class Worker:
     """A worker; `crash` and `start` end and begin a life of it."""
 
-    def __init__(self, cell, worker_id, kind, rack, cpu, mem_mb=65_536):
+    def __init__(self, cell, worker_id, kind, rack, cpu, mem_mb=65_536, service=None):
         self.cell = cell
+        self.service = service or cell.service
         self.id = worker_id
         self.kind, self.rack = kind, rack
         self.cpu, self.mem_mb = cpu, mem_mb
@@ -65,7 +66,7 @@
     def register(self):
         self.seq += 1
         entry = {
-            "service": self.cell.service,
+            "service": self.service,
             "addr": f"127.0.0.1:{self.port}",
             "zone": "zone-a",
             "version": "v1",
