--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A worker starts again under its id as another kind; the leader starts tasks there that need the former kind."""
+"""A backlog of one service keeps accepted jobs of another service from starting on its idle workers."""
 
 import asyncio
 import json
@@ -6,39 +6,51 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
-from cell import main, route  # noqa: E402
+from cell import CouldNotRun, main, route  # noqa: E402
 from worker import Worker  # noqa: E402
 
-# Time for which the worker is down.
-DOWN_S = 3.0
-CYCLES = 6
-STEP = {"count": 100, "cpu": 2_000, "mem_mb": 256, "est_ms": 2_000, "required_label": "b"}
+# Time after the end of the traffic at which jobs are asked for (`finish_s`).
+FINISH_S = 14
+OTHER = "quote-svc"
+RUN_MS = 10_000
+# Jobs of three steps each in the burst, and at the same time in the quiet run.
+BURST, USUAL = 270, 120
+STEP = {"count": 1, "cpu": 250, "mem_mb": 64, "est_ms": RUN_MS}
+SMALL_STEP = {"count": 2, "cpu": 1_000, "mem_mb": 256, "est_ms": 500}
+
+
+def job(steps, run_ms):
+    return {"spec": json.dumps({"run_ms": run_ms}), "steps": steps}
 
 
 async def case(cell, trouble):
-    # Two of sixteen workers are of the kind `b`, which all tasks need.
-    workers = [Worker(cell, f"i-{number:04}", "ab"[number < 2], f"r1-{number // 4}", 16_000) for number in range(16)]
-    await cell.start([route("batch")], workers)
-    for number in range(8):
-        await cell.submit("/batch/", f"{number:016x}", {"spec": json.dumps({"run_ms": 2_000}), "steps": [STEP]}, instance=number % 3)
+    busy = Worker(cell, "i-0000", "a", "r1-0", 16_000)
+    others = [Worker(cell, f"i-{number:04}", "a", "r1-0", 16_000, service=OTHER) for number in range(1, 5)]
+    await cell.start([route("batch", priority=1), route("quote", priority=2, service=OTHER)], [busy, *others])
+    await cell.submit("/quote/", "1" * 16, job([SMALL_STEP], 500))
     await asyncio.sleep(2)
-    worker = workers[0]
-
-    async def restart(kind):
-        port = worker.port
-        worker.crash()
-        await asyncio.sleep(DOWN_S)
-        worker.kind = kind
-        # Its new entry is in the store before its first answer.
-        await worker.start(port)
-        await asyncio.sleep(3)
-
-    for _ in range(CYCLES):
-        # Without the disruption of interest, the worker starts again as the same kind.
-        await restart("a" if trouble else "b")
-        await restart("b")
-    starts = [it for it in cell.events if it["what"] == "start"]
-    return [f"ROUTE: {it['task']} started at {it['t']} s on {it['worker']}, which has no label b" for it in starts if it["kind"] != "b"]
+    if await cell.state("/quote/", "1" * 16) != "complete":
+        raise CouldNotRun("the first job did not run")
+    count = BURST if trouble else USUAL
+    statuses = []
+    for first in range(0, count, 30):
+        ids = [f"{0xB000 + number:016x}" for number in range(first, min(first + 30, count))]
+        sent = (cell.submit("/batch/", it, job([STEP] * 3, RUN_MS), instance=number % 3) for number, it in enumerate(ids))
+        statuses += await asyncio.gather(*sent)
+        await asyncio.sleep(0.25)
+    cell.note("burst", accepted=statuses.count(200), of=len(statuses))
+    small = [f"{0xC000 + number:016x}" for number in range(4)]
+    for number, it in enumerate(small):
+        await cell.submit("/quote/", it, job([SMALL_STEP], 500), instance=number % 3)
+    cell.note("end-of-traffic", used_share=cell.used_share(OTHER))
+    await asyncio.sleep(FINISH_S)
+    waiting = await asyncio.gather(*(cell.waits_in_vain(it, SMALL_STEP, service=OTHER) for it in small))
+    broken = []
+    for it, waits in zip(small, waiting):
+        state = await cell.state("/quote/", it)
+        if waits and state not in ("complete", "failed", "canceled"):
+            broken.append(f"LOST: job {it} is {state}; nothing of it runs, though its service is idle")
+    return broken
 
 
 main(case)
