dispatch, workflow: Test the order of a job's writes and scattered room

They add checks and change no behaviour: the writes of a job are computed by a function that needs no term, so that a test can look at their order; the segments of a job are checked to be whole before single ones change; the number of open tasks of a periodic job is bounded; and the scattered room of a full service blocks no other service.

Callers see no difference.

--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -12,7 +12,7 @@
         election::{encode_leader, leader_txn},
         events::{CHECKPOINT_TOO_LONG, JOB_ENDED, JOURNAL_CONFLICT, ROW_REFUSED, SLOW_COMMIT},
         orders::{Order, StartTimes},
-        row_writes::{RowWrite, split_writes},
+        row_writes::{RowWrite, job_writes, split_writes},
         rows::{
             LEADER_TABLE, LOAD_ROW, LeaderRow, OwnedState, RUN_TIMES_ROW, WORKERS_TABLE, main_key,
             to_json,
@@ -173,8 +173,13 @@
                 continue;
             }
             let mut writes = self.published_writes(&mut last_commit);
-            for change in &changes {
-                writes.extend(self.job_writes(change));
+            {
+                let stored = lock(&self.stored_segments);
+                let none = BTreeSet::new();
+                for change in &changes {
+                    let stored = stored.get(&change.job).unwrap_or(&none);
+                    writes.extend(job_writes(change, stored));
+                }
             }
             let Some(refused) = self
                 .store_writes(&mut last_commit, &changes, &writes, &mut starts)
--- a/crates/dispatch/src/row_writes.rs
+++ b/crates/dispatch/src/row_writes.rs
@@ -9,9 +9,12 @@
     ragwortreel_platform::Write,
     ragwortreel_runtime::lock,
     ragwortreel_workflow::{JobChange, Progress, Segments},
-    std::sync::Arc,
+    std::{collections::BTreeSet, sync::Arc},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum number of rows per transaction, beside the condition on the leader's row and its renewal; the store allows 100
 /// entries.
 const MAX_ROWS: usize = 98;
@@ -51,64 +54,62 @@
     }
 }
 
-impl Term {
-    /// Writes of a changed job, in the order in which they are to be stored, because they may be stored by several
-    /// transactions. A new leader reads the segments only if the row of the state names them, so that row comes last when
-    /// the job gets its first segments. Otherwise it comes first, because segments of finished occurrences are removed
-    /// only after the row of the state lists these as finished.
-    pub(crate) fn job_writes(&self, change: &JobChange) -> Vec<RowWrite> {
-        let stored = lock(&self.stored_segments)
-            .get(&change.job)
-            .cloned()
-            .unwrap_or_default();
-        let write = |segment: Option<u64>, value: Option<Arc<str>>| RowWrite {
-            job: Some(change.job.clone()),
-            segment,
-            write: Write {
-                key: segment.map_or_else(
-                    || state_key(&change.job),
-                    |number| segment_key(&change.job, number),
-                ),
-                value,
-            },
-            is_last: false,
-        };
-        let put = |(number, progress): (&u64, &Progress)| {
-            let is_empty = progress.steps.is_empty();
-            let value = (!is_empty).then(|| Arc::from(to_json(progress)));
-            (!is_empty || stored.contains(number)).then(|| write(Some(*number), value))
-        };
-        let state = StateRow {
-            state: change.state,
-            progress: change.progress.clone(),
-            workspace: change.workspace.clone(),
-        };
-        let state = write(None, Some(state.encode()));
-        let mut writes = Vec::new();
-        match &change.segments {
-            Segments::None => {
-                writes.push(state);
-                writes.extend(stored.iter().map(|number| write(Some(*number), None)));
-            }
-            Segments::All(segments) => {
-                let outdated = stored
-                    .iter()
-                    .filter(|number| !segments.contains_key(number));
-                writes.extend(outdated.map(|number| write(Some(*number), None)));
-                writes.extend(segments.iter().filter_map(put));
-                writes.push(state);
-            }
-            Segments::Changed(segments) => {
-                writes.push(state);
-                writes.extend(segments.iter().filter_map(put));
-            }
+/// Writes of a changed job, in the order in which they are to be stored, because they may be stored by several
+/// transactions. A new leader reads the segments only if the row of the state names them, so that row comes last when
+/// the job gets its first segments. Otherwise it comes first, because segments of finished occurrences are removed
+/// only after the row of the state lists these as finished.
+///
+/// `stored` has the numbers of the job's stored segments.
+pub(crate) fn job_writes(change: &JobChange, stored: &BTreeSet<u64>) -> Vec<RowWrite> {
+    let write = |segment: Option<u64>, value: Option<Arc<str>>| RowWrite {
+        job: Some(change.job.clone()),
+        segment,
+        write: Write {
+            key: segment.map_or_else(
+                || state_key(&change.job),
+                |number| segment_key(&change.job, number),
+            ),
+            value,
+        },
+        is_last: false,
+    };
+    let put = |(number, progress): (&u64, &Progress)| {
+        let is_empty = progress.steps.is_empty();
+        let value = (!is_empty).then(|| Arc::from(to_json(progress)));
+        (!is_empty || stored.contains(number)).then(|| write(Some(*number), value))
+    };
+    let state = StateRow {
+        state: change.state,
+        progress: change.progress.clone(),
+        workspace: change.workspace.clone(),
+    };
+    let state = write(None, Some(state.encode()));
+    let mut writes = Vec::new();
+    match &change.segments {
+        Segments::None => {
+            writes.push(state);
+            writes.extend(stored.iter().map(|number| write(Some(*number), None)));
+        }
+        Segments::All(segments) => {
+            let outdated = stored
+                .iter()
+                .filter(|number| !segments.contains_key(number));
+            writes.extend(outdated.map(|number| write(Some(*number), None)));
+            writes.extend(segments.iter().filter_map(put));
+            writes.push(state);
         }
-        if let Some(last) = writes.last_mut() {
-            last.is_last = true;
+        Segments::Changed(segments) => {
+            writes.push(state);
+            writes.extend(segments.iter().filter_map(put));
         }
-        writes
     }
+    if let Some(last) = writes.last_mut() {
+        last.is_last = true;
+    }
+    writes
+}
 
+impl Term {
     /// Records which segments are stored.
     pub(crate) fn record_segments<'a>(&self, writes: impl Iterator<Item = &'a RowWrite>) {
         let mut stored = lock(&self.stored_segments);
--- a/crates/workflow/tests/segments.rs
+++ b/crates/workflow/tests/segments.rs
@@ -42,7 +42,13 @@
                     self.segments.clear();
                     segments
                 }
-                Segments::Changed(segments) => segments,
+                Segments::Changed(segments) => {
+                    assert!(
+                        self.progress.is_segmented,
+                        "the first segments are not all stored"
+                    );
+                    segments
+                }
             };
             for progress in segments.values().chain([&change.progress]) {
                 let bytes = json(progress).len();
@@ -311,6 +317,8 @@
         let mut starts = Vec::new();
         for _ in 0..4 {
             starts.extend(cell.starts());
+            let (running, waiting) = cell.scheduler.task_counts();
+            assert!(running + waiting <= 2_000, "{running} and {waiting} tasks are open");
             rows.store(&mut cell, |_| false);
             // Every other occurrence ends.
             let (ended, kept): (Vec<_>, Vec<_>) =
--- a/crates/workflow/tests/unplaceable.rs
+++ b/crates/workflow/tests/unplaceable.rs
@@ -159,6 +159,28 @@
         assert_eq!(cell.starts().len(), 3);
     };
 
+    /// Guards against the same when the full service has free room that is too scattered for its steps, so that many of them
+    /// are tried.
+    scattered_room_blocks_no_other: || {
+        let mut cell = Cell::new(1);
+        let scattered = |number| WorkerSpec {
+            service: Arc::from("scattered"),
+            ..worker(&format!("s{number}"), 1_000)
+        };
+        let scattered: Vec<WorkerSpec> = (0..40).map(scattered).collect();
+        cell.list_reachable_workers(&[&workers()[..], &scattered].concat());
+        let policy = QueuePolicy { service: Arc::from("scattered"), ..queue(0) };
+        cell.accept(job("busy", policy.clone(), vec![step(40, 600)]));
+        let busy = cell.starts();
+        assert_eq!(busy.len(), 40);
+        cell.confirm_starts(&busy);
+        for number in 0..20 {
+            cell.accept(job(&format!("blocked-{number}"), policy.clone(), vec![step(1, 500)]));
+        }
+        cell.accept(job("small", queue(2), vec![step(2, 500)]));
+        assert_eq!(cell.starts().len(), 2);
+    };
+
     /// Guards against a job that is forgotten: it starts, before jobs of later queues, as soon as a fitting worker comes.
     step_starts_when_a_fitting_worker_comes: || {
         let mut cell = Cell::new(1);
