--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! `bench list` prints all cases. `bench CASE... --json` runs the named cases and prints each measure as one line of
 //! JSON.
 
+mod backlog;
 mod balance;
 mod churn;
 mod control;
@@ -42,6 +43,7 @@
 const CASES: &[Case] = &[
     case("place", "cost and packing of single placements", || Ok(place::run())),
     case("gang", "jobs whose tasks start together beside small work", || Ok(gang::run())),
+    case("backlog", "decisions while 10,000 steps of a full service wait", backlog::run),
     case("churn", "a wave of cancellations and lost workers", || Ok(churn::run())),
     case("hol", "short work beside long work", hol::run),
     case("surge", "requests at four times the capacity", surge::run),
--- a/crates/workflow/src/backlog.rs
+++ b/crates/workflow/src/backlog.rs
@@ -49,7 +49,7 @@
                 backlog.capacity_cores += cores(worker.spec.capacity.milli_cores);
             }
         }
-        for (rank, key) in &self.waiting_steps {
+        for (rank, key) in self.waiting_steps.iter() {
             let is_behind_all = matches!(rank.class, RankClass::OverShare | RankClass::NoValue);
             let Some(job) = self.jobs.get(&key.job).filter(|_| !is_behind_all) else {
                 continue;
--- a/crates/workflow/src/evacuation.rs
+++ b/crates/workflow/src/evacuation.rs
@@ -398,12 +398,12 @@
     }
 
     fn room(&self, service: &str) -> Room {
-        let waiting = self.waiting_steps.iter().take(MAX_STEPS_AHEAD);
-        let waiting = waiting.filter_map(|(rank, key)| {
+        let waiting = (self.waiting_steps).first_of_service(service, MAX_STEPS_AHEAD);
+        let waiting = waiting.into_iter().filter_map(|(rank, key)| {
             let job = self.jobs.get(&key.job)?;
             let step = job.step(key).filter(|step| !step.has_capacity)?;
             let need = (job.spec(key).need).checked_mul(step.waiting_tasks() as u64)?;
-            (*job.request.policy.service == *service).then_some((*rank, need))
+            Some((*rank, need))
         });
         let sums = waiting.scan(Resources::ZERO, |sum, (rank, need)| {
             *sum = sum.zip_with(&need, u64::saturating_add);
--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -5,7 +5,8 @@
 //! although most of them could wait for seconds and still end in time, so that a wide gang hardly ever finds enough.
 //! Therefore:
 //!
-//! - The need of a *blocked* step, for which there is too little room, is left free by all later steps.
+//! - The need of a *blocked* step, for which there is too little room, is left free by all later steps. What a step that
+//!   needs a label waits for is left free on the workers with the label only.
 //! - A gang whose advice is pending, and that can still end in time, *gathers* room: later steps that lose nothing by
 //!   waiting leave free what it needs. A gang that is too late gathers nothing, and all gangs together gather at most a
 //!   part of a service, so that narrow steps go on.
@@ -15,6 +16,8 @@
         Scheduler, StepKey,
         job_state::Job,
         order::{Rank, RankClass},
+        waiting::Pool,
+        worker::Worker,
     },
     ragwortreel_model::Resources,
     std::{collections::BTreeMap, sync::Arc},
@@ -25,17 +28,40 @@
 /// of homework earned 0.90 instead of 0.96 of its value.
 const MIN_SLACK_MS: u64 = 6_000;
 
+/// Room of the workers with a label in a decision.
+#[derive(Debug)]
+struct LabelRoom {
+    free: Resources,
+    /// Needs of blocked steps that need the label.
+    blocked: Resources,
+}
+
 /// Room of one service in a decision.
 #[derive(Debug)]
 struct ServiceRoom {
     free: Resources,
-    /// Needs of blocked steps.
+    /// Needs of blocked steps that need no label.
     blocked: Resources,
+    /// Room by label that blocked steps need.
+    labels: BTreeMap<Arc<str>, LabelRoom>,
+    /// Free room of all workers that have one of these labels.
+    labels_free: Resources,
     /// Needs of gangs with pending advice.
     gathered: Resources,
     max_gathered: Resources,
 }
 
+impl ServiceRoom {
+    /// Needs of blocked steps, as far as the room on their workers goes.
+    fn awaited(&self) -> Resources {
+        let mut labels = Resources::ZERO;
+        for label in self.labels.values() {
+            labels += label.blocked;
+        }
+        self.blocked + labels.zip_with(&self.labels_free, u64::min)
+    }
+}
+
 /// Room that the steps tried so far in a decision wait for, by service.
 #[derive(Debug, Default)]
 pub(crate) struct AwaitedRoom {
@@ -44,20 +70,28 @@
 
 impl AwaitedRoom {
     /// Whether a task fits beside what the steps tried so far wait for.
-    pub(crate) fn fits(&self, service: &str, need: &Resources, can_wait: bool) -> bool {
-        self.services.get(service).is_none_or(|room| {
-            let mut awaited = room.blocked;
-            if can_wait {
-                awaited += room.gathered;
-            }
-            need.fits_in(&room.free.saturating_sub(&awaited))
-        })
+    pub(crate) fn fits(&self, pool: &Pool, need: &Resources, can_wait: bool) -> bool {
+        let Some(room) = self.services.get(&pool.service) else {
+            return true;
+        };
+        let mut awaited = room.awaited();
+        if can_wait {
+            awaited += room.gathered;
+        }
+        let label = pool.label.as_ref().and_then(|label| room.labels.get(label));
+        need.fits_in(&room.free.saturating_sub(&awaited))
+            && label.is_none_or(|it| need.fits_in(&it.free.saturating_sub(&it.blocked)))
     }
 
     /// Subtracts the resources of started tasks.
-    pub(crate) fn take(&mut self, service: &str, taken: &Resources) {
-        if let Some(room) = self.services.get_mut(service) {
-            room.free = room.free.saturating_sub(taken);
+    pub(crate) fn take(&mut self, pool: &Pool, taken: &Resources) {
+        let Some(room) = self.services.get_mut(&pool.service) else {
+            return;
+        };
+        room.free = room.free.saturating_sub(taken);
+        if let Some(label) = (pool.label.as_ref()).and_then(|label| room.labels.get_mut(label)) {
+            label.free = label.free.saturating_sub(taken);
+            room.labels_free = room.labels_free.saturating_sub(taken);
         }
     }
 }
@@ -69,16 +103,40 @@
     }
 
     /// Records the need of a blocked step, of no more tasks than its workers could run at the same time.
-    pub(crate) fn await_blocked(&self, key: &StepKey, awaited: &mut AwaitedRoom) {
+    pub(crate) fn await_blocked(&self, key: &StepKey, pool: &Pool, awaited: &mut AwaitedRoom) {
         let slots = (self.jobs.get(&key.job)).and_then(|job| Some(job.step(key)?.present_slots));
-        if let Some((job, need)) = self.waiting_need(key, slots.unwrap_or(0)) {
-            self.service_room(job, awaited).blocked += need;
+        let Some((_, need)) = self.waiting_need(key, slots.unwrap_or(0)) else {
+            return;
+        };
+        let room = self.service_room(pool, awaited);
+        let Some(label) = &pool.label else {
+            room.blocked += need;
+            return;
+        };
+        if let Some(label) = room.labels.get_mut(label) {
+            label.blocked += need;
+            return;
         }
+        let free = free_of(self.pool_workers(pool));
+        let blocked = need;
+        (room.labels).insert(Arc::clone(label), LabelRoom { free, blocked });
+        let has_awaited_label = |it: &&Worker| {
+            let mut labels = it.spec.labels.iter();
+            labels.any(|label| room.labels.contains_key(label))
+        };
+        let workers = self.schedulable_workers(&pool.service);
+        room.labels_free = free_of(workers.filter(has_awaited_label));
     }
 
     /// Records the need of a step that is not blocked if it is a gang that gathers room. Of its room only a share is on
     /// workers that the advice service allows.
-    pub(crate) fn await_gathering(&self, key: &StepKey, rank: &Rank, awaited: &mut AwaitedRoom) {
+    pub(crate) fn await_gathering(
+        &self,
+        key: &StepKey,
+        pool: &Pool,
+        rank: &Rank,
+        awaited: &mut AwaitedRoom,
+    ) {
         let Some((job, need)) = self.waiting_need(key, u64::MAX) else {
             return;
         };
@@ -87,7 +145,7 @@
             return;
         }
         let share = self.expected_allowed_share(&job.request.policy.name);
-        let room = self.service_room(job, awaited);
+        let room = self.service_room(pool, awaited);
         let sum = room.gathered + scale(&need, 1.0 / share);
         room.gathered = sum.zip_with(&room.max_gathered, u64::min);
     }
@@ -101,9 +159,9 @@
         (waiting > 0).then(|| (job, need.checked_mul(waiting).unwrap_or(need)))
     }
 
-    /// Room of a job's service, with the free capacity at the first call of a decision.
-    fn service_room<'a>(&self, job: &Job, awaited: &'a mut AwaitedRoom) -> &'a mut ServiceRoom {
-        let service = &job.request.policy.service;
+    /// Room of a service, with the free capacity at the first call of a decision.
+    fn service_room<'a>(&self, pool: &Pool, awaited: &'a mut AwaitedRoom) -> &'a mut ServiceRoom {
+        let service = &pool.service;
         awaited
             .services
             .entry(Arc::clone(service))
@@ -116,6 +174,8 @@
                 ServiceRoom {
                     free: self.free_capacity(service),
                     blocked: Resources::ZERO,
+                    labels: BTreeMap::new(),
+                    labels_free: Resources::ZERO,
                     gathered: Resources::ZERO,
                     max_gathered: capacity.map(|amount| amount * percent / 100),
                 }
@@ -123,6 +183,15 @@
     }
 }
 
+/// Free capacity of workers.
+fn free_of<'a>(workers: impl Iterator<Item = &'a Worker>) -> Resources {
+    let mut sum = Resources::ZERO;
+    for worker in workers {
+        sum += worker.free_capacity();
+    }
+    sum
+}
+
 /// Multiple of resources, rounded down.
 fn scale(resources: &Resources, factor: f64) -> Resources {
     #[expect(
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -40,6 +40,7 @@
 mod segments;
 mod stalls;
 mod unplaceable;
+mod waiting;
 mod worker;
 mod workspaces;
 
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -95,7 +95,7 @@
     #[must_use]
     pub fn late_step_counts(&self) -> (usize, usize) {
         let (mut late, mut hopeless) = (0, 0);
-        for (_, key) in &self.waiting_steps {
+        for (_, key) in self.waiting_steps.iter() {
             let job = self.jobs.get(&key.job);
             match job.map(|job| job.rank(key.step, self.now_ms).class) {
                 Some(RankClass::Late) => late += 1,
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -1,33 +1,21 @@
 //! Placement of waiting tasks on workers.
 //!
-//! Waiting steps are tried in order of lateness, priority and latest start. A step for which there is too little capacity
-//! is *blocked*: its next attempt is delayed, and its need is subtracted from the free capacity of the service for the
-//! rest of the decision, so that less important steps do not use the capacity that a large gang waits for (see
-//! `gang_room`). A *slot* is free capacity of a worker for one task of a step.
+//! Waiting steps are tried in order of lateness, priority and latest start (see `waiting`). A step for which there is too
+//! little capacity is *blocked*: its next attempt is delayed, and its need is subtracted from the free capacity of its
+//! workers for the rest of the decision, so that less important steps do not use the capacity that a large gang waits for
+//! (see `gang_room`). A *slot* is free capacity of a worker for one task of a step.
 
 use {
     crate::{
         Action, Scheduler, StartOrder, StepKey, TaskKey,
-        gang_room::AwaitedRoom,
         job_state::Placement,
-        order::RankClass,
         stalls::RunProgress,
         worker::{Run, RunPhase, Worker, slots_in},
-        workspaces::WaitingStep,
     },
     ragwortreel_model::WorkerId,
-    std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
-        sync::Arc,
-    },
+    std::{collections::BTreeMap, sync::Arc},
 };
 
-/// Most steps that one decision tries; bounds the decision's duration when many steps wait for capacity.
-const MAX_TRIED_STEPS: usize = 96;
-/// Number of blocked steps of a service after which a decision tries no further steps of it.
-const MAX_BLOCKED_STEPS: usize = 12;
-/// Most steps that one decision visits, with those for which it makes no attempt.
-const MAX_VISITED_STEPS: usize = 512;
 /// Time after which a blocked step is tried again, in ms. Each attempt visits all workers of the service, and on a full
 /// fleet decisions follow each other within some milliseconds.
 const BLOCKED_RETRY_MS: u64 = 20;
@@ -36,6 +24,7 @@
 const BLOCKED_GANG_RETRY_MS: u64 = 50;
 /// A blocked step is tried earlier once capacity for one in this many of its waiting tasks was freed.
 const BLOCKED_RETRY_DIVISOR: u64 = 4;
+
 /// Worker with free capacity for tasks of a step.
 #[derive(Clone, Copy)]
 pub(crate) struct Candidate<'a> {
@@ -55,106 +44,8 @@
 }
 
 impl Scheduler {
-    /// Tries the waiting steps in order of their rank.
-    pub(crate) fn place_waiting(&mut self) {
-        let mut awaited = AwaitedRoom::default();
-        // Services with a blocked step within its share.
-        let mut contended: BTreeSet<Arc<str>> = BTreeSet::new();
-        let mut blocked: BTreeMap<Arc<str>, usize> = BTreeMap::new();
-        self.release_held_steps();
-        self.return_placeable_steps();
-        let mut visited = 0;
-        let mut keys: VecDeque<WaitingStep> = self
-            .waiting_steps
-            .iter()
-            .take(MAX_TRIED_STEPS)
-            .cloned()
-            .collect();
-        while let Some((mut rank, key)) = keys.pop_front() {
-            visited += 1;
-            if visited > MAX_VISITED_STEPS {
-                return;
-            }
-            let Some(job) = self.jobs.get(&key.job) else {
-                continue;
-            };
-            let current_rank = job.rank(key.step, self.now_ms);
-            if current_rank != rank {
-                rank = current_rank;
-                self.update_waiting_steps(&key.job.clone());
-            }
-            if self.hold_at_limit(&key) {
-                self.extend_by_next(&mut keys, &(rank, key));
-                continue;
-            }
-            let Some(job) = self.jobs.get(&key.job) else {
-                continue;
-            };
-            let need = job.spec(&key).need;
-            let least_slots = job.spec(&key).least_slots();
-            let service = Arc::clone(&job.request.policy.service);
-            if blocked.get(&service) >= Some(&MAX_BLOCKED_STEPS) {
-                self.extend_by_next(&mut keys, &(rank, key));
-                continue;
-            }
-            // Small steps over the share would fill every gap, so that no worker gets room for a task that waits.
-            let gives_way = rank.class == RankClass::OverShare && contended.contains(&service);
-            if gives_way || !awaited.fits(&service, &need, self.can_wait(&rank)) {
-                self.set_has_capacity(&key, false);
-                if !self.has_one_service {
-                    self.extend_by_next(&mut keys, &(rank, key));
-                }
-                continue;
-            }
-            let was_blocked = self.is_blocked(&key);
-            let (outcome, started) = if was_blocked {
-                (TryOutcome::Blocked, 0)
-            } else {
-                self.try_step(&key)
-            };
-            self.set_has_capacity(&key, matches!(outcome, TryOutcome::NotBlocked));
-            if matches!(outcome, TryOutcome::Blocked) && !was_blocked {
-                if let Some(reason) = self.refresh_slots(&key)
-                    && started == 0
-                {
-                    self.remove_from_queue(&key, reason);
-                    self.extend_by_next(&mut keys, &(rank, key));
-                    continue;
-                }
-                self.block(&key);
-            }
-            let taken = need.checked_mul(started as u64).unwrap_or(need);
-            awaited.take(&service, &taken);
-            if matches!(outcome, TryOutcome::NotBlocked) {
-                self.await_gathering(&key, &rank, &mut awaited);
-                continue;
-            }
-            let slots = (self.step_mut(&key)).map_or(0, |step| step.present_slots);
-            if slots < least_slots {
-                // The step waits for workers that answer, not for room.
-                self.extend_by_next(&mut keys, &(rank, key));
-                continue;
-            }
-            self.await_blocked(&key, &mut awaited);
-            if rank.class < RankClass::OverShare {
-                contended.insert(Arc::clone(&service));
-            }
-            let count = blocked.entry(Arc::clone(&service)).or_default();
-            *count += 1;
-            if *count >= MAX_BLOCKED_STEPS && self.has_one_service {
-                return;
-            }
-        }
-    }
-
-    /// Appends the step behind a visited one in place of it, so that it takes no other step's turn.
-    fn extend_by_next(&self, keys: &mut VecDeque<WaitingStep>, visited: &WaitingStep) {
-        let next = self.waiting_after(keys.back().unwrap_or(visited));
-        keys.extend(next);
-    }
-
     /// Whether a blocked step is to be skipped: its retry time has not come and too little capacity was freed.
-    fn is_blocked(&self, key: &StepKey) -> bool {
+    pub(crate) fn is_blocked(&self, key: &StepKey) -> bool {
         let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
         step.is_some_and(|step| {
             self.now_ms < step.blocked_until_ms
@@ -163,7 +54,7 @@
     }
 
     /// Delays the next attempt of a step until its retry time, or until a part of the needed capacity was freed.
-    fn block(&mut self, key: &StepKey) {
+    pub(crate) fn block(&mut self, key: &StepKey) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
@@ -185,14 +76,14 @@
         }
     }
 
-    fn set_has_capacity(&mut self, key: &StepKey, has_capacity: bool) {
+    pub(crate) fn set_has_capacity(&mut self, key: &StepKey, has_capacity: bool) {
         if let Some(step) = self.step_mut(key) {
             step.has_capacity = has_capacity;
         }
     }
 
     /// Starts the tasks of a step that fit, and requests advice for the rest; also returns the number of starts.
-    fn try_step(&mut self, key: &StepKey) -> (TryOutcome, usize) {
+    pub(crate) fn try_step(&mut self, key: &StepKey) -> (TryOutcome, usize) {
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get(&key.job) else {
             return (TryOutcome::NotBlocked, 0);
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -17,6 +17,7 @@
         segments::{FinishedOccurrences, StoredForm},
         stalls::{RunProgress, StuckRun},
         unplaceable::Unplaceable,
+        waiting::{Pool, WaitingSteps},
         worker::{QUARANTINE_FAILURES, QUARANTINE_MS, Run, RunPhase, Worker},
         workspaces::Workspaces,
     },
@@ -48,9 +49,7 @@
     pub(crate) lease_bound_ms: u64,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
-    pub(crate) waiting_steps: BTreeSet<(Rank, StepKey)>,
-    /// Whether all listed workers belong to one service.
-    pub(crate) has_one_service: bool,
+    pub(crate) waiting_steps: WaitingSteps,
     /// Waiting steps that no worker can run.
     pub(crate) unplaceable: Unplaceable,
     /// Jobs with a schedule.
@@ -92,8 +91,7 @@
             lease_bound_ms,
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            waiting_steps: BTreeSet::new(),
-            has_one_service: true,
+            waiting_steps: WaitingSteps::default(),
             unplaceable: Unplaceable::default(),
             periodic_jobs: BTreeSet::new(),
             changed_jobs: BTreeSet::new(),
@@ -200,8 +198,6 @@
     pub fn update_workers(&mut self, specs: Vec<WorkerSpec>, now_ms: u64) {
         self.now_ms = now_ms;
         let listed: BTreeSet<WorkerId> = specs.iter().map(|spec| spec.id.clone()).collect();
-        let services: BTreeSet<&Arc<str>> = specs.iter().map(|spec| &spec.service).collect();
-        self.has_one_service = services.len() <= 1;
         for spec in specs {
             self.evacuation.record(&spec, now_ms);
             let is_unchanged = |worker: &Worker| worker.listed && worker.spec == spec;
@@ -919,16 +915,17 @@
                     occurrence: *occurrence,
                     step: u32::try_from(number).unwrap_or(u32::MAX),
                 };
+                let pool = Pool::of_step(&request, number);
                 if let Some(old) = step.rank.take() {
                     let entry = (old, key.clone());
-                    if !self.waiting_steps.remove(&entry) {
+                    if !self.waiting_steps.remove(&pool, &entry) {
                         self.unplaceable.remove(&entry);
                         (self.workspaces).remove_held(request.workspace.as_ref(), &entry);
                     }
                 }
                 step.rank = rank;
                 if let Some(rank) = rank {
-                    self.waiting_steps.insert((rank, key));
+                    self.waiting_steps.insert(pool, (rank, key));
                 }
             }
         }
--- a/crates/workflow/src/unplaceable.rs
+++ b/crates/workflow/src/unplaceable.rs
@@ -180,7 +180,7 @@
         step.slots_due_ms = 0;
         let is_new = step.unplaceable.replace(reason) != Some(reason);
         let entry = (rank, key.clone());
-        self.waiting_steps.remove(&entry);
+        self.dequeue(&entry);
         self.unplaceable.steps.insert(entry);
         if is_new {
             let step = key.clone();
@@ -205,7 +205,7 @@
         for entry in steps {
             if self.step_slots(&entry.1).unplaceable.is_none() {
                 self.unplaceable.steps.remove(&entry);
-                self.waiting_steps.insert(entry);
+                self.enqueue(entry);
             }
         }
     }
--- /dev/null
+++ b/crates/workflow/src/waiting.rs
@@ -0,0 +1,391 @@
+//! Queue of the waiting steps, and the order in which a decision visits them.
+//!
+//! The load is a backlog of thousands of steps for workers that have no room, beside a few steps for workers that have.
+//! A decision cannot visit all of them, and one that always began at the front would never reach the steps behind the
+//! backlog. Therefore:
+//!
+//! - Steps that compete for the same workers, those of one service that need the same label, form a *pool*. A queue that
+//!   needs advice has pools of its own, because its steps also compete for calls. A decision visits the first steps of all
+//!   pools in the order of their rank. A pool without room ends its own turn only.
+//! - A *sweep* visits the steps behind these, from where the last one ended, so that each step is visited once in a
+//!   while, whatever waits before it: steps of a pool can differ in size, in the workers that they may use, and in
+//!   whether these answer.
+
+use {
+    crate::{
+        JobRequest, Scheduler, StepKey,
+        gang_room::AwaitedRoom,
+        order::{Rank, RankClass},
+        placement::TryOutcome,
+        worker::Worker,
+    },
+    ragwortreel_model::Resources,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        ops::Bound::{Excluded, Unbounded},
+        sync::Arc,
+    },
+};
+
+/// Most steps of a pool that a decision visits before its sweep, and most of all pools for which it makes an attempt.
+/// Each attempt visits all workers.
+const MAX_TRIED_STEPS: usize = 96;
+/// Number of blocked steps of a pool after which a decision visits no further steps of it before its sweep.
+const MAX_BLOCKED_STEPS: usize = 12;
+/// Most steps that a decision visits before its sweep, unless there are so many pools that each gets the least turn.
+const MAX_VISITED_STEPS: usize = 512;
+/// Interval between two sweeps, in ms.
+const SWEEP_INTERVAL_MS: u64 = 50;
+/// Most steps that a sweep visits; a backlog of 10,000 steps is visited within a second.
+const MAX_SWEPT_STEPS: usize = 512;
+/// Most steps for which a sweep makes an attempt.
+const MAX_SWEEP_ATTEMPTS: usize = 32;
+/// Most task sizes without room that a decision remembers for a pool.
+const MAX_FULL_SIZES: usize = 8;
+
+/// Entry of a queue of waiting steps.
+pub(crate) type WaitingStep = (Rank, StepKey);
+
+/// Workers for which steps compete.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Pool {
+    pub(crate) service: Arc<str>,
+    /// Label that the workers have; `None` for all workers of the service.
+    pub(crate) label: Option<Arc<str>>,
+    /// Queue of the steps if the advice service chooses among the workers.
+    advised_queue: Option<Arc<str>>,
+}
+
+impl Pool {
+    /// Pool of a step of a job, by the index of the step.
+    pub(crate) fn of_step(request: &JobRequest, step: usize) -> Self {
+        let policy = &request.policy;
+        Self {
+            service: Arc::clone(&policy.service),
+            label: request.steps[step].needed_label.clone(),
+            advised_queue: (policy.advice.as_ref()).map(|_| Arc::clone(&policy.name)),
+        }
+    }
+
+    /// Service and label of the workers.
+    fn workers(&self) -> (Arc<str>, Option<Arc<str>>) {
+        (Arc::clone(&self.service), self.label.clone())
+    }
+}
+
+/// Steps that wait to be started, by pool and rank.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingSteps {
+    /// No value is empty.
+    pools: BTreeMap<Pool, BTreeSet<WaitingStep>>,
+    /// Last step that a sweep visited; `None` to begin with the first one.
+    swept: Option<(Pool, WaitingStep)>,
+    /// Time of the next sweep, in ms; `None` if the last decision visited all steps.
+    sweep_ms: Option<u64>,
+}
+
+impl WaitingSteps {
+    pub(crate) fn insert(&mut self, pool: Pool, entry: WaitingStep) {
+        self.pools.entry(pool).or_default().insert(entry);
+    }
+
+    /// Removes a step; returns whether it was in the queue.
+    pub(crate) fn remove(&mut self, pool: &Pool, entry: &WaitingStep) -> bool {
+        let Some(steps) = self.pools.get_mut(pool) else {
+            return false;
+        };
+        let was_queued = steps.remove(entry);
+        if steps.is_empty() {
+            self.pools.remove(pool);
+        }
+        was_queued
+    }
+
+    /// All steps, by pool.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &WaitingStep> {
+        self.pools.values().flatten()
+    }
+
+    /// First steps of a service in the order of their rank, at most `max`.
+    pub(crate) fn first_of_service(&self, service: &str, max: usize) -> Vec<&WaitingStep> {
+        let pools = self
+            .pools
+            .iter()
+            .filter(|(pool, _)| *pool.service == *service);
+        let mut first: Vec<&WaitingStep> = pools
+            .flat_map(|(_, steps)| steps.iter().take(max))
+            .collect();
+        first.sort_unstable();
+        first.truncate(max);
+        first
+    }
+
+    /// Step of a pool that follows another one; the first one for `None`.
+    fn after(&self, pool: &Pool, entry: Option<&WaitingStep>) -> Option<WaitingStep> {
+        let begin = entry.map_or(Unbounded, Excluded);
+        let steps = self.pools.get(pool)?;
+        steps.range((begin, Unbounded)).next().cloned()
+    }
+}
+
+/// Turn of a pool in a decision.
+#[derive(Debug, Default)]
+struct Turn {
+    visited: usize,
+    blocked: usize,
+    /// Last step that was visited.
+    last: Option<WaitingStep>,
+    /// Needs of tasks for which none of the workers has room.
+    full: Vec<Resources>,
+}
+
+impl Turn {
+    /// Whether it is known that no worker has room for a task with this need.
+    fn is_full(&self, need: &Resources) -> bool {
+        self.full.iter().any(|full| full.fits_in(need))
+    }
+
+    fn add_full(&mut self, need: Resources) {
+        self.full.retain(|full| !need.fits_in(full));
+        if self.full.len() < MAX_FULL_SIZES {
+            self.full.push(need);
+        }
+    }
+}
+
+/// State of one decision.
+#[derive(Debug, Default)]
+struct Decision {
+    turns: BTreeMap<Pool, Turn>,
+    awaited: AwaitedRoom,
+    /// Services and labels of workers for which a blocked step within its share waits.
+    contended: BTreeSet<(Arc<str>, Option<Arc<str>>)>,
+    attempts: usize,
+}
+
+impl Decision {
+    /// Whether steps over the share of their workspace leave the workers of a pool to others.
+    fn is_contended(&self, pool: &Pool) -> bool {
+        let all = (Arc::clone(&pool.service), None);
+        self.contended.contains(&pool.workers()) || self.contended.contains(&all)
+    }
+}
+
+/// Part of a decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Visits of the first steps of each pool; blocked ones keep room.
+    First,
+    /// Visits of the steps behind them.
+    Sweep,
+}
+
+/// Result of the visit of a step.
+enum Visit {
+    /// The step does not wait for room, or it was not tried.
+    Passed,
+    /// The step has become or remains blocked.
+    Blocked,
+}
+
+impl Scheduler {
+    /// Pool of a step; `None` if its job is unknown.
+    fn pool(&self, key: &StepKey) -> Option<Pool> {
+        let job = self.jobs.get(&key.job)?;
+        Some(Pool::of_step(&job.request, key.step as usize))
+    }
+
+    /// Adds a step to the queue of waiting steps.
+    pub(crate) fn enqueue(&mut self, entry: WaitingStep) {
+        if let Some(pool) = self.pool(&entry.1) {
+            self.waiting_steps.insert(pool, entry);
+        }
+    }
+
+    /// Takes a step out of the queue of waiting steps.
+    pub(crate) fn dequeue(&mut self, entry: &WaitingStep) {
+        if let Some(pool) = self.pool(&entry.1) {
+            self.waiting_steps.remove(&pool, entry);
+        }
+    }
+
+    /// Tries the waiting steps: the first ones of each pool, in order of their rank, and then some of those behind them.
+    pub(crate) fn place_waiting(&mut self) {
+        self.release_held_steps();
+        self.return_placeable_steps();
+        let mut decision = Decision::default();
+        if self.visit_first_steps(&mut decision) {
+            self.waiting_steps.swept = None;
+            self.waiting_steps.sweep_ms = None;
+            return;
+        }
+        let next_ms = self.now_ms + SWEEP_INTERVAL_MS;
+        let due_ms = *self.waiting_steps.sweep_ms.get_or_insert(next_ms);
+        if self.now_ms >= due_ms {
+            self.waiting_steps.sweep_ms = Some(next_ms);
+            self.sweep(&mut decision);
+        }
+    }
+
+    /// Visits the first steps of each pool; returns whether these were all waiting steps.
+    fn visit_first_steps(&mut self, decision: &mut Decision) -> bool {
+        let pools = &self.waiting_steps.pools;
+        let max_visited = MAX_VISITED_STEPS / pools.len().max(1);
+        let max_visited = max_visited.clamp(MAX_BLOCKED_STEPS, MAX_TRIED_STEPS);
+        let mut next: BTreeSet<(WaitingStep, Pool)> = (pools.iter())
+            .filter_map(|(pool, steps)| Some((steps.first()?.clone(), pool.clone())))
+            .collect();
+        let mut is_complete = true;
+        while let Some((entry, pool)) = next.pop_first() {
+            if decision.attempts >= MAX_TRIED_STEPS {
+                return false;
+            }
+            let visit = self.visit(&entry, &pool, Phase::First, decision);
+            if matches!(visit, Visit::Blocked) {
+                self.claim_room(&entry, &pool, decision);
+            }
+            let following = self.waiting_steps.after(&pool, Some(&entry));
+            let turn = decision.turns.entry(pool.clone()).or_default();
+            turn.visited += 1;
+            turn.last = Some(entry);
+            let is_over = turn.visited >= max_visited || turn.blocked >= MAX_BLOCKED_STEPS;
+            if let Some(following) = following {
+                if is_over {
+                    is_complete = false;
+                } else {
+                    next.insert((following, pool));
+                }
+            }
+        }
+        is_complete
+    }
+
+    /// Visits steps behind the first ones of their pools, from where the last sweep ended. They keep no room.
+    fn sweep(&mut self, decision: &mut Decision) {
+        let max_attempts = decision.attempts + MAX_SWEEP_ATTEMPTS;
+        let mut visited = 0;
+        let mut pools: Vec<Pool> = self.waiting_steps.pools.keys().cloned().collect();
+        let mut swept = self.waiting_steps.swept.take();
+        if let Some((pool, _)) = &swept {
+            pools.retain(|it| it >= pool);
+        }
+        for pool in pools {
+            let from = swept.take().filter(|(it, _)| *it == pool);
+            let turn = decision.turns.get(&pool);
+            let first = turn.and_then(|turn| turn.last.clone());
+            let mut last = first.max(from.map(|(_, entry)| entry));
+            while let Some(entry) = self.waiting_steps.after(&pool, last.as_ref()) {
+                if visited >= MAX_SWEPT_STEPS || decision.attempts >= max_attempts {
+                    self.waiting_steps.swept = last.map(|last| (pool, last));
+                    return;
+                }
+                self.visit(&entry, &pool, Phase::Sweep, decision);
+                visited += 1;
+                last = Some(entry);
+            }
+        }
+    }
+
+    /// Tries a waiting step unless it has to leave the room to others.
+    fn visit(
+        &mut self,
+        (rank, key): &WaitingStep,
+        pool: &Pool,
+        phase: Phase,
+        decision: &mut Decision,
+    ) -> Visit {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return Visit::Passed;
+        };
+        let current_rank = job.rank(key.step, self.now_ms);
+        if current_rank != *rank {
+            self.update_waiting_steps(&key.job.clone());
+            if current_rank > *rank {
+                // The step is visited at its new place.
+                return Visit::Passed;
+            }
+        }
+        if self.hold_at_limit(key) {
+            return Visit::Passed;
+        }
+        let Some(job) = self.jobs.get(&key.job) else {
+            return Visit::Passed;
+        };
+        let need = job.spec(key).need;
+        let Some(step) = job.step(key) else {
+            return Visit::Passed;
+        };
+        let has_reservations = !step.reservations.is_empty();
+        let is_advice_pending = step.advice.calls_in_flight > 0;
+        // Small steps over the share would fill every gap, so that no worker gets room for a task that waits.
+        let gives_way = current_rank.class == RankClass::OverShare && decision.is_contended(pool);
+        let turn = decision.turns.entry(pool.clone()).or_default();
+        let is_full = !has_reservations && turn.is_full(&need);
+        if gives_way
+            || (is_full && phase == Phase::Sweep)
+            || !(decision.awaited).fits(pool, &need, self.can_wait(&current_rank))
+        {
+            self.set_has_capacity(key, false);
+            return Visit::Passed;
+        }
+        let was_blocked = self.is_blocked(key);
+        let (outcome, started) = if was_blocked || is_full {
+            (TryOutcome::Blocked, 0)
+        } else {
+            self.try_step(key)
+        };
+        let is_blocked = matches!(outcome, TryOutcome::Blocked);
+        self.set_has_capacity(key, !is_blocked);
+        if !was_blocked && !is_full && !is_advice_pending {
+            decision.attempts += 1;
+        }
+        if is_blocked && !was_blocked {
+            if !is_full && !self.has_free_slot(pool, &need) {
+                turn.add_full(need);
+            }
+            if let Some(reason) = self.refresh_slots(key)
+                && started == 0
+            {
+                self.remove_from_queue(key, reason);
+                return Visit::Passed;
+            }
+            self.block(key);
+        }
+        let taken = need.checked_mul(started as u64).unwrap_or(need);
+        decision.awaited.take(pool, &taken);
+        if is_blocked {
+            return Visit::Blocked;
+        }
+        self.await_gathering(key, pool, &current_rank, &mut decision.awaited);
+        Visit::Passed
+    }
+
+    /// Whether a worker of the pool that accepts tasks has room for a task with this need.
+    fn has_free_slot(&self, pool: &Pool, need: &Resources) -> bool {
+        self.pool_workers(pool)
+            .any(|worker| need.fits_in(&worker.free_capacity()))
+    }
+
+    /// Workers of a pool on which new tasks may be started.
+    pub(crate) fn pool_workers<'a>(&'a self, pool: &'a Pool) -> impl Iterator<Item = &'a Worker> {
+        let has_label =
+            |it: &&Worker| (pool.label.as_ref()).is_none_or(|label| it.spec.labels.contains(label));
+        self.schedulable_workers(&pool.service).filter(has_label)
+    }
+
+    /// Keeps the room that a blocked step waits for, unless it waits for workers that answer.
+    fn claim_room(&self, (_, key): &WaitingStep, pool: &Pool, decision: &mut Decision) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let slots = job.step(key).map_or(0, |step| step.present_slots);
+        if slots < job.spec(key).least_slots() {
+            return;
+        }
+        self.await_blocked(key, pool, &mut decision.awaited);
+        if job.rank(key.step, self.now_ms).class < RankClass::OverShare {
+            decision.contended.insert(pool.workers());
+        }
+        decision.turns.entry(pool.clone()).or_default().blocked += 1;
+    }
+}
--- a/crates/workflow/src/workspaces.rs
+++ b/crates/workflow/src/workspaces.rs
@@ -18,13 +18,12 @@
 use {
     crate::{
         JobRequest, Scheduler, StepKey, WorkspacePolicy, job::JobError, job_state::Placement,
-        order::Rank, worker::slots_in,
+        waiting::WaitingStep, worker::slots_in,
     },
     ragwortreel_model::{JobId, JobState, Resources, Workspace},
     std::{
         collections::{BTreeMap, BTreeSet},
         mem,
-        ops::Bound::{Excluded, Unbounded},
     },
 };
 
@@ -34,9 +33,6 @@
 /// Room without a limit.
 const UNLIMITED: Resources = Resources::new(u64::MAX, u64::MAX, u64::MAX);
 
-/// Entry of a queue of waiting steps.
-pub(crate) type WaitingStep = (Rank, StepKey);
-
 /// Configured workspaces, as far as the leader knows them.
 #[derive(Debug, Default)]
 enum Configuration {
@@ -324,7 +320,9 @@
         let is_configured = |it: &Workspace| self.workspaces.policy(it).is_some();
         self.fair_share.retain(is_configured);
         // All held steps are tried again, so that those beyond a lowered limit fail now and not at their turn.
-        self.waiting_steps.extend(self.workspaces.take_held());
+        for entry in self.workspaces.take_held().collect::<Vec<_>>() {
+            self.enqueue(entry);
+        }
     }
 
     /// Resources of all runs and reservations of a workspace.
@@ -409,8 +407,8 @@
             Hold::NoRoom => &mut self.workspaces.held,
             Hold::Oversized => &mut self.workspaces.oversized,
         };
-        self.waiting_steps.remove(&entry);
-        (steps.entry(workspace.clone()).or_default()).insert(entry);
+        (steps.entry(workspace.clone()).or_default()).insert(entry.clone());
+        self.dequeue(&entry);
         if let Some(step) = self.step_mut(key)
             && !mem::replace(&mut step.has_waited_for_limit, true)
         {
@@ -419,12 +417,6 @@
         true
     }
 
-    /// Step after `entry` in the queue of waiting steps.
-    pub(crate) fn waiting_after(&self, entry: &WaitingStep) -> Option<WaitingStep> {
-        let after = (Excluded(entry), Unbounded);
-        self.waiting_steps.range(after).next().cloned()
-    }
-
     /// Moves a first held step whose class has changed with time to its new place in the order. A step that has become
     /// late or worthless would otherwise hold up all later steps of its workspace.
     fn rerank_held_steps(&mut self) {
@@ -453,7 +445,9 @@
         self.rerank_held_steps();
         for workspace in mem::take(&mut self.workspaces.changed) {
             if let Some(steps) = self.workspaces.oversized.remove(&workspace) {
-                self.waiting_steps.extend(steps);
+                for entry in steps {
+                    self.enqueue(entry);
+                }
             }
             let Some(mut held) = self.workspaces.held.remove(&workspace) else {
                 continue;
@@ -479,7 +473,9 @@
                     let taken = spec.need.checked_mul(u64::from(tasks)).unwrap_or(room);
                     room = room.saturating_sub(&taken);
                 }
-                self.waiting_steps.extend(held.pop_first());
+                if let Some(entry) = held.pop_first() {
+                    self.enqueue(entry);
+                }
             }
             if !held.is_empty() {
                 self.workspaces.held.insert(workspace, held);
--- a/crates/workflow/src/workspaces/tests.rs
+++ b/crates/workflow/src/workspaces/tests.rs
@@ -469,7 +469,7 @@
         }
         assert_eq!(scheduler.workspaces.usage, counted);
         let held = scheduler.workspaces.held_steps().count();
-        assert_eq!(waiting, scheduler.waiting_steps.len() + held);
+        assert_eq!(waiting, scheduler.waiting_steps.iter().count() + held);
         let mut active: BTreeMap<Workspace, Resources> = BTreeMap::new();
         for start in self.workers.iter().flat_map(|it| &it.active) {
             let request = &self.requests[&start.task.step.job];
