--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        Timing,
         api::{TaskStart, WorkerEndpoint, WorkerError},
         events::{START_OUTCOME_UNKNOWN, STOP_FAILED, TASK_NOT_STARTED},
         term::Term,
@@ -46,12 +47,25 @@
 }
 
 impl ClockSample {
-    /// Estimates the worker's clock at a local time.
-    pub(crate) fn at(&self, now_ms: u64) -> u64 {
-        self.worker_ms + now_ms.saturating_sub(self.local_ms)
+    /// Lease that an order grants that is sent at a local time; `None` if the worker's clock was read too long ago.
+    pub(crate) fn lease(&self, now_ms: u64, timing: &Timing) -> Option<Lease> {
+        let age_ms = now_ms.saturating_sub(self.local_ms);
+        Some(Lease {
+            expires_ms: self.worker_ms + age_ms + timing.lease_ms,
+            until_ms: now_ms + timing.granted_lease_bound_ms(age_ms)?,
+        })
     }
 }
 
+/// Lease that an order grants.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Lease {
+    /// End on the worker's clock, in ms.
+    pub(crate) expires_ms: u64,
+    /// Local time by which it has certainly expired, in ms.
+    pub(crate) until_ms: u64,
+}
+
 /// Data that a worker's monitor shares with other async tasks.
 #[derive(Debug, Clone)]
 pub(crate) struct WorkerHandle {
@@ -103,23 +117,33 @@
     order: StartOrder,
     times: StartTimes,
 ) {
-    let now_ms = boot_ms();
+    // The lease counts from a time before the checks, so a process that is suspended after them sends an expired order,
+    // and the clock is read before that time, so it is no newer.
     let clock = *lock(&handle.clock);
+    let now_ms = boot_ms();
     let (task, run) = (order.task.clone(), order.run);
-    if !lock(&term.scheduler).has_run(&to.worker, &task, run) {
-        // The run was dropped while its start waited to be stored or sent.
-        return;
-    }
     let may_send = term.may_start() && now_ms < times.stored_ms + MAX_START_AGE_MS;
-    let result = match clock.filter(|_| may_send) {
-        Some(clock) => {
+    let lease = clock.and_then(|clock| clock.lease(now_ms, &term.cell.cfg.timing));
+    let lease = lease.filter(|_| may_send);
+    {
+        let mut scheduler = lock(&term.scheduler);
+        if !scheduler.has_run(&to.worker, &task, run) {
+            // The run was dropped while its start waited to be stored or sent.
+            return;
+        }
+        if let Some(lease) = lease {
+            scheduler.extend_lease(&to.worker, lease.until_ms);
+        }
+    }
+    let result = match lease {
+        Some(lease) => {
             let start = TaskStart {
                 task: order.task,
                 run,
                 payload: order.payload,
                 checkpoint: order.checkpoint,
                 ticket: order.ticket,
-                lease_expires_ms: clock.at(now_ms) + term.cell.cfg.timing.lease_ms,
+                lease_expires_ms: lease.expires_ms,
             };
             term.cell.deps.workers.start(to, &start).await
         }
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/timing.rs
@@ -22,8 +22,9 @@
 
 /// Maximum rate by which a worker's clock may be slower than the leader's, in percent, with a margin.
 const MAX_CLOCK_DRIFT_PERCENT: u64 = 3;
-/// Longest time that an order may be in transit, in ms; part of the bound of the lease that it extends.
-const MAX_ORDER_TRANSIT_MS: u64 = 700;
+/// Longest time since a worker's clock was read for which leases are granted by it, in ms: that of a heartbeat without an
+/// answer, with the time for which the ends in the former answer waited to be stored.
+const MAX_CLOCK_AGE_MS: u64 = 5_000;
 
 /// Time by which a leader stops starting tasks before another instance may take over, in ms. It covers the difference
 /// between sending a renewal and reading its row, and a timer that fires late.
@@ -76,10 +77,24 @@
         self.min_list_interval_ms.max(workers / 2)
     }
 
-    /// Time after an order by which every lease that it extends has certainly expired, in ms.
+    /// Time after the sending of an order by which the lease that it grants has certainly expired, in ms, if the worker's
+    /// clock was read `clock_age_ms` earlier; `None` if that is too long ago.
+    ///
+    /// The order names the end of the lease on the worker's clock, so it does not matter when it arrives.
+    #[must_use]
+    pub const fn granted_lease_bound_ms(&self, clock_age_ms: u64) -> Option<u64> {
+        if clock_age_ms > MAX_CLOCK_AGE_MS {
+            return None;
+        }
+        let drift_ms = (clock_age_ms + self.lease_ms) * MAX_CLOCK_DRIFT_PERCENT / 100;
+        Some(self.lease_ms + drift_ms)
+    }
+
+    /// Time after the sending of any order by which the lease that it grants has certainly expired, in ms.
     #[must_use]
     pub const fn lease_bound_ms(&self) -> u64 {
-        self.lease_ms + self.lease_ms * MAX_CLOCK_DRIFT_PERCENT / 100 + MAX_ORDER_TRANSIT_MS
+        let drift_ms = (MAX_CLOCK_AGE_MS + self.lease_ms) * MAX_CLOCK_DRIFT_PERCENT / 100;
+        self.lease_ms + drift_ms
     }
 
     /// Time after a takeover by which all leases have expired on workers that only an earlier leader reached, in ms.
--- a/crates/dispatch/src/worker_monitor.rs
+++ b/crates/dispatch/src/worker_monitor.rs
@@ -73,21 +73,20 @@
     /// Sends a heartbeat; returns false when another incarnation of the worker answers or another instance leads.
     async fn send_heartbeat(&mut self) -> bool {
         let timing = &self.term.cell.cfg.timing;
+        // As for a start, the lease counts from a time before the check and after the clock is read.
+        let clock = *lock(&self.handle.clock);
+        let sent_ms = boot_ms();
         if !self.term.may_extend_leases() {
             sleep_ms(RETRY_BACKOFF_MS[0]).await;
             return true;
         }
-        let sent_ms = boot_ms();
-        let clock = *lock(&self.handle.clock);
         // The lease of a worker that does not answer is not extended: the request might still arrive, and the lease
-        // would never expire.
-        let lease_clock = clock.filter(|_| self.failures == 0);
-        let lease_expires_ms = lease_clock.map(|clock| clock.at(sent_ms) + timing.lease_ms);
-        let is_status_only = lease_clock.is_none();
+        // would never expire. Its clock is unknown until it answers.
+        let lease = clock.and_then(|clock| clock.lease(sent_ms, timing));
         let req = HeartbeatRequest {
-            lease_expires_ms,
+            lease_expires_ms: lease.map(|lease| lease.expires_ms),
             acked_end: self.acked_end,
-            wait: if is_status_only {
+            wait: if lease.is_none() {
                 Duration::ZERO
             } else {
                 let max_wait_ms = lock(&self.term.scheduler).max_heartbeat_wait_ms(&self.to.worker);
@@ -96,9 +95,8 @@
                     .min(Duration::from_millis(max_wait_ms))
             },
         };
-        let lease_until_ms = sent_ms + timing.lease_bound_ms();
-        if lease_expires_ms.is_some() {
-            lock(&self.term.scheduler).extend_lease(&self.to.worker, lease_until_ms);
+        if let Some(lease) = lease {
+            lock(&self.term.scheduler).extend_lease(&self.to.worker, lease.until_ms);
         }
         let result = self.term.cell.deps.workers.heartbeat(&self.to, req).await;
         match result {
@@ -115,6 +113,11 @@
                         "worker" => self.to.worker.to_string(),
                         "running" => response.running.len(), "failures" => self.failures);
                 }
+                // A worker may take orders of an earlier leader until it has received this heartbeat.
+                let lease_until_ms = lease.map_or_else(
+                    || local_ms + self.term.cell.cfg.timing.lease_bound_ms(),
+                    |lease| lease.until_ms,
+                );
                 self.handle_response(response, sent_ms, lease_until_ms)
                     .await;
                 true
@@ -207,6 +210,8 @@
             log_event!(self.term.cell.deps.log, WORKER_LOST;
                 "worker" => self.to.worker.to_string(), "problem" => err.to_string());
         }
+        // The next incarnation has another clock.
+        *lock(&self.handle.clock) = None;
         lock(&self.term.scheduler).mark_unreachable(&self.to.worker);
         self.term.wake();
         let backoff_ms = RETRY_BACKOFF_MS[self.failures.min(RETRY_BACKOFF_MS.len() - 1)];
--- a/crates/dispatch/tests/timing.rs
+++ b/crates/dispatch/tests/timing.rs
@@ -41,3 +41,32 @@
     assert!(timing.list_interval_ms(1_100) <= 1_000);
     assert!(timing.list_interval_ms(4_000) <= 2_000);
 }
+
+/// Guards against tasks that start elsewhere while they still run on a worker whose clock is 2% slow, and against a wait that
+/// is longer than that takes.
+#[test]
+fn leases_on_slow_clocks_end_within_their_bound() {
+    const MAX_EXCESS_MS: u64 = 300;
+    let timing = Timing::new(10_000);
+    for clock_age_ms in 0..10_000 {
+        let Some(bound_ms) = timing.granted_lease_bound_ms(clock_age_ms) else {
+            assert!(
+                clock_age_ms > 3_200 + 1_500,
+                "the age at a heartbeat after one without an answer"
+            );
+            continue;
+        };
+        // The order names the time `lease_ms` after its sending, as if the worker's clock kept pace since it was read.
+        let ends_ms = (clock_age_ms + timing.lease_ms) * 100 / 98 + 1;
+        let until_ms = clock_age_ms + bound_ms;
+        assert!(
+            until_ms >= ends_ms,
+            "the lease ends after {ends_ms} ms, not {until_ms}"
+        );
+        assert!(until_ms <= ends_ms + MAX_EXCESS_MS);
+        assert!(
+            bound_ms <= timing.lease_bound_ms(),
+            "the bound for any order covers this one"
+        );
+    }
+}
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -305,7 +305,6 @@
                     progress: RunProgress::new(&spec, order.checkpoint.is_empty(), now_ms),
                 };
                 worker.add_run(order.task.clone(), run, &mut self.workspaces);
-                worker.lease_until_ms = worker.lease_until_ms.max(now_ms + self.lease_bound_ms);
             }
             if let Some(step) = self.step_mut(key) {
                 let task = &mut step.tasks[order.task.index as usize];
