--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -67,7 +67,7 @@
     /// Total of all capacity freed so far; blocked steps are retried early when it has grown enough.
     pub(crate) freed_milli_cores: u64,
     /// Idle instances that no waiting call needs, as last set by the driver.
-    spare_instances: usize,
+    pub(crate) spare_instances: usize,
     /// Moving average of the share of workers that the advice service allows, by queue.
     pub(crate) allowed_share: BTreeMap<Arc<str>, f64>,
     pub(crate) run_times: RunTimes,
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -13,7 +13,7 @@
 
 use {
     crate::{
-        JobRequest, Scheduler, StepKey,
+        Action, JobRequest, Scheduler, StepKey,
         gang_room::AwaitedRoom,
         order::{Rank, RankClass},
         placement::TryOutcome,
@@ -27,8 +27,8 @@
     },
 };
 
-/// Most steps of a pool that a decision visits before its sweep, and most of all pools for which it makes an attempt.
-/// Each attempt visits all workers.
+/// Most steps of a pool that a decision visits before its sweep, most of all pools that need advice, and most of all pools
+/// for which it makes an attempt. Each attempt visits all workers.
 const MAX_TRIED_STEPS: usize = 96;
 /// Number of blocked steps of a pool after which a decision visits no further steps of it before its sweep.
 const MAX_BLOCKED_STEPS: usize = 12;
@@ -137,6 +137,8 @@
     last: Option<WaitingStep>,
     /// Needs of tasks for which none of the workers has room.
     full: Vec<Resources>,
+    /// Steps that a sweep tried and that may have requested advice.
+    swept_requests: usize,
 }
 
 impl Turn {
@@ -161,6 +163,10 @@
     /// Services and labels of workers for which a blocked step within its share waits.
     contended: BTreeSet<(Arc<str>, Option<Arc<str>>)>,
     attempts: usize,
+    /// Steps visited that need advice.
+    advised: usize,
+    /// Most steps of a pool that a sweep tries if they may request advice.
+    max_swept_requests: usize,
 }
 
 impl Decision {
@@ -240,6 +246,13 @@
             if decision.attempts >= MAX_TRIED_STEPS {
                 return false;
             }
+            if pool.advised_queue.is_some() {
+                if decision.advised >= MAX_TRIED_STEPS {
+                    is_complete = false;
+                    continue;
+                }
+                decision.advised += 1;
+            }
             let visit = self.visit(&entry, &pool, Phase::First, decision);
             if matches!(visit, Visit::Blocked) {
                 self.claim_room(&entry, &pool, decision);
@@ -263,6 +276,7 @@
     /// Visits steps behind the first ones of their pools, from where the last sweep ended. They keep no room.
     fn sweep(&mut self, decision: &mut Decision) {
         let max_attempts = decision.attempts + MAX_SWEEP_ATTEMPTS;
+        decision.max_swept_requests = self.idle_instances_per_pool();
         let mut visited = 0;
         let mut pools: Vec<Pool> = self.waiting_steps.pools.keys().cloned().collect();
         let mut swept = self.waiting_steps.swept.take();
@@ -286,6 +300,16 @@
         }
     }
 
+    /// Instances that are idle after the requests of this decision, for each pool that needs advice; rounded up.
+    fn idle_instances_per_pool(&self) -> usize {
+        let is_request = |action: &&Action| matches!(action, Action::RequestAdvice(_));
+        let requests = self.actions.iter().filter(is_request).count();
+        let pools = self.waiting_steps.pools.keys();
+        let advised = pools.filter(|pool| pool.advised_queue.is_some()).count();
+        let idle = self.spare_instances.saturating_sub(requests);
+        idle.div_ceil(advised.max(1))
+    }
+
     /// Tries a waiting step unless it has to leave the room to others.
     fn visit(
         &mut self,
@@ -320,6 +344,13 @@
         // Small steps over the share would fill every gap, so that no worker gets room for a task that waits.
         let gives_way = current_rank.class == RankClass::OverShare && decision.is_contended(pool);
         let turn = decision.turns.entry(pool.clone()).or_default();
+        if phase == Phase::Sweep && pool.advised_queue.is_some() && !is_advice_pending {
+            // Requests would delay those of the first steps, unless instances are idle.
+            if turn.swept_requests >= decision.max_swept_requests {
+                return Visit::Passed;
+            }
+            turn.swept_requests += 1;
+        }
         let is_full = !has_reservations && turn.is_full(&need);
         if gives_way
             || (is_full && phase == Phase::Sweep)
