--- a/crates/workflow/src/backlog.rs
+++ b/crates/workflow/src/backlog.rs
@@ -54,7 +54,7 @@
             let Some(job) = self.jobs.get(&key.job).filter(|_| !is_behind_all) else {
                 continue;
             };
-            if job.step(key).is_none_or(|step| step.has_capacity) {
+            if job.step(key).is_none_or(|step| step.has_capacity) || job.lacks_workers(key) {
                 continue;
             }
             let spec = job.spec(key);
--- a/crates/workflow/src/evacuation.rs
+++ b/crates/workflow/src/evacuation.rs
@@ -400,7 +400,10 @@
     fn room(&self, service: &str) -> Room {
         let waiting = (self.waiting_steps).first_of_service(service, MAX_STEPS_AHEAD);
         let waiting = waiting.into_iter().filter_map(|(rank, key)| {
-            let job = self.jobs.get(&key.job)?;
+            let job = self
+                .jobs
+                .get(&key.job)
+                .filter(|job| !job.lacks_workers(key))?;
             let step = job.step(key).filter(|step| !step.has_capacity)?;
             let need = (job.spec(key).need).checked_mul(step.waiting_tasks() as u64)?;
             Some((*rank, need))
--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -5,8 +5,10 @@
 //! although most of them could wait for seconds and still end in time, so that a wide gang hardly ever finds enough.
 //! Therefore:
 //!
-//! - The need of a *blocked* step, for which there is too little room, is left free by all later steps. What a step that
-//!   needs a label waits for is left free on the workers with the label only.
+//! - The need of a *blocked* step, for which there is too little room, is left free by all later steps that would still
+//!   run when it is expected to have enough (*backfill*, as in other batch schedulers). What a step that needs a label
+//!   waits for is left free on the workers with the label only. A step that will not have enough by the end of what runs
+//!   now keeps no room.
 //! - A gang whose advice is pending, and that can still end in time, *gathers* room: later steps that lose nothing by
 //!   waiting leave free what it needs. A gang that is too late gathers nothing, and all gangs together gather at most a
 //!   part of a service, so that narrow steps go on.
@@ -28,20 +30,37 @@
 /// of homework earned 0.90 instead of 0.96 of its value.
 const MIN_SLACK_MS: u64 = 6_000;
 
+/// Room that a blocked step waits for.
+#[derive(Debug)]
+struct Claim {
+    need: Resources,
+    /// Expected start of the step, in ms.
+    start_ms: u64,
+}
+
+/// Sum of the claims of steps that are expected to start before a time.
+fn claimed_before(claims: &[Claim], end_ms: u64) -> Resources {
+    let mut sum = Resources::ZERO;
+    for claim in claims.iter().filter(|claim| claim.start_ms < end_ms) {
+        sum += claim.need;
+    }
+    sum
+}
+
 /// Room of the workers with a label in a decision.
 #[derive(Debug)]
 struct LabelRoom {
     free: Resources,
-    /// Needs of blocked steps that need the label.
-    blocked: Resources,
+    /// Claims of blocked steps that need the label.
+    blocked: Vec<Claim>,
 }
 
 /// Room of one service in a decision.
 #[derive(Debug)]
 struct ServiceRoom {
     free: Resources,
-    /// Needs of blocked steps that need no label.
-    blocked: Resources,
+    /// Claims of blocked steps that need no label.
+    blocked: Vec<Claim>,
     /// Room by label that blocked steps need.
     labels: BTreeMap<Arc<str>, LabelRoom>,
     /// Free room of all workers that have one of these labels.
@@ -52,13 +71,13 @@
 }
 
 impl ServiceRoom {
-    /// Needs of blocked steps, as far as the room on their workers goes.
-    fn awaited(&self) -> Resources {
+    /// Needs of blocked steps that are expected to start before a time, as far as the room on their workers goes.
+    fn awaited_before(&self, end_ms: u64) -> Resources {
         let mut labels = Resources::ZERO;
         for label in self.labels.values() {
-            labels += label.blocked;
+            labels += claimed_before(&label.blocked, end_ms);
         }
-        self.blocked + labels.zip_with(&self.labels_free, u64::min)
+        claimed_before(&self.blocked, end_ms) + labels.zip_with(&self.labels_free, u64::min)
     }
 }
 
@@ -69,18 +88,26 @@
 }
 
 impl AwaitedRoom {
-    /// Whether a task fits beside what the steps tried so far wait for.
-    pub(crate) fn fits(&self, pool: &Pool, need: &Resources, can_wait: bool) -> bool {
+    /// Whether steps that were tried wait for room of a service.
+    pub(crate) fn has_claims(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
+    /// Whether a task that ends at a time in ms fits beside what the steps tried so far wait for.
+    pub(crate) fn fits(&self, pool: &Pool, need: &Resources, end_ms: u64, can_wait: bool) -> bool {
         let Some(room) = self.services.get(&pool.service) else {
             return true;
         };
-        let mut awaited = room.awaited();
+        let mut awaited = room.awaited_before(end_ms);
         if can_wait {
             awaited += room.gathered;
         }
         let label = pool.label.as_ref().and_then(|label| room.labels.get(label));
         need.fits_in(&room.free.saturating_sub(&awaited))
-            && label.is_none_or(|it| need.fits_in(&it.free.saturating_sub(&it.blocked)))
+            && label.is_none_or(|it| {
+                let claimed = claimed_before(&it.blocked, end_ms);
+                need.fits_in(&it.free.saturating_sub(&claimed))
+            })
     }
 
     /// Subtracts the resources of started tasks.
@@ -104,21 +131,27 @@
 
     /// Records the need of a blocked step, of no more tasks than its workers could run at the same time.
     pub(crate) fn await_blocked(&self, key: &StepKey, pool: &Pool, awaited: &mut AwaitedRoom) {
-        let slots = (self.jobs.get(&key.job)).and_then(|job| Some(job.step(key)?.present_slots));
-        let Some((_, need)) = self.waiting_need(key, slots.unwrap_or(0)) else {
+        let Some(step) = (self.jobs.get(&key.job)).and_then(|job| job.step(key)) else {
             return;
         };
+        let Some((_, need)) = self.waiting_need(key, step.present_slots) else {
+            return;
+        };
+        let claim = Claim {
+            need,
+            start_ms: step.forecast_ms,
+        };
         let room = self.service_room(pool, awaited);
         let Some(label) = &pool.label else {
-            room.blocked += need;
+            room.blocked.push(claim);
             return;
         };
         if let Some(label) = room.labels.get_mut(label) {
-            label.blocked += need;
+            label.blocked.push(claim);
             return;
         }
         let free = free_of(self.pool_workers(pool));
-        let blocked = need;
+        let blocked = vec![claim];
         (room.labels).insert(Arc::clone(label), LabelRoom { free, blocked });
         let has_awaited_label = |it: &&Worker| {
             let mut labels = it.spec.labels.iter();
@@ -141,7 +174,8 @@
             return;
         };
         let has_room = (job.step(key)).is_none_or(|step| !step.reservations.is_empty());
-        if rank.class != RankClass::InTime || !job.spec(key).gang || has_room {
+        let is_gathering = rank.class == RankClass::InTime && job.spec(key).gang && !has_room;
+        if !is_gathering || job.lacks_workers(key) {
             return;
         }
         let share = self.expected_allowed_share(&job.request.policy.name);
@@ -173,7 +207,7 @@
                 let percent = self.order_rules.max_gathered_percent;
                 ServiceRoom {
                     free: self.free_capacity(service),
-                    blocked: Resources::ZERO,
+                    blocked: Vec::new(),
                     labels: BTreeMap::new(),
                     labels_free: Resources::ZERO,
                     gathered: Resources::ZERO,
--- a/crates/workflow/src/job_state.rs
+++ b/crates/workflow/src/job_state.rs
@@ -68,8 +68,11 @@
     pub(crate) advice: StepAdvice,
     /// Learned duration of the tasks; `None` before the first observation.
     pub(crate) time: Option<StepTime>,
-    /// Number of the step's tasks that fitted on the workers at the last count, had they been empty.
+    /// Number of the step's tasks that would have fitted at the last count on the workers that accept tasks, without
+    /// their runs that end.
     pub(crate) present_slots: u64,
+    /// Time at which the step had room by the last forecast, in ms.
+    pub(crate) forecast_ms: u64,
     /// Time of the next count, in ms.
     pub(crate) slots_due_ms: u64,
     /// Reason for which no worker could run the step at the last check that found none.
@@ -219,6 +222,14 @@
             })
     }
 
+    /// Whether a blocked step could not start if all runs but endless ones had ended: it waits for workers that accept
+    /// tasks, or for the end of endless ones.
+    pub(crate) fn lacks_workers(&self, key: &StepKey) -> bool {
+        self.step(key).is_some_and(|step| {
+            step.slots_due_ms > 0 && step.present_slots < self.spec(key).least_slots()
+        })
+    }
+
     /// Tasks of a step that are placed on workers.
     pub(crate) fn placed_tasks(&self, key: &StepKey) -> Vec<(WorkerId, TaskKey)> {
         let tasks = self.step(key).map_or(&[][..], |step| &step.tasks);
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -35,6 +35,7 @@
 mod recovery;
 mod reservations;
 mod restart_slots;
+mod room_forecast;
 mod run_times;
 mod scheduler;
 mod segments;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -9,6 +9,7 @@
     crate::{
         Action, Scheduler, StartOrder, StepKey, TaskKey,
         job_state::Placement,
+        room_forecast::Allowance,
         stalls::RunProgress,
         worker::{Run, RunPhase, Worker, slots_in},
     },
@@ -149,17 +150,7 @@
             return Vec::new();
         };
         let spec = job.spec(key);
-        let max_slots = spec.tasks.min(spec.max_per_worker.unwrap_or(u32::MAX));
-        let mut placed_counts: BTreeMap<&WorkerId, u32> = BTreeMap::new();
-        if spec.max_per_worker.is_some()
-            && let Some(step) = job.step(key)
-        {
-            for task in &step.tasks {
-                if let Placement::On(worker) = &task.placement {
-                    *placed_counts.entry(worker).or_default() += 1;
-                }
-            }
-        }
+        let allowance = Allowance::new(job, key);
         let service = &job.request.policy.service;
         let fits = |worker: &&Worker| {
             worker.is_schedulable(self.now_ms)
@@ -169,20 +160,10 @@
         let preferred_rack = spec.preferred_rack.as_ref();
         let candidate = |worker: &'a Worker| {
             let free = worker.free_capacity();
-            let used = if placed_counts.is_empty() {
-                0
-            } else {
-                placed_counts.get(&worker.spec.id).copied().unwrap_or(0)
-            };
+            let max = allowance.of(&worker.spec.id);
             Candidate {
                 worker,
-                slots: slots_in(
-                    &spec.need,
-                    &free,
-                    max_slots
-                        .saturating_sub(used)
-                        .min(worker.max_new_runs(self.now_ms)),
-                ),
+                slots: slots_in(&spec.need, &free, max.min(worker.max_new_runs(self.now_ms))),
                 free_milli_cores: free.milli_cores,
                 on_preferred_rack: preferred_rack.is_some_and(|it| worker.spec.labels.contains(it)),
             }
--- a/crates/workflow/src/run_times.rs
+++ b/crates/workflow/src/run_times.rs
@@ -497,6 +497,18 @@
             .collect();
     }
 
+    /// Expected duration of a step's tasks in ms: the estimated one, or the learned one if that is longer.
+    pub(crate) fn expected_run_ms(&self, job: &Job, key: &StepKey) -> u64 {
+        let learned_ms = self.run_times.step_time(job, key).log_ms.exp();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the cast saturates, and the value is positive"
+        )]
+        let learned_ms = learned_ms as u64;
+        job.spec(key).estimate_ms.max(learned_ms)
+    }
+
     /// Preference of a step's tasks for the speeds of their workers, so that the job ends while its result has its present
     /// value, and fast workers are left to those that need them.
     pub(crate) fn speed_preference(&self, job: &Job, key: &StepKey) -> SpeedPreference {
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -76,6 +76,8 @@
     pub(crate) workspaces: Workspaces,
     pub(crate) evacuation: Evacuation,
     pub(crate) order_rules: OrderRules,
+    /// Time of the next estimate of the ends of all runs, in ms.
+    pub(crate) ends_due_ms: u64,
 }
 
 impl Scheduler {
@@ -108,6 +110,7 @@
             workspaces: Workspaces::default(),
             evacuation: Evacuation::default(),
             order_rules: OrderRules::default(),
+            ends_due_ms: 0,
         }
     }
 
--- a/crates/workflow/src/stalls.rs
+++ b/crates/workflow/src/stalls.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Estimated duration of the task, in ms; `None` for endless tasks.
+    pub(crate) const fn estimate_ms(&self) -> Option<u64> {
+        self.estimate_ms
+    }
+
     /// Records the worker's confirmation of the start.
     pub(crate) fn confirm_start(&mut self, now_ms: u64) {
         self.restart_clock(now_ms);
--- a/crates/workflow/src/unplaceable.rs
+++ b/crates/workflow/src/unplaceable.rs
@@ -6,13 +6,14 @@
 //!
 //! Therefore a step that could not start on the listed workers even if these were empty is *unplaceable*: it is taken out
 //! of the queue of waiting steps, keeps no room and counts in no figure of the backlog. It returns to its place once a
-//! worker that it lacks is listed. A step that only lacks workers that answer and are not in quarantine stays in the queue,
-//! but keeps no room and uses up no attempt.
+//! worker that it lacks is listed. A step that only lacks workers that answer and are not in quarantine, or room beside
+//! endless tasks, stays in the queue, but keeps no room and uses up no attempt.
 
 use {
     crate::{
         Scheduler, StepKey,
         order::Rank,
+        room_forecast::{Allowance, RoomForecast},
         worker::{Worker, slots_in},
     },
     derive_more::Display,
@@ -49,6 +50,9 @@
     /// The tasks of a gang do not fit on all workers together.
     #[display("the gang is wider than all workers that it may use")]
     GangWidth,
+    /// The step fits on the workers, but not beside endless tasks.
+    #[display("endless tasks leave too little room for it")]
+    EndlessTasks,
 }
 
 impl UnplaceableReason {
@@ -61,11 +65,12 @@
             Self::TaskSize => "task-size",
             Self::Advice => "advice",
             Self::GangWidth => "gang-width",
+            Self::EndlessTasks => "endless-tasks",
         }
     }
 }
 
-/// Step that no worker can run, for the log; reported once for each step and reason.
+/// Step that no worker can run, or none at present, for the log; reported once for each step and reason.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UnplaceableStep {
     /// Step that waits for a worker.
@@ -74,13 +79,15 @@
     pub reason: UnplaceableReason,
 }
 
-/// Tasks of a step that the workers could run at the same time if they were empty.
+/// Tasks of a step that the workers could run at the same time.
 #[derive(Debug, Default)]
 struct StepSlots {
-    /// Number of tasks on the workers that accept tasks now.
-    present: u64,
+    /// Room on the workers that accept tasks now.
+    present: RoomForecast,
     /// First requirement that no listed worker meets; `None` if the step could start on the listed workers.
     unplaceable: Option<UnplaceableReason>,
+    /// Whether it could do so only if endless tasks ended.
+    waits_for_endless: bool,
 }
 
 /// Steps that no worker can run.
@@ -117,8 +124,8 @@
 }
 
 impl Scheduler {
-    /// Counts the tasks of a step that the workers could run at the same time if they were empty, as far as it is known
-    /// which ones the advice service allows.
+    /// Counts the tasks of a step that the workers could run at the same time if they were empty, and beside endless tasks,
+    /// as far as it is known which workers the advice service allows.
     fn step_slots(&self, key: &StepKey) -> StepSlots {
         let job = self.jobs.get(&key.job);
         let Some((job, step)) = job.and_then(|job| Some((job, job.step(key)?))) else {
@@ -126,7 +133,9 @@
         };
         let spec = job.spec(key);
         let max_slots = spec.tasks.min(spec.max_per_worker.unwrap_or(u32::MAX));
-        let (mut listed, mut present) = (0, 0);
+        let allowance = Allowance::new(job, key);
+        let (mut listed, mut beside_endless) = (0, 0);
+        let mut present = Vec::new();
         let mut lacking = UnplaceableReason::NoWorker;
         for worker in self.workers.values() {
             if worker.spec.service != job.request.policy.service || !stays(worker) {
@@ -141,17 +150,22 @@
             } else if step.advice.is_allowed(&worker.spec.id) == Some(false) {
                 UnplaceableReason::Advice
             } else {
+                let max = allowance.of(&worker.spec.id);
+                let room = worker.capacity_beside_endless();
                 listed += u64::from(on_worker);
+                beside_endless += u64::from(slots_in(&spec.need, &room, max));
                 if worker.is_schedulable(self.now_ms) {
-                    present += u64::from(on_worker);
+                    present.push((worker, max));
                 }
                 UnplaceableReason::GangWidth
             };
             lacking = lacking.max(reached);
         }
+        let least = spec.least_slots();
         StepSlots {
-            present,
-            unplaceable: (listed < spec.least_slots()).then_some(lacking),
+            present: self.room_forecast(&spec.need, least, present.into_iter()),
+            unplaceable: (listed < least).then_some(lacking),
+            waits_for_endless: listed >= least && beside_endless < least,
         }
     }
 
@@ -161,10 +175,15 @@
         if self.step_mut(key)?.slots_due_ms > now_ms {
             return None;
         }
+        self.estimate_ends();
         let slots = self.step_slots(key);
         let step = self.step_mut(key)?;
-        step.present_slots = slots.present;
+        step.present_slots = slots.present.slots;
+        step.forecast_ms = slots.present.start_ms.unwrap_or(u64::MAX);
         step.slots_due_ms = now_ms + SLOTS_INTERVAL_MS;
+        if slots.waits_for_endless {
+            self.note_unplaceable(key, UnplaceableReason::EndlessTasks);
+        }
         slots.unplaceable
     }
 
@@ -178,11 +197,16 @@
         };
         step.has_capacity = false;
         step.slots_due_ms = 0;
-        let is_new = step.unplaceable.replace(reason) != Some(reason);
         let entry = (rank, key.clone());
         self.dequeue(&entry);
         self.unplaceable.steps.insert(entry);
-        if is_new {
+        self.note_unplaceable(key, reason);
+    }
+
+    /// Reports what a step lacks, unless that was reported last.
+    fn note_unplaceable(&mut self, key: &StepKey, reason: UnplaceableReason) {
+        let step = self.step_mut(key);
+        if step.is_some_and(|step| step.unplaceable.replace(reason) != Some(reason)) {
             let step = key.clone();
             (self.unplaceable.notices).push(UnplaceableStep { step, reason });
         }
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -160,8 +160,9 @@
 struct Decision {
     turns: BTreeMap<Pool, Turn>,
     awaited: AwaitedRoom,
-    /// Services and labels of workers for which a blocked step within its share waits.
-    contended: BTreeSet<(Arc<str>, Option<Arc<str>>)>,
+    /// Services and labels of workers for which a blocked step within its share waits, and the earliest expected start of
+    /// such a step, in ms.
+    contended: BTreeMap<(Arc<str>, Option<Arc<str>>), u64>,
     attempts: usize,
     /// Steps visited that need advice.
     advised: usize,
@@ -170,10 +171,13 @@
 }
 
 impl Decision {
-    /// Whether steps over the share of their workspace leave the workers of a pool to others.
-    fn is_contended(&self, pool: &Pool) -> bool {
+    /// Whether steps over the share of their workspace that end at a time leave the workers of a pool to others.
+    fn is_contended(&self, pool: &Pool, end_ms: u64) -> bool {
         let all = (Arc::clone(&pool.service), None);
-        self.contended.contains(&pool.workers()) || self.contended.contains(&all)
+        [pool.workers(), all].iter().any(|workers| {
+            let start_ms = self.contended.get(workers);
+            start_ms.is_some_and(|start_ms| *start_ms < end_ms)
+        })
     }
 }
 
@@ -335,14 +339,21 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return Visit::Passed;
         };
-        let need = job.spec(key).need;
+        let (need, is_gang) = (job.spec(key).need, job.spec(key).gang);
         let Some(step) = job.step(key) else {
             return Visit::Passed;
         };
+        // Without claims, the end does not matter.
+        let end_ms = if decision.awaited.has_claims(&pool.service) {
+            self.expected_reuse_ms(job, key)
+        } else {
+            self.now_ms
+        };
         let has_reservations = !step.reservations.is_empty();
         let is_advice_pending = step.advice.calls_in_flight > 0;
         // Small steps over the share would fill every gap, so that no worker gets room for a task that waits.
-        let gives_way = current_rank.class == RankClass::OverShare && decision.is_contended(pool);
+        let gives_way =
+            current_rank.class == RankClass::OverShare && decision.is_contended(pool, end_ms);
         let turn = decision.turns.entry(pool.clone()).or_default();
         if phase == Phase::Sweep && pool.advised_queue.is_some() && !is_advice_pending {
             // Requests would delay those of the first steps, unless instances are idle.
@@ -354,7 +365,7 @@
         let is_full = !has_reservations && turn.is_full(&need);
         if gives_way
             || (is_full && phase == Phase::Sweep)
-            || !(decision.awaited).fits(pool, &need, self.can_wait(&current_rank))
+            || !(decision.awaited).fits(pool, &need, end_ms, self.can_wait(&current_rank))
         {
             self.set_has_capacity(key, false);
             return Visit::Passed;
@@ -387,7 +398,10 @@
         if is_blocked {
             return Visit::Blocked;
         }
-        self.await_gathering(key, pool, &current_rank, &mut decision.awaited);
+        if is_gang {
+            self.refresh_slots(key);
+            self.await_gathering(key, pool, &current_rank, &mut decision.awaited);
+        }
         Visit::Passed
     }
 
@@ -404,18 +418,20 @@
         self.schedulable_workers(&pool.service).filter(has_label)
     }
 
-    /// Keeps the room that a blocked step waits for, unless it waits for workers that answer.
+    /// Keeps the room that a blocked step waits for, unless the end of what runs does not give it enough.
     fn claim_room(&self, (_, key): &WaitingStep, pool: &Pool, decision: &mut Decision) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let slots = job.step(key).map_or(0, |step| step.present_slots);
-        if slots < job.spec(key).least_slots() {
+        if job.lacks_workers(key) {
             return;
         }
         self.await_blocked(key, pool, &mut decision.awaited);
         if job.rank(key.step, self.now_ms).class < RankClass::OverShare {
-            decision.contended.insert(pool.workers());
+            let start_ms = job.step(key).map_or(u64::MAX, |step| step.forecast_ms);
+            let earliest_ms = decision.contended.entry(pool.workers());
+            let earliest_ms = earliest_ms.or_insert(start_ms);
+            *earliest_ms = start_ms.min(*earliest_ms);
         }
         decision.turns.entry(pool.clone()).or_default().blocked += 1;
     }
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -1,7 +1,10 @@
 //! Workers: their capacity, the runs that may be active on them, and the reports that they send.
 
 use {
-    crate::{TaskKey, run_times::WorkerSpeed, stalls::RunProgress, workspaces::Workspaces},
+    crate::{
+        TaskKey, room_forecast::ExpectedEnds, run_times::WorkerSpeed, stalls::RunProgress,
+        workspaces::Workspaces,
+    },
     ragwortreel_model::{Resources, WorkerId, Workspace},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -149,6 +152,8 @@
     pub(crate) orphans: BTreeMap<TaskKey, u32>,
     /// Time after which no run on the worker can be active unless its lease is renewed.
     pub(crate) lease_until_ms: u64,
+    /// Expected ends of the runs, as last estimated.
+    pub(crate) expected_ends: ExpectedEnds,
     pub(crate) speed: WorkerSpeed,
     /// Time at which a run on the worker last advanced or completed, in ms.
     pub(crate) advanced_ms: u64,
@@ -171,6 +176,7 @@
             runs: BTreeMap::new(),
             orphans: BTreeMap::new(),
             lease_until_ms: 0,
+            expected_ends: ExpectedEnds::default(),
             speed: WorkerSpeed::default(),
             advanced_ms: 0,
             consecutive_failures: 0,
@@ -210,6 +216,9 @@
         self.remove_run(&task, workspaces);
         self.used += run.need;
         workspaces.add_usage(run.workspace.as_ref(), run.need);
+        if run.progress.estimate_ms().is_none() {
+            workspaces.add_endless_usage(run.workspace.as_ref(), run.need);
+        }
         self.runs.insert(task, run);
     }
 
@@ -222,6 +231,9 @@
         let run = self.runs.remove(task)?;
         self.used = self.used.saturating_sub(&run.need);
         workspaces.remove_usage(run.workspace.as_ref(), run.need);
+        if run.progress.estimate_ms().is_none() {
+            workspaces.remove_endless_usage(run.workspace.as_ref(), run.need);
+        }
         Some(run)
     }
 }
--- a/crates/workflow/src/workspaces.rs
+++ b/crates/workflow/src/workspaces.rs
@@ -11,7 +11,8 @@
 //!
 //! A waiting step is *held* when its workspace has no room for it, or when a step of the same workspace that comes first
 //! is held. Room that becomes free is thus left to the first step, and a wide gang is not passed over by small steps
-//! forever. Held steps are not in the queue of waiting steps: a decision does not visit them, they do not block steps of
+//! forever. A step that does not fit beside the endless runs of its workspace is set aside: it holds up no other, because
+//! the end of all other runs would not give it room. Held steps are not in the queue of waiting steps: a decision does not visit them, they do not block steps of
 //! other workspaces, request no advice and are not in the published backlog. They return to the queue, as many as the
 //! room allows, in the next decision after the usage or the limit of their workspace has changed.
 
@@ -55,11 +56,17 @@
     smallest_limit: Resources,
     /// Workspaces without runs and reservations are left out.
     usage: BTreeMap<Workspace, Resources>,
+    /// Part of the usage that is of endless runs; workspaces without any are left out.
+    endless_usage: BTreeMap<Workspace, Resources>,
     /// Steps that wait for room; no value is empty.
     held: BTreeMap<Workspace, BTreeSet<WaitingStep>>,
     /// Steps that can never start under the present limit, while other runs of their jobs are active; they hold up no
     /// other step. No value is empty.
     oversized: BTreeMap<Workspace, BTreeSet<WaitingStep>>,
+    /// Steps that do not fit beside the endless runs of their workspace; they hold up no other step. No value is empty.
+    beside_endless: BTreeMap<Workspace, BTreeSet<WaitingStep>>,
+    /// Workspaces of which an endless run is gone since the last decision.
+    ended_endless: BTreeSet<Workspace>,
     /// Workspaces of which held steps may have room since the last decision.
     changed: BTreeSet<Workspace>,
     /// Time of the next search for held steps whose rank has changed, in ms.
@@ -99,6 +106,8 @@
     NoRoom,
     /// The step needs more than the whole limit.
     Oversized,
+    /// The step needs more than endless runs of the workspace leave of the limit.
+    EndlessRuns,
 }
 
 impl Workspaces {
@@ -123,6 +132,39 @@
         self.mark_changed(workspace);
     }
 
+    /// Adds the need of an endless run to that part of the usage.
+    pub(crate) fn add_endless_usage(&mut self, workspace: Option<&Workspace>, need: Resources) {
+        if let Some(workspace) = workspace {
+            *self.endless_usage.entry(workspace.clone()).or_default() += need;
+            // A step that holds up others may no longer fit.
+            self.mark_changed(workspace);
+        }
+    }
+
+    /// Subtracts the need of an endless run that is gone from that part of the usage.
+    pub(crate) fn remove_endless_usage(&mut self, workspace: Option<&Workspace>, need: Resources) {
+        let Some(workspace) = workspace else {
+            return;
+        };
+        if let Some(usage) = self.endless_usage.get_mut(workspace) {
+            *usage = usage.saturating_sub(&need);
+            if *usage == Resources::ZERO {
+                self.endless_usage.remove(workspace);
+            }
+        }
+        if self.beside_endless.contains_key(workspace) {
+            self.ended_endless.insert(workspace.clone());
+        }
+    }
+
+    /// Whether a need exceeds what endless runs leave of the workspace's limit.
+    fn exceeds_limit_beside_endless(&self, workspace: &Workspace, need: &Resources) -> bool {
+        self.endless_usage.get(workspace).is_some_and(|endless| {
+            let limit = unlimited_where_zero(self.limit(workspace));
+            !need.fits_in(&limit.saturating_sub(endless))
+        })
+    }
+
     /// Has the held steps of a workspace tried in the next decision.
     fn mark_changed(&mut self, workspace: &Workspace) {
         if self.held.contains_key(workspace) || self.oversized.contains_key(workspace) {
@@ -162,7 +204,8 @@
     fn take_held(&mut self) -> impl Iterator<Item = WaitingStep> {
         let held = mem::take(&mut self.held).into_values();
         let oversized = mem::take(&mut self.oversized).into_values();
-        held.chain(oversized).flatten()
+        let beside_endless = mem::take(&mut self.beside_endless).into_values();
+        held.chain(oversized).chain(beside_endless).flatten()
     }
 
     /// Whether it is known which workspaces are configured, if any.
@@ -217,6 +260,9 @@
         if self.exceeds_limit(workspace, need) {
             return Some(Hold::Oversized);
         }
+        if self.exceeds_limit_beside_endless(workspace, need) {
+            return Some(Hold::EndlessRuns);
+        }
         let first = self.held.get(workspace).and_then(BTreeSet::first);
         let is_behind_held = first.is_some_and(|first| first < entry);
         (is_behind_held || !need.fits_in(&self.room(workspace))).then_some(Hold::NoRoom)
@@ -227,7 +273,13 @@
         let Some(workspace) = workspace else {
             return;
         };
-        for steps in [&mut self.held, &mut self.oversized] {
+        let Self {
+            held,
+            oversized,
+            beside_endless,
+            ..
+        } = self;
+        for steps in [held, oversized, beside_endless] {
             if let Some(of_workspace) = steps.get_mut(workspace) {
                 of_workspace.remove(entry);
                 if of_workspace.is_empty() {
@@ -248,8 +300,8 @@
 
     /// Steps that wait for room.
     pub(crate) fn held_steps(&self) -> impl Iterator<Item = &WaitingStep> {
-        let all = self.held.values().chain(self.oversized.values());
-        all.flatten()
+        let aside = self.oversized.values().chain(self.beside_endless.values());
+        self.held.values().chain(aside).flatten()
     }
 }
 
@@ -406,6 +458,7 @@
         let steps = match hold {
             Hold::NoRoom => &mut self.workspaces.held,
             Hold::Oversized => &mut self.workspaces.oversized,
+            Hold::EndlessRuns => &mut self.workspaces.beside_endless,
         };
         (steps.entry(workspace.clone()).or_default()).insert(entry.clone());
         self.dequeue(&entry);
@@ -443,6 +496,12 @@
     /// Puts the held steps for which their workspace has room now back into the queue of waiting steps.
     pub(crate) fn release_held_steps(&mut self) {
         self.rerank_held_steps();
+        for workspace in mem::take(&mut self.workspaces.ended_endless) {
+            let steps = self.workspaces.beside_endless.remove(&workspace);
+            for entry in steps.into_iter().flatten() {
+                self.enqueue(entry);
+            }
+        }
         for workspace in mem::take(&mut self.workspaces.changed) {
             if let Some(steps) = self.workspaces.oversized.remove(&workspace) {
                 for entry in steps {
@@ -460,15 +519,17 @@
                 };
                 let spec = job.spec(&entry.1);
                 let least = spec.least_need().unwrap_or(UNLIMITED);
-                let is_oversized = self.workspaces.exceeds_limit(&workspace, &least);
-                if !is_oversized && !least.fits_in(&room) {
+                // Steps that are to be set aside do not use the room.
+                let is_set_aside = self.workspaces.exceeds_limit(&workspace, &least)
+                    || (self.workspaces).exceeds_limit_beside_endless(&workspace, &least);
+                if !is_set_aside && !least.fits_in(&room) {
                     // Steps released before may leave the room unused, for example because no worker suits them.
                     if least.fits_in(&whole_room) {
                         self.workspaces.changed.insert(workspace.clone());
                     }
                     break;
                 }
-                if !is_oversized {
+                if !is_set_aside {
                     let tasks = slots_in(&spec.need, &room, spec.tasks);
                     let taken = spec.need.checked_mul(u64::from(tasks)).unwrap_or(room);
                     room = room.saturating_sub(&taken);
