--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -44,6 +44,6 @@
     RUNS_MOVED = 2144, Info, "runs are stopped and continue elsewhere because their worker is leaving";
     JOB_OVER_SHARE = 2150, Info, "a job is over its workspace's share; it starts only where no other work waits";
     STEP_WAITS_FOR_LIMIT = 2151, Info, "a step waits for its workspace's limit";
-    STEP_EXCEEDS_LIMIT = 2152, Warning, "a step needs more than its workspace's limit, so its job fails";
+    STEP_EXCEEDS_LIMIT = 2152, Warning, "a step needs more than its workspace's limit; it waits until the limit is raised";
     CONFIGURATION_NOT_APPLIED = 2145, Error, "a configuration was not applied because its version is not above that in force";
 }
--- a/crates/workflow/src/job_state.rs
+++ b/crates/workflow/src/job_state.rs
@@ -65,6 +65,8 @@
     pub(crate) rank: Option<Rank>,
     /// Whether the step ever waited for the limit of its workspace.
     pub(crate) has_waited_for_limit: bool,
+    /// Whether the step ever needed more than the limit of its workspace.
+    pub(crate) has_exceeded_limit: bool,
     pub(crate) advice: StepAdvice,
     /// Learned duration of the tasks; `None` before the first observation.
     pub(crate) time: Option<StepTime>,
--- a/crates/workflow/src/workspaces.rs
+++ b/crates/workflow/src/workspaces.rs
@@ -18,10 +18,10 @@
 
 use {
     crate::{
-        JobRequest, Scheduler, StepKey, WorkspacePolicy, job::JobError, job_state::Placement,
-        waiting::WaitingStep, worker::slots_in,
+        JobRequest, Scheduler, StepKey, WorkspacePolicy, job::JobError, waiting::WaitingStep,
+        worker::slots_in,
     },
-    ragwortreel_model::{JobId, JobState, Resources, Workspace},
+    ragwortreel_model::{JobId, Resources, Workspace},
     std::{
         collections::{BTreeMap, BTreeSet},
         mem,
@@ -60,8 +60,8 @@
     endless_usage: BTreeMap<Workspace, Resources>,
     /// Steps that wait for room; no value is empty.
     held: BTreeMap<Workspace, BTreeSet<WaitingStep>>,
-    /// Steps that can never start under the present limit, while other runs of their jobs are active; they hold up no
-    /// other step. No value is empty.
+    /// Steps that can never start under the present limit; they hold up no other step and return to the queue when the
+    /// limits change. No value is empty.
     oversized: BTreeMap<Workspace, BTreeSet<WaitingStep>>,
     /// Steps that do not fit beside the endless runs of their workspace; they hold up no other step. No value is empty.
     beside_endless: BTreeMap<Workspace, BTreeSet<WaitingStep>>,
@@ -84,7 +84,7 @@
     OverShare(JobId, Workspace),
     /// The step waits for the limit of its workspace; told once for each step.
     WaitsForLimit(StepKey, Workspace),
-    /// The step needs more than the limit of its workspace, so its job fails.
+    /// The step needs more than the limit of its workspace and waits until it is raised; told once for each step.
     ExceedsLimit(StepKey, Workspace),
 }
 
@@ -167,7 +167,7 @@
 
     /// Has the held steps of a workspace tried in the next decision.
     fn mark_changed(&mut self, workspace: &Workspace) {
-        if self.held.contains_key(workspace) || self.oversized.contains_key(workspace) {
+        if self.held.contains_key(workspace) {
             self.changed.insert(workspace.clone());
         }
     }
@@ -371,7 +371,7 @@
         self.workspaces.set_policies(policies, &in_use);
         let is_configured = |it: &Workspace| self.workspaces.policy(it).is_some();
         self.fair_share.retain(is_configured);
-        // All held steps are tried again, so that those beyond a lowered limit fail now and not at their turn.
+        // All held steps are tried again, because other ones may be beyond the limits now.
         for entry in self.workspaces.take_held().collect::<Vec<_>>() {
             self.enqueue(entry);
         }
@@ -426,8 +426,10 @@
         }
     }
 
-    /// Takes a waiting step out of the queue if it has to wait for its workspace; a job that can never start under the
-    /// limit fails. Returns whether the step is not to be tried.
+    /// Takes a waiting step out of the queue if it has to wait for its workspace. Returns whether the step is not to be tried.
+    ///
+    /// A step that can never start under the present limit waits, too: its job was accepted under another limit, and the
+    /// operator may restore that.
     pub(crate) fn hold_at_limit(&mut self, key: &StepKey) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
             return true;
@@ -446,15 +448,7 @@
         let Some(hold) = self.workspaces.hold_reason(workspace, &entry, &need) else {
             return false;
         };
-        let has_runs = (job.occurrences.values().flatten())
-            .flat_map(|step| &step.tasks)
-            .any(|task| matches!(task.placement, Placement::On(_)));
         let workspace = workspace.clone();
-        if hold == Hold::Oversized && !has_runs {
-            (self.workspaces).notify(WorkspaceNotice::ExceedsLimit(key.clone(), workspace));
-            self.finish_job(&key.job, JobState::Failed);
-            return true;
-        }
         let steps = match hold {
             Hold::NoRoom => &mut self.workspaces.held,
             Hold::Oversized => &mut self.workspaces.oversized,
@@ -462,10 +456,21 @@
         };
         (steps.entry(workspace.clone()).or_default()).insert(entry.clone());
         self.dequeue(&entry);
-        if let Some(step) = self.step_mut(key)
-            && !mem::replace(&mut step.has_waited_for_limit, true)
-        {
-            (self.workspaces).notify(WorkspaceNotice::WaitsForLimit(key.clone(), workspace));
+        if let Some(step) = self.step_mut(key) {
+            let is_oversized = hold == Hold::Oversized;
+            let was_told = if is_oversized {
+                mem::replace(&mut step.has_exceeded_limit, true)
+            } else {
+                mem::replace(&mut step.has_waited_for_limit, true)
+            };
+            let notice = if is_oversized {
+                WorkspaceNotice::ExceedsLimit
+            } else {
+                WorkspaceNotice::WaitsForLimit
+            };
+            if !was_told {
+                self.workspaces.notify(notice(key.clone(), workspace));
+            }
         }
         true
     }
@@ -503,11 +508,6 @@
             }
         }
         for workspace in mem::take(&mut self.workspaces.changed) {
-            if let Some(steps) = self.workspaces.oversized.remove(&workspace) {
-                for entry in steps {
-                    self.enqueue(entry);
-                }
-            }
             let Some(mut held) = self.workspaces.held.remove(&workspace) else {
                 continue;
             };
--- a/crates/workflow/tests/workspaces.rs
+++ b/crates/workflow/tests/workspaces.rs
@@ -5,7 +5,7 @@
 use {
     ragwortreel_model::{JobState, Resources},
     ragwortreel_workflow::{
-        EndCause, JobRequest, PlacedTasks, Progress, StartOutcome, Step, StepProgress,
+        EndCause, JobChange, JobRequest, PlacedTasks, Progress, StartOutcome, Step, StepProgress,
         WorkspaceNotice, WorkspacePolicy,
     },
     support::{Cell, LEASE_BOUND_MS, advised_queue, gang, job, queue, step, worker, workspace},
@@ -331,9 +331,10 @@
     );
 }
 
-/// Guards against a gang that waits forever, or holds up its workspace, after the limit was lowered below its need.
+/// Guards against accepted jobs that fail without a run, or hold up their workspace, while the limit is lowered below the need
+/// of their gangs (review/7), and against gangs that do not start when it is raised again.
 #[test]
-fn gang_beyond_a_lowered_limit_fails_when_its_job_has_no_runs() {
+fn gangs_beyond_a_lowered_limit_wait_until_it_is_raised() {
     let mut cell = cell_with(&[("a", cores(9))]);
     cell.accept(job_of("a", "j0", vec![step(1, 1_000), gang(9, 1_000)]));
     let starts = cell.starts();
@@ -343,9 +344,15 @@
     cell.accept(job_of("a", "j1", vec![step(1, 1_000)]));
     assert_eq!(started_jobs(&mut cell), ["j1"]);
     assert_eq!(cell.state("j0"), Some(JobState::Running));
+    cell.accept(job_of("a", "j2", vec![gang(9, 1_000)]));
     cell.end_runs(&starts, EndCause::Done);
-    cell.starts();
-    assert_eq!(cell.state("j0"), Some(JobState::Failed));
+    assert!(started_jobs(&mut cell).is_empty());
+    let is_final = |change: &JobChange| change.state.is_final();
+    assert!(!cell.changes().iter().any(is_final), "no run has failed");
+    set_limits(&mut cell, &[("a", cores(20))]);
+    let started = started_jobs(&mut cell);
+    let count = |job| started.iter().filter(|it| **it == job).count();
+    assert_eq!((count("j0"), count("j2")), (9, 9), "{started:?}");
 }
 
 /// Guards against a job that waits or fails because of its workspace and whose log lines do not say so, and against a
