--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -37,6 +37,7 @@
     ROW_REFUSED = 2134, Error, "the store refuses a row for good; a job that it belongs to fails";
     CHECKPOINT_TOO_LONG = 2135, Warning, "checkpoints of a job are too long to be stored; its tasks do not resume from them";
     STEP_UNPLACEABLE = 2136, Warning, "no worker can run a step; it waits for one, and other steps go on";
+    WORKER_MOVED = 2137, Info, "a worker is listed with another address; it is called there from now on";
     UNKNOWN_KEY = 2140, Info, "a request without a known key was refused";
     KEY_PROOF_LOST = 2141, Warning, "the configuration is not proven to be the newest; no key is accepted";
     KEY_PROOF_REGAINED = 2142, Info, "the configuration is proven to be the newest again; keys are accepted";
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -75,6 +75,11 @@
 }
 
 impl WorkerHandle {
+    /// Whether both belong to the same monitor.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.clock, &other.clock)
+    }
+
     pub(crate) fn new(address: SocketAddr) -> (Self, Receiver<Order>) {
         let (orders_tx, orders_rx) = async_channel::unbounded();
         let handle = Self {
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -6,7 +6,7 @@
         api::ListedWorker,
         events::{
             BECAME_LEADER, INVALID_ROW, LEADERSHIP_LOST, LEADERSHIP_RELEASED, RECOVERED,
-            TASK_PANICKED,
+            TASK_PANICKED, WORKER_MOVED,
         },
         finished_jobs::FinishedJobs,
         journal::Journal,
@@ -413,10 +413,11 @@
         }
     }
 
-    /// Applies a list of workers, and starts a monitor for each new one.
+    /// Applies a list of workers, and starts a monitor for each new one, and for each that is listed with another address.
     fn apply_workers(self: &Arc<Self>, listed: Vec<ListedWorker>, stored_workers: &WorkersRow) {
         let mut addresses = stored_workers.clone();
         addresses.extend(listed.iter().map(|it| (it.spec.id.clone(), it.address)));
+        let is_listed: BTreeSet<WorkerId> = listed.iter().map(|it| it.spec.id.clone()).collect();
         let specs = listed.into_iter().map(|worker| worker.spec).collect();
         {
             let mut scheduler = lock(&self.scheduler);
@@ -425,18 +426,30 @@
                 scheduler.add_unlisted(worker);
             }
         }
+        let mut moved = Vec::new();
         let mut workers = lock(&self.workers);
         for (id, address) in addresses {
-            if workers.contains_key(&id) {
-                continue;
+            if let Some(former) = workers.get(&id) {
+                if former.address == address || !is_listed.contains(&id) {
+                    continue;
+                }
+                // A new incarnation. It gets no tasks until it answers.
+                log_event!(self.cell.deps.log, WORKER_MOVED; "worker" => id.to_string(),
+                    "from" => former.address.to_string(), "to" => address.to_string());
+                moved.push(id.clone());
             }
             let (handle, orders) = WorkerHandle::new(address);
-            workers.insert(id.clone(), handle.clone());
+            if let Some(former) = workers.insert(id.clone(), handle.clone()) {
+                former.orders_tx.close();
+            }
             self.workers_changed.fetch_add(1, Ordering::Release);
             let monitor = monitor_worker(Arc::clone(self), id, handle, orders);
             self.spawn_task("worker", monitor).detach();
         }
         drop(workers);
+        for id in moved {
+            lock(&self.scheduler).mark_unreachable(&id);
+        }
         self.wake();
     }
 
@@ -531,12 +544,11 @@
 
     /// Queues an order for its worker.
     pub(crate) fn send_order(&self, worker: &WorkerId, order: Order) {
-        let handle = lock(&self.workers).get(worker).cloned();
-        let Some(handle) = handle else {
-            return;
-        };
-        // The channel is unbounded, because the worker's capacity and runs limit the number of its orders.
-        let _ = handle.orders_tx.try_send(order);
+        // The lock is held so that the channel is not closed meanwhile. It is unbounded, because the worker's capacity and
+        // runs limit the number of its orders.
+        if let Some(handle) = lock(&self.workers).get(worker) {
+            let _ = handle.orders_tx.try_send(order);
+        }
     }
 
     /// Removes a job whose final state is stored from the scheduler, and later its rows from the store.
--- a/crates/dispatch/src/worker_monitor.rs
+++ b/crates/dispatch/src/worker_monitor.rs
@@ -64,13 +64,26 @@
             break;
         }
     }
+    if monitor.is_replaced() {
+        // The channel is closed, so the task ends after the last order, which each get an outcome.
+        order_sender.detach();
+        return;
+    }
     drop(order_sender);
     lock(&term.workers).remove(&worker);
     term.workers_changed.fetch_add(1, Ordering::Release);
 }
 
 impl WorkerMonitor {
-    /// Sends a heartbeat; returns false when another incarnation of the worker answers or another instance leads.
+    /// Whether the worker is listed with another address, so that another monitor calls it.
+    fn is_replaced(&self) -> bool {
+        let workers = lock(&self.term.workers);
+        let current = workers.get(&self.to.worker);
+        current.is_some_and(|current| !current.is_same(&self.handle))
+    }
+
+    /// Sends a heartbeat; returns false when another incarnation of the worker answers, the monitor is replaced, or another
+    /// instance leads.
     async fn send_heartbeat(&mut self) -> bool {
         let timing = &self.term.cell.cfg.timing;
         // As for a start, the lease counts from a time before the check and after the clock is read.
@@ -99,6 +112,9 @@
             lock(&self.term.scheduler).extend_lease(&self.to.worker, lease.until_ms);
         }
         let result = self.term.cell.deps.workers.heartbeat(&self.to, req).await;
+        if self.is_replaced() {
+            return false;
+        }
         match result {
             Ok(response) => {
                 let local_ms = boot_ms();
