--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -311,6 +311,9 @@
             self.record_running(id, &running.task, running.run, running.percent);
             self.set_checkpoint(&running.task, running.checkpoint);
         }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.end_probation(now_ms);
+        }
         if !report.has_more_ends {
             // Otherwise a run that is not listed may have ended, and its end follows later.
             self.process_missing_runs(id, &listed, report.sent_ms);
@@ -699,8 +702,13 @@
             .is_some_and(|known| known.number == run);
         let mut progress = None;
         if was_known {
+            let mut cause = cause;
             if let Some(removed) = worker.remove_run(&task, &mut self.workspaces) {
                 self.freed_milli_cores += removed.need.milli_cores;
+                if cause == EndCause::Failed && removed.has_worked(self.now_ms) {
+                    // Endless tasks may fail at any time, also many at once.
+                    cause = EndCause::Interrupted;
+                }
                 progress = Some(removed.progress);
             }
             match cause {
--- a/crates/workflow/src/stalls.rs
+++ b/crates/workflow/src/stalls.rs
@@ -104,6 +104,11 @@
         self.estimate_ms
     }
 
+    /// Whether the worker has reported 100 percent, with which an endless run is at work.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.percent == Some(100)
+    }
+
     /// Records the worker's confirmation of the start.
     pub(crate) fn confirm_start(&mut self, now_ms: u64) {
         self.restart_clock(now_ms);
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -113,6 +113,22 @@
     pub(crate) progress: RunProgress,
 }
 
+impl Run {
+    /// Time at which the start was confirmed, in ms; `None` also while the run is being stopped.
+    const fn confirmed_ms(&self) -> Option<u64> {
+        match self.phase {
+            RunPhase::Confirmed(at_ms) => Some(at_ms),
+            _ => None,
+        }
+    }
+
+    /// Whether an endless run was at work, so that a failure says nothing about its worker.
+    pub(crate) fn has_worked(&self, now_ms: u64) -> bool {
+        let is_long = (self.confirmed_ms()).is_some_and(|at_ms| at_ms + QUARANTINE_MS <= now_ms);
+        self.progress.estimate_ms().is_none() && (is_long || self.progress.is_complete())
+    }
+}
+
 /// Lifecycle of a run as far as the scheduler can tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -193,6 +209,16 @@
             && self.quarantined_until_ms <= now_ms
     }
 
+    /// Ends the probation after a quarantine if an endless run that was started since has worked: such runs never complete.
+    pub(crate) fn end_probation(&mut self, now_ms: u64) {
+        let is_on_probation = self.consecutive_failures >= QUARANTINE_FAILURES;
+        let from_ms = self.quarantined_until_ms;
+        let passes = |run: &Run| run.confirmed_ms() >= Some(from_ms) && run.has_worked(now_ms);
+        if is_on_probation && self.runs.values().any(passes) {
+            self.consecutive_failures = 0;
+        }
+    }
+
     /// Most runs that may be started now. After a quarantine they start one at a time until one completes, so that little
     /// work is lost if the fault persists. Runs that last longer than a quarantine do not delay the next one, because
     /// endless tasks never complete.
--- a/crates/workflow/tests/run_times.rs
+++ b/crates/workflow/tests/run_times.rs
@@ -4,8 +4,10 @@
 
 use {
     ragwortreel_model::WorkerId,
-    ragwortreel_workflow::{EndCause, JobRequest, QueuePolicy, RunTimesRow, Step},
-    std::ops::Range,
+    ragwortreel_workflow::{
+        EndCause, JobRequest, QueuePolicy, RunTimesRow, RunningTask, StartOrder, Step,
+    },
+    std::{ops::Range, sync::Arc},
     support::{Cell, gang, job, queue, step, worker},
 };
 
@@ -161,6 +163,55 @@
     }
 }
 
+/// Starts three endless tasks on one worker, and confirms them.
+fn start_endless_tasks(cell: &mut Cell) -> Vec<StartOrder> {
+    cell.list_reachable_workers(&[worker("a", 8_000)]);
+    let endless = Step {
+        endless: true,
+        ..step(3, 1_000)
+    };
+    cell.accept(job("endless", queue(0), vec![endless]));
+    let starts = cell.starts();
+    assert_eq!(starts.len(), 3);
+    cell.confirm_starts(&starts);
+    starts
+}
+
+/// Guards against endless tasks that fail together, after they were at work, and are started again one at a time (review/5).
+#[test]
+fn endless_tasks_that_fail_together_start_again_at_once() {
+    let mut cell = Cell::new(1);
+    let starts = start_endless_tasks(&mut cell);
+    cell.now_ms += 10_000;
+    cell.end_runs(&starts, EndCause::Failed);
+    assert_eq!(cell.starts().len(), 3);
+}
+
+/// Guards against the same for tasks that fail before they are at work: the first one that is at work afterwards shows that
+/// the worker is sound.
+#[test]
+fn endless_task_at_work_ends_the_probation_of_its_worker() {
+    let mut cell = Cell::new(1);
+    let starts = start_endless_tasks(&mut cell);
+    cell.end_runs(&starts, EndCause::Failed);
+    assert!(cell.starts().is_empty(), "the worker is quarantined");
+    cell.now_ms += 6_000;
+    let probe = cell.starts();
+    assert_eq!(probe.len(), 1);
+    cell.confirm_starts(&probe);
+    let running = |percent| RunningTask {
+        task: probe[0].task.clone(),
+        run: probe[0].run,
+        checkpoint: Arc::from(""),
+        percent,
+    };
+    cell.report(&probe[0].worker, vec![running(50)], Vec::new());
+    assert!(cell.starts().is_empty(), "the task is not at work yet");
+    cell.now_ms += 100;
+    cell.report(&probe[0].worker, vec![running(100)], Vec::new());
+    assert_eq!(cell.starts().len(), 2);
+}
+
 /// Guards against a row that is stored again and again although little has changed.
 #[test]
 fn row_is_stored_only_after_a_noticeable_change() {
