--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -78,8 +78,9 @@
 pub(crate) struct WaitingSteps {
     /// No value is empty.
     pools: BTreeMap<Pool, BTreeSet<WaitingStep>>,
-    /// Last step that a sweep visited; `None` to begin with the first one.
-    swept: Option<(Pool, WaitingStep)>,
+    /// Pool in which the last sweep ended, and the last step that it visited there, if any; `None` to begin with the first
+    /// pool.
+    swept: Option<(Pool, Option<WaitingStep>)>,
     /// Time of the next sweep, in ms; `None` if the last decision visited all steps.
     sweep_ms: Option<u64>,
 }
@@ -291,10 +292,10 @@
             let from = swept.take().filter(|(it, _)| *it == pool);
             let turn = decision.turns.get(&pool);
             let first = turn.and_then(|turn| turn.last.clone());
-            let mut last = first.max(from.map(|(_, entry)| entry));
+            let mut last = first.max(from.and_then(|(_, entry)| entry));
             while let Some(entry) = self.waiting_steps.after(&pool, last.as_ref()) {
                 if visited >= MAX_SWEPT_STEPS || decision.attempts >= max_attempts {
-                    self.waiting_steps.swept = last.map(|last| (pool, last));
+                    self.waiting_steps.swept = Some((pool, last));
                     return;
                 }
                 self.visit(&entry, &pool, Phase::Sweep, decision);
@@ -370,33 +371,27 @@
             self.set_has_capacity(key, false);
             return Visit::Passed;
         }
-        let was_blocked = self.is_blocked(key);
-        let (outcome, started) = if was_blocked || is_full {
+        if self.is_blocked(key) {
+            self.set_has_capacity(key, false);
+            return Visit::Blocked;
+        }
+        let is_counted = !is_full && !is_advice_pending;
+        decision.attempts += usize::from(is_counted);
+        let (outcome, started) = if is_full {
             (TryOutcome::Blocked, 0)
         } else {
             self.try_step(key)
         };
+        let taken = need.checked_mul(started as u64).unwrap_or(need);
+        decision.awaited.take(pool, &taken);
         let is_blocked = matches!(outcome, TryOutcome::Blocked);
         self.set_has_capacity(key, !is_blocked);
-        if !was_blocked && !is_full && !is_advice_pending {
-            decision.attempts += 1;
-        }
-        if is_blocked && !was_blocked {
+        if is_blocked {
             if !is_full && !self.has_free_slot(pool, &need) {
+                let turn = decision.turns.entry(pool.clone()).or_default();
                 turn.add_full(need);
             }
-            if let Some(reason) = self.refresh_slots(key)
-                && started == 0
-            {
-                self.remove_from_queue(key, reason);
-                return Visit::Passed;
-            }
-            self.block(key);
-        }
-        let taken = need.checked_mul(started as u64).unwrap_or(need);
-        decision.awaited.take(pool, &taken);
-        if is_blocked {
-            return Visit::Blocked;
+            return self.record_blocked(key, started);
         }
         if is_gang {
             self.refresh_slots(key);
@@ -405,6 +400,18 @@
         Visit::Passed
     }
 
+    /// Delays the next attempt of a blocked step, or takes it out of the queue if no listed worker can run it.
+    fn record_blocked(&mut self, key: &StepKey, started: usize) -> Visit {
+        if let Some(reason) = self.refresh_slots(key)
+            && started == 0
+        {
+            self.remove_from_queue(key, reason);
+            return Visit::Passed;
+        }
+        self.block(key);
+        Visit::Blocked
+    }
+
     /// Whether a worker of the pool that accepts tasks has room for a task with this need.
     fn has_free_slot(&self, pool: &Pool, need: &Resources) -> bool {
         self.pool_workers(pool)
--- a/crates/workflow/tests/backlog.rs
+++ b/crates/workflow/tests/backlog.rs
@@ -9,7 +9,9 @@
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
     },
-    support::{Cell, advised_queue, cases, job, job_id, queue, step, worker, worker_id, workspace},
+    support::{
+        Cell, advised_queue, cases, gang, job, job_id, queue, step, worker, worker_id, workspace,
+    },
 };
 
 /// Steps of a backlog, far more than one decision visits.
@@ -163,6 +165,30 @@
         assert_eq!(starts.len(), 2);
     };
 
+    /// Guards against the steps of many full services that use up the attempts of each decision, and those of its sweep.
+    backlogs_of_many_services_block_no_other: || {
+        let mut cell = Cell::new(1);
+        let names: Vec<String> = (0..10).map(|number| format!("full-{number}")).collect();
+        let of_service = |name: &String| WorkerSpec {
+            service: Arc::from(name.as_str()),
+            ..worker(name, 16_000)
+        };
+        let full: Vec<WorkerSpec> = names.iter().map(of_service).collect();
+        cell.list_reachable_workers(&[&workers()[..], &full].concat());
+        for name in &names {
+            let policy = QueuePolicy { service: Arc::from(name.as_str()), ..queue(1) };
+            cell.accept(job(&format!("busy-{name}"), policy.clone(), vec![step(1, 10_000)]));
+            let busy = cell.starts();
+            assert_eq!(busy.len(), 1);
+            cell.confirm_starts(&busy);
+            for number in 0..45 {
+                // One member fits, so that each gang takes an attempt of its own.
+                cell.accept(job(&format!("{name}-{number}"), policy.clone(), vec![gang(2, 5_000)]));
+            }
+        }
+        check_small_job_starts(&mut cell);
+    };
+
     /// Guards against steps whose advice is pending and that use up the attempts of each decision, also of another queue
     /// that needs advice while instances are idle that could ask for it.
     backlog_that_waits_for_advice_blocks_no_other: || {
