workflow: Name the groups of waiting steps after their workers

A pool is, by the glossary, the workers that one entry instance owns; the steps that compete for the same workers are a worker group now. No behaviour changes.

--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -18,7 +18,7 @@
         Scheduler, StepKey,
         job_state::Job,
         order::{Rank, RankClass},
-        waiting::Pool,
+        waiting::WorkerGroup,
         worker::Worker,
     },
     ragwortreel_model::Resources,
@@ -94,15 +94,24 @@
     }
 
     /// Whether a task that ends at a time in ms fits beside what the steps tried so far wait for.
-    pub(crate) fn fits(&self, pool: &Pool, need: &Resources, end_ms: u64, can_wait: bool) -> bool {
-        let Some(room) = self.services.get(&pool.service) else {
+    pub(crate) fn fits(
+        &self,
+        group: &WorkerGroup,
+        need: &Resources,
+        end_ms: u64,
+        can_wait: bool,
+    ) -> bool {
+        let Some(room) = self.services.get(&group.service) else {
             return true;
         };
         let mut awaited = room.awaited_before(end_ms);
         if can_wait {
             awaited += room.gathered;
         }
-        let label = pool.label.as_ref().and_then(|label| room.labels.get(label));
+        let label = group
+            .label
+            .as_ref()
+            .and_then(|label| room.labels.get(label));
         need.fits_in(&room.free.saturating_sub(&awaited))
             && label.is_none_or(|it| {
                 let claimed = claimed_before(&it.blocked, end_ms);
@@ -111,12 +120,12 @@
     }
 
     /// Subtracts the resources of started tasks.
-    pub(crate) fn take(&mut self, pool: &Pool, taken: &Resources) {
-        let Some(room) = self.services.get_mut(&pool.service) else {
+    pub(crate) fn take(&mut self, group: &WorkerGroup, taken: &Resources) {
+        let Some(room) = self.services.get_mut(&group.service) else {
             return;
         };
         room.free = room.free.saturating_sub(taken);
-        if let Some(label) = (pool.label.as_ref()).and_then(|label| room.labels.get_mut(label)) {
+        if let Some(label) = (group.label.as_ref()).and_then(|label| room.labels.get_mut(label)) {
             label.free = label.free.saturating_sub(taken);
             room.labels_free = room.labels_free.saturating_sub(taken);
         }
@@ -130,7 +139,12 @@
     }
 
     /// Records the need of a blocked step, of no more tasks than its workers could run at the same time.
-    pub(crate) fn await_blocked(&self, key: &StepKey, pool: &Pool, awaited: &mut AwaitedRoom) {
+    pub(crate) fn await_blocked(
+        &self,
+        key: &StepKey,
+        group: &WorkerGroup,
+        awaited: &mut AwaitedRoom,
+    ) {
         let Some(step) = (self.jobs.get(&key.job)).and_then(|job| job.step(key)) else {
             return;
         };
@@ -141,8 +155,8 @@
             need,
             start_ms: step.forecast_ms,
         };
-        let room = self.service_room(pool, awaited);
-        let Some(label) = &pool.label else {
+        let room = self.service_room(group, awaited);
+        let Some(label) = &group.label else {
             room.blocked.push(claim);
             return;
         };
@@ -150,14 +164,14 @@
             label.blocked.push(claim);
             return;
         }
-        let free = free_of(self.pool_workers(pool));
+        let free = free_of(self.group_workers(group));
         let blocked = vec![claim];
         (room.labels).insert(Arc::clone(label), LabelRoom { free, blocked });
         let has_awaited_label = |it: &&Worker| {
             let mut labels = it.spec.labels.iter();
             labels.any(|label| room.labels.contains_key(label))
         };
-        let workers = self.schedulable_workers(&pool.service);
+        let workers = self.schedulable_workers(&group.service);
         room.labels_free = free_of(workers.filter(has_awaited_label));
     }
 
@@ -166,7 +180,7 @@
     pub(crate) fn await_gathering(
         &self,
         key: &StepKey,
-        pool: &Pool,
+        group: &WorkerGroup,
         rank: &Rank,
         awaited: &mut AwaitedRoom,
     ) {
@@ -179,7 +193,7 @@
             return;
         }
         let share = self.expected_allowed_share(&job.request.policy.name);
-        let room = self.service_room(pool, awaited);
+        let room = self.service_room(group, awaited);
         let sum = room.gathered + scale(&need, 1.0 / share);
         room.gathered = sum.zip_with(&room.max_gathered, u64::min);
     }
@@ -194,8 +208,12 @@
     }
 
     /// Room of a service, with the free capacity at the first call of a decision.
-    fn service_room<'a>(&self, pool: &Pool, awaited: &'a mut AwaitedRoom) -> &'a mut ServiceRoom {
-        let service = &pool.service;
+    fn service_room<'a>(
+        &self,
+        group: &WorkerGroup,
+        awaited: &'a mut AwaitedRoom,
+    ) -> &'a mut ServiceRoom {
+        let service = &group.service;
         awaited
             .services
             .entry(Arc::clone(service))
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -17,7 +17,7 @@
         segments::{FinishedOccurrences, StoredForm},
         stalls::{RunProgress, StuckRun},
         unplaceable::Unplaceable,
-        waiting::{Pool, WaitingSteps},
+        waiting::{WaitingSteps, WorkerGroup},
         worker::{QUARANTINE_FAILURES, QUARANTINE_MS, Run, RunPhase, Worker},
         workspaces::Workspaces,
     },
@@ -926,17 +926,17 @@
                     occurrence: *occurrence,
                     step: u32::try_from(number).unwrap_or(u32::MAX),
                 };
-                let pool = Pool::of_step(&request, number);
+                let group = WorkerGroup::of_step(&request, number);
                 if let Some(old) = step.rank.take() {
                     let entry = (old, key.clone());
-                    if !self.waiting_steps.remove(&pool, &entry) {
+                    if !self.waiting_steps.remove(&group, &entry) {
                         self.unplaceable.remove(&entry);
                         (self.workspaces).remove_held(request.workspace.as_ref(), &entry);
                     }
                 }
                 step.rank = rank;
                 if let Some(rank) = rank {
-                    self.waiting_steps.insert(pool, (rank, key));
+                    self.waiting_steps.insert(group, (rank, key));
                 }
             }
         }
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -4,11 +4,11 @@
 //! A decision cannot visit all of them, and one that always began at the front would never reach the steps behind the
 //! backlog. Therefore:
 //!
-//! - Steps that compete for the same workers, those of one service that need the same label, form a *pool*. A queue that
-//!   needs advice has pools of its own, because its steps also compete for calls. A decision visits the first steps of all
-//!   pools in the order of their rank. A pool without room ends its own turn only.
+//! - Steps that compete for the same workers, those of one service that need the same label, form a *worker group*. A
+//!   queue that needs advice has groups of its own, because its steps also compete for calls. A decision visits the first
+//!   steps of all groups in the order of their rank. A group without room ends its own turn only.
 //! - A *sweep* visits the steps behind these, from where the last one ended, so that each step is visited once in a
-//!   while, whatever waits before it: steps of a pool can differ in size, in the workers that they may use, and in
+//!   while, whatever waits before it: steps of a group can differ in size, in the workers that they may use, and in
 //!   whether these answer.
 
 use {
@@ -27,12 +27,12 @@
     },
 };
 
-/// Most steps of a pool that a decision visits before its sweep, most of all pools that need advice, and most of all pools
-/// for which it makes an attempt. Each attempt visits all workers.
+/// Most steps of a group that a decision visits before its sweep, most steps that need advice, and most for which it makes an
+/// attempt. Each attempt visits all workers.
 const MAX_TRIED_STEPS: usize = 96;
-/// Number of blocked steps of a pool after which a decision visits no further steps of it before its sweep.
+/// Number of blocked steps of a group after which a decision visits no further steps of it before its sweep.
 const MAX_BLOCKED_STEPS: usize = 12;
-/// Most steps that a decision visits before its sweep, unless there are so many pools that each gets the least turn.
+/// Most steps that a decision visits before its sweep, unless there are so many groups that each gets the least turn.
 const MAX_VISITED_STEPS: usize = 512;
 /// Interval between two sweeps, in ms.
 const SWEEP_INTERVAL_MS: u64 = 50;
@@ -40,7 +40,7 @@
 const MAX_SWEPT_STEPS: usize = 512;
 /// Most steps for which a sweep makes an attempt.
 const MAX_SWEEP_ATTEMPTS: usize = 32;
-/// Most task sizes without room that a decision remembers for a pool.
+/// Most task sizes without room that a decision remembers for a group.
 const MAX_FULL_SIZES: usize = 8;
 
 /// Entry of a queue of waiting steps.
@@ -48,7 +48,7 @@
 
 /// Workers for which steps compete.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Pool {
+pub(crate) struct WorkerGroup {
     pub(crate) service: Arc<str>,
     /// Label that the workers have; `None` for all workers of the service.
     pub(crate) label: Option<Arc<str>>,
@@ -56,8 +56,8 @@
     advised_queue: Option<Arc<str>>,
 }
 
-impl Pool {
-    /// Pool of a step of a job, by the index of the step.
+impl WorkerGroup {
+    /// Group of a step of a job, by the index of the step.
     pub(crate) fn of_step(request: &JobRequest, step: usize) -> Self {
         let policy = &request.policy;
         Self {
@@ -73,47 +73,47 @@
     }
 }
 
-/// Steps that wait to be started, by pool and rank.
+/// Steps that wait to be started, by group and rank.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingSteps {
     /// No value is empty.
-    pools: BTreeMap<Pool, BTreeSet<WaitingStep>>,
-    /// Pool in which the last sweep ended, and the last step that it visited there, if any; `None` to begin with the first
-    /// pool.
-    swept: Option<(Pool, Option<WaitingStep>)>,
+    groups: BTreeMap<WorkerGroup, BTreeSet<WaitingStep>>,
+    /// Where the last sweep ended: a group, and the last step that it visited there, if any; `None` to begin with the first
+    /// group.
+    swept: Option<(WorkerGroup, Option<WaitingStep>)>,
     /// Time of the next sweep, in ms; `None` if the last decision visited all steps.
     sweep_ms: Option<u64>,
 }
 
 impl WaitingSteps {
-    pub(crate) fn insert(&mut self, pool: Pool, entry: WaitingStep) {
-        self.pools.entry(pool).or_default().insert(entry);
+    pub(crate) fn insert(&mut self, group: WorkerGroup, entry: WaitingStep) {
+        self.groups.entry(group).or_default().insert(entry);
     }
 
     /// Removes a step; returns whether it was in the queue.
-    pub(crate) fn remove(&mut self, pool: &Pool, entry: &WaitingStep) -> bool {
-        let Some(steps) = self.pools.get_mut(pool) else {
+    pub(crate) fn remove(&mut self, group: &WorkerGroup, entry: &WaitingStep) -> bool {
+        let Some(steps) = self.groups.get_mut(group) else {
             return false;
         };
         let was_queued = steps.remove(entry);
         if steps.is_empty() {
-            self.pools.remove(pool);
+            self.groups.remove(group);
         }
         was_queued
     }
 
-    /// All steps, by pool.
+    /// All steps, by group.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &WaitingStep> {
-        self.pools.values().flatten()
+        self.groups.values().flatten()
     }
 
     /// First steps of a service in the order of their rank, at most `max`.
     pub(crate) fn first_of_service(&self, service: &str, max: usize) -> Vec<&WaitingStep> {
-        let pools = self
-            .pools
+        let groups = self
+            .groups
             .iter()
-            .filter(|(pool, _)| *pool.service == *service);
-        let mut first: Vec<&WaitingStep> = pools
+            .filter(|(group, _)| *group.service == *service);
+        let mut first: Vec<&WaitingStep> = groups
             .flat_map(|(_, steps)| steps.iter().take(max))
             .collect();
         first.sort_unstable();
@@ -121,15 +121,15 @@
         first
     }
 
-    /// Step of a pool that follows another one; the first one for `None`.
-    fn after(&self, pool: &Pool, entry: Option<&WaitingStep>) -> Option<WaitingStep> {
+    /// Step of a group that follows another one; the first one for `None`.
+    fn after(&self, group: &WorkerGroup, entry: Option<&WaitingStep>) -> Option<WaitingStep> {
         let begin = entry.map_or(Unbounded, Excluded);
-        let steps = self.pools.get(pool)?;
+        let steps = self.groups.get(group)?;
         steps.range((begin, Unbounded)).next().cloned()
     }
 }
 
-/// Turn of a pool in a decision.
+/// Turn of a group in a decision.
 #[derive(Debug, Default)]
 struct Turn {
     visited: usize,
@@ -159,7 +159,7 @@
 /// State of one decision.
 #[derive(Debug, Default)]
 struct Decision {
-    turns: BTreeMap<Pool, Turn>,
+    turns: BTreeMap<WorkerGroup, Turn>,
     awaited: AwaitedRoom,
     /// Services and labels of workers for which a blocked step within its share waits, and the earliest expected start of
     /// such a step, in ms.
@@ -167,15 +167,15 @@
     attempts: usize,
     /// Steps visited that need advice.
     advised: usize,
-    /// Most steps of a pool that a sweep tries if they may request advice.
+    /// Most steps of a group that a sweep tries if they may request advice.
     max_swept_requests: usize,
 }
 
 impl Decision {
-    /// Whether steps over the share of their workspace that end at a time leave the workers of a pool to others.
-    fn is_contended(&self, pool: &Pool, end_ms: u64) -> bool {
-        let all = (Arc::clone(&pool.service), None);
-        [pool.workers(), all].iter().any(|workers| {
+    /// Whether steps over the share of their workspace that end at a time leave the workers of a group to others.
+    fn is_contended(&self, group: &WorkerGroup, end_ms: u64) -> bool {
+        let all = (Arc::clone(&group.service), None);
+        [group.workers(), all].iter().any(|workers| {
             let start_ms = self.contended.get(workers);
             start_ms.is_some_and(|start_ms| *start_ms < end_ms)
         })
@@ -185,7 +185,7 @@
 /// Part of a decision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
-    /// Visits of the first steps of each pool; blocked ones keep room.
+    /// Visits of the first steps of each group; blocked ones keep room.
     First,
     /// Visits of the steps behind them.
     Sweep,
@@ -200,27 +200,27 @@
 }
 
 impl Scheduler {
-    /// Pool of a step; `None` if its job is unknown.
-    fn pool(&self, key: &StepKey) -> Option<Pool> {
+    /// Group of a step; `None` if its job is unknown.
+    fn group(&self, key: &StepKey) -> Option<WorkerGroup> {
         let job = self.jobs.get(&key.job)?;
-        Some(Pool::of_step(&job.request, key.step as usize))
+        Some(WorkerGroup::of_step(&job.request, key.step as usize))
     }
 
     /// Adds a step to the queue of waiting steps.
     pub(crate) fn enqueue(&mut self, entry: WaitingStep) {
-        if let Some(pool) = self.pool(&entry.1) {
-            self.waiting_steps.insert(pool, entry);
+        if let Some(group) = self.group(&entry.1) {
+            self.waiting_steps.insert(group, entry);
         }
     }
 
     /// Takes a step out of the queue of waiting steps.
     pub(crate) fn dequeue(&mut self, entry: &WaitingStep) {
-        if let Some(pool) = self.pool(&entry.1) {
-            self.waiting_steps.remove(&pool, entry);
+        if let Some(group) = self.group(&entry.1) {
+            self.waiting_steps.remove(&group, entry);
         }
     }
 
-    /// Tries the waiting steps: the first ones of each pool, in order of their rank, and then some of those behind them.
+    /// Tries the waiting steps: the first ones of each group, in order of their rank, and then some of those behind them.
     pub(crate) fn place_waiting(&mut self) {
         self.release_held_steps();
         self.return_placeable_steps();
@@ -238,32 +238,32 @@
         }
     }
 
-    /// Visits the first steps of each pool; returns whether these were all waiting steps.
+    /// Visits the first steps of each group; returns whether these were all waiting steps.
     fn visit_first_steps(&mut self, decision: &mut Decision) -> bool {
-        let pools = &self.waiting_steps.pools;
-        let max_visited = MAX_VISITED_STEPS / pools.len().max(1);
+        let groups = &self.waiting_steps.groups;
+        let max_visited = MAX_VISITED_STEPS / groups.len().max(1);
         let max_visited = max_visited.clamp(MAX_BLOCKED_STEPS, MAX_TRIED_STEPS);
-        let mut next: BTreeSet<(WaitingStep, Pool)> = (pools.iter())
-            .filter_map(|(pool, steps)| Some((steps.first()?.clone(), pool.clone())))
+        let mut next: BTreeSet<(WaitingStep, WorkerGroup)> = (groups.iter())
+            .filter_map(|(group, steps)| Some((steps.first()?.clone(), group.clone())))
             .collect();
         let mut is_complete = true;
-        while let Some((entry, pool)) = next.pop_first() {
+        while let Some((entry, group)) = next.pop_first() {
             if decision.attempts >= MAX_TRIED_STEPS {
                 return false;
             }
-            if pool.advised_queue.is_some() {
+            if group.advised_queue.is_some() {
                 if decision.advised >= MAX_TRIED_STEPS {
                     is_complete = false;
                     continue;
                 }
                 decision.advised += 1;
             }
-            let visit = self.visit(&entry, &pool, Phase::First, decision);
+            let visit = self.visit(&entry, &group, Phase::First, decision);
             if matches!(visit, Visit::Blocked) {
-                self.claim_room(&entry, &pool, decision);
+                self.claim_room(&entry, &group, decision);
             }
-            let following = self.waiting_steps.after(&pool, Some(&entry));
-            let turn = decision.turns.entry(pool.clone()).or_default();
+            let following = self.waiting_steps.after(&group, Some(&entry));
+            let turn = decision.turns.entry(group.clone()).or_default();
             turn.visited += 1;
             turn.last = Some(entry);
             let is_over = turn.visited >= max_visited || turn.blocked >= MAX_BLOCKED_STEPS;
@@ -271,46 +271,46 @@
                 if is_over {
                     is_complete = false;
                 } else {
-                    next.insert((following, pool));
+                    next.insert((following, group));
                 }
             }
         }
         is_complete
     }
 
-    /// Visits steps behind the first ones of their pools, from where the last sweep ended. They keep no room.
+    /// Visits steps behind the first ones of their groups, from where the last sweep ended. They keep no room.
     fn sweep(&mut self, decision: &mut Decision) {
         let max_attempts = decision.attempts + MAX_SWEEP_ATTEMPTS;
-        decision.max_swept_requests = self.idle_instances_per_pool();
+        decision.max_swept_requests = self.idle_instances_per_group();
         let mut visited = 0;
-        let mut pools: Vec<Pool> = self.waiting_steps.pools.keys().cloned().collect();
+        let mut groups: Vec<WorkerGroup> = self.waiting_steps.groups.keys().cloned().collect();
         let mut swept = self.waiting_steps.swept.take();
-        if let Some((pool, _)) = &swept {
-            pools.retain(|it| it >= pool);
+        if let Some((group, _)) = &swept {
+            groups.retain(|it| it >= group);
         }
-        for pool in pools {
-            let from = swept.take().filter(|(it, _)| *it == pool);
-            let turn = decision.turns.get(&pool);
+        for group in groups {
+            let from = swept.take().filter(|(it, _)| *it == group);
+            let turn = decision.turns.get(&group);
             let first = turn.and_then(|turn| turn.last.clone());
             let mut last = first.max(from.and_then(|(_, entry)| entry));
-            while let Some(entry) = self.waiting_steps.after(&pool, last.as_ref()) {
+            while let Some(entry) = self.waiting_steps.after(&group, last.as_ref()) {
                 if visited >= MAX_SWEPT_STEPS || decision.attempts >= max_attempts {
-                    self.waiting_steps.swept = Some((pool, last));
+                    self.waiting_steps.swept = Some((group, last));
                     return;
                 }
-                self.visit(&entry, &pool, Phase::Sweep, decision);
+                self.visit(&entry, &group, Phase::Sweep, decision);
                 visited += 1;
                 last = Some(entry);
             }
         }
     }
 
-    /// Instances that are idle after the requests of this decision, for each pool that needs advice; rounded up.
-    fn idle_instances_per_pool(&self) -> usize {
+    /// Instances that are idle after the requests of this decision, for each group that needs advice; rounded up.
+    fn idle_instances_per_group(&self) -> usize {
         let is_request = |action: &&Action| matches!(action, Action::RequestAdvice(_));
         let requests = self.actions.iter().filter(is_request).count();
-        let pools = self.waiting_steps.pools.keys();
-        let advised = pools.filter(|pool| pool.advised_queue.is_some()).count();
+        let groups = self.waiting_steps.groups.keys();
+        let advised = groups.filter(|group| group.advised_queue.is_some()).count();
         let idle = self.spare_instances.saturating_sub(requests);
         idle.div_ceil(advised.max(1))
     }
@@ -319,7 +319,7 @@
     fn visit(
         &mut self,
         (rank, key): &WaitingStep,
-        pool: &Pool,
+        group: &WorkerGroup,
         phase: Phase,
         decision: &mut Decision,
     ) -> Visit {
@@ -345,7 +345,7 @@
             return Visit::Passed;
         };
         // Without claims, the end does not matter.
-        let end_ms = if decision.awaited.has_claims(&pool.service) {
+        let end_ms = if decision.awaited.has_claims(&group.service) {
             self.expected_reuse_ms(job, key)
         } else {
             self.now_ms
@@ -354,9 +354,9 @@
         let is_advice_pending = step.advice.calls_in_flight > 0;
         // Small steps over the share would fill every gap, so that no worker gets room for a task that waits.
         let gives_way =
-            current_rank.class == RankClass::OverShare && decision.is_contended(pool, end_ms);
-        let turn = decision.turns.entry(pool.clone()).or_default();
-        if phase == Phase::Sweep && pool.advised_queue.is_some() && !is_advice_pending {
+            current_rank.class == RankClass::OverShare && decision.is_contended(group, end_ms);
+        let turn = decision.turns.entry(group.clone()).or_default();
+        if phase == Phase::Sweep && group.advised_queue.is_some() && !is_advice_pending {
             // Requests would delay those of the first steps, unless instances are idle.
             if turn.swept_requests >= decision.max_swept_requests {
                 return Visit::Passed;
@@ -366,7 +366,7 @@
         let is_full = !has_reservations && turn.is_full(&need);
         if gives_way
             || (is_full && phase == Phase::Sweep)
-            || !(decision.awaited).fits(pool, &need, end_ms, self.can_wait(&current_rank))
+            || !(decision.awaited).fits(group, &need, end_ms, self.can_wait(&current_rank))
         {
             self.set_has_capacity(key, false);
             return Visit::Passed;
@@ -383,19 +383,19 @@
             self.try_step(key)
         };
         let taken = need.checked_mul(started as u64).unwrap_or(need);
-        decision.awaited.take(pool, &taken);
+        decision.awaited.take(group, &taken);
         let is_blocked = matches!(outcome, TryOutcome::Blocked);
         self.set_has_capacity(key, !is_blocked);
         if is_blocked {
-            if !is_full && !self.has_free_slot(pool, &need) {
-                let turn = decision.turns.entry(pool.clone()).or_default();
+            if !is_full && !self.has_free_slot(group, &need) {
+                let turn = decision.turns.entry(group.clone()).or_default();
                 turn.add_full(need);
             }
             return self.record_blocked(key, started);
         }
         if is_gang {
             self.refresh_slots(key);
-            self.await_gathering(key, pool, &current_rank, &mut decision.awaited);
+            self.await_gathering(key, group, &current_rank, &mut decision.awaited);
         }
         Visit::Passed
     }
@@ -412,34 +412,38 @@
         Visit::Blocked
     }
 
-    /// Whether a worker of the pool that accepts tasks has room for a task with this need.
-    fn has_free_slot(&self, pool: &Pool, need: &Resources) -> bool {
-        self.pool_workers(pool)
+    /// Whether a worker of the group that accepts tasks has room for a task with this need.
+    fn has_free_slot(&self, group: &WorkerGroup, need: &Resources) -> bool {
+        self.group_workers(group)
             .any(|worker| need.fits_in(&worker.free_capacity()))
     }
 
-    /// Workers of a pool on which new tasks may be started.
-    pub(crate) fn pool_workers<'a>(&'a self, pool: &'a Pool) -> impl Iterator<Item = &'a Worker> {
-        let has_label =
-            |it: &&Worker| (pool.label.as_ref()).is_none_or(|label| it.spec.labels.contains(label));
-        self.schedulable_workers(&pool.service).filter(has_label)
+    /// Workers of a group on which new tasks may be started.
+    pub(crate) fn group_workers<'a>(
+        &'a self,
+        group: &'a WorkerGroup,
+    ) -> impl Iterator<Item = &'a Worker> {
+        let has_label = |it: &&Worker| {
+            (group.label.as_ref()).is_none_or(|label| it.spec.labels.contains(label))
+        };
+        self.schedulable_workers(&group.service).filter(has_label)
     }
 
     /// Keeps the room that a blocked step waits for, unless the end of what runs does not give it enough.
-    fn claim_room(&self, (_, key): &WaitingStep, pool: &Pool, decision: &mut Decision) {
+    fn claim_room(&self, (_, key): &WaitingStep, group: &WorkerGroup, decision: &mut Decision) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
         if job.lacks_workers(key) {
             return;
         }
-        self.await_blocked(key, pool, &mut decision.awaited);
+        self.await_blocked(key, group, &mut decision.awaited);
         if job.rank(key.step, self.now_ms).class < RankClass::OverShare {
             let start_ms = job.step(key).map_or(u64::MAX, |step| step.forecast_ms);
-            let earliest_ms = decision.contended.entry(pool.workers());
+            let earliest_ms = decision.contended.entry(group.workers());
             let earliest_ms = earliest_ms.or_insert(start_ms);
             *earliest_ms = start_ms.min(*earliest_ms);
         }
-        decision.turns.entry(pool.clone()).or_default().blocked += 1;
+        decision.turns.entry(group.clone()).or_default().blocked += 1;
     }
 }
--- a/crates/workflow/tests/backlog.rs
+++ b/crates/workflow/tests/backlog.rs
@@ -230,7 +230,7 @@
         check_small_job_starts(&mut cell);
     };
 
-    /// Guards against a sweep that starts a step for which the first steps of its pool keep the room.
+    /// Guards against a sweep that starts a step for which the first steps of its group keep the room.
     sweep_leaves_the_room_of_blocked_steps: || {
         let mut cell = Cell::new(1);
         cell.list_reachable_workers(&workers());
