--- a/crates/workflow/tests/run_times.rs
+++ b/crates/workflow/tests/run_times.rs
@@ -142,18 +142,25 @@
     assert_eq!(cell.starts().len(), 2);
 }
 
-/// Guards against a worker that stays on probation because an endless task is its first run after the quarantine.
-#[test]
-fn endless_task_does_not_keep_a_worker_on_probation() {
-    let mut cell = Cell::new(1);
+/// Starts three endless tasks on one worker, and confirms them.
+fn start_endless_tasks(cell: &mut Cell) -> Vec<StartOrder> {
     cell.list_reachable_workers(&[worker("a", 8_000)]);
     let endless = Step {
         endless: true,
         ..step(3, 1_000)
     };
-    cell.accept(job("first", queue(0), vec![endless]));
+    cell.accept(job("endless", queue(0), vec![endless]));
     let starts = cell.starts();
+    assert_eq!(starts.len(), 3);
     cell.confirm_starts(&starts);
+    starts
+}
+
+/// Guards against a worker that stays on probation because an endless task is its first run after the quarantine.
+#[test]
+fn endless_task_does_not_keep_a_worker_on_probation() {
+    let mut cell = Cell::new(1);
+    let starts = start_endless_tasks(&mut cell);
     cell.end_runs(&starts, EndCause::Failed);
     for _ in 0..3 {
         cell.now_ms += 6_000;
@@ -163,20 +170,6 @@
     }
 }
 
-/// Starts three endless tasks on one worker, and confirms them.
-fn start_endless_tasks(cell: &mut Cell) -> Vec<StartOrder> {
-    cell.list_reachable_workers(&[worker("a", 8_000)]);
-    let endless = Step {
-        endless: true,
-        ..step(3, 1_000)
-    };
-    cell.accept(job("endless", queue(0), vec![endless]));
-    let starts = cell.starts();
-    assert_eq!(starts.len(), 3);
-    cell.confirm_starts(&starts);
-    starts
-}
-
 /// Guards against endless tasks that fail together, after they were at work, and are started again one at a time (review/5).
 #[test]
 fn endless_tasks_that_fail_together_start_again_at_once() {
