workflow: Test that steps which cannot start take no other step's turn

Without the check in claim_room all tests passed, because the forecast alone keeps such steps from keeping room; the new case is red then (run on a scratch copy).

--- a/crates/workflow/tests/kept_room.rs
+++ b/crates/workflow/tests/kept_room.rs
@@ -94,6 +94,20 @@
         assert!(admission.admit(&large, cell.now_ms).is_ok(), "the gang counts as work ahead");
     };
 
+    /// Guards against many such gangs that end each decision before the steps behind them.
+    gangs_beside_endless_tasks_take_no_turn: || {
+        let mut cell = cell();
+        start_all(&mut cell, "endless", endless());
+        for number in 0..40 {
+            cell.accept(job(&format!("gang-{number}"), queue(1), vec![gang(14, 3_500)]));
+        }
+        assert!(started_jobs(&mut cell).is_empty());
+        // The next sweep is due later than the next decision.
+        assert!(cell.starts().is_empty());
+        cell.accept(job("small", queue(2), vec![step(2, 1_000)]));
+        assert_eq!(cell.starts().len(), 2, "the next decision starts the small job");
+    };
+
     /// Guards against such a gang that has lost its turn when the endless tasks end.
     gang_starts_when_endless_tasks_end: || {
         let mut cell = cell();
