--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -417,7 +417,7 @@
     fn apply_workers(self: &Arc<Self>, listed: Vec<ListedWorker>, stored_workers: &WorkersRow) {
         let mut addresses = stored_workers.clone();
         addresses.extend(listed.iter().map(|it| (it.spec.id.clone(), it.address)));
-        let is_listed: BTreeSet<WorkerId> = listed.iter().map(|it| it.spec.id.clone()).collect();
+        let listed_ids: BTreeSet<WorkerId> = listed.iter().map(|it| it.spec.id.clone()).collect();
         let specs = listed.into_iter().map(|worker| worker.spec).collect();
         {
             let mut scheduler = lock(&self.scheduler);
@@ -430,7 +430,7 @@
         let mut workers = lock(&self.workers);
         for (id, address) in addresses {
             if let Some(former) = workers.get(&id) {
-                if former.address == address || !is_listed.contains(&id) {
+                if former.address == address || !listed_ids.contains(&id) {
                     continue;
                 }
                 // A new incarnation. It gets no tasks until it answers.
--- a/crates/dispatch/src/worker_monitor.rs
+++ b/crates/dispatch/src/worker_monitor.rs
@@ -65,7 +65,7 @@
         }
     }
     if monitor.is_replaced() {
-        // The channel is closed, so the task ends after the last order, which each get an outcome.
+        // The channel is closed, so the task ends once each of the remaining orders has an outcome.
         order_sender.detach();
         return;
     }
