--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -19,7 +19,7 @@
         job_state::Job,
         order::{Rank, RankClass},
         waiting::WorkerGroup,
-        worker::Worker,
+        worker::{Worker, free_of},
     },
     ragwortreel_model::Resources,
     std::{collections::BTreeMap, sync::Arc},
@@ -235,15 +235,6 @@
     }
 }
 
-/// Free capacity of workers.
-fn free_of<'a>(workers: impl Iterator<Item = &'a Worker>) -> Resources {
-    let mut sum = Resources::ZERO;
-    for worker in workers {
-        sum += worker.free_capacity();
-    }
-    sum
-}
-
 /// Multiple of resources, rounded down.
 fn scale(resources: &Resources, factor: f64) -> Resources {
     #[expect(
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -18,7 +18,7 @@
         stalls::{RunProgress, StuckRun},
         unplaceable::Unplaceable,
         waiting::{WaitingSteps, WorkerGroup},
-        worker::{QUARANTINE_FAILURES, QUARANTINE_MS, Run, RunPhase, Worker},
+        worker::{QUARANTINE_FAILURES, QUARANTINE_MS, Run, RunPhase, Worker, free_of},
         workspaces::Workspaces,
     },
     ragwortreel_model::{JobId, JobState, Resources, WorkerId},
@@ -966,10 +966,6 @@
 
     /// Free capacity of all schedulable workers of a service.
     pub(crate) fn free_capacity(&self, service: &str) -> Resources {
-        let mut sum = Resources::ZERO;
-        for worker in self.schedulable_workers(service) {
-            sum += worker.free_capacity();
-        }
-        sum
+        free_of(self.schedulable_workers(service))
     }
 }
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -264,6 +264,15 @@
     }
 }
 
+/// Free capacity of workers.
+pub(crate) fn free_of<'a>(workers: impl Iterator<Item = &'a Worker>) -> Resources {
+    let mut sum = Resources::ZERO;
+    for worker in workers {
+        sum += worker.free_capacity();
+    }
+    sum
+}
+
 /// Number of tasks with this need that fit into the free resources, at most `max`.
 pub(crate) fn slots_in(need: &Resources, free: &Resources, max: u32) -> u32 {
     let slots = |need: u64, free: u64| free.checked_div(need).unwrap_or(u64::from(max));
