workflow: Refuse no job for steps that are set aside

What callers saw: the limit of a workspace is lowered, and an accepted gang that no longer fits waits until it is raised. Until then each new job of the workspace gets 503, although nothing of it runs and the job fits the limit.

Cause: a step that can never start under the present limit, or beside the endless runs of its workspace, holds up no other.

Ruled out: the workspace's share (line 2116 names the limit), and an old load (it is published each 0.5 s, the refusals went on until the limit was raised).

Both tests jobs_are_admitted_beside_* fail before (Err(Refusal { reason: Limit, wait_ms: 36000 })).

Why this works: admission now sees only steps that new jobs wait for. The count of waiting tasks includes both kinds as before; the invariant test of the workspaces counts them by their two lists.

--- a/crates/workflow/src/fair_share.rs
+++ b/crates/workflow/src/fair_share.rs
@@ -236,7 +236,8 @@
         self.fair_share.published.clone()
     }
 
-    /// Work that waits for capacity of the workers or for the limit of its workspace.
+    /// Work that waits for capacity of the workers or for the limit of its workspace. Steps that are set aside are left out,
+    /// because new jobs start before them.
     fn waiting_of_workspaces(&self) -> BTreeMap<Workspace, Waiting> {
         let mut all: BTreeMap<Workspace, Waiting> = BTreeMap::new();
         let queued = self.waiting_steps.iter().map(|it| (it, false));
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -588,6 +588,7 @@
             .waiting_steps
             .iter()
             .chain(self.workspaces.held_steps())
+            .chain(self.workspaces.set_aside_steps())
             .chain(self.unplaceable.steps()))
         .filter_map(|(_, key)| self.jobs.get(&key.job)?.step(key))
         .map(StepState::waiting_tasks)
--- a/crates/workflow/src/workspaces.rs
+++ b/crates/workflow/src/workspaces.rs
@@ -302,8 +302,13 @@
 
     /// Steps that wait for room.
     pub(crate) fn held_steps(&self) -> impl Iterator<Item = &WaitingStep> {
-        let aside = self.oversized.values().chain(self.beside_endless.values());
-        self.held.values().chain(aside).flatten()
+        self.held.values().flatten()
+    }
+
+    /// Steps that are set aside, which no other step waits for.
+    pub(crate) fn set_aside_steps(&self) -> impl Iterator<Item = &WaitingStep> {
+        let beside_endless = self.beside_endless.values();
+        self.oversized.values().chain(beside_endless).flatten()
     }
 }
 
--- a/crates/workflow/src/workspaces/tests.rs
+++ b/crates/workflow/src/workspaces/tests.rs
@@ -468,7 +468,10 @@
             }
         }
         assert_eq!(scheduler.workspaces.usage, counted);
-        let held = scheduler.workspaces.held_steps().count();
+        let workspaces = &scheduler.workspaces;
+        let held = (workspaces.held_steps())
+            .chain(workspaces.set_aside_steps())
+            .count();
         assert_eq!(waiting, scheduler.waiting_steps.iter().count() + held);
         let mut active: BTreeMap<Workspace, Resources> = BTreeMap::new();
         for start in self.workers.iter().flat_map(|it| &it.active) {
--- a/crates/workflow/tests/workspaces.rs
+++ b/crates/workflow/tests/workspaces.rs
@@ -5,8 +5,8 @@
 use {
     ragwortreel_model::{JobState, Resources},
     ragwortreel_workflow::{
-        EndCause, JobChange, JobRequest, PlacedTasks, Progress, StartOutcome, Step, StepProgress,
-        WorkspaceNotice, WorkspacePolicy,
+        Admission, EndCause, JobChange, JobRequest, PlacedTasks, Progress, StartOutcome, Step,
+        StepProgress, WorkspaceNotice, WorkspacePolicy,
     },
     support::{Cell, LEASE_BOUND_MS, advised_queue, gang, job, queue, step, worker, workspace},
 };
@@ -355,6 +355,42 @@
     assert_eq!((count("j0"), count("j2")), (9, 9), "{started:?}");
 }
 
+/// Guards against new jobs that are refused for the work of a gang that holds up no other step: they would start at once. A
+/// gang of 12 cores waits beside a first step of 10 cores, whose run has ended when the limit is changed.
+macro_rules! admitted_beside_a_gang_set_aside {
+    ($($name:ident: $first:expr, $limit:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut cell = cell_with(&[("a", cores(16))]);
+            cell.accept(job_of("a", "first", vec![$first]));
+            let starts = cell.starts();
+            cell.confirm_starts(&starts);
+            let long = Step {
+                estimate_ms: 60_000,
+                ..gang(12, 1_000)
+            };
+            cell.accept(job_of("a", "long", vec![long]));
+            assert!(cell.starts().is_empty());
+            set_limits(&mut cell, &[("a", $limit)]);
+            if !$first.endless {
+                cell.end_runs(&starts, EndCause::Done);
+            }
+            assert!(cell.starts().is_empty());
+            let next = job_of("a", "next", vec![step(1, 1_000)]);
+            let mut admission = Admission::default();
+            admission.update(cell.scheduler.load(), cell.now_ms);
+            assert_eq!(admission.admit(&next, cell.now_ms), Ok(()));
+            cell.accept(next);
+            assert_eq!(started_jobs(&mut cell), ["next"]);
+        }
+    )*};
+}
+
+admitted_beside_a_gang_set_aside! {
+    jobs_are_admitted_beside_a_gang_beyond_a_lowered_limit: step(10, 1_000), cores(4);
+    jobs_are_admitted_beside_a_gang_that_endless_runs_leave_no_room: Step { endless: true, ..step(10, 1_000) }, cores(20);
+}
+
 /// Guards against a job that waits or fails because of its workspace and whose log lines do not say so, and against a
 /// line for each of the many attempts to start a step.
 #[test]
