dispatch: Refuse jobs beyond the present limit for a while only

What callers saw: a job that needs more than the limit of its workspace gets 400, also while the limit is lowered for some seconds. 400 says not to come back, and the body names neither the need nor the limit.

Cause: the check against the limit was one of the checks of the job's form.

The text of the error is pinned as before, with the figures; the test of the texts is renamed, because such a job is not invalid.

Why this works: the caller is answered at once, is told that nothing ran, why, and when to come back, spread over 2 to 5 s. A stored job is still found before a repeat is refused.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -9,7 +9,7 @@
     },
     ragwortreel_platform::FeedError,
     ragwortreel_runtime::{Logger, Stop, lock, log_event, sleep_ms},
-    ragwortreel_workflow::{JobError, JobRequest},
+    ragwortreel_workflow::{JobRequest, LimitError},
     std::{
         sync::{
             Arc, Mutex,
@@ -72,8 +72,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the first step that never could start.
-    pub(crate) fn check_limit(&self, job: &JobRequest) -> Result<(), JobError> {
+    /// Returns the first step that cannot start until the limit is raised.
+    pub(crate) fn check_limit(&self, job: &JobRequest) -> Result<(), LimitError> {
         let routes = self.routes();
         let workspaces = routes.workspaces.as_ref();
         let policy = (job.workspace.as_ref()).and_then(|it| workspaces?.get(it));
--- a/crates/dispatch/src/job_frontend.rs
+++ b/crates/dispatch/src/job_frontend.rs
@@ -23,7 +23,7 @@
     ragwortreel_model::{JobId, JobState, Resources, Workspace},
     ragwortreel_platform::{Check, PlatformError, ResilientTable, Txn, TxnOutcome, Write},
     ragwortreel_runtime::{Logger, boot_ms, log_event, sleep_ms, unix_ms},
-    ragwortreel_workflow::{JobRequest, QueuePolicy, Schedule, Step},
+    ragwortreel_workflow::{JobRequest, QueuePolicy, Refusal, Schedule, Step},
     std::{sync::Arc, time::Instant},
 };
 
@@ -57,6 +57,8 @@
     Refused {
         /// Delay after which the caller may retry, in ms.
         retry_after_ms: u64,
+        /// Reason for the caller.
+        reason: Arc<str>,
     },
     /// The job may be stored, and then runs.
     Unknown,
@@ -189,42 +191,50 @@
             );
             return SubmitOutcome::Invalid(problem.into());
         }
-        let within_limit = self.configuration.check_limit(&request);
-        let admission = self.view.admit(&request, boot_ms());
-        if within_limit.is_err() || admission.is_err() {
+        if let Err((refusal, reason)) = self.admit(&request) {
             // A repeated submission of a stored job must not be refused, because the job runs.
             let table = &self.job_tables[job_partition(&request.id)];
-            match table.get_before(&job_key(&request.id), deadline).await {
-                Ok(None) => {}
+            return match table.get_before(&job_key(&request.id), deadline).await {
+                Ok(None) => self.refuse(&request, refusal, reason),
                 Ok(Some(row)) => {
-                    return match self.owner(caller, &request.id, &row.value, deadline).await {
+                    match self.owner(caller, &request.id, &row.value, deadline).await {
                         Ok(owner) => self.repeat_outcome(caller, owner.as_ref()),
                         Err(err) => self.unknown_outcome(&request.id, &err),
-                    };
+                    }
                 }
-                Err(err) => return self.unknown_outcome(&request.id, &err),
-            }
-        }
-        if let Err(err) = within_limit {
-            return SubmitOutcome::Invalid(err.to_string().into());
-        }
-        if let Err(refusal) = admission {
-            if let Some(workspace) = &request.workspace {
-                (self.metrics).record_workspace_refusal(workspace, refusal.reason);
-            }
-            log_event!(self.log, JOB_REFUSED; "job" => request.id.to_string(),
-                "queue" => policy.name.to_string(), "reason" => refusal.reason.to_string(),
-                "wait_ms" => refusal.wait_ms, "objective_ms" => request.objective_ms(),
-                "retry_after_ms" => refusal.retry_after_ms);
-            self.metrics
-                .record_refusal(&policy.name, refusal.reason.name());
-            return SubmitOutcome::Refused {
-                retry_after_ms: refusal.retry_after_ms,
+                Err(err) => self.unknown_outcome(&request.id, &err),
             };
         }
         self.store(caller, &request, json, deadline).await
     }
 
+    /// Decides whether the job is admitted under the present limits and load; the error has the reason for the caller.
+    fn admit(&self, request: &JobRequest) -> Result<(), (Refusal, Arc<str>)> {
+        let now_ms = boot_ms();
+        if let Err(err) = self.configuration.check_limit(request) {
+            let refusal = Refusal::beyond_limit(request, now_ms);
+            return Err((refusal, err.to_string().into()));
+        }
+        let admitted = self.view.admit(request, now_ms);
+        admitted.map_err(|refusal| (refusal, refusal.reason.to_string().into()))
+    }
+
+    fn refuse(&self, request: &JobRequest, refusal: Refusal, reason: Arc<str>) -> SubmitOutcome {
+        let queue = &request.policy.name;
+        if let Some(workspace) = &request.workspace {
+            (self.metrics).record_workspace_refusal(workspace, refusal.reason);
+        }
+        self.metrics.record_refusal(queue, refusal.reason.name());
+        log_event!(self.log, JOB_REFUSED; "job" => request.id.to_string(),
+            "queue" => queue.to_string(), "reason" => reason.to_string(),
+            "wait_ms" => refusal.wait_ms, "objective_ms" => request.objective_ms(),
+            "retry_after_ms" => refusal.retry_after_ms);
+        SubmitOutcome::Refused {
+            retry_after_ms: refusal.retry_after_ms,
+            reason,
+        }
+    }
+
     async fn store(
         &self,
         caller: &Caller,
@@ -284,7 +294,10 @@
                     "queue" => request.policy.name.to_string(), "reason" => problem.to_string(),
                     "retry_after_ms" => retry_after_ms);
                 self.metrics.record_refusal(&request.policy.name, "store");
-                SubmitOutcome::Refused { retry_after_ms }
+                SubmitOutcome::Refused {
+                    retry_after_ms,
+                    reason: Arc::from("the store does not take the job"),
+                }
             }
             Err(CommitError::Store(PlatformError::Refused { problem, .. })) => {
                 log_event!(self.log, ROW_REFUSED; "row" => key.to_string(), "bytes" => json.len(),
--- a/crates/dispatch/src/job_frontend/tests.rs
+++ b/crates/dispatch/src/job_frontend/tests.rs
@@ -11,13 +11,13 @@
         rows::{JOB_PARTITIONS, LOAD_ROW, STATES_TABLE, cancel_key, job_key, main_key},
     },
     async_trait::async_trait,
-    ragwortreel_model::{Clock, JobId, JobState, ManualClock, Workspace},
+    ragwortreel_model::{Clock, JobId, JobState, ManualClock, Resources, Workspace},
     ragwortreel_platform::{
         ChangedRow, PlatformError, ResilientConfig, ResilientTable, Row, TableService, Txn,
         TxnOutcome,
     },
     ragwortreel_runtime::{block_on, boot_ms, discard_logger, lock},
-    ragwortreel_workflow::{QueuePolicy, Step},
+    ragwortreel_workflow::{QueuePolicy, Step, WorkspacePolicy},
     std::{
         collections::BTreeMap,
         pin::pin,
@@ -200,7 +200,7 @@
         advice: None,
     };
     let step =
-        r#"{"tasks":1,"need":{"milli_cores":1,"memory_mib":1,"accelerators":0},"estimate_ms":1}"#;
+        r#"{"tasks":1,"need":{"milli_cores":2,"memory_mib":1,"accelerators":0},"estimate_ms":1}"#;
     let step: Step = serde_json::from_str(step).expect("a step");
     let job = NewJob {
         id: id(),
@@ -378,6 +378,46 @@
     assert_eq!(submit(&frontend, &caller("a")), SubmitOutcome::Accepted);
 }
 
+/// Guards against a refusal for good, 400, of a job that needs more than a limit which is lowered for some seconds, and of
+/// a repeated submission of a job that was stored before.
+#[test]
+fn jobs_beyond_a_lowered_limit_may_be_submitted_again() {
+    let (frontend, store) = frontend();
+    let limit_to = |version, milli_cores| {
+        let policy = WorkspacePolicy {
+            weight: 1.0,
+            limit: Resources::new(milli_cores, 0, 0),
+        };
+        let mut routes = routes(version, &["a"]);
+        routes.workspaces = Some(BTreeMap::from([(workspace("a"), policy)]));
+        store.configure(routes);
+    };
+    limit_to(2, 1);
+    let refused = submit(&frontend, &caller("a"));
+    let SubmitOutcome::Refused {
+        retry_after_ms,
+        reason,
+    } = refused
+    else {
+        panic!("{refused:?}");
+    };
+    assert!(
+        (2_000..=5_000).contains(&retry_after_ms),
+        "{retry_after_ms}"
+    );
+    let text = "step 0: a task needs 2 milli-cores, 1 MiB, 0 accelerators, more than the present limit of its workspace: \
+        1 milli-cores, 0 MiB, 0 accelerators (0: no limit)";
+    assert_eq!(&*reason, text);
+    assert_eq!(*lock(&store.writes), []);
+    limit_to(3, 2);
+    assert_eq!(submit(&frontend, &caller("a")), SubmitOutcome::Accepted);
+    limit_to(4, 1);
+    let (other, other_store) = self::frontend();
+    lock(&other_store.rows).extend(lock(&store.rows).clone());
+    other_store.configure((*frontend.configuration.routes()).clone());
+    assert_eq!(submit(&other, &caller("a")), SubmitOutcome::Accepted);
+}
+
 /// Guards against a job without a workspace, as stored by earlier versions, that a caller cannot access, and against
 /// further calls to the store in a cell without workspaces.
 #[test]
--- a/crates/workflow/src/admission.rs
+++ b/crates/workflow/src/admission.rs
@@ -10,6 +10,9 @@
 //! A job of a workspace at its limit is refused when the work that the limit holds back takes longer than the slack of
 //! its objective, also while there is free capacity.
 //!
+//! A job that needs more than the present limit of its workspace is refused, too, and may be repeated: the operators may
+//! raise the limit.
+//!
 //! The backlog counts only work that waits for worker capacity; work that waits for the advice service is left out,
 //! because counting it would refuse jobs while workers are idle.
 
@@ -95,6 +98,9 @@
     /// The workspace sends more than its share while its work waits.
     #[display("the workspace is over its share")]
     Share,
+    /// The job needs more than the limit of its workspace.
+    #[display("the job needs more than the limit of its workspace")]
+    BeyondLimit,
 }
 
 impl RefusalReason {
@@ -105,6 +111,7 @@
             Self::Backlog => "backlog",
             Self::Limit => "limit",
             Self::Share => "share",
+            Self::BeyondLimit => "beyond-limit",
         }
     }
 }
@@ -116,10 +123,22 @@
     pub retry_after_ms: u64,
     /// Reason for the log.
     pub reason: RefusalReason,
-    /// Time that the work ahead of the job takes, in ms.
+    /// Time that the work ahead of the job takes, in ms; 0 if the job does not wait for other work.
     pub wait_ms: u64,
 }
 
+impl Refusal {
+    /// Refusal of a job that cannot start until the limit of its workspace is raised.
+    #[must_use]
+    pub fn beyond_limit(job: &JobRequest, now_ms: u64) -> Self {
+        Self {
+            retry_after_ms: retry_delay_ms(job, MAX_RETRY_MS, MAX_RETRY_MS, now_ms),
+            reason: RefusalReason::BeyondLimit,
+            wait_ms: 0,
+        }
+    }
+}
+
 /// Admission control based on the last published load.
 #[derive(Debug, Default)]
 pub struct Admission {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -64,5 +64,5 @@
     stalls::{StallEvidence, StuckRun},
     unplaceable::{UnplaceableReason, UnplaceableStep},
     worker::{EndCause, EndedRun, HeartbeatReport, RunningTask, StartOutcome, WorkerSpec},
-    workspaces::{WorkspaceNotice, WorkspaceSummary},
+    workspaces::{LimitError, WorkspaceNotice, WorkspaceSummary},
 };
--- a/crates/workflow/src/workspaces.rs
+++ b/crates/workflow/src/workspaces.rs
@@ -20,9 +20,9 @@
 
 use {
     crate::{
-        JobRequest, Scheduler, StepKey, WorkspacePolicy, job::JobError, waiting::WaitingStep,
-        worker::slots_in,
+        JobRequest, Scheduler, StepKey, WorkspacePolicy, waiting::WaitingStep, worker::slots_in,
     },
+    derive_more::{Display, Error},
     ragwortreel_model::{JobId, Resources, Workspace},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -329,27 +329,43 @@
     need.fits_in(&unlimited_where_zero(policy.limit))
 }
 
+/// Step that cannot start under the present limit of its workspace.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display(
+    "step {step}: {} needs {need}, more than the present limit of its workspace: {limit} (0: no limit)",
+    if *is_gang { "the gang" } else { "a task" }
+)]
+pub struct LimitError {
+    /// Index of the step.
+    pub step: usize,
+    /// Whether the need is that of a gang, not of a single task.
+    pub is_gang: bool,
+    /// Least resources with which the step starts.
+    pub need: Resources,
+    /// Most resources that the workspace may use at once; 0 means no limit.
+    pub limit: Resources,
+}
+
 impl JobRequest {
     /// Checks that every step can start under the limit of the job's workspace: a gang as a whole, and any other step
     /// with one task at a time.
     ///
     /// # Errors
     ///
-    /// Returns the first step that never could start.
-    pub fn check_limit(&self, policy: &WorkspacePolicy) -> Result<(), JobError> {
-        let fits = |step: &crate::Step| {
-            let need = step.least_need();
-            need.is_some_and(|need| is_within(&need, policy))
-        };
-        let Some(step) = self.steps.iter().position(|step| !fits(step)) else {
-            return Ok(());
-        };
-        let problem = if self.steps[step].gang {
-            "the gang needs more than its workspace may use at once"
-        } else {
-            "a task needs more than its workspace may use at once"
-        };
-        Err(JobError { step, problem })
+    /// Returns the first step that cannot start until the limit is raised.
+    pub fn check_limit(&self, policy: &WorkspacePolicy) -> Result<(), LimitError> {
+        for (index, step) in self.steps.iter().enumerate() {
+            let need = step.least_need().unwrap_or(UNLIMITED);
+            if !is_within(&need, policy) {
+                return Err(LimitError {
+                    step: index,
+                    is_gang: step.gang,
+                    need,
+                    limit: policy.limit,
+                });
+            }
+        }
+        Ok(())
     }
 }
 
--- a/crates/workflow/tests/workspaces.rs
+++ b/crates/workflow/tests/workspaces.rs
@@ -426,12 +426,13 @@
 /// Guards against a gang that is accepted although it never can start, and against a refusal of a wide step that can run
 /// in waves.
 #[test]
-fn jobs_that_cannot_start_under_the_limit_are_invalid() {
+fn jobs_beyond_the_limit_are_told_apart_from_wide_steps() {
     let policy = cores(4);
     let check = |steps| job_of("a", "j", steps).check_limit(&policy);
     assert_eq!(check(vec![step(100, 1_000), gang(4, 1_000)]), Ok(()));
     let err = check(vec![step(1, 1), gang(5, 1_000)]).expect_err("5 of 4 cores");
-    let text = "step 1: the gang needs more than its workspace may use at once";
+    let text = "step 1: the gang needs 5000 milli-cores, 5 MiB, 0 accelerators, more than the present limit of its workspace: \
+        4000 milli-cores, 0 MiB, 0 accelerators (0: no limit)";
     assert_eq!(err.to_string(), text);
     assert!(check(vec![step(1, 4_001)]).is_err());
     assert!(check(vec![gang(u32::MAX, u64::MAX)]).is_err());
