--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -14,8 +14,8 @@
         orders::{Order, StartTimes},
         row_writes::{RowWrite, job_writes, split_writes},
         rows::{
-            LEADER_TABLE, LOAD_ROW, LeaderRow, OwnedState, RUN_TIMES_ROW, WORKERS_TABLE, main_key,
-            to_json,
+            LEADER_TABLE, LEASES_ROW, LOAD_ROW, LeaderRow, OwnedState, RUN_TIMES_ROW,
+            WORKERS_TABLE, main_key, to_json,
         },
         term::Term,
     },
@@ -168,11 +168,13 @@
             // later ones.
             changes.sort_by_key(|change| change.priority);
             let is_due = boot_ms() >= last_commit.renewed_ms + timing.renewal_interval_ms;
-            if changes.is_empty() && starts.is_empty() && !is_due {
+            let leases = self.leases_write();
+            if changes.is_empty() && starts.is_empty() && leases.is_none() && !is_due {
                 drop(waiters);
                 continue;
             }
             let mut writes = self.published_writes(&mut last_commit);
+            writes.extend(leases);
             {
                 let stored = lock(&self.stored_segments);
                 let none = BTreeSet::new();
@@ -235,6 +237,9 @@
                         .filter_map(|it| it.job.as_ref());
                     let jobs: BTreeSet<&JobId> = complete.collect();
                     self.record_segments(batch.iter().filter(wanted));
+                    if batch.iter().any(RowWrite::is_of_leases) {
+                        lock(&self.unanswered).record_stored();
+                    }
                     let is_stored =
                         |start: &mut (StartOrder, u64)| jobs.contains(&start.0.task.step.job);
                     self.send_starts(starts.extract_if(.., is_stored).collect());
@@ -390,6 +395,17 @@
         }
     }
 
+    /// Write of the leases of workers that do not answer, if they have changed. None is stored before the recovery, when
+    /// workers of the former term may be unknown.
+    fn leases_write(&self) -> Option<RowWrite> {
+        if !self.has_recovered() {
+            return None;
+        }
+        let row = lock(&self.unanswered).next_row(self.number, boot_ms())?;
+        let key = main_key(WORKERS_TABLE, LEASES_ROW);
+        Some(RowWrite::published(key, to_json(&row).into()))
+    }
+
     /// Rows of the load, the workers and the run times, which the leader publishes to the other instances. They are stored
     /// by the next transaction, which is retried until the term is over, so they count as stored. Rows of workers beyond
     /// the size of a transaction follow in the next one.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 mod term_log;
 mod term_stats;
 mod timing;
+mod unanswered;
 mod worker_monitor;
 mod workspaces;
 
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -80,6 +80,21 @@
         Arc::ptr_eq(&self.clock, &other.clock)
     }
 
+    /// Local time in ms, and the lease that an order grants that is sent then; `None` while the worker's clock is unknown.
+    ///
+    /// The clock is locked meanwhile, so that no lease counts from a time after the clock was [forgotten](Self::forget_clock).
+    pub(crate) fn lease_now(&self, timing: &Timing) -> (u64, Option<Lease>) {
+        let clock = lock(&self.clock);
+        let now_ms = boot_ms();
+        (now_ms, clock.and_then(|clock| clock.lease(now_ms, timing)))
+    }
+
+    /// Forgets the worker's clock, so that no lease is granted until it answers. Returns the local time in ms.
+    pub(crate) fn forget_clock(&self) -> u64 {
+        *lock(&self.clock) = None;
+        boot_ms()
+    }
+
     pub(crate) fn new(address: SocketAddr) -> (Self, Receiver<Order>) {
         let (orders_tx, orders_rx) = async_channel::unbounded();
         let handle = Self {
@@ -122,13 +137,10 @@
     order: StartOrder,
     times: StartTimes,
 ) {
-    // The lease counts from a time before the checks, so a process that is suspended after them sends an expired order,
-    // and the clock is read before that time, so it is no newer.
-    let clock = *lock(&handle.clock);
-    let now_ms = boot_ms();
+    // The lease counts from a time before the checks, so a process that is suspended after them sends an expired order.
+    let (now_ms, lease) = handle.lease_now(&term.cell.cfg.timing);
     let (task, run) = (order.task.clone(), order.run);
     let may_send = term.may_start() && now_ms < times.stored_ms + MAX_START_AGE_MS;
-    let lease = clock.and_then(|clock| clock.lease(now_ms, &term.cell.cfg.timing));
     let lease = lease.filter(|_| may_send);
     {
         let mut scheduler = lock(&term.scheduler);
--- a/crates/dispatch/src/row_writes.rs
+++ b/crates/dispatch/src/row_writes.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        rows::{StateRow, segment_key, state_key, to_json},
+        rows::{LEASES_ROW, StateRow, WORKERS_TABLE, main_key, segment_key, state_key, to_json},
         term::Term,
     },
     ragwortreel_model::JobId,
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether this is the row of the leases of workers that do not answer.
+    pub(crate) fn is_of_leases(&self) -> bool {
+        self.job.is_none() && *self.write.key == *main_key(WORKERS_TABLE, LEASES_ROW)
+    }
+
     /// Size of the value, in bytes.
     pub(crate) fn bytes(&self) -> usize {
         self.write.value.as_ref().map_or(0, |value| value.len())
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -9,6 +9,7 @@
 //! | `leader`, `leader` | `main` | the leader | the leading instance and its term |
 //! | `leader`, `load` | `main` | the leader | waiting work and jobs, for admission and callers |
 //! | `workers`, bucket | `main` | the leader | workers that may have runs, with their addresses |
+//! | `workers`, `leases` | `main` | the leader | ends of the leases of workers that do not answer |
 //! | `members`, INSTANCE | `main` | each instance | its address for other instances, and whether it can lead |
 //!
 //! The store runs the transactions of a partition one after the other. When it is slow, a partition takes only a few a
@@ -41,6 +42,8 @@
 pub const RUN_TIMES_ROW: &str = "run-times";
 /// Table of the workers that may have runs, with their addresses.
 pub const WORKERS_TABLE: &str = "workers";
+/// Name of the row in that table with the leases of workers that do not answer.
+pub const LEASES_ROW: &str = "leases";
 /// Number of rows that the workers are distributed over. A row holds 64 KB, which is about 1,100 workers.
 pub const WORKER_BUCKETS: u64 = 16;
 /// Largest value of a row, in bytes; a limit of the store.
@@ -192,6 +195,17 @@
 /// Row of workers that may have runs, with their addresses.
 pub type WorkersRow = BTreeMap<WorkerId, SocketAddr>;
 
+/// Row of the leases of workers that do not answer. Earlier versions ignore it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeasesRow {
+    /// Term that wrote the row; it counts for the next term only.
+    pub term: u32,
+    /// Times by which all leases on each worker have certainly expired, in ms of the store's clock. The worker gets no
+    /// lease as long as it is listed here.
+    #[serde(rename = "until")]
+    pub until_ms: BTreeMap<WorkerId, u64>,
+}
+
 /// Row of a job's state.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StateRow {
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -13,11 +13,12 @@
         orders::{Order, WorkerHandle},
         rows::{
             JOBS_TABLE, LeaderRow, MAIN_PARTITION, OwnedState, STATES_TABLE, StateRow,
-            StateRowError, WORKER_BUCKETS, WORKERS_TABLE, WorkersRow, bucket_row_name,
-            parse_cancel_row_name, worker_row_name,
+            StateRowError, WORKER_BUCKETS, WorkersRow, bucket_row_name, parse_cancel_row_name,
+            worker_row_name,
         },
         stored_states::StoredStates,
         term_stats::TermStats,
+        unanswered::{StoreTime, UnansweredWorkers},
         worker_monitor::monitor_worker,
         workspaces,
     },
@@ -75,6 +76,8 @@
     pub(crate) workers_changed: AtomicU64,
     /// Statistics for the next summary.
     pub(crate) stats: Mutex<TermStats>,
+    /// Workers that do not answer this leader.
+    pub(crate) unanswered: Mutex<UnansweredWorkers>,
     /// States of jobs, as stored.
     pub(crate) stored_states: Mutex<BTreeMap<JobId, OwnedState>>,
     /// Numbers of the stored segments of jobs that have any.
@@ -106,6 +109,7 @@
             workers: Mutex::default(),
             workers_changed: AtomicU64::new(0),
             stats: Mutex::default(),
+            unanswered: Mutex::default(),
             stored_states: Mutex::default(),
             stored_segments: Mutex::default(),
             recovered: AtomicBool::new(false),
@@ -250,16 +254,7 @@
         let states = deps.feed.part(STATES_TABLE, MAIN_PARTITION).await?;
         let listed = deps.source.workers().await?;
         let states = StoredStates::new(states.rows);
-        let mut stored_workers = WorkersRow::new();
-        for row in deps.feed.part(WORKERS_TABLE, MAIN_PARTITION).await?.rows {
-            match serde_json::from_str::<WorkersRow>(row.value.as_deref().unwrap_or("{}")) {
-                Ok(workers) => stored_workers.extend(workers),
-                Err(err) => {
-                    log_event!(deps.log, INVALID_ROW; "row" => row.key.to_string(),
-                        "problem" => err.to_string());
-                }
-            }
-        }
+        let stored_workers = self.read_workers().await?;
         // An invalid state row is logged when its job is applied.
         self.record_stored_states(states.owned_states());
         *lock(&self.stored_segments) = states.segment_numbers();
@@ -267,11 +262,14 @@
             .set_lost_segments(states.segments_without_state());
         let count = jobs.rows.len();
         log_event!(deps.log, RECOVERED; "term" => self.number, "rows" => count,
-            "listed_workers" => listed.len(), "known_workers" => stored_workers.len());
+            "listed_workers" => listed.len(), "known_workers" => stored_workers.addresses.len(),
+            "unanswered_workers" => stored_workers.leases.until_ms.len());
         let run_times = self.read_run_times().await;
         // Nothing is awaited between the start of the workers' monitors and the acceptance of the jobs: an end that is
         // reported before its job is known would be acknowledged without being recorded.
-        self.apply_workers(listed, &stored_workers);
+        let listed_ids = listed.iter().map(|it| it.spec.id.clone());
+        let leases = self.begin_leases(listed_ids, &stored_workers);
+        self.apply_workers(listed, &stored_workers.addresses);
         let mut scheduler = lock(&self.scheduler);
         if let Some(row) = run_times {
             scheduler.restore_run_times(row, boot_ms());
@@ -280,9 +278,10 @@
             let state = states.decode(&row.key);
             self.apply_job_row(&mut scheduler, row, state, JobOrigin::Recovered);
         }
-        let until_ms = boot_ms() + self.cell.cfg.timing.unreached_lease_bound_ms();
+        let latest_ms = boot_ms() + self.cell.cfg.timing.unreached_lease_bound_ms();
         for worker in scheduler.worker_ids() {
-            scheduler.extend_lease(&worker, until_ms);
+            let until_ms = leases.get(&worker).copied().unwrap_or(latest_ms);
+            scheduler.set_unreached_lease(&worker, until_ms);
         }
         drop(scheduler);
         Ok(jobs.version)
@@ -374,6 +373,10 @@
             let rows = match result {
                 Ok(rows) => {
                     self.jobs_read_ms.store(sent_ms, Ordering::Relaxed);
+                    if let Some(store_ms) = rows.clock_ms {
+                        let time = StoreTime { store_ms, sent_ms };
+                        lock(&self.unanswered).record_store_time(time);
+                    }
                     rows
                 }
                 Err(FeedError::HistoryGone | FeedError::TooLarge) => match self.read_jobs().await {
@@ -441,6 +444,8 @@
             let (handle, orders) = WorkerHandle::new(address);
             if let Some(former) = workers.insert(id.clone(), handle.clone()) {
                 former.orders_tx.close();
+                // Orders that are still queued must not extend the lease of the former incarnation.
+                former.forget_clock();
             }
             self.workers_changed.fetch_add(1, Ordering::Release);
             let monitor = monitor_worker(Arc::clone(self), id, handle, orders);
--- a/crates/dispatch/src/term/reads.rs
+++ b/crates/dispatch/src/term/reads.rs
@@ -5,17 +5,70 @@
     crate::{
         events::INVALID_ROW,
         rows::{
-            JOB_PARTITIONS, JOBS_TABLE, LEADER_TABLE, MAIN_PARTITION, RUN_TIMES_ROW,
-            job_partition_name,
+            JOB_PARTITIONS, JOBS_TABLE, LEADER_TABLE, LEASES_ROW, LeasesRow, MAIN_PARTITION,
+            RUN_TIMES_ROW, WORKERS_TABLE, WorkersRow, job_partition_name,
         },
     },
+    ragwortreel_model::WorkerId,
     ragwortreel_platform::{PlatformError, TableRows},
-    ragwortreel_runtime::{boot_ms, log_event, sleep_ms, spawn},
+    ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms, spawn},
     ragwortreel_workflow::RunTimesRow,
-    std::sync::{Arc, atomic::Ordering},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, atomic::Ordering},
+    },
 };
 
+/// Workers that the former leader knew, and their leases.
+pub(super) struct StoredWorkers {
+    pub(super) addresses: WorkersRow,
+    /// Ends of the leases of workers that did not answer, as stored last.
+    pub(super) leases: LeasesRow,
+    /// Time of the store's clock at the read, in ms; `None` if the store does not tell.
+    clock_ms: Option<u64>,
+    /// Local time at which the read had ended, in ms.
+    read_ms: u64,
+}
+
 impl Term {
+    /// Reads the workers that may have runs, and the leases of those that did not answer the former leader.
+    pub(super) async fn read_workers(&self) -> Result<StoredWorkers, PlatformError> {
+        let part = (self.cell.deps.feed.part(WORKERS_TABLE, MAIN_PARTITION)).await?;
+        let mut stored = StoredWorkers {
+            addresses: WorkersRow::new(),
+            leases: LeasesRow::default(),
+            clock_ms: part.clock_ms,
+            read_ms: boot_ms(),
+        };
+        for row in part.rows {
+            let value = row.value.as_deref().unwrap_or("{}");
+            let result = if &*row.key == LEASES_ROW {
+                serde_json::from_str(value).map(|leases| stored.leases = leases)
+            } else {
+                serde_json::from_str(value)
+                    .map(|workers: WorkersRow| stored.addresses.extend(workers))
+            };
+            if let Err(err) = result {
+                log_event!(self.cell.deps.log, INVALID_ROW; "row" => row.key.to_string(),
+                    "problem" => err.to_string());
+            }
+        }
+        Ok(stored)
+    }
+
+    /// Begins the term's record of workers that do not answer, with all known workers. Returns the times by which the
+    /// leases of former leaders have certainly expired, in ms.
+    pub(super) fn begin_leases(
+        &self,
+        listed: impl Iterator<Item = WorkerId>,
+        stored: &StoredWorkers,
+    ) -> BTreeMap<WorkerId, u64> {
+        let workers = listed.chain(stored.addresses.keys().cloned());
+        let former = stored.clock_ms.map(|clock_ms| (&stored.leases, clock_ms));
+        let timing = &self.cell.cfg.timing;
+        lock(&self.unanswered).begin_term(self.number, workers, former, stored.read_ms, timing)
+    }
+
     /// Reads the run times that former leaders have learned; without them this leader learns them again.
     pub(super) async fn read_run_times(&self) -> Option<RunTimesRow> {
         let rows = match self.cell.deps.feed.part(LEADER_TABLE, MAIN_PARTITION).await {
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/timing.rs
@@ -33,6 +33,11 @@
 /// later than they begin, each after one poll, and a single slow transaction must not cause a takeover.
 const TAKEOVER_TRANSACTIONS: u64 = 6;
 
+/// Most by which one clock advances further than another one in this time, in ms.
+pub(crate) const fn drift_ms(ms: u64) -> u64 {
+    ms * MAX_CLOCK_DRIFT_PERCENT / 100
+}
+
 impl Timing {
     /// Shortest time without a change of the leader's row after which another instance takes over, in ms: two renewals.
     pub const MIN_TAKEOVER_MS: u64 = 700;
@@ -86,15 +91,14 @@
         if clock_age_ms > MAX_CLOCK_AGE_MS {
             return None;
         }
-        let drift_ms = (clock_age_ms + self.lease_ms) * MAX_CLOCK_DRIFT_PERCENT / 100;
+        let drift_ms = drift_ms(clock_age_ms + self.lease_ms);
         Some(self.lease_ms + drift_ms)
     }
 
     /// Time after the sending of any order by which the lease that it grants has certainly expired, in ms.
     #[must_use]
     pub const fn lease_bound_ms(&self) -> u64 {
-        let drift_ms = (MAX_CLOCK_AGE_MS + self.lease_ms) * MAX_CLOCK_DRIFT_PERCENT / 100;
-        self.lease_ms + drift_ms
+        self.lease_ms + drift_ms(MAX_CLOCK_AGE_MS + self.lease_ms)
     }
 
     /// Time after a takeover by which all leases have expired on workers that only an earlier leader reached, in ms.
--- a/crates/dispatch/src/worker_monitor.rs
+++ b/crates/dispatch/src/worker_monitor.rs
@@ -70,6 +70,7 @@
         return;
     }
     drop(order_sender);
+    lock(&term.unanswered).remove(&worker);
     lock(&term.workers).remove(&worker);
     term.workers_changed.fetch_add(1, Ordering::Release);
 }
@@ -86,16 +87,14 @@
     /// instance leads.
     async fn send_heartbeat(&mut self) -> bool {
         let timing = &self.term.cell.cfg.timing;
-        // As for a start, the lease counts from a time before the check and after the clock is read.
-        let clock = *lock(&self.handle.clock);
-        let sent_ms = boot_ms();
+        // As for a start, the lease counts from a time before the check.
+        let (sent_ms, lease) = self.handle.lease_now(timing);
         if !self.term.may_extend_leases() {
             sleep_ms(RETRY_BACKOFF_MS[0]).await;
             return true;
         }
         // The lease of a worker that does not answer is not extended: the request might still arrive, and the lease
         // would never expire. Its clock is unknown until it answers.
-        let lease = clock.and_then(|clock| clock.lease(sent_ms, timing));
         let req = HeartbeatRequest {
             lease_expires_ms: lease.map(|lease| lease.expires_ms),
             acked_end: self.acked_end,
@@ -118,6 +117,9 @@
         match result {
             Ok(response) => {
                 let local_ms = boot_ms();
+                if !self.may_extend_lease().await {
+                    return true;
+                }
                 *lock(&self.handle.clock) = Some(ClockSample {
                     worker_ms: response.clock_ms,
                     local_ms,
@@ -142,6 +144,16 @@
         }
     }
 
+    /// Records an answer. Waits until the stored row of workers that do not answer no longer names this one; returns false
+    /// if that takes too long, and the answer is to be ignored.
+    async fn may_extend_lease(&self) -> bool {
+        if !lock(&self.term.unanswered).remove(&self.to.worker) {
+            return true;
+        }
+        let stored = self.term.journal.when_stored();
+        timeout_ms(STORE_WAIT_MS, stored.recv()).await.is_ok() && !self.term.is_over()
+    }
+
     /// Detects a new incarnation under the same name, whose ends are numbered from 1 again.
     ///
     /// Orders that were in transit at its start may have started tasks there, so the runs that this response lists
@@ -227,7 +239,9 @@
                 "worker" => self.to.worker.to_string(), "problem" => err.to_string());
         }
         // The next incarnation has another clock.
-        *lock(&self.handle.clock) = None;
+        let now_ms = self.handle.forget_clock();
+        let timing = &self.term.cell.cfg.timing;
+        lock(&self.term.unanswered).record_silence(&self.to.worker, now_ms, timing);
         lock(&self.term.scheduler).mark_unreachable(&self.to.worker);
         self.term.wake();
         let backoff_ms = RETRY_BACKOFF_MS[self.failures.min(RETRY_BACKOFF_MS.len() - 1)];
--- a/crates/dispatch/tests/row_format.rs
+++ b/crates/dispatch/tests/row_format.rs
@@ -4,8 +4,8 @@
     ragwortreel_dispatch::{
         LeaderCapacity, Timing,
         rows::{
-            LeaderRow, MemberRow, OwnedState, StateRow, WorkersRow, bucket_row_name, cancel_key,
-            encode_member, job_key, main_key, parse_cancel_row_name, worker_row_name,
+            LeaderRow, LeasesRow, MemberRow, OwnedState, StateRow, WorkersRow, bucket_row_name,
+            cancel_key, encode_member, job_key, main_key, parse_cancel_row_name, worker_row_name,
         },
     },
     ragwortreel_model::{InstanceId, JobId, JobState, WorkerId, Workspace},
@@ -77,6 +77,22 @@
     );
 }
 
+/// Guards against a row of leases that another version cannot read, or that a former version takes for a row of addresses.
+#[test]
+fn leases_keep_their_text_and_name_no_addresses() {
+    let worker = WorkerId::new("w-1").expect("a valid name");
+    let row = LeasesRow {
+        term: 7,
+        until_ms: [(worker, 51_230)].into(),
+    };
+    let json = r#"{"term":7,"until":{"w-1":51230}}"#;
+    assert_eq!(serde_json::to_string(&row).expect("a row"), json);
+    assert_eq!(serde_json::from_str::<LeasesRow>(json).expect("a row"), row);
+    for json in [json, r#"{"term":7,"until":{}}"#] {
+        assert!(serde_json::from_str::<WorkersRow>(json).is_err());
+    }
+}
+
 /// Guards against an answer of the leader whose workspace is lost or of which an earlier version cannot read the state.
 #[test]
 fn leader_answers_keep_their_text() {
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -224,6 +224,8 @@
     pub superseded: usize,
     /// Bytes received from the service, by all copies of the calls.
     pub received_bytes: u64,
+    /// Time on the service's steady clock when it answered first, in ms; `None` if it does not tell.
+    pub clock_ms: Option<u64>,
 }
 
 /// Failure to read the changes of a table.
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -281,6 +281,16 @@
         }
     }
 
+    /// Sets the time by which all leases of former leaders have certainly expired on a worker; without effect once it has
+    /// answered.
+    pub fn set_unreached_lease(&mut self, worker: &WorkerId, until_ms: u64) {
+        if let Some(worker) = self.workers.get_mut(worker)
+            && !worker.has_answered
+        {
+            worker.lease_until_ms = until_ms;
+        }
+    }
+
     /// Applies a worker's heartbeat report.
     pub fn heartbeat(&mut self, id: &WorkerId, report: HeartbeatReport, now_ms: u64) {
         self.now_ms = now_ms;
