--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -29,6 +29,7 @@
 mod gang_room;
 mod job;
 mod job_state;
+mod limit_backfill;
 mod order;
 mod placement;
 mod progress;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -9,6 +9,7 @@
     crate::{
         Action, Scheduler, StartOrder, StepKey, TaskKey,
         job_state::Placement,
+        limit_backfill::Backfill,
         room_forecast::Allowance,
         stalls::RunProgress,
         worker::{Run, RunPhase, Worker, slots_in},
@@ -276,6 +277,13 @@
                 checkpoint,
             });
         }
+        let backfill = self.backfill_of(key);
+        if backfill == Some(Backfill::Beside)
+            && let Some(workspace) = &workspace
+        {
+            let taken = need.checked_mul(orders.len() as u64).unwrap_or(need);
+            self.workspaces.backfill.take_beside(workspace, &taken);
+        }
         for order in orders {
             if let Some(worker) = self.workers.get_mut(&order.worker) {
                 let run = Run {
@@ -284,6 +292,7 @@
                     workspace: workspace.clone(),
                     phase: RunPhase::Starting,
                     progress: RunProgress::new(&spec, order.checkpoint.is_empty(), now_ms),
+                    backfill,
                 };
                 worker.add_run(order.task.clone(), run, &mut self.workspaces);
             }
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -42,6 +42,7 @@
                         workspace: request.workspace.clone(),
                         phase: RunPhase::Finished(now_ms),
                         progress: RunProgress::new(spec, false, now_ms),
+                        backfill: None,
                     };
                     self.add_restored_run(&placed.worker, task, run);
                 }
@@ -73,6 +74,7 @@
             workspace,
             phase: RunPhase::Confirmed(self.now_ms),
             progress,
+            backfill: None,
         };
         self.add_restored_run(id, task, run);
     }
--- a/crates/workflow/src/room_forecast.rs
+++ b/crates/workflow/src/room_forecast.rs
@@ -69,7 +69,7 @@
 
 impl Run {
     /// Expected end, in ms; `None` for an endless run that is not being stopped.
-    fn expected_end_ms(&self, now_ms: u64) -> Option<u64> {
+    pub(crate) fn expected_end_ms(&self, now_ms: u64) -> Option<u64> {
         if matches!(
             self.phase,
             RunPhase::Stopping | RunPhase::Stopped(_) | RunPhase::Finished(_)
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -399,6 +399,7 @@
             workspace,
             phase: RunPhase::Confirmed(self.now_ms),
             progress,
+            backfill: None,
         };
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add_run(task.clone(), run, &mut self.workspaces);
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        TaskKey, room_forecast::ExpectedEnds, run_times::WorkerSpeed, stalls::RunProgress,
-        workspaces::Workspaces,
+        TaskKey, limit_backfill::Backfill, room_forecast::ExpectedEnds, run_times::WorkerSpeed,
+        stalls::RunProgress, workspaces::Workspaces,
     },
     ragwortreel_model::{Resources, WorkerId, Workspace},
     std::{
@@ -111,6 +111,8 @@
     pub(crate) workspace: Option<Workspace>,
     pub(crate) phase: RunPhase,
     pub(crate) progress: RunProgress,
+    /// Set if the run was started while a step of its workspace that came before was held.
+    pub(crate) backfill: Option<Backfill>,
 }
 
 impl Run {
--- a/crates/workflow/src/workspaces.rs
+++ b/crates/workflow/src/workspaces.rs
@@ -9,9 +9,9 @@
 //! stopping may be removed already. The *room* of a workspace is its limit less its usage. Every start and reservation
 //! goes through [`Scheduler::startable_tasks`], which allows no more tasks than the room.
 //!
-//! A waiting step is *held* when its workspace has no room for it, or when a step of the same workspace that comes first
-//! is held. Room that becomes free is thus left to the first step, and a wide gang is not passed over by small steps
-//! forever. Two kinds of steps are set aside and hold up no other: those that need more than the whole limit, and those that
+//! A waiting step is *held* when its workspace has no room for it, or when it would take the room for which a held step
+//! of the same workspace waits that comes first (see `limit_backfill`). Room that becomes free is thus left to the first
+//! step, and a wide gang is not passed over by small steps forever. Two kinds of steps are set aside and hold up no other: those that need more than the whole limit, and those that
 //! do not fit beside the endless runs of their workspace, because the end of all other runs would not give them room.
 //!
 //! Held steps are not in the queue of waiting steps: a decision does not visit them, they do not block steps of other
@@ -20,7 +20,8 @@
 
 use {
     crate::{
-        JobRequest, Scheduler, StepKey, WorkspacePolicy, waiting::WaitingStep, worker::slots_in,
+        JobRequest, Scheduler, StepKey, WorkspacePolicy, limit_backfill::LimitBackfill,
+        waiting::WaitingStep, worker::slots_in,
     },
     derive_more::{Display, Error},
     ragwortreel_model::{JobId, Resources, Workspace},
@@ -34,7 +35,7 @@
 /// workspace.
 const RERANK_INTERVAL_MS: u64 = 100;
 /// Room without a limit.
-const UNLIMITED: Resources = Resources::new(u64::MAX, u64::MAX, u64::MAX);
+pub(crate) const UNLIMITED: Resources = Resources::new(u64::MAX, u64::MAX, u64::MAX);
 
 /// Configured workspaces, as far as the leader knows them.
 #[derive(Debug, Default)]
@@ -67,6 +68,8 @@
     oversized: BTreeMap<Workspace, BTreeSet<WaitingStep>>,
     /// Steps that do not fit beside the endless runs of their workspace; they hold up no other step. No value is empty.
     beside_endless: BTreeMap<Workspace, BTreeSet<WaitingStep>>,
+    /// Room that first held steps keep, and what may use it meanwhile.
+    pub(crate) backfill: LimitBackfill,
     /// Workspaces of which an endless run is gone since the last decision.
     ended_endless: BTreeSet<Workspace>,
     /// Workspaces of which held steps may have room since the last decision.
@@ -101,6 +104,15 @@
     pub held_steps: usize,
 }
 
+/// Room of a workspace.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WorkspaceRoom {
+    /// Resources that further runs may use.
+    pub(crate) left: Resources,
+    /// Resources of all runs and reservations.
+    pub(crate) usage: Resources,
+}
+
 /// Why a step is not tried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Hold {
@@ -168,7 +180,7 @@
     }
 
     /// Has the held steps of a workspace tried in the next decision.
-    fn mark_changed(&mut self, workspace: &Workspace) {
+    pub(crate) fn mark_changed(&mut self, workspace: &Workspace) {
         if self.held.contains_key(workspace) {
             self.changed.insert(workspace.clone());
         }
@@ -252,12 +264,58 @@
         policy.is_some_and(|policy| !is_within(need, policy))
     }
 
+    /// Room of a workspace with its usage.
+    pub(crate) fn whole_room(&self, workspace: &Workspace) -> WorkspaceRoom {
+        let usage = self.usage.get(workspace).copied().unwrap_or_default();
+        WorkspaceRoom {
+            left: self.room(workspace),
+            usage,
+        }
+    }
+
+    /// Steps of a workspace that wait for room.
+    pub(crate) fn held_of(&self, workspace: &Workspace) -> Option<&BTreeSet<WaitingStep>> {
+        self.held.get(workspace)
+    }
+
+    /// First step of each workspace that waits for room.
+    pub(crate) fn first_held(&self) -> impl Iterator<Item = (&Workspace, &WaitingStep)> {
+        let first = |(workspace, held)| Some((workspace, BTreeSet::first(held)?));
+        self.held.iter().filter_map(first)
+    }
+
+    /// First step of a workspace that waits for room, if it comes before a step.
+    pub(crate) fn first_before(
+        &self,
+        workspace: &Workspace,
+        entry: &WaitingStep,
+    ) -> Option<&WaitingStep> {
+        let first = self.held.get(workspace).and_then(BTreeSet::first);
+        first.filter(|first| *first < entry)
+    }
+
+    /// Room for a step whose tasks end at a time in ms.
+    fn room_for(
+        &self,
+        workspace: &Workspace,
+        entry: &WaitingStep,
+        end_ms: impl FnOnce() -> u64,
+    ) -> Resources {
+        let room = self.room(workspace);
+        let Some((_, first)) = self.first_before(workspace, entry) else {
+            return room;
+        };
+        let behind = (self.backfill).room_behind(workspace, first, &room, end_ms());
+        behind.map_or(Resources::ZERO, |(_, room)| room)
+    }
+
     /// Whether a step has to wait for its workspace; `need` is the least that it takes to start.
     fn hold_reason(
         &self,
         workspace: &Workspace,
         entry: &WaitingStep,
         need: &Resources,
+        end_ms: impl FnOnce() -> u64,
     ) -> Option<Hold> {
         if self.exceeds_limit(workspace, need) {
             return Some(Hold::Oversized);
@@ -265,9 +323,8 @@
         if self.exceeds_limit_beside_endless(workspace, need) {
             return Some(Hold::EndlessRuns);
         }
-        let first = self.held.get(workspace).and_then(BTreeSet::first);
-        let is_behind_held = first.is_some_and(|first| first < entry);
-        (is_behind_held || !need.fits_in(&self.room(workspace))).then_some(Hold::NoRoom)
+        let room = self.room_for(workspace, entry, end_ms);
+        (!need.fits_in(&room)).then_some(Hold::NoRoom)
     }
 
     /// Removes a step that no longer waits, or that is to be queued again.
@@ -376,7 +433,7 @@
     }
 
     /// Needs of [`least_tasks`](Self::least_tasks); `None` if the sum exceeds the range.
-    fn least_need(&self) -> Option<Resources> {
+    pub(crate) fn least_need(&self) -> Option<Resources> {
         self.need.checked_mul(u64::from(self.least_tasks()))
     }
 }
@@ -392,6 +449,7 @@
         let mut in_use: BTreeSet<Workspace> = of_jobs.collect();
         in_use.extend(self.workspaces.usage.keys().cloned());
         self.workspaces.set_policies(policies, &in_use);
+        self.workspaces.backfill.clear();
         let is_configured = |it: &Workspace| self.workspaces.policy(it).is_some();
         self.fair_share.retain(is_configured);
         // All held steps are tried again, because other ones may be beyond the limits now.
@@ -440,7 +498,13 @@
             return waiting;
         };
         let spec = job.spec(key);
-        let room = self.workspaces.room(workspace);
+        let room = match step.rank {
+            Some(rank) => {
+                let end_ms = || self.expected_reuse_ms(job, key);
+                (self.workspaces).room_for(workspace, &(rank, key.clone()), end_ms)
+            }
+            None => self.workspaces.room(workspace),
+        };
         let fitting = slots_in(&spec.need, &room, spec.tasks) as usize;
         if spec.gang && fitting < waiting {
             0
@@ -468,7 +532,8 @@
         }
         let entry = (rank, key.clone());
         let need = job.spec(key).least_need().unwrap_or(UNLIMITED);
-        let Some(hold) = self.workspaces.hold_reason(workspace, &entry, &need) else {
+        let end_ms = || self.expected_reuse_ms(job, key);
+        let Some(hold) = (self.workspaces).hold_reason(workspace, &entry, &need, end_ms) else {
             return false;
         };
         let workspace = workspace.clone();
@@ -477,7 +542,11 @@
             Hold::Oversized => &mut self.workspaces.oversized,
             Hold::EndlessRuns => &mut self.workspaces.beside_endless,
         };
-        (steps.entry(workspace.clone()).or_default()).insert(entry.clone());
+        let of_workspace = steps.entry(workspace.clone()).or_default();
+        of_workspace.insert(entry.clone());
+        if hold == Hold::NoRoom && of_workspace.first() == Some(&entry) {
+            self.workspaces.backfill.request_forecast();
+        }
         self.dequeue(&entry);
         if let Some(step) = self.step_mut(key) {
             let is_oversized = hold == Hold::Oversized;
@@ -524,6 +593,7 @@
     /// Puts the held steps for which their workspace has room now back into the queue of waiting steps.
     pub(crate) fn release_held_steps(&mut self) {
         self.rerank_held_steps();
+        self.forecast_limits();
         for workspace in mem::take(&mut self.workspaces.ended_endless) {
             let steps = self.workspaces.beside_endless.remove(&workspace);
             for entry in steps.into_iter().flatten() {
@@ -562,7 +632,13 @@
                 }
             }
             if !held.is_empty() {
-                self.workspaces.held.insert(workspace, held);
+                self.workspaces.held.insert(workspace.clone(), held);
+            }
+            for entry in self.backfilled_steps(&workspace) {
+                if let Some(held) = self.workspaces.held.get_mut(&workspace) {
+                    held.remove(&entry);
+                }
+                self.enqueue(entry);
             }
         }
     }
