dispatch, workflow: Start nothing by the entry of a former incarnation (ROUTE)

What callers saw: a worker of the kind that a job needs starts again under its id as another kind, and tasks of the job start there.

Cause: a new incarnation was taken as soon as it answered, with labels, capacity, service and state from the list, which is read each 0.8 s and did not tell of which incarnation an entry is.

Ruled out: orders for the former incarnation that arrive late (the starts were decided after the first answer of the new one).

Why this works: entries and answers carry the incarnation, and a worker is schedulable only while both are the same. A start names the incarnation for which it was decided and is not sent to another one. A platform that does not tell incarnations is served as before.

--- a/bench/src/backlog.rs
+++ b/bench/src/backlog.rs
@@ -141,6 +141,7 @@
         labels: BTreeSet::new(),
         draining: false,
         leaves_in_ms: None,
+        incarnation: None,
     })
 }
 
--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -5,7 +5,7 @@
     derive_more::{Display, Error},
     ragwortreel_model::{WorkerId, Workspace},
     ragwortreel_workflow::{
-        EndedRun, QueuePolicy, RunningTask, TaskKey, WorkerSpec, WorkspacePolicy,
+        EndedRun, Incarnation, QueuePolicy, RunningTask, TaskKey, WorkerSpec, WorkspacePolicy,
     },
     std::{collections::BTreeMap, fmt, net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -96,8 +96,8 @@
 pub struct HeartbeatResponse {
     /// Worker's clock when it answered, in ms.
     pub clock_ms: u64,
-    /// Start time of the worker, in ms; differs between two incarnations with the same name.
-    pub started_ms: u64,
+    /// Incarnation that answers; `None` if it does not tell.
+    pub incarnation: Option<Incarnation>,
     /// Runs in progress.
     pub running: Vec<RunningTask>,
     /// Ended runs that are not acknowledged yet; the first ones if there are many.
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -141,9 +141,9 @@
     let (now_ms, lease) = handle.lease_now(&term.cell.cfg.timing);
     let (task, run) = (order.task.clone(), order.run);
     let may_send = term.may_start() && now_ms < times.stored_ms + MAX_START_AGE_MS;
-    let lease = lease.filter(|_| may_send);
-    {
+    let lease = {
         let mut scheduler = lock(&term.scheduler);
+        let lease = lease.filter(|_| may_send && scheduler.is_for_incarnation(&order));
         if !scheduler.has_run(&to.worker, &task, run) {
             // The run was dropped while its start waited to be stored or sent.
             return;
@@ -151,7 +151,8 @@
         if let Some(lease) = lease {
             scheduler.extend_lease(&to.worker, lease.until_ms);
         }
-    }
+        lease
+    };
     let result = match lease {
         Some(lease) => {
             let start = TaskStart {
@@ -167,7 +168,9 @@
         None => Err(WorkerError::NotDone {
             step: "start",
             worker: to.worker.clone(),
-            problem: Arc::from("not sent: the start is too old, or leadership is uncertain"),
+            problem: Arc::from(
+                "not sent: the start is too old, leadership is uncertain, or the worker has started again",
+            ),
         }),
     };
     let outcome = start_outcome(&result);
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -53,6 +53,8 @@
 /// Pause between two reads of new jobs, in ms. The instances forward jobs themselves; the reads find those that were
 /// lost in transit.
 const JOBS_POLL_INTERVAL_MS: u64 = 100;
+/// Shortest pause between two reads of the list of workers, in ms. A tenth of all workers may start again at once.
+const MIN_LIST_PAUSE_MS: u64 = 200;
 /// Longest interval between two decisions, in ms; tickets and leases expire without an event.
 const DECISION_INTERVAL_MS: u64 = 50;
 /// Minimum interval between two decisions, in ms. Events in between share one decision. The journal delays starts
@@ -92,6 +94,8 @@
     pub(crate) stop: Stop,
     wake_tx: Sender<()>,
     wake_rx: Receiver<()>,
+    list_tx: Sender<()>,
+    list_rx: Receiver<()>,
 }
 
 impl Term {
@@ -99,6 +103,7 @@
         let lease_bound_ms = cell.cfg.timing.lease_bound_ms();
         let start_window_ms = Timing::start_window_ms(row.takeover_ms);
         let (wake_tx, wake_rx) = async_channel::bounded(1);
+        let (list_tx, list_rx) = async_channel::bounded(1);
         Arc::new(Self {
             number: row.term,
             scheduler: Mutex::new(Scheduler::new(row.term, lease_bound_ms)),
@@ -119,6 +124,8 @@
             stop: Stop::new(),
             wake_tx,
             wake_rx,
+            list_tx,
+            list_rx,
             cell,
         })
     }
@@ -133,6 +140,12 @@
         let _ = self.wake_tx.try_send(());
     }
 
+    /// Requests a read of the list of workers before it is due.
+    pub(crate) fn request_list(&self) {
+        // One queued request covers any number of workers.
+        let _ = self.list_tx.try_send(());
+    }
+
     /// Records a successful renewal by the time at which it was sent.
     pub(crate) fn record_renewal(&self, sent_ms: u64) {
         self.renewed_ms.fetch_max(sent_ms, Ordering::Relaxed);
@@ -405,7 +418,11 @@
     async fn poll_workers(self: Arc<Self>) {
         while !self.is_over() {
             let count = lock(&self.workers).len() as u64;
-            sleep_ms(self.cell.cfg.timing.list_interval_ms(count)).await;
+            sleep_ms(MIN_LIST_PAUSE_MS).await;
+            let interval_ms = self.cell.cfg.timing.list_interval_ms(count);
+            let rest_ms = interval_ms.saturating_sub(MIN_LIST_PAUSE_MS);
+            // A timeout means that a read is due.
+            let _ = timeout_ms(rest_ms, self.list_rx.recv()).await;
             match self.cell.deps.source.workers().await {
                 Ok(listed) => {
                     self.cell.health.record_success("list workers");
--- a/crates/dispatch/src/worker_monitor.rs
+++ b/crates/dispatch/src/worker_monitor.rs
@@ -13,8 +13,9 @@
     async_channel::Receiver,
     ragwortreel_model::WorkerId,
     ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms, timeout_ms},
-    ragwortreel_workflow::{EndCause, EndedRun, HeartbeatReport},
+    ragwortreel_workflow::{EndCause, EndedRun, HeartbeatReport, Incarnation},
     std::{
+        mem,
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
@@ -29,8 +30,10 @@
     term: Arc<Term>,
     to: WorkerEndpoint,
     handle: WorkerHandle,
-    /// Start time of the worker's incarnation, in ms; `None` before the first response.
-    started_ms: Option<u64>,
+    /// Whether the worker ever answered this monitor.
+    has_answered: bool,
+    /// Incarnation that answered last, if it told.
+    incarnation: Option<Incarnation>,
     /// Sequence number of the last end of a run that is stored.
     acked_end: u64,
     /// Number of consecutive failed heartbeats.
@@ -55,7 +58,8 @@
         term: Arc::clone(&term),
         to,
         handle,
-        started_ms: None,
+        has_answered: false,
+        incarnation: None,
         acked_end: 0,
         failures: 0,
     };
@@ -124,7 +128,7 @@
                     worker_ms: response.clock_ms,
                     local_ms,
                 });
-                let is_known = self.started_ms.is_some() && self.failures == 0;
+                let is_known = self.has_answered && self.failures == 0;
                 self.check_incarnation(&response);
                 if !is_known {
                     log_event!(self.term.cell.deps.log, WORKER_REACHED;
@@ -159,8 +163,9 @@
     /// Orders that were in transit at its start may have started tasks there, so the runs that this response lists
     /// decide which runs of the former incarnation are lost.
     fn check_incarnation(&mut self, response: &HeartbeatResponse) {
-        let former = self.started_ms.replace(response.started_ms);
-        if former.is_some_and(|former| former != response.started_ms) {
+        let had_answered = mem::replace(&mut self.has_answered, true);
+        let former = mem::replace(&mut self.incarnation, response.incarnation);
+        if had_answered && former != response.incarnation {
             self.log_replaced();
             self.acked_end = 0;
         }
@@ -183,11 +188,19 @@
         let report = HeartbeatReport {
             sent_ms,
             lease_until_ms,
+            incarnation: response.incarnation,
             running: response.running,
             ended: response.ended,
             has_more_ends: response.has_more_ends,
         };
-        lock(&self.term.scheduler).heartbeat(&self.to.worker, report, boot_ms());
+        let lacks_entry = {
+            let mut scheduler = lock(&self.term.scheduler);
+            scheduler.heartbeat(&self.to.worker, report, boot_ms());
+            scheduler.lacks_entry(&self.to.worker)
+        };
+        if lacks_entry {
+            self.term.request_list();
+        }
         self.term.wake();
         if !has_ends {
             return;
--- a/crates/workflow/src/action.rs
+++ b/crates/workflow/src/action.rs
@@ -1,7 +1,7 @@
 //! Actions that the scheduler returns to its driver.
 
 use {
-    crate::{StepKey, TaskKey},
+    crate::{Incarnation, StepKey, TaskKey},
     ragwortreel_model::WorkerId,
     std::sync::Arc,
 };
@@ -21,6 +21,8 @@
     pub checkpoint: Arc<str>,
     /// Ticket of the advice service, where the queue requires one.
     pub ticket: Option<Arc<str>>,
+    /// Incarnation of the worker that the start is meant for; another one may be of another kind.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// Stop of a run that is or may be active.
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -64,6 +64,8 @@
     segments::{SEGMENT_TASKS, Segments},
     stalls::{StallEvidence, StuckRun},
     unplaceable::{UnplaceableReason, UnplaceableStep},
-    worker::{EndCause, EndedRun, HeartbeatReport, RunningTask, StartOutcome, WorkerSpec},
+    worker::{
+        EndCause, EndedRun, HeartbeatReport, Incarnation, RunningTask, StartOutcome, WorkerSpec,
+    },
     workspaces::{LimitError, WorkspaceNotice, WorkspaceSummary},
 };
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -267,6 +267,7 @@
             };
             orders.push(StartOrder {
                 ticket: step.advice.valid_ticket(&worker, now_ms).cloned(),
+                incarnation: self.workers.get(&worker).and_then(|it| it.incarnation),
                 task: TaskKey {
                     step: key.clone(),
                     index,
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -7,8 +7,8 @@
 
 use {
     crate::{
-        Action, EndCause, EndedRun, HeartbeatReport, JobOrigin, JobRequest, Progress, StartOutcome,
-        StepKey, StopOrder, TaskKey, WorkerSpec,
+        Action, EndCause, EndedRun, HeartbeatReport, JobOrigin, JobRequest, Progress, StartOrder,
+        StartOutcome, StepKey, StopOrder, TaskKey, WorkerSpec,
         evacuation::Evacuation,
         fair_share::FairShare,
         job_state::{Job, NO_VALUE_FACTOR, Placement, StepState, is_finished},
@@ -235,6 +235,7 @@
             labels: BTreeSet::new(),
             draining: true,
             leaves_in_ms: None,
+            incarnation: None,
         };
         let mut worker = Worker::new(spec);
         worker.listed = false;
@@ -260,6 +261,19 @@
         })
     }
 
+    /// Whether a worker answers whose own entry is not listed yet, but that of a former incarnation.
+    #[must_use]
+    pub fn lacks_entry(&self, id: &WorkerId) -> bool {
+        (self.workers.get(id)).is_some_and(|worker| !worker.has_own_entry())
+    }
+
+    /// Whether a worker still is the incarnation for which a start was decided.
+    #[must_use]
+    pub fn is_for_incarnation(&self, start: &StartOrder) -> bool {
+        let worker = self.workers.get(&start.worker);
+        worker.is_some_and(|worker| worker.incarnation == start.incarnation)
+    }
+
     /// Marks a worker that did not answer; it gets no new tasks until its next heartbeat.
     pub fn mark_unreachable(&mut self, worker: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(worker) {
@@ -305,6 +319,7 @@
             }
         }
         worker.reachable = true;
+        worker.incarnation = report.incarnation;
         if !worker.has_answered {
             // The worker rejects orders of earlier leaders from now on, so none of them can extend the lease.
             worker.has_answered = true;
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -17,10 +17,15 @@
 /// Duration of a worker's quarantine, in ms.
 pub(crate) const QUARANTINE_MS: u64 = 5_000;
 
+/// Incarnation of a worker: the time of its start, in Unix ms. A worker may start again under its identifier, also as another
+/// kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Incarnation(pub u64);
+
 /// Worker as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerSpec {
-    /// Identifier of this incarnation of the worker; it changes with a restart.
+    /// Identifier of the worker; it may stay the same when the worker starts again.
     pub id: WorkerId,
     /// Service whose tasks the worker runs.
     pub service: Arc<str>,
@@ -34,6 +39,8 @@
     pub draining: bool,
     /// Least time until a draining worker leaves, in ms at the time of the report; `None` if unknown or not draining.
     pub leaves_in_ms: Option<u64>,
+    /// Incarnation that the other fields are of; `None` if the platform does not tell.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// Run that a worker reports as active.
@@ -81,6 +88,8 @@
     pub sent_ms: u64,
     /// Time after which all leases on the worker have certainly expired unless renewed, in ms of the leader's clock.
     pub lease_until_ms: u64,
+    /// Incarnation that answers; `None` if it does not tell.
+    pub incarnation: Option<Incarnation>,
     /// Runs that are active on the worker.
     pub running: Vec<RunningTask>,
     /// Ended runs whose ends the leader has not acknowledged; the first ones if there are many.
@@ -156,6 +165,8 @@
     pub(crate) listed: bool,
     /// Whether the worker answered the last heartbeat of this leader.
     pub(crate) reachable: bool,
+    /// Incarnation that answered last, if it told.
+    pub(crate) incarnation: Option<Incarnation>,
     /// Whether the worker ever answered this leader; from then on it rejects orders of earlier leaders.
     pub(crate) has_answered: bool,
     /// Resources of all runs that may be active.
@@ -187,6 +198,7 @@
             spec,
             listed: true,
             reachable: false,
+            incarnation: None,
             has_answered: false,
             used: Resources::ZERO,
             reserved: Resources::ZERO,
@@ -206,11 +218,18 @@
     pub(crate) fn is_schedulable(&self, now_ms: u64) -> bool {
         self.listed
             && self.reachable
+            && self.has_own_entry()
             && !self.spec.draining
             && self.orphans.is_empty()
             && self.quarantined_until_ms <= now_ms
     }
 
+    /// Whether the entry is of the incarnation that answers. That of a former one may name another kind or capacity.
+    pub(crate) fn has_own_entry(&self) -> bool {
+        let both = self.spec.incarnation.zip(self.incarnation);
+        both.is_none_or(|(listed, answering)| listed == answering)
+    }
+
     /// Ends the probation after a quarantine if an endless run that was started since has worked: such runs never complete.
     pub(crate) fn end_probation(&mut self, now_ms: u64) {
         let is_on_probation = self.consecutive_failures >= QUARANTINE_FAILURES;
--- a/crates/workflow/src/workspaces/tests.rs
+++ b/crates/workflow/src/workspaces/tests.rs
@@ -187,6 +187,7 @@
             labels: BTreeSet::new(),
             draining: false,
             leaves_in_ms: None,
+            incarnation: None,
         });
         self.scheduler.update_workers(specs.collect(), self.now_ms);
     }
@@ -406,6 +407,7 @@
             running: running.collect(),
             ended: mem::take(&mut worker.ended),
             has_more_ends: false,
+            incarnation: None,
         };
         self.scheduler.heartbeat(&id, report, now_ms);
     }
--- a/crates/workflow/tests/limits_and_stalls.rs
+++ b/crates/workflow/tests/limits_and_stalls.rs
@@ -73,6 +73,7 @@
         running: vec![running],
         ended: Vec::new(),
         has_more_ends: false,
+        incarnation: None,
     };
     let now_ms = cell.now_ms;
     cell.scheduler.heartbeat(&worker_id("w"), report, now_ms);
--- a/crates/workflow/tests/stalls.rs
+++ b/crates/workflow/tests/stalls.rs
@@ -38,6 +38,7 @@
         running: running.collect(),
         ended: Vec::new(),
         has_more_ends: false,
+        incarnation: None,
     };
     (cell.scheduler).heartbeat(&worker_id(name), report, cell.now_ms);
 }
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -122,6 +122,7 @@
         labels: BTreeSet::new(),
         draining: false,
         leaves_in_ms: None,
+        incarnation: None,
     }
 }
 
--- a/crates/workflow/tests/support/simulation.rs
+++ b/crates/workflow/tests/support/simulation.rs
@@ -249,6 +249,7 @@
                 labels: BTreeSet::new(),
                 draining: false,
                 leaves_in_ms: None,
+                incarnation: None,
             };
             fleet
                 .speeds
--- a/crates/workflow/tests/worker_reports.rs
+++ b/crates/workflow/tests/worker_reports.rs
@@ -26,6 +26,7 @@
                 running: Vec::new(),
                 ended: ends.collect(),
                 has_more_ends,
+                incarnation: None,
             };
             cell.scheduler.heartbeat(&starts[0].worker, report, cell.now_ms);
             let (restarted, stops) = cell.decide();
