--- a/crates/workflow/tests/limit_backfill.rs
+++ b/crates/workflow/tests/limit_backfill.rs
@@ -274,6 +274,20 @@
             assert_eq!(play.started.contains_key("held"), first_ms < checked_ms);
         }
     };
+    /// Guards against a gang that waits for more runs than those beside which it fits, because a job was started beside it.
+    gang_and_the_job_beside_it_use_the_whole_limit: || {
+        let mut play = Play::new(limit(6_000, 0, 0));
+        play.accept("first", 1, lasting(2_000, step(4, 1_000)));
+        play.play_until(500);
+        play.accept("held", 1, lasting(HELD_MS, gang(5, 1_000)));
+        play.play_until(1_000);
+        play.accept("two-cores", 2, lasting(60_000, step(1, 2_000)));
+        play.accept("one-core", 2, lasting(60_000, step(1, 1_000)));
+        play.play_until(1_500);
+        assert_eq!(play.started.keys().collect::<Vec<_>>(), ["first", "one-core"]);
+        play.play_until(2_500);
+        assert!(play.started.contains_key("held"), "{:?}", play.started);
+    };
     /// Guards against gangs that keep room from each other, so that one of them never starts.
     several_gangs_start_one_after_the_other: || {
         let mut play = Play::new(limit(16_000, 0, 0));
