--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -27,6 +27,7 @@
 mod evacuation;
 mod fair_share;
 mod gang_room;
+mod incarnations;
 mod job;
 mod job_state;
 mod limit_backfill;
@@ -52,6 +53,7 @@
     advice_broker::{AdviceBroker, AssignedCall},
     evacuation::{MoveReason, MovedRuns},
     fair_share::WorkspaceLoad,
+    incarnations::Incarnation,
     job::{
         AdviceCost, JobError, JobRequest, QueuePolicy, Schedule, Step, StepKey, TaskKey,
         WorkspacePolicy,
@@ -64,8 +66,6 @@
     segments::{SEGMENT_TASKS, Segments},
     stalls::{StallEvidence, StuckRun},
     unplaceable::{UnplaceableReason, UnplaceableStep},
-    worker::{
-        EndCause, EndedRun, HeartbeatReport, Incarnation, RunningTask, StartOutcome, WorkerSpec,
-    },
+    worker::{EndCause, EndedRun, HeartbeatReport, RunningTask, StartOutcome, WorkerSpec},
     workspaces::{LimitError, WorkspaceNotice, WorkspaceSummary},
 };
--- a/crates/workflow/src/limit_backfill.rs
+++ b/crates/workflow/src/limit_backfill.rs
@@ -34,7 +34,7 @@
 /// Most held steps of a workspace that are checked in a decision.
 const MAX_CHECKED_STEPS: usize = 128;
 
-/// Runs that were started while a step of their workspace was held.
+/// Reason for which a run could be started while an earlier step of its workspace was held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Backfill {
     /// The run is to end before the held step starts.
@@ -121,7 +121,7 @@
         };
         match run.backfill {
             Some(Backfill::Beside) => self.beside.push((end_ms, run.need)),
-            // Otherwise such runs would put off the time before which further ones are to end.
+            // Such a run does not put off the start of the held step, before which further runs are to end.
             Some(Backfill::Before) => self.releases.push((now_ms, run.need)),
             None => self.releases.push((end_ms, run.need)),
         }
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -7,16 +7,47 @@
 
 use {
     crate::{
-        JobRequest, Progress, Scheduler, StepKey, TaskKey,
+        JobRequest, Progress, Scheduler, StepKey, TaskKey, WorkerSpec,
         job_state::Job,
         stalls::RunProgress,
-        worker::{Run, RunPhase},
+        worker::{Run, RunPhase, Worker},
     },
-    ragwortreel_model::{JobId, WorkerId},
-    std::collections::BTreeSet,
+    ragwortreel_model::{JobId, Resources, WorkerId},
+    std::{collections::BTreeSet, sync::Arc},
 };
 
 impl Scheduler {
+    /// Adds a worker that the platform does not list but that may run tasks of an earlier leader; it gets no new tasks.
+    pub fn add_unlisted(&mut self, id: &WorkerId) {
+        if self.workers.contains_key(id) {
+            return;
+        }
+        let spec = WorkerSpec {
+            id: id.clone(),
+            service: Arc::from(""),
+            capacity: Resources::ZERO,
+            rack: None,
+            labels: BTreeSet::new(),
+            draining: true,
+            leaves_in_ms: None,
+            incarnation: None,
+        };
+        let mut worker = Worker::new(spec);
+        worker.listed = false;
+        worker.lease_until_ms = self.now_ms + self.lease_bound_ms;
+        self.workers.insert(id.clone(), worker);
+    }
+
+    /// Sets the time by which all leases of former leaders have certainly expired on a worker; without effect once it has
+    /// answered.
+    pub fn set_unreached_lease(&mut self, worker: &WorkerId, until_ms: u64) {
+        if let Some(worker) = self.workers.get_mut(worker)
+            && !worker.has_answered
+        {
+            worker.lease_until_ms = until_ms;
+        }
+    }
+
     /// Counts the runs of a finished job that may still be active, from its final stored state, as used. They are
     /// stopped when their workers report them.
     pub fn restore_finished(&mut self, request: &JobRequest, progress: &Progress, now_ms: u64) {
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -7,8 +7,8 @@
 
 use {
     crate::{
-        Action, EndCause, EndedRun, HeartbeatReport, JobOrigin, JobRequest, Progress, StartOrder,
-        StartOutcome, StepKey, StopOrder, TaskKey, WorkerSpec,
+        Action, EndCause, EndedRun, HeartbeatReport, JobOrigin, JobRequest, Progress, StartOutcome,
+        StepKey, StopOrder, TaskKey, WorkerSpec,
         evacuation::Evacuation,
         fair_share::FairShare,
         job_state::{Job, NO_VALUE_FACTOR, Placement, StepState, is_finished},
@@ -222,27 +222,6 @@
         self.evacuation.record_list(&listed, now_ms);
     }
 
-    /// Adds a worker that the platform does not list but that may run tasks of an earlier leader; it gets no new tasks.
-    pub fn add_unlisted(&mut self, id: &WorkerId) {
-        if self.workers.contains_key(id) {
-            return;
-        }
-        let spec = WorkerSpec {
-            id: id.clone(),
-            service: Arc::from(""),
-            capacity: Resources::ZERO,
-            rack: None,
-            labels: BTreeSet::new(),
-            draining: true,
-            leaves_in_ms: None,
-            incarnation: None,
-        };
-        let mut worker = Worker::new(spec);
-        worker.listed = false;
-        worker.lease_until_ms = self.now_ms + self.lease_bound_ms;
-        self.workers.insert(id.clone(), worker);
-    }
-
     /// Whether the scheduler holds the worker.
     #[must_use]
     pub fn has_worker(&self, id: &WorkerId) -> bool {
@@ -261,19 +240,6 @@
         })
     }
 
-    /// Whether a worker answers whose own entry is not listed yet, but that of a former incarnation.
-    #[must_use]
-    pub fn lacks_entry(&self, id: &WorkerId) -> bool {
-        (self.workers.get(id)).is_some_and(|worker| !worker.has_own_entry())
-    }
-
-    /// Whether a worker still is the incarnation for which a start was decided.
-    #[must_use]
-    pub fn is_for_incarnation(&self, start: &StartOrder) -> bool {
-        let worker = self.workers.get(&start.worker);
-        worker.is_some_and(|worker| worker.incarnation == start.incarnation)
-    }
-
     /// Marks a worker that did not answer; it gets no new tasks until its next heartbeat.
     pub fn mark_unreachable(&mut self, worker: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(worker) {
@@ -295,16 +261,6 @@
         }
     }
 
-    /// Sets the time by which all leases of former leaders have certainly expired on a worker; without effect once it has
-    /// answered.
-    pub fn set_unreached_lease(&mut self, worker: &WorkerId, until_ms: u64) {
-        if let Some(worker) = self.workers.get_mut(worker)
-            && !worker.has_answered
-        {
-            worker.lease_until_ms = until_ms;
-        }
-    }
-
     /// Applies a worker's heartbeat report.
     pub fn heartbeat(&mut self, id: &WorkerId, report: HeartbeatReport, now_ms: u64) {
         self.now_ms = now_ms;
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        TaskKey, limit_backfill::Backfill, room_forecast::ExpectedEnds, run_times::WorkerSpeed,
-        stalls::RunProgress, workspaces::Workspaces,
+        Incarnation, TaskKey, limit_backfill::Backfill, room_forecast::ExpectedEnds,
+        run_times::WorkerSpeed, stalls::RunProgress, workspaces::Workspaces,
     },
     ragwortreel_model::{Resources, WorkerId, Workspace},
     std::{
@@ -17,11 +17,6 @@
 /// Duration of a worker's quarantine, in ms.
 pub(crate) const QUARANTINE_MS: u64 = 5_000;
 
-/// Incarnation of a worker: the time of its start, in Unix ms. A worker may start again under its identifier, also as another
-/// kind.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Incarnation(pub u64);
-
 /// Worker as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerSpec {
@@ -224,12 +219,6 @@
             && self.quarantined_until_ms <= now_ms
     }
 
-    /// Whether the entry is of the incarnation that answers. That of a former one may name another kind or capacity.
-    pub(crate) fn has_own_entry(&self) -> bool {
-        let both = self.spec.incarnation.zip(self.incarnation);
-        both.is_none_or(|(listed, answering)| listed == answering)
-    }
-
     /// Ends the probation after a quarantine if an endless run that was started since has worked: such runs never complete.
     pub(crate) fn end_probation(&mut self, now_ms: u64) {
         let is_on_probation = self.consecutive_failures >= QUARANTINE_FAILURES;
