workflow: Bound the checks of held steps in a decision

Cause: with hundreds of workspaces at their limits, each end of a run had up to 128 held steps of its workspace checked, and a change of the first held step had a forecast made, which visits all runs.

Change: held steps are checked after a forecast only, at most 256 and those of one workspace in a decision, going on with the next workspace in turn; steps that do not fit now are skipped before their end is estimated. A forecast is made each 250 ms. A step that is held already starts up to 250 ms later than before; a new one is tried at once, as before.

small_jobs_start_in_each_of_many_workspaces guards against a workspace that is never checked.

--- a/crates/workflow/src/limit_backfill.rs
+++ b/crates/workflow/src/limit_backfill.rs
@@ -27,12 +27,15 @@
     },
 };
 
-/// Interval between two forecasts, in ms.
+/// Interval between two forecasts, in ms. Each visits all runs. Until the next one, nothing is started behind a step that has
+/// become the first held one of its workspace.
 const FORECAST_INTERVAL_MS: u64 = 250;
 /// Expected time until reservations of gangs are used or released, in ms.
 const RESERVATION_MS: u64 = 3_000;
-/// Most held steps of a workspace that are checked in a decision.
+/// Most held steps of a workspace that are checked after a forecast; the next check goes on behind them.
 const MAX_CHECKED_STEPS: usize = 128;
+/// Number of held steps after whose check a decision checks those of no further workspace.
+const MAX_CHECKED_IN_DECISION: usize = 256;
 
 /// Reason for which a run could be started while an earlier step of its workspace was held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,20 +63,19 @@
     kept: BTreeMap<Workspace, KeptRoom>,
     /// Time of the next forecast, in ms.
     due_ms: u64,
+    /// Workspaces whose held steps are to be checked.
+    unchecked: BTreeSet<Workspace>,
+    /// Workspace that was checked last; the next one is that behind it.
+    last_checked: Option<Workspace>,
     /// Held steps after which the next checks go on, for workspaces of which not all were checked.
     checked: BTreeMap<Workspace, WaitingStep>,
 }
 
 impl LimitBackfill {
-    /// Has the next decision make a forecast, because another step has become the first one.
-    pub(crate) const fn request_forecast(&mut self) {
-        self.due_ms = 0;
-    }
-
     /// Forgets all forecasts, because limits have changed.
     pub(crate) fn clear(&mut self) {
         self.kept.clear();
-        self.request_forecast();
+        self.due_ms = 0;
     }
 
     /// How a task that is expected to end at a time in ms may run while a step is held, and the room for such tasks;
@@ -94,6 +96,16 @@
         })
     }
 
+    /// Takes the next workspace to be checked.
+    fn next_unchecked(&mut self) -> Option<Workspace> {
+        let begin = self.last_checked.as_ref().map_or(Unbounded, Excluded);
+        let behind = self.unchecked.range((begin, Unbounded)).next();
+        let next = behind.or_else(|| self.unchecked.first())?.clone();
+        self.unchecked.remove(&next);
+        self.last_checked = Some(next.clone());
+        Some(next)
+    }
+
     /// Subtracts the resources of tasks that were started beside a held step.
     pub(crate) fn take_beside(&mut self, workspace: &Workspace, taken: &Resources) {
         if let Some(kept) = self.kept.get_mut(workspace) {
@@ -174,7 +186,7 @@
                 }
             }
         }
-        let mut kept = BTreeMap::new();
+        let (mut kept, mut unchecked) = (BTreeMap::new(), BTreeSet::new());
         for (workspace, (step, mut ends)) in ends {
             let Some(job) = self.jobs.get(&step.job) else {
                 continue;
@@ -182,7 +194,9 @@
             let need = job.spec(&step).least_need().unwrap_or(UNLIMITED);
             let room = self.workspaces.whole_room(&workspace);
             let (start_ms, beside) = ends.fit(&need, &room, now_ms);
-            self.workspaces.mark_changed(&workspace);
+            if room.left.milli_cores > 0 {
+                unchecked.insert(workspace.clone());
+            }
             kept.insert(
                 workspace,
                 KeptRoom {
@@ -194,11 +208,25 @@
         }
         let backfill = &mut self.workspaces.backfill;
         (backfill.checked).retain(|workspace, _| kept.contains_key(workspace));
+        backfill.unchecked = unchecked;
         backfill.kept = kept;
     }
 
-    /// Held steps of a workspace that may start although the first one waits.
-    pub(crate) fn backfilled_steps(&mut self, workspace: &Workspace) -> Vec<WaitingStep> {
+    /// Puts held steps that may start although the first one waits back into the queue of waiting steps.
+    pub(crate) fn release_backfilled_steps(&mut self) {
+        let mut checked = 0;
+        while checked < MAX_CHECKED_IN_DECISION
+            && let Some(workspace) = self.workspaces.backfill.next_unchecked()
+        {
+            for entry in self.backfilled_steps(&workspace, &mut checked) {
+                self.workspaces.take_held_step(&workspace, &entry);
+                self.enqueue(entry);
+            }
+        }
+    }
+
+    /// Held steps of a workspace that may start although the first one waits. Adds the number of steps that were checked.
+    fn backfilled_steps(&mut self, workspace: &Workspace, checks: &mut usize) -> Vec<WaitingStep> {
         let backfill = &self.workspaces.backfill;
         let mut room = self.workspaces.whole_room(workspace).left;
         let first = self.workspaces.held_of(workspace).and_then(BTreeSet::first);
@@ -212,11 +240,15 @@
         let steps = held.range((Excluded(after), Unbounded));
         let (mut found, mut last, mut taken_beside) = (Vec::new(), None, Resources::ZERO);
         for entry in steps.take(MAX_CHECKED_STEPS) {
+            *checks += 1;
             last = Some(entry);
             let Some(job) = self.jobs.get(&entry.1.job) else {
                 continue;
             };
             let spec = job.spec(&entry.1);
+            let Some(need) = spec.least_need().filter(|need| need.fits_in(&room)) else {
+                continue;
+            };
             let end_ms = self.expected_reuse_ms(job, &entry.1);
             let Some((kind, mut behind)) = backfill.room_behind(workspace, &first.1, &room, end_ms)
             else {
@@ -225,7 +257,7 @@
             if kind == Backfill::Beside {
                 behind = behind.saturating_sub(&taken_beside);
             }
-            if !(spec.least_need()).is_some_and(|least| least.fits_in(&behind)) {
+            if !need.fits_in(&behind) {
                 continue;
             }
             let tasks = slots_in(&spec.need, &behind, spec.tasks);
--- a/crates/workflow/src/workspaces.rs
+++ b/crates/workflow/src/workspaces.rs
@@ -183,7 +183,7 @@
     }
 
     /// Has the held steps of a workspace tried in the next decision.
-    pub(crate) fn mark_changed(&mut self, workspace: &Workspace) {
+    fn mark_changed(&mut self, workspace: &Workspace) {
         if self.held.contains_key(workspace) {
             self.changed.insert(workspace.clone());
         }
@@ -281,6 +281,13 @@
         self.held.get(workspace)
     }
 
+    /// Takes out a step that may start although the first one waits.
+    pub(crate) fn take_held_step(&mut self, workspace: &Workspace, entry: &WaitingStep) {
+        if let Some(held) = self.held.get_mut(workspace) {
+            held.remove(entry);
+        }
+    }
+
     /// First step of each workspace that waits for room.
     pub(crate) fn first_held(&self) -> impl Iterator<Item = (&Workspace, &WaitingStep)> {
         let first = |(workspace, held)| Some((workspace, BTreeSet::first(held)?));
--- a/crates/workflow/src/workspaces/held_steps.rs
+++ b/crates/workflow/src/workspaces/held_steps.rs
@@ -41,11 +41,7 @@
             Hold::Oversized => &mut self.workspaces.oversized,
             Hold::EndlessRuns => &mut self.workspaces.beside_endless,
         };
-        let of_workspace = steps.entry(workspace.clone()).or_default();
-        of_workspace.insert(entry.clone());
-        if hold == Hold::NoRoom && of_workspace.first() == Some(&entry) {
-            self.workspaces.backfill.request_forecast();
-        }
+        (steps.entry(workspace.clone()).or_default()).insert(entry.clone());
         self.dequeue(&entry);
         if let Some(step) = self.step_mut(key) {
             let is_oversized = hold == Hold::Oversized;
@@ -131,14 +127,9 @@
                 }
             }
             if !held.is_empty() {
-                self.workspaces.held.insert(workspace.clone(), held);
-            }
-            for entry in self.backfilled_steps(&workspace) {
-                if let Some(held) = self.workspaces.held.get_mut(&workspace) {
-                    held.remove(&entry);
-                }
-                self.enqueue(entry);
+                self.workspaces.held.insert(workspace, held);
             }
         }
+        self.release_backfilled_steps();
     }
 }
--- a/crates/workflow/tests/limit_backfill.rs
+++ b/crates/workflow/tests/limit_backfill.rs
@@ -235,6 +235,44 @@
         play.assert_small_jobs_start(&lasting(500, step(1, 1_000)));
     };
 
+    /// Guards against the same in the last of many workspaces, all of which have many held steps.
+    small_jobs_start_in_each_of_many_workspaces: || {
+        const WORKSPACES: u64 = 100;
+        let mut cell = Cell::new(1);
+        cell.list_reachable_workers(&[worker("w", 10_000_000)]);
+        let name = |number: u64| format!("a{number:03}");
+        let policies = (0..WORKSPACES).map(|it| (workspace(&name(it)), limit(16_000, 0, 0)));
+        cell.scheduler.set_workspaces(Some(policies.collect()));
+        let accept = |cell: &mut Cell, number: u64, job_name: &str, step: Step| {
+            cell.accept(JobRequest {
+                workspace: Some(workspace(&name(number))),
+                ..job(&format!("{job_name}-{number}"), queue(1), vec![step])
+            });
+        };
+        for number in 0..WORKSPACES {
+            accept(&mut cell, number, "first", lasting(60_000, step(3, 2_000)));
+        }
+        // A decision makes a limited number of attempts.
+        for _ in 0..2 {
+            let starts = cell.starts();
+            cell.confirm_starts(&starts);
+        }
+        for number in 0..WORKSPACES {
+            for index in 0..40 {
+                accept(&mut cell, number, &format!("held-{index}"), lasting(HELD_MS, gang(6, 2_000)));
+            }
+            accept(&mut cell, number, "small", lasting(HELD_MS + 1_000, step(1, 1_000)));
+        }
+        let mut small = 0;
+        for _ in 0..START_MS / TICK_MS {
+            let starts = cell.starts();
+            cell.confirm_starts(&starts);
+            small += starts.len() as u64;
+            cell.now_ms += TICK_MS;
+        }
+        assert_eq!(small, WORKSPACES);
+    };
+
     /// Guards against a gang that starts late, or never, because of small jobs that come all the time.
     gang_starts_when_running_tasks_have_ended: || {
         let started_ms = gang_start_ms(&[]);
