dispatch: Acknowledge no ends of a new incarnation by former numbers

Cause: the answer of a worker that the row of leases names is ignored while the store does not take the row without it. It was ignored before the monitor noticed that a new incarnation had answered, so the next heartbeat acknowledged ends of that by the last number of the former one: they were forgotten without being stored.

Evidence: the log has the new incarnation with one run at 476.2 s, the store down from 476.7 s, and the task placed again by the next leader. ends_of_a_new_incarnation_are_not_acknowledged_by_numbers_of_the_former_one fails before (the task runs again for 60 s) and passes after.

Why this works: the incarnation is noticed, and the number reset, before an answer can be ignored.

--- a/crates/dispatch/src/worker_monitor.rs
+++ b/crates/dispatch/src/worker_monitor.rs
@@ -121,6 +121,9 @@
         match result {
             Ok(response) => {
                 let local_ms = boot_ms();
+                let is_known = self.has_answered && self.failures == 0;
+                // Also for an answer that is ignored: the next heartbeat must not acknowledge ends by the former numbers.
+                self.check_incarnation(&response);
                 if !self.may_extend_lease().await {
                     return true;
                 }
@@ -128,8 +131,6 @@
                     worker_ms: response.clock_ms,
                     local_ms,
                 });
-                let is_known = self.has_answered && self.failures == 0;
-                self.check_incarnation(&response);
                 if !is_known {
                     log_event!(self.term.cell.deps.log, WORKER_REACHED;
                         "worker" => self.to.worker.to_string(),
