--- a/crates/workflow/src/workspaces.rs
+++ b/crates/workflow/src/workspaces.rs
@@ -11,8 +11,9 @@
 //!
 //! A waiting step is *held* when its workspace has no room for it, or when it would take the room for which a held step
 //! of the same workspace waits that comes first (see `limit_backfill`). Room that becomes free is thus left to the first
-//! step, and a wide gang is not passed over by small steps forever. Two kinds of steps are set aside and hold up no other: those that need more than the whole limit, and those that
-//! do not fit beside the endless runs of their workspace, because the end of all other runs would not give them room.
+//! step, and a wide gang is not passed over by small steps forever. Two kinds of steps are set aside and hold up no other:
+//! those that need more than the whole limit, and those that do not fit beside the endless runs of their workspace, because
+//! the end of all other runs would not give them room.
 //!
 //! Held steps are not in the queue of waiting steps: a decision does not visit them, they do not block steps of other
 //! workspaces, request no advice and are not in the published backlog. They return to the queue, as many as the room
