--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -245,6 +245,8 @@
     """A worker: it runs what it is told under a lease, and lists what runs and what has ended."""
 
     STOP_MS = 100
+    # Time after which a task that lasts is at work.
+    STARTUP_MS = 300
 
     def __init__(self, world, number, cpu, mem_mb, service, rack, zone):
         self.world = world
@@ -312,12 +314,14 @@
                 spec = self.world.task(task)
                 if spec.gang and run.works_from is None and at - run.started > self.world.gang_ms:
                     self.end(task, "alone")
-                elif run.works_from is not None and at - run.works_from >= spec.work_ms:
+                elif not spec.lasts and run.works_from is not None and at - run.works_from >= spec.work_ms:
                     self.world.finish(task, run.number, "failed" if spec.fails else "done")
 
     def percent(self, task, run):
         if run.works_from is None:
             return 0
+        if self.world.task(task).lasts:
+            return 100 if now_ms() - run.works_from > self.STARTUP_MS else 0
         return min(99, int(100 * (now_ms() - run.works_from) / self.world.task(task).work_ms))
 
     def refused(self, reason):
@@ -389,8 +393,8 @@
 
 
 class TaskSpec:
-    def __init__(self, cpu, work_ms, gang, count, fails):
-        self.cpu, self.work_ms, self.gang, self.count, self.fails = cpu, work_ms, gang, count, fails
+    def __init__(self, cpu, work_ms, gang, count, fails, lasts):
+        self.cpu, self.work_ms, self.gang, self.count, self.fails, self.lasts = cpu, work_ms, gang, count, fails, lasts
 
 
 class World:
@@ -532,7 +536,10 @@
 
     async def submit(self, name, queue, job, steps, spec="text", **more):
         """Submits a job; `steps` has the fields of the page, and `work_ms` and `fails` for the workers."""
-        self.jobs[job] = [TaskSpec(it["cpu"], it["work_ms"], it.get("gang", False), it["count"], it.get("fails", False)) for it in steps]
+        self.jobs[job] = [
+            TaskSpec(it["cpu"], it.get("work_ms", 0), it.get("gang", False), it["count"], it.get("fails", False), it.get("perpetual", False))
+            for it in steps
+        ]
         sent = [{key: value for key, value in it.items() if key not in ("work_ms", "fails")} for it in steps]
         return await self.request(name, "POST", f"/{queue}/{job}", json.dumps({"spec": spec, "steps": sent}).encode(), **more)
 
