--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -67,7 +67,11 @@
                 request = await read_request(reader)
                 if request is None:
                     break
-                answer = await self.handler(request)
+                handler = self.handler
+                answer = await handler(request)
+                if handler is not self.handler:
+                    # The server was lost meanwhile.
+                    answer = await self.handler(request)
                 if answer is None:
                     break
                 status, value = answer
@@ -258,6 +262,7 @@
         self.seq = 0
         self.is_up = False
         self.is_draining = False
+        self.leaves_at = 0
         self.begin_life()
 
     def begin_life(self):
@@ -276,10 +281,11 @@
 
     def register(self):
         self.seq += 1
+        more = {"remaining_ms": max(0, int(self.leaves_at - now_ms()))} if self.is_draining else {}
         self.world.store.put_platform("servers", self.id, {
             "service": self.service, "addr": self.http.address, "zone": self.zone, "version": "v1", "slots": 8,
             "state": "draining" if self.is_draining else "ready", "cold_left_ms": 0.0, "seq": self.seq, "born": self.born,
-            "capacity": {"cpu": self.cpu, "mem_mb": self.mem_mb, "gpu": 0}, "labels": self.labels,
+            "capacity": {"cpu": self.cpu, "mem_mb": self.mem_mb, "gpu": 0}, "labels": self.labels, **more,
         })
 
     async def start(self):
@@ -287,6 +293,29 @@
         self.is_up = True
         self.register()
 
+    async def leave(self, stays_ms):
+        """The worker reports that it leaves, serves on for this time, and is gone then with all that runs on it."""
+        self.is_draining = True
+        self.leaves_at = now_ms() + stays_ms
+        self.register()
+        self.world.record(f"worker {self.id} reports that it leaves in {stays_ms} ms")
+        await asyncio.sleep(stays_ms / 1000.0)
+        await self.lose()
+
+    async def lose(self):
+        """The worker is gone for good: it runs nothing, and neither open nor new connections are answered."""
+        self.world.record(f"worker {self.id} is gone for good")
+        self.is_up = False
+        self.running = {}
+
+        async def silent(_):
+            await asyncio.sleep(3600)
+
+        self.http.handler = silent
+        self.handle = silent
+        asyncio.get_running_loop().call_later(
+            0.0 if self.is_draining else 3 * self.world.heartbeat_ms / 1000.0, lambda: self.world.store.remove_platform("servers", self.id))
+
     def used_cpu(self):
         return sum(self.world.task(it).cpu for it in self.running)
 
@@ -377,6 +406,9 @@
             return 200, {"clock_ms": self.clock()}
         if number <= self.highest.get(task, 0):
             return self.refused("old")
+        ticket = body.get("ticket")
+        if ticket is not None and ticket != f"{task.rsplit('.', 1)[0]}@{self.id}":
+            return self.refused("ticket")
         run = Run(number, now_ms())
         self.running[task] = run
         self.world.record(f"worker {self.id}: starts run {number} of {task}, fence {self.fence}")
@@ -392,6 +424,24 @@
         return 200, {"clock_ms": self.clock()}
 
 
+class Advice:
+    """The service that names the workers which may run a step; `good(job, worker)` is the policy."""
+
+    def __init__(self, decide_ms, each_ms, good):
+        self.decide_ms, self.each_ms, self.good = decide_ms, each_ms, good
+        self.http = HttpServer(self.handle)
+        self.turns = {}
+
+    def terms(self, valid_ms=1500):
+        return {"decide_ms": float(self.decide_ms), "each_ms": float(self.each_ms), "valid_ms": valid_ms}
+
+    async def handle(self, request):
+        body = json.loads(request.body)
+        await asyncio.sleep((self.decide_ms + self.each_ms * len(body["workers"])) / 1000.0)
+        job = body["step"].split(".")[0]
+        return 200, {"good": [[it, f"{body['step']}@{it}"] for it in body["workers"] if self.good(job, it)]}
+
+
 class TaskSpec:
     def __init__(self, cpu, work_ms, gang, count, fails, lasts):
         self.cpu, self.work_ms, self.gang, self.count, self.fails, self.lasts = cpu, work_ms, gang, count, fails, lasts
