--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -550,12 +550,15 @@
             path = os.path.join(self.dir.name, name + ".json")
             with open(path, "w", encoding="utf-8") as file:
                 json.dump(settings, file)
-            self.settings[name] = (settings, command + ["--settings", path])
+            self.settings[name] = (settings, command, path)
             self.start_process(name)
 
     def start_process(self, name):
         log = open(os.path.join(self.dir.name, name + ".log"), "a", encoding="utf-8")
-        self.processes[name] = subprocess.Popen(self.settings[name][1], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+        _, command, path = self.settings[name]
+        env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        env["RAGWORTREEL_SETTINGS"] = path
+        self.processes[name] = subprocess.Popen(command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         self.record(f"instance {name} starts")
 
     def signal(self, name, number):
