--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -161,10 +161,11 @@
         let preferred_rack = spec.preferred_rack.as_ref();
         let candidate = |worker: &'a Worker| {
             let free = worker.free_capacity();
-            let max = allowance.of(&worker.spec.id);
+            let max =
+                (allowance.of(&worker.spec.id)).min(worker.max_new_runs(spec.gang, self.now_ms));
             Candidate {
                 worker,
-                slots: slots_in(&spec.need, &free, max.min(worker.max_new_runs(self.now_ms))),
+                slots: slots_in(&spec.need, &free, max),
                 free_milli_cores: free.milli_cores,
                 on_preferred_rack: preferred_rack.is_some_and(|it| worker.spec.labels.contains(it)),
             }
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -231,13 +231,18 @@
 
     /// Most runs that may be started now. After a quarantine they start one at a time until one completes, so that little
     /// work is lost if the fault persists. Runs that last longer than a quarantine do not delay the next one, because
-    /// endless tasks never complete.
-    pub(crate) fn max_new_runs(&self, now_ms: u64) -> u32 {
+    /// endless tasks never complete. The members of a gang may start together, because a gang that is wider than the
+    /// number of workers could otherwise never start, and no run would end the probation.
+    pub(crate) fn max_new_runs(&self, is_gang: bool, now_ms: u64) -> u32 {
         if self.consecutive_failures < QUARANTINE_FAILURES {
             return u32::MAX;
         }
         let is_long = |run: &Run| matches!(run.phase, RunPhase::Confirmed(at_ms) if at_ms + QUARANTINE_MS <= now_ms);
-        u32::from(self.runs.values().all(is_long))
+        match (self.runs.values().all(is_long), is_gang) {
+            (false, _) => 0,
+            (true, false) => 1,
+            (true, true) => u32::MAX,
+        }
     }
 
     /// Capacity that is neither used nor reserved.
