--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -38,6 +38,8 @@
     CHECKPOINT_TOO_LONG = 2135, Warning, "checkpoints of a job are too long to be stored; its tasks do not resume from them";
     STEP_UNPLACEABLE = 2136, Warning, "no worker can run a step; it waits for one, and other steps go on";
     WORKER_MOVED = 2137, Info, "a worker is listed with another address; it is called there from now on";
+    WORKER_QUARANTINED = 2138, Info, "a worker gets no new runs for some seconds because runs failed on it, or because it stands still";
+    STEP_AT_FAULT = 2139, Info, "a step fails on most of its workers; its failures no longer count against them";
     UNKNOWN_KEY = 2140, Info, "a request without a known key was refused";
     KEY_PROOF_LOST = 2141, Warning, "the configuration is not proven to be the newest; no key is accepted";
     KEY_PROOF_REGAINED = 2142, Info, "the configuration is proven to be the newest again; keys are accepted";
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -35,6 +35,8 @@
     stuck_runs: Counter<u64>,
     runs_moved: Counter<u64>,
     unplaceable_steps: Counter<u64>,
+    quarantines: Counter<u64>,
+    steps_at_fault: Counter<u64>,
     terms: Counter<u64>,
     leader_term: Gauge<u64>,
     configuration: Gauge<u64>,
@@ -100,6 +102,14 @@
                 "unplaceable_steps",
                 "steps that no worker can run, by the requirement that none meets",
             ),
+            quarantines: counter(
+                "quarantines",
+                "quarantines of workers, by whether runs failed or the worker stood still",
+            ),
+            steps_at_fault: counter(
+                "steps_at_fault",
+                "steps that failed on most of their workers",
+            ),
             terms: counter(
                 "leader_terms",
                 "terms of leadership that this instance began",
@@ -201,6 +211,14 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    pub(crate) fn record_quarantine(&self, cause: &'static str) {
+        self.quarantines.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    pub(crate) fn record_step_at_fault(&self) {
+        self.steps_at_fault.add(1, &[]);
+    }
+
     pub(crate) fn set_term(&self, term: Option<u32>) {
         if term.is_some() {
             self.terms.add(1, &[]);
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -522,7 +522,7 @@
             let started_ms = boot_ms();
             let spare_instances = lock(&self.broker).spare_instances();
             let routes = self.cell.routes();
-            let (actions, stuck_runs, moved_runs, unplaceable, notices) = {
+            let (actions, stuck_runs, moved_runs, unplaceable, quarantines, notices) = {
                 let mut scheduler = lock(&self.scheduler);
                 scheduler.set_spare_instances(spare_instances);
                 if routes.version != applied_version {
@@ -533,8 +533,16 @@
                 let stuck_runs = scheduler.take_stuck_runs();
                 let moved_runs = scheduler.take_moved_runs();
                 let unplaceable = scheduler.take_unplaceable_steps();
+                let quarantines = scheduler.take_quarantine_notices();
                 let notices = scheduler.take_workspace_notices();
-                (actions, stuck_runs, moved_runs, unplaceable, notices)
+                (
+                    actions,
+                    stuck_runs,
+                    moved_runs,
+                    unplaceable,
+                    quarantines,
+                    notices,
+                )
             };
             workspaces::log_notices(&self.cell.deps.log, notices);
             lock(&self.stats).record_decision(boot_ms().saturating_sub(started_ms));
@@ -545,6 +553,7 @@
             }
             self.record_moved_runs(moved_runs);
             self.record_unplaceable_steps(&unplaceable);
+            self.record_quarantines(quarantines);
             for action in actions {
                 self.execute(action);
             }
--- a/crates/dispatch/src/term_log.rs
+++ b/crates/dispatch/src/term_log.rs
@@ -2,11 +2,17 @@
 
 use {
     crate::{
-        events::{LEADER_SUMMARY, RUN_STUCK, RUNS_MOVED, STEP_STARTED, STEP_UNPLACEABLE},
+        events::{
+            LEADER_SUMMARY, RUN_STUCK, RUNS_MOVED, STEP_AT_FAULT, STEP_STARTED, STEP_UNPLACEABLE,
+            WORKER_QUARANTINED,
+        },
         term::Term,
     },
+    ragwortreel_model::JobId,
     ragwortreel_runtime::{boot_ms, lock, log_event, sleep_ms},
-    ragwortreel_workflow::{Action, MovedRuns, StartOrder, StepKey, StuckRun, UnplaceableStep},
+    ragwortreel_workflow::{
+        Action, MovedRuns, QuarantineNotice, StartOrder, StepKey, StuckRun, UnplaceableStep,
+    },
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -61,6 +67,31 @@
         }
     }
 
+    /// Logs and counts new quarantines and steps at fault.
+    pub(crate) fn record_quarantines(&self, notices: Vec<QuarantineNotice>) {
+        for notice in notices {
+            match notice {
+                QuarantineNotice::Worker { worker, jobs } => {
+                    let cause = if jobs.is_empty() {
+                        "standstill"
+                    } else {
+                        "failures"
+                    };
+                    self.cell.deps.metrics.record_quarantine(cause);
+                    let jobs: Vec<&str> = jobs.iter().map(JobId::as_str).collect();
+                    log_event!(self.cell.deps.log, WORKER_QUARANTINED;
+                        "worker" => worker.to_string(), "cause" => cause,
+                        "jobs" => jobs.join(","), "term" => self.number);
+                }
+                QuarantineNotice::Step { step, workers } => {
+                    self.cell.deps.metrics.record_step_at_fault();
+                    log_event!(self.cell.deps.log, STEP_AT_FAULT; "step" => step.to_string(),
+                        "workers" => workers, "term" => self.number);
+                }
+            }
+        }
+    }
+
     /// Logs a summary of the leader's work each second, and updates the metrics of the workspaces.
     pub(crate) async fn log_summaries(self: Arc<Self>) {
         while !self.is_over() {
--- a/crates/workflow/src/advice_requests.rs
+++ b/crates/workflow/src/advice_requests.rs
@@ -150,7 +150,7 @@
         let is_contended = !gang && pending_requests > 0;
         let penalty = (
             !it.on_preferred_rack,
-            it.worker.consecutive_failures,
+            it.worker.failures.count(),
             is_contended,
             preference.sort_key(it.worker.speed.class()).0,
         );
--- a/crates/workflow/src/job_state.rs
+++ b/crates/workflow/src/job_state.rs
@@ -6,6 +6,7 @@
         advice::StepAdvice,
         job::MAX_TASKS,
         order::Rank,
+        quarantine::StepFailures,
         run_times::StepTime,
         segments::{FinishedOccurrences, MAX_OPEN_OCCURRENCES, StoredForm},
     },
@@ -68,6 +69,8 @@
     /// Whether the step ever needed more than the limit of its workspace.
     pub(crate) has_exceeded_limit: bool,
     pub(crate) advice: StepAdvice,
+    /// Failed runs since the last one that completed, by worker.
+    pub(crate) failures: StepFailures,
     /// Learned duration of the tasks; `None` before the first observation.
     pub(crate) time: Option<StepTime>,
     /// Number of the step's tasks that would have fitted at the last count on the workers that accept tasks, without
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -34,6 +34,7 @@
 mod order;
 mod placement;
 mod progress;
+mod quarantine;
 mod recovery;
 mod reservations;
 mod restart_slots;
@@ -61,6 +62,7 @@
     job_state::JobOrigin,
     order::OrderRules,
     progress::{JobChange, PlacedTasks, Progress, StepProgress, TaskFailures},
+    quarantine::QuarantineNotice,
     run_times::{QueueRow, RunTimesRow},
     scheduler::Scheduler,
     segments::{SEGMENT_TASKS, Segments},
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -151,7 +151,7 @@
             return Vec::new();
         };
         let spec = job.spec(key);
-        let allowance = Allowance::new(job, key);
+        let allowance = Allowance::new(job, key, self.now_ms);
         let service = &job.request.policy.service;
         let fits = |worker: &&Worker| {
             worker.is_schedulable(self.now_ms)
@@ -161,11 +161,9 @@
         let preferred_rack = spec.preferred_rack.as_ref();
         let candidate = |worker: &'a Worker| {
             let free = worker.free_capacity();
-            let max =
-                (allowance.of(&worker.spec.id)).min(worker.max_new_runs(spec.gang, self.now_ms));
             Candidate {
                 worker,
-                slots: slots_in(&spec.need, &free, max),
+                slots: slots_in(&spec.need, &free, allowance.new_runs(worker)),
                 free_milli_cores: free.milli_cores,
                 on_preferred_rack: preferred_rack.is_some_and(|it| worker.spec.labels.contains(it)),
             }
@@ -201,7 +199,7 @@
         candidates.sort_by_key(|it| {
             (
                 !it.on_preferred_rack,
-                it.worker.consecutive_failures,
+                it.worker.failures.count(),
                 // Other steps avoid the workers of a pending gang request where possible.
                 !gang && it.worker.pending_gang_requests > 0,
                 preference.sort_key(it.worker.speed.class()),
--- a/crates/workflow/src/room_forecast.rs
+++ b/crates/workflow/src/room_forecast.rs
@@ -9,6 +9,7 @@
     crate::{
         Scheduler, StepKey,
         job_state::{Job, Placement},
+        quarantine::StepFailures,
         worker::{Run, RunPhase, Worker, slots_in},
     },
     ragwortreel_model::{Resources, WorkerId},
@@ -42,14 +43,21 @@
 pub(crate) struct Allowance<'a> {
     max: u32,
     placed: BTreeMap<&'a WorkerId, u32>,
+    is_gang: bool,
+    /// Failures that limit the starts of the step.
+    failures: Option<&'a StepFailures>,
+    now_ms: u64,
 }
 
 impl<'a> Allowance<'a> {
-    pub(crate) fn new(job: &'a Job, key: &StepKey) -> Self {
+    pub(crate) fn new(job: &'a Job, key: &StepKey, now_ms: u64) -> Self {
         let spec = job.spec(key);
+        let step = job.step(key);
+        let failures = step.map(|step| &step.failures);
+        let failures = failures.filter(|failures| failures.limits_starts());
         let mut placed: BTreeMap<&WorkerId, u32> = BTreeMap::new();
-        if spec.max_per_worker.is_some()
-            && let Some(step) = job.step(key)
+        if (spec.max_per_worker.is_some() || failures.is_some())
+            && let Some(step) = step
         {
             for task in &step.tasks {
                 if let Placement::On(worker) = &task.placement {
@@ -58,12 +66,33 @@
             }
         }
         let max = spec.tasks.min(spec.max_per_worker.unwrap_or(u32::MAX));
-        Self { max, placed }
+        Self {
+            max,
+            placed,
+            is_gang: spec.gang,
+            failures,
+            now_ms,
+        }
+    }
+
+    fn placed(&self, worker: &WorkerId) -> u32 {
+        self.placed.get(worker).copied().unwrap_or(0)
     }
 
     pub(crate) fn of(&self, worker: &WorkerId) -> u32 {
-        let placed = self.placed.get(worker).copied().unwrap_or(0);
-        self.max.saturating_sub(placed)
+        self.max.saturating_sub(self.placed(worker))
+    }
+
+    /// Most tasks that may start on a worker now, within the limits that failures of the worker and of the step set.
+    pub(crate) fn new_runs(&self, worker: &Worker) -> u32 {
+        let id = &worker.spec.id;
+        let max = (self.of(id)).min(worker.max_new_runs(self.is_gang, self.now_ms));
+        let failures = self.failures.filter(|_| max > 0);
+        match failures.map(|it| it.max_new_runs(id, self.placed(id), self.now_ms)) {
+            Some(0) => 0,
+            Some(limit) if !self.is_gang => max.min(limit),
+            _ => max,
+        }
     }
 }
 
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -13,12 +13,13 @@
         fair_share::FairShare,
         job_state::{Job, NO_VALUE_FACTOR, Placement, StepState, is_finished},
         order::{OrderRules, Rank, remaining_ms},
+        quarantine::QuarantineNotice,
         run_times::RunTimes,
         segments::{FinishedOccurrences, StoredForm},
         stalls::{RunProgress, StuckRun},
         unplaceable::Unplaceable,
         waiting::{WaitingSteps, WorkerGroup},
-        worker::{QUARANTINE_FAILURES, QUARANTINE_MS, Run, RunPhase, Worker, free_of},
+        worker::{Run, RunPhase, Worker, free_of},
         workspaces::Workspaces,
     },
     ragwortreel_model::{JobId, JobState, Resources, WorkerId},
@@ -60,6 +61,8 @@
     pub(crate) jobs_with_long_checkpoints: Vec<JobId>,
     /// Runs that were stopped because they are stuck, until the driver takes them.
     pub(crate) stuck_runs: Vec<StuckRun>,
+    /// New quarantines and steps at fault, until the driver takes them.
+    pub(crate) quarantine_notices: Vec<QuarantineNotice>,
     /// Pending advice requests of gangs, with the workers that they name.
     pub(crate) gang_requests: BTreeMap<StepKey, Vec<WorkerId>>,
     /// Steps for which an answer arrived since the last decision.
@@ -100,6 +103,7 @@
             actions: Vec::new(),
             jobs_with_long_checkpoints: Vec::new(),
             stuck_runs: Vec::new(),
+            quarantine_notices: Vec::new(),
             gang_requests: BTreeMap::new(),
             answered_steps: Vec::new(),
             freed_milli_cores: 0,
@@ -695,16 +699,10 @@
                 progress = Some(removed.progress);
             }
             match cause {
-                EndCause::Done => {
-                    worker.consecutive_failures = 0;
-                    worker.advanced_ms = self.now_ms;
-                }
-                EndCause::Failed => worker.consecutive_failures += 1,
+                EndCause::Done => self.record_completion(id, &task.step),
+                EndCause::Failed => self.record_failure(id, &task),
                 EndCause::Interrupted => {}
             }
-            if cause == EndCause::Failed && worker.consecutive_failures >= QUARANTINE_FAILURES {
-                worker.quarantined_until_ms = self.now_ms + QUARANTINE_MS;
-            }
         }
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
--- a/crates/workflow/src/stalls.rs
+++ b/crates/workflow/src/stalls.rs
@@ -22,7 +22,7 @@
     crate::{
         Scheduler, Step, StepKey, TaskKey, evacuation,
         run_times::Observation,
-        worker::{QUARANTINE_FAILURES, QUARANTINE_MS, Run, RunPhase, Worker},
+        worker::{Run, RunPhase, Worker},
     },
     ragwortreel_model::WorkerId,
     std::{collections::BTreeSet, mem},
@@ -378,12 +378,8 @@
                 });
             }
         }
-        if stands_still
-            && let Some(worker) = self.workers.get_mut(id)
-            && worker.quarantined_until_ms <= now_ms
-        {
-            worker.consecutive_failures = QUARANTINE_FAILURES.max(worker.consecutive_failures + 1);
-            worker.quarantined_until_ms = now_ms + QUARANTINE_MS;
+        if stands_still {
+            self.record_standstill(id);
         }
         for run in stuck {
             self.penalize_workers(&run);
@@ -493,7 +489,7 @@
                     if let Some(worker) = self.workers.get_mut(&id)
                         && worker.advanced_ms <= since_ms
                     {
-                        worker.consecutive_failures += 1;
+                        worker.failures.record_gang_stall();
                     }
                 }
             }
--- a/crates/workflow/src/unplaceable.rs
+++ b/crates/workflow/src/unplaceable.rs
@@ -133,7 +133,7 @@
         };
         let spec = job.spec(key);
         let max_slots = spec.tasks.min(spec.max_per_worker.unwrap_or(u32::MAX));
-        let allowance = Allowance::new(job, key);
+        let allowance = Allowance::new(job, key, self.now_ms);
         let (mut listed, mut beside_endless) = (0, 0);
         let mut present = Vec::new();
         let mut lacking = UnplaceableReason::NoWorker;
@@ -155,7 +155,7 @@
                 listed += u64::from(on_worker);
                 beside_endless += u64::from(slots_in(&spec.need, &room, max));
                 if worker.is_schedulable(self.now_ms) {
-                    present.push((worker, max));
+                    present.push((worker, allowance.new_runs(worker)));
                 }
                 UnplaceableReason::GangWidth
             };
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -2,8 +2,13 @@
 
 use {
     crate::{
-        Incarnation, TaskKey, limit_backfill::Backfill, room_forecast::ExpectedEnds,
-        run_times::WorkerSpeed, stalls::RunProgress, workspaces::Workspaces,
+        Incarnation, TaskKey,
+        limit_backfill::Backfill,
+        quarantine::{QUARANTINE_MS, WorkerFailures},
+        room_forecast::ExpectedEnds,
+        run_times::WorkerSpeed,
+        stalls::RunProgress,
+        workspaces::Workspaces,
     },
     ragwortreel_model::{Resources, WorkerId, Workspace},
     std::{
@@ -12,11 +17,6 @@
     },
 };
 
-/// Consecutive failed runs after which a worker is quarantined. A single failure may be the fault of the task.
-pub(crate) const QUARANTINE_FAILURES: u32 = 3;
-/// Duration of a worker's quarantine, in ms.
-pub(crate) const QUARANTINE_MS: u64 = 5_000;
-
 /// Worker as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerSpec {
@@ -182,9 +182,7 @@
     /// Time at which a run on the worker last advanced or completed, in ms.
     pub(crate) advanced_ms: u64,
     /// Failed runs and times at which the worker stood still since the last run that completed.
-    pub(crate) consecutive_failures: u32,
-    /// End of the quarantine that follows repeated failures or a standstill.
-    pub(crate) quarantined_until_ms: u64,
+    pub(crate) failures: WorkerFailures,
 }
 
 impl Worker {
@@ -204,8 +202,7 @@
             expected_ends: ExpectedEnds::default(),
             speed: WorkerSpeed::default(),
             advanced_ms: 0,
-            consecutive_failures: 0,
-            quarantined_until_ms: 0,
+            failures: WorkerFailures::default(),
         }
     }
 
@@ -216,16 +213,17 @@
             && self.has_own_entry()
             && !self.spec.draining
             && self.orphans.is_empty()
-            && self.quarantined_until_ms <= now_ms
+            && !self.failures.is_quarantined(now_ms)
     }
 
     /// Ends the probation after a quarantine if an endless run that was started since has worked: such runs never complete.
     pub(crate) fn end_probation(&mut self, now_ms: u64) {
-        let is_on_probation = self.consecutive_failures >= QUARANTINE_FAILURES;
-        let from_ms = self.quarantined_until_ms;
+        let Some(from_ms) = self.failures.probation_ms() else {
+            return;
+        };
         let passes = |run: &Run| run.confirmed_ms() >= Some(from_ms) && run.has_worked(now_ms);
-        if is_on_probation && self.runs.values().any(passes) {
-            self.consecutive_failures = 0;
+        if self.runs.values().any(passes) {
+            self.failures.clear();
         }
     }
 
@@ -234,7 +232,7 @@
     /// endless tasks never complete. The members of a gang may start together, because a gang that is wider than the
     /// number of workers could otherwise never start, and no run would end the probation.
     pub(crate) fn max_new_runs(&self, is_gang: bool, now_ms: u64) -> u32 {
-        if self.consecutive_failures < QUARANTINE_FAILURES {
+        if self.failures.probation_ms().is_none() {
             return u32::MAX;
         }
         let is_long = |run: &Run| matches!(run.phase, RunPhase::Confirmed(at_ms) if at_ms + QUARANTINE_MS <= now_ms);
