--- a/crates/workflow/src/advice_requests.rs
+++ b/crates/workflow/src/advice_requests.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Action, AdviceRequest, Scheduler, StepKey,
+        gang_room::Beside,
         placement::{Candidate, TryOutcome, total_slots},
         run_times::SpeedPreference,
     },
@@ -26,7 +27,12 @@
 
 impl Scheduler {
     /// Requests advice about workers with capacity for the rest of a step.
-    pub(crate) fn request_advice(&mut self, key: &StepKey, wanted: usize) -> TryOutcome {
+    pub(crate) fn request_advice(
+        &mut self,
+        key: &StepKey,
+        wanted: usize,
+        beside: Beside<'_>,
+    ) -> TryOutcome {
         let Some(job) = self.jobs.get(&key.job) else {
             return TryOutcome::NotBlocked;
         };
@@ -37,7 +43,7 @@
         let (need, gang) = (spec.need, spec.gang);
         let share = self.expected_allowed_share(&job.request.policy.name);
         let (mut allowed, mut undecided) = (Vec::new(), Vec::new());
-        for candidate in self.candidates(key, self.workers.values()) {
+        for candidate in self.candidates(key, self.workers.values(), beside) {
             match step.advice.is_allowed(&candidate.worker.spec.id) {
                 Some(true) => allowed.push(candidate),
                 Some(false) => {}
@@ -151,7 +157,7 @@
         let penalty = (
             !it.on_preferred_rack,
             it.worker.failures.count(),
-            is_contended,
+            it.is_kept || is_contended,
             preference.sort_key(it.worker.speed.class()).0,
         );
         (penalty, Reverse(slots))
--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -6,9 +6,11 @@
 //! Therefore:
 //!
 //! - The need of a *blocked* step, for which there is too little room, is left free by all later steps that would still
-//!   run when it is expected to have enough (*backfill*, as in other batch schedulers). What a step that needs a label
-//!   waits for is left free on the workers with the label only. A step that will not have enough by the end of what runs
-//!   now keeps no room.
+//!   run when it is expected to have enough (*backfill*, as in other batch schedulers). It is left free on the workers
+//!   that the step will use: those that it may run on and that have room first. What earlier blocked steps keep there is
+//!   not kept twice, so steps that wait for the same few workers keep these and no others. A later step may use kept room
+//!   only as long as the service has more free capacity than all blocked steps need, and takes other workers first. A
+//!   step that will not have enough by the end of what runs now keeps no room.
 //! - A gang whose advice is pending, and that can still end in time, *gathers* room: later steps that lose nothing by
 //!   waiting leave free what it needs. A gang that is too late gathers nothing, and all gangs together gather at most a
 //!   part of a service, so that narrow steps go on.
@@ -18,10 +20,11 @@
         Scheduler, StepKey,
         job_state::Job,
         order::{Rank, RankClass},
+        room_forecast::Allowance,
         waiting::WorkerGroup,
-        worker::{Worker, free_of},
+        worker::{Worker, slots_in},
     },
-    ragwortreel_model::Resources,
+    ragwortreel_model::{Resources, WorkerId},
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -29,58 +32,119 @@
 /// the renewal of its tickets for 2 s, and afterwards the steps that waited need some seconds to start. With 2 s, a flood
 /// of homework earned 0.90 instead of 0.96 of its value.
 const MIN_SLACK_MS: u64 = 6_000;
+/// Time for which the slots that a step is expected to use are remembered, in ms. They are counted on all its workers.
+const SLOTS_INTERVAL_MS: u64 = 250;
+/// Most steps of which a decision counts these slots again, so that its duration stays bounded.
+const MAX_RECOUNTS: usize = 2;
+/// Most steps of which these slots are remembered; few steps keep room at a time.
+const MAX_SLOT_LISTS: usize = 256;
 
 /// Room that a blocked step waits for.
 #[derive(Debug)]
 struct Claim {
+    step: StepKey,
+    group: WorkerGroup,
+    /// Number of tasks, of no more than its workers could run at the same time.
+    tasks: u32,
+    /// Need of one task.
     need: Resources,
     /// Expected start of the step, in ms.
     start_ms: u64,
 }
 
-/// Sum of the claims of steps that are expected to start before a time.
-fn claimed_before(claims: &[Claim], end_ms: u64) -> Resources {
+/// Slots for tasks of a step that become free on a worker at the same time.
+#[derive(Debug)]
+struct WorkerSlots {
+    worker: WorkerId,
+    slots: u32,
+    /// Probability that the step may use the worker: below 1 before the advice service has answered.
+    share: f64,
+}
+
+/// Slots that a step may use, in the order in which they become free.
+type SlotList = Arc<[WorkerSlots]>;
+
+/// Slot lists of the steps that keep room, with the times at which they are counted again, in ms.
+#[derive(Debug, Default)]
+pub(crate) struct SlotLists {
+    steps: BTreeMap<StepKey, (u64, SlotList)>,
+    /// Number of lists that the present decision has counted again.
+    pub(crate) recounts: usize,
+}
+
+/// Room that is kept on one worker: expected starts in ms, and resources.
+type KeptParts = Vec<(u64, Resources)>;
+
+/// Room that is kept on workers for blocked steps.
+#[derive(Debug, Default)]
+pub(crate) struct KeptRoom {
+    workers: BTreeMap<WorkerId, KeptParts>,
+}
+
+/// Sum of the parts that are kept for steps expected to start before a time in ms.
+fn kept_before(parts: &[(u64, Resources)], end_ms: u64) -> Resources {
     let mut sum = Resources::ZERO;
-    for claim in claims.iter().filter(|claim| claim.start_ms < end_ms) {
-        sum += claim.need;
+    for (_, need) in parts.iter().filter(|(start_ms, _)| *start_ms < end_ms) {
+        sum += *need;
     }
     sum
 }
 
-/// Room of the workers with a label in a decision.
-#[derive(Debug)]
-struct LabelRoom {
-    free: Resources,
-    /// Claims of blocked steps that need the label.
-    blocked: Vec<Claim>,
+/// Kept room, and how a step that would run until a time regards it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Beside<'a> {
+    /// `None` if no step keeps room.
+    pub(crate) kept: Option<&'a KeptRoom>,
+    /// Time from which the room of the tasks can be used again, in ms.
+    pub(crate) end_ms: u64,
+    /// Whether the step may use kept room where it has no other. Workers without kept room come first then.
+    pub(crate) may_use: bool,
+}
+
+impl Beside<'_> {
+    /// For steps that may use all room alike.
+    pub(crate) const NOTHING: Self = Self {
+        kept: None,
+        end_ms: 0,
+        may_use: true,
+    };
+
+    /// Capacity of a worker that is neither used, reserved nor kept.
+    fn unkept_capacity(&self, worker: &Worker) -> Resources {
+        let free = worker.free_capacity();
+        let parts = self.kept.and_then(|kept| kept.workers.get(&worker.spec.id));
+        match parts {
+            Some(parts) => free.saturating_sub(&kept_before(parts, self.end_ms)),
+            None => free,
+        }
+    }
+
+    /// Capacity of a worker for tasks with a need, and whether such a task would use kept room.
+    pub(crate) fn free_capacity(&self, worker: &Worker, need: &Resources) -> (Resources, bool) {
+        let unkept = self.unkept_capacity(worker);
+        if self.may_use {
+            (worker.free_capacity(), !need.fits_in(&unkept))
+        } else {
+            (unkept, false)
+        }
+    }
 }
 
 /// Room of one service in a decision.
 #[derive(Debug)]
 struct ServiceRoom {
     free: Resources,
-    /// Claims of blocked steps that need no label.
-    blocked: Vec<Claim>,
-    /// Room by label that blocked steps need.
-    labels: BTreeMap<Arc<str>, LabelRoom>,
-    /// Free room of all workers that have one of these labels.
-    labels_free: Resources,
+    /// Claims of blocked steps, in the order of the visits.
+    claims: Vec<Claim>,
+    /// Room of the first claims, by worker.
+    kept: KeptRoom,
+    /// Number of claims that `kept` contains.
+    placed_claims: usize,
     /// Needs of gangs with pending advice.
     gathered: Resources,
     max_gathered: Resources,
 }
 
-impl ServiceRoom {
-    /// Needs of blocked steps that are expected to start before a time, as far as the room on their workers goes.
-    fn awaited_before(&self, end_ms: u64) -> Resources {
-        let mut labels = Resources::ZERO;
-        for label in self.labels.values() {
-            labels += claimed_before(&label.blocked, end_ms);
-        }
-        claimed_before(&self.blocked, end_ms) + labels.zip_with(&self.labels_free, u64::min)
-    }
-}
-
 /// Room that the steps tried so far in a decision wait for, by service.
 #[derive(Debug, Default)]
 pub(crate) struct AwaitedRoom {
@@ -93,8 +157,9 @@
         self.services.contains_key(service)
     }
 
-    /// Whether a task that ends at a time in ms fits beside what the steps tried so far wait for.
-    pub(crate) fn fits(
+    /// Whether a service has more free capacity than all claims together, so that a task that ends at a time in ms may use
+    /// kept room: the steps that wait for it find as much elsewhere. Those that wait for a label do not.
+    pub(crate) fn has_spare_capacity(
         &self,
         group: &WorkerGroup,
         need: &Resources,
@@ -104,32 +169,43 @@
         let Some(room) = self.services.get(&group.service) else {
             return true;
         };
-        let mut awaited = room.awaited_before(end_ms);
+        let mut claimed = Resources::ZERO;
         if can_wait {
-            awaited += room.gathered;
+            claimed += room.gathered;
         }
-        let label = group
-            .label
-            .as_ref()
-            .and_then(|label| room.labels.get(label));
-        need.fits_in(&room.free.saturating_sub(&awaited))
-            && label.is_none_or(|it| {
-                let claimed = claimed_before(&it.blocked, end_ms);
-                need.fits_in(&it.free.saturating_sub(&claimed))
-            })
+        for claim in room.claims.iter().filter(|it| it.start_ms < end_ms) {
+            if group.label.is_some() && claim.group.label == group.label {
+                return false;
+            }
+            let tasks = u64::from(claim.tasks);
+            claimed += claim.need.checked_mul(tasks).unwrap_or(claim.need);
+        }
+        need.fits_in(&room.free.saturating_sub(&claimed))
     }
 
     /// Subtracts the resources of started tasks.
-    pub(crate) fn take(&mut self, group: &WorkerGroup, taken: &Resources) {
-        let Some(room) = self.services.get_mut(&group.service) else {
-            return;
-        };
-        room.free = room.free.saturating_sub(taken);
-        if let Some(label) = (group.label.as_ref()).and_then(|label| room.labels.get_mut(label)) {
-            label.free = label.free.saturating_sub(taken);
-            room.labels_free = room.labels_free.saturating_sub(taken);
+    pub(crate) fn take(&mut self, service: &str, taken: &Resources) {
+        if let Some(room) = self.services.get_mut(service) {
+            room.free = room.free.saturating_sub(taken);
+        }
+    }
+
+    /// Room that is kept on the workers of a service, for tasks that run until a time in ms.
+    pub(crate) fn beside(&self, service: &str, end_ms: u64, may_use: bool) -> Beside<'_> {
+        Beside {
+            kept: self.services.get(service).map(|room| &room.kept),
+            end_ms,
+            may_use,
         }
     }
+
+    /// Room that is kept on the workers of each service.
+    pub(crate) fn into_kept_room(self) -> BTreeMap<Arc<str>, KeptRoom> {
+        let services = self.services.into_iter();
+        services
+            .map(|(service, room)| (service, room.kept))
+            .collect()
+    }
 }
 
 impl Scheduler {
@@ -138,6 +214,42 @@
         rank.class != RankClass::InTime || rank.latest_start_ms > self.now_ms + MIN_SLACK_MS
     }
 
+    /// Whether a worker has room for a task that ends at a time in ms, beside what blocked steps wait for.
+    pub(crate) fn has_slot_beside(
+        &mut self,
+        awaited: &mut AwaitedRoom,
+        group: &WorkerGroup,
+        need: &Resources,
+        end_ms: u64,
+    ) -> bool {
+        self.place_claims(&group.service, awaited);
+        let beside = awaited.beside(&group.service, end_ms, false);
+        let has_slot = |worker: &Worker| {
+            need.fits_in(&worker.free_capacity()) && need.fits_in(&beside.unkept_capacity(worker))
+        };
+        self.group_workers(group).any(has_slot)
+    }
+
+    /// Whether a task that ends at a time in ms leaves free what gangs gather, beside what blocked steps wait for.
+    pub(crate) fn leaves_gathered(
+        &self,
+        awaited: &AwaitedRoom,
+        service: &str,
+        need: &Resources,
+        end_ms: u64,
+    ) -> bool {
+        let gathered = awaited.services.get(service).map(|room| room.gathered);
+        let Some(gathered) = gathered.filter(|sum| *sum != Resources::ZERO) else {
+            return true;
+        };
+        let beside = awaited.beside(service, end_ms, false);
+        let mut free = Resources::ZERO;
+        for worker in self.schedulable_workers(service) {
+            free += beside.unkept_capacity(worker);
+        }
+        need.fits_in(&free.saturating_sub(&gathered))
+    }
+
     /// Records the need of a blocked step, of no more tasks than its workers could run at the same time.
     pub(crate) fn await_blocked(
         &self,
@@ -145,34 +257,113 @@
         group: &WorkerGroup,
         awaited: &mut AwaitedRoom,
     ) {
-        let Some(step) = (self.jobs.get(&key.job)).and_then(|job| job.step(key)) else {
+        let Some((job, step)) =
+            (self.jobs.get(&key.job)).and_then(|job| Some((job, job.step(key)?)))
+        else {
             return;
         };
-        let Some((_, need)) = self.waiting_need(key, step.present_slots) else {
+        let tasks = (self.startable_tasks(key) as u64).min(step.present_slots);
+        let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
+        if tasks == 0 {
             return;
-        };
+        }
         let claim = Claim {
-            need,
+            step: key.clone(),
+            group: group.clone(),
+            tasks,
+            need: job.spec(key).need,
             start_ms: step.forecast_ms,
         };
-        let room = self.service_room(group, awaited);
-        let Some(label) = &group.label else {
-            room.blocked.push(claim);
+        self.service_room(group, awaited).claims.push(claim);
+    }
+
+    /// Places the claims on workers that are not placed yet.
+    pub(crate) fn place_claims(&mut self, service: &str, awaited: &mut AwaitedRoom) {
+        let Some(room) = awaited.services.get_mut(service) else {
             return;
         };
-        if let Some(label) = room.labels.get_mut(label) {
-            label.blocked.push(claim);
-            return;
+        while let Some(claim) = room.claims.get(room.placed_claims) {
+            room.placed_claims += 1;
+            let mut left = f64::from(claim.tasks);
+            for it in self.slot_list(&claim.step, &claim.group).iter() {
+                let Some(worker) = self.workers.get(&it.worker) else {
+                    continue;
+                };
+                let parts = room.kept.workers.entry(it.worker.clone()).or_default();
+                let rest = (worker.capacity_beside_endless())
+                    .saturating_sub(&kept_before(parts, u64::MAX));
+                #[expect(
+                    clippy::cast_possible_truncation,
+                    clippy::cast_sign_loss,
+                    reason = "a positive number of tasks"
+                )]
+                let wanted = (left / it.share).ceil() as u32;
+                let tasks = slots_in(&claim.need, &rest, wanted.min(it.slots));
+                if tasks > 0 {
+                    let need = claim.need.checked_mul(u64::from(tasks));
+                    parts.push((claim.start_ms, need.unwrap_or(claim.need)));
+                    left -= it.share * f64::from(tasks);
+                }
+                if left <= 0.0 {
+                    break;
+                }
+            }
         }
-        let free = free_of(self.group_workers(group));
-        let blocked = vec![claim];
-        (room.labels).insert(Arc::clone(label), LabelRoom { free, blocked });
-        let has_awaited_label = |it: &&Worker| {
-            let mut labels = it.spec.labels.iter();
-            labels.any(|label| room.labels.contains_key(label))
+    }
+
+    /// Workers that a step may use, in the order in which they have room; counted again after some time.
+    fn slot_list(&mut self, key: &StepKey, group: &WorkerGroup) -> SlotList {
+        let now_ms = self.now_ms;
+        if let Some((due_ms, slots)) = self.slot_lists.steps.get(key) {
+            let is_due = now_ms >= *due_ms && self.slot_lists.recounts < MAX_RECOUNTS;
+            if !is_due {
+                return Arc::clone(slots);
+            }
+            self.slot_lists.recounts += 1;
+        }
+        let slots = self.count_slots(key, group);
+        if self.slot_lists.steps.len() >= MAX_SLOT_LISTS {
+            self.slot_lists.steps.clear();
+        }
+        let entry = (now_ms + SLOTS_INTERVAL_MS, Arc::clone(&slots));
+        self.slot_lists.steps.insert(key.clone(), entry);
+        slots
+    }
+
+    fn count_slots(&self, key: &StepKey, group: &WorkerGroup) -> SlotList {
+        let Some((job, step)) =
+            (self.jobs.get(&key.job)).and_then(|job| Some((job, job.step(key)?)))
+        else {
+            return Arc::from([]);
+        };
+        let need = job.spec(key).need;
+        let allowance = Allowance::new(job, key, self.now_ms);
+        let policy = &job.request.policy;
+        let undecided_share = match &policy.advice {
+            Some(_) => self.expected_allowed_share(&policy.name),
+            None => 1.0,
         };
-        let workers = self.schedulable_workers(&group.service);
-        room.labels_free = free_of(workers.filter(has_awaited_label));
+        let mut slots: Vec<(u64, WorkerSlots)> = Vec::new();
+        for worker in self.group_workers(group) {
+            let share = match step.advice.is_allowed(&worker.spec.id) {
+                Some(false) => continue,
+                Some(true) => 1.0,
+                None => undecided_share,
+            };
+            let times = worker.slot_times(&need, allowance.new_runs(worker), self.now_ms);
+            let times = times.filter(|(_, count)| *count > 0);
+            slots.extend(times.map(|(time_ms, slots)| {
+                let worker = &worker.spec.id;
+                let slots = WorkerSlots {
+                    worker: worker.clone(),
+                    slots,
+                    share,
+                };
+                (time_ms, slots)
+            }));
+        }
+        slots.sort_by_key(|(time_ms, _)| *time_ms);
+        slots.into_iter().map(|(_, slots)| slots).collect()
     }
 
     /// Records the need of a step that is not blocked if it is a gang that gathers room. Of its room only a share is on
@@ -184,7 +375,7 @@
         rank: &Rank,
         awaited: &mut AwaitedRoom,
     ) {
-        let Some((job, need)) = self.waiting_need(key, u64::MAX) else {
+        let Some((job, need)) = self.waiting_need(key) else {
             return;
         };
         let has_room = (job.step(key)).is_none_or(|step| !step.reservations.is_empty());
@@ -198,16 +389,15 @@
         room.gathered = sum.zip_with(&room.max_gathered, u64::min);
     }
 
-    /// Job of a step and the need of its waiting tasks that its workspace may start, at most `max_tasks`; `None` if there
-    /// are none.
-    fn waiting_need(&self, key: &StepKey, max_tasks: u64) -> Option<(&Job, Resources)> {
+    /// Job of a step and the need of its waiting tasks that its workspace may start; `None` if there are none.
+    fn waiting_need(&self, key: &StepKey) -> Option<(&Job, Resources)> {
         let job = self.jobs.get(&key.job)?;
-        let waiting = (self.startable_tasks(key) as u64).min(max_tasks);
+        let waiting = self.startable_tasks(key) as u64;
         let need = job.spec(key).need;
         (waiting > 0).then(|| (job, need.checked_mul(waiting).unwrap_or(need)))
     }
 
-    /// Room of a service, with the free capacity at the first call of a decision.
+    /// Room of a service, without claims at the first call of a decision.
     fn service_room<'a>(
         &self,
         group: &WorkerGroup,
@@ -225,9 +415,9 @@
                 let percent = self.order_rules.max_gathered_percent;
                 ServiceRoom {
                     free: self.free_capacity(service),
-                    blocked: Vec::new(),
-                    labels: BTreeMap::new(),
-                    labels_free: Resources::ZERO,
+                    claims: Vec::new(),
+                    kept: KeptRoom::default(),
+                    placed_claims: 0,
                     gathered: Resources::ZERO,
                     max_gathered: capacity.map(|amount| amount * percent / 100),
                 }
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         Action, Scheduler, StartOrder, StepKey, TaskKey,
+        gang_room::Beside,
         job_state::Placement,
         limit_backfill::Backfill,
         room_forecast::Allowance,
@@ -35,6 +36,8 @@
     pub(crate) slots: u32,
     pub(crate) free_milli_cores: u64,
     pub(crate) on_preferred_rack: bool,
+    /// Whether a task would use room that is kept for others.
+    pub(crate) is_kept: bool,
 }
 
 /// Outcome of a placement attempt of a step.
@@ -84,8 +87,9 @@
         }
     }
 
-    /// Starts the tasks of a step that fit, and requests advice for the rest; also returns the number of starts.
-    pub(crate) fn try_step(&mut self, key: &StepKey) -> (TryOutcome, usize) {
+    /// Starts the tasks of a step that fit beside kept room, and requests advice for the rest; also returns the number of
+    /// starts.
+    pub(crate) fn try_step(&mut self, key: &StepKey, beside: Beside<'_>) -> (TryOutcome, usize) {
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get(&key.job) else {
             return (TryOutcome::NotBlocked, 0);
@@ -106,7 +110,7 @@
         };
         let is_advice_pending = step.advice.calls_in_flight > 0;
         let waiting = self.startable_tasks(key);
-        let started = self.start_possible_tasks(key);
+        let started = self.start_possible_tasks(key, beside);
         if started == waiting {
             return (TryOutcome::NotBlocked, started);
         }
@@ -116,11 +120,11 @@
         if is_advice_pending {
             return (TryOutcome::NotBlocked, started);
         }
-        (self.request_advice(key, waiting - started), started)
+        (self.request_advice(key, waiting - started, beside), started)
     }
 
     /// Starts the tasks of a step that fit on workers that may run it now; returns the number of starts.
-    pub(crate) fn start_possible_tasks(&mut self, key: &StepKey) -> usize {
+    pub(crate) fn start_possible_tasks(&mut self, key: &StepKey, beside: Beside<'_>) -> usize {
         let Some(job) = self.jobs.get(&key.job) else {
             return 0;
         };
@@ -129,9 +133,10 @@
         };
         let candidates = if job.request.policy.advice.is_some() {
             let ticketed = step.advice.workers_with_ticket(self.now_ms);
-            self.candidates(key, ticketed.filter_map(|id| self.workers.get(id)))
+            let ticketed = ticketed.filter_map(|id| self.workers.get(id));
+            self.candidates(key, ticketed, beside)
         } else {
-            self.candidates(key, self.workers.values())
+            self.candidates(key, self.workers.values(), beside)
         };
         let chosen = self.choose_workers(key, candidates, step.waiting_tasks());
         let started = chosen.len();
@@ -141,11 +146,12 @@
         started
     }
 
-    /// Workers of the iterator that can start at least one task of the step.
+    /// Workers of the iterator that can start at least one task of the step beside kept room.
     pub(crate) fn candidates<'a>(
         &'a self,
         key: &StepKey,
         workers: impl Iterator<Item = &'a Worker>,
+        beside: Beside<'_>,
     ) -> Vec<Candidate<'a>> {
         let Some(job) = self.jobs.get(&key.job) else {
             return Vec::new();
@@ -160,12 +166,13 @@
         };
         let preferred_rack = spec.preferred_rack.as_ref();
         let candidate = |worker: &'a Worker| {
-            let free = worker.free_capacity();
+            let (free, is_kept) = beside.free_capacity(worker, &spec.need);
             Candidate {
                 worker,
                 slots: slots_in(&spec.need, &free, allowance.new_runs(worker)),
                 free_milli_cores: free.milli_cores,
                 on_preferred_rack: preferred_rack.is_some_and(|it| worker.spec.labels.contains(it)),
+                is_kept,
             }
         };
         workers
@@ -200,6 +207,7 @@
             (
                 !it.on_preferred_rack,
                 it.worker.failures.count(),
+                it.is_kept,
                 // Other steps avoid the workers of a pending gang request where possible.
                 !gang && it.worker.pending_gang_requests > 0,
                 preference.sort_key(it.worker.speed.class()),
--- a/crates/workflow/src/restart_slots.rs
+++ b/crates/workflow/src/restart_slots.rs
@@ -5,7 +5,7 @@
 //! service.
 
 use {
-    crate::{Scheduler, StepKey, worker::slots_in},
+    crate::{Scheduler, StepKey, gang_room::Beside, worker::slots_in},
     ragwortreel_model::{Resources, WorkerId},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -40,7 +40,7 @@
         let need = job.spec(key).need;
         let workers = self.schedulable_workers(&job.request.policy.service);
         let not_refused = workers.filter(|it| step.advice.is_allowed(&it.spec.id) != Some(false));
-        let mut candidates = self.candidates(key, not_refused);
+        let mut candidates = self.candidates(key, not_refused, Beside::NOTHING);
         // Best fit, as at the start of a task.
         candidates.sort_by_key(|it| it.free_milli_cores);
         let mut chosen: Vec<&WorkerId> = Vec::new();
--- a/crates/workflow/src/room_forecast.rs
+++ b/crates/workflow/src/room_forecast.rs
@@ -13,7 +13,11 @@
         worker::{Run, RunPhase, Worker, slots_in},
     },
     ragwortreel_model::{Resources, WorkerId},
-    std::collections::BTreeMap,
+    std::{
+        collections::BTreeMap,
+        iter::{self, repeat_n},
+        mem,
+    },
 };
 
 /// Time from the end of a run until its room can be used, in ms: a report, a decision and a transaction of the journal.
@@ -128,19 +132,24 @@
         (self.spec.capacity).saturating_sub(&self.expected_ends.endless)
     }
 
-    /// Adds the times at which further tasks fit on the worker, in ms, beside those that fit now.
-    fn add_slot_times(&self, need: &Resources, max: u32, times: &mut Vec<u64>) {
-        let mut free = self.free_capacity();
-        let mut slots = slots_in(need, &free, max);
-        for (end_ms, released) in &self.expected_ends.releases {
+    /// Times in ms at which tasks fit on the worker, now or at the end of runs, and the number of further tasks that fit then.
+    pub(crate) fn slot_times(
+        &self,
+        need: &Resources,
+        max: u32,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (u64, u32)> {
+        let releases = self.expected_ends.releases.iter().copied();
+        let times = iter::once((now_ms, self.free_capacity())).chain(releases);
+        let (mut free, mut slots) = (Resources::ZERO, 0);
+        times.map_while(move |(time_ms, released)| {
             if slots == max {
-                return;
+                return None;
             }
-            free += *released;
-            let after = slots_in(need, &free, max);
-            times.extend((slots..after).map(|_| *end_ms));
-            slots = after;
-        }
+            free += released;
+            let before = mem::replace(&mut slots, slots_in(need, &free, max));
+            Some((time_ms, slots - before))
+        })
     }
 }
 
@@ -165,19 +174,17 @@
         workers: impl Iterator<Item = (&'a Worker, u32)>,
     ) -> RoomForecast {
         let mut forecast = RoomForecast::default();
-        let (mut free, mut times) = (0, Vec::new());
+        let mut times = Vec::new();
         for (worker, max) in workers {
             let room = worker.capacity_beside_endless();
             forecast.slots += u64::from(slots_in(need, &room, max));
-            free += u64::from(slots_in(need, &worker.free_capacity(), max));
-            worker.add_slot_times(need, max, &mut times);
+            let slots = worker.slot_times(need, max, self.now_ms);
+            times.extend(slots.flat_map(|(time_ms, count)| repeat_n(time_ms, count as usize)));
+        }
+        let last = usize::try_from(least_slots).unwrap_or(usize::MAX).max(1) - 1;
+        if last < times.len() {
+            forecast.start_ms = Some(*times.select_nth_unstable(last).1);
         }
-        let missing = usize::try_from(least_slots.saturating_sub(free)).unwrap_or(usize::MAX);
-        forecast.start_ms = match missing.checked_sub(1) {
-            None => Some(self.now_ms),
-            Some(last) if last < times.len() => Some(*times.select_nth_unstable(last).1),
-            Some(_) => None,
-        };
         forecast
     }
 
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -11,6 +11,7 @@
         StepKey, StopOrder, TaskKey, WorkerSpec,
         evacuation::Evacuation,
         fair_share::FairShare,
+        gang_room::{Beside, KeptRoom, SlotLists},
         job_state::{Job, NO_VALUE_FACTOR, Placement, StepState, is_finished},
         order::{OrderRules, Rank, remaining_ms},
         quarantine::QuarantineNotice,
@@ -78,6 +79,9 @@
     /// Usage and limits of the workspaces.
     pub(crate) workspaces: Workspaces,
     pub(crate) evacuation: Evacuation,
+    pub(crate) slot_lists: SlotLists,
+    /// Room that steps kept in the last decision, by service.
+    pub(crate) kept_room: BTreeMap<Arc<str>, KeptRoom>,
     pub(crate) order_rules: OrderRules,
     /// Time of the next estimate of the ends of all runs, in ms.
     pub(crate) ends_due_ms: u64,
@@ -113,6 +117,8 @@
             fair_share: FairShare::default(),
             workspaces: Workspaces::default(),
             evacuation: Evacuation::default(),
+            slot_lists: SlotLists::default(),
+            kept_room: BTreeMap::new(),
             order_rules: OrderRules::default(),
             ends_due_ms: 0,
         }
@@ -521,10 +527,18 @@
     /// If a step started only at its turn in the order of ranks, the ticket renewal of another gang could reserve the
     /// released capacity first, and lose it in the same way, so that no gang would ever start.
     fn start_answered_steps(&mut self) {
+        let kept_room = mem::take(&mut self.kept_room);
         for key in mem::take(&mut self.answered_steps) {
             self.release_reservations(&key);
-            if self.step_mut(&key).is_some_and(|step| step.rank.is_some()) {
-                self.start_possible_tasks(&key);
+            let job = self.jobs.get(&key.job);
+            let waits = |job: &&Job| job.step(&key).is_some_and(|step| step.rank.is_some());
+            if let Some(job) = job.filter(waits) {
+                let beside = Beside {
+                    kept: kept_room.get(&job.request.policy.service),
+                    end_ms: self.expected_reuse_ms(job, &key),
+                    may_use: true,
+                };
+                self.start_possible_tasks(&key, beside);
             }
         }
     }
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -134,10 +134,14 @@
 struct Turn {
     visited: usize,
     blocked: usize,
+    /// Steps that were not tried because no worker has room, and that keep room all the same.
+    full_claims: usize,
     /// Last step that was visited.
     last: Option<WaitingStep>,
     /// Needs of tasks for which none of the workers has room.
     full: Vec<Resources>,
+    /// Needs of tasks, and times in ms until which they would run, for which no worker has room beside what steps wait for.
+    kept: Vec<(Resources, u64)>,
     /// Steps that a sweep tried and that may have requested advice.
     swept_requests: usize,
 }
@@ -154,6 +158,19 @@
             self.full.push(need);
         }
     }
+
+    /// Whether it is known that no worker has room for such a task beside what steps wait for.
+    fn is_kept(&self, need: &Resources, end_ms: u64) -> bool {
+        let mut kept = self.kept.iter();
+        kept.any(|(kept, until_ms)| kept.fits_in(need) && *until_ms <= end_ms)
+    }
+
+    fn add_kept(&mut self, need: Resources, end_ms: u64) {
+        (self.kept).retain(|(kept, until_ms)| !need.fits_in(kept) || *until_ms < end_ms);
+        if self.kept.len() < MAX_FULL_SIZES {
+            self.kept.push((need, end_ms));
+        }
+    }
 }
 
 /// State of one decision.
@@ -197,6 +214,8 @@
     Passed,
     /// The step has become or remains blocked.
     Blocked,
+    /// No worker has room for the step, as is known from an earlier one.
+    Full,
 }
 
 impl Scheduler {
@@ -225,17 +244,19 @@
         self.release_held_steps();
         self.return_placeable_steps();
         let mut decision = Decision::default();
+        self.slot_lists.recounts = 0;
         if self.visit_first_steps(&mut decision) {
             self.waiting_steps.swept = None;
             self.waiting_steps.sweep_ms = None;
-            return;
-        }
-        let next_ms = self.now_ms + SWEEP_INTERVAL_MS;
-        let due_ms = *self.waiting_steps.sweep_ms.get_or_insert(next_ms);
-        if self.now_ms >= due_ms {
-            self.waiting_steps.sweep_ms = Some(next_ms);
-            self.sweep(&mut decision);
+        } else {
+            let next_ms = self.now_ms + SWEEP_INTERVAL_MS;
+            let due_ms = *self.waiting_steps.sweep_ms.get_or_insert(next_ms);
+            if self.now_ms >= due_ms {
+                self.waiting_steps.sweep_ms = Some(next_ms);
+                self.sweep(&mut decision);
+            }
         }
+        self.kept_room = decision.awaited.into_kept_room();
     }
 
     /// Visits the first steps of each group; returns whether these were all waiting steps.
@@ -259,8 +280,12 @@
                 decision.advised += 1;
             }
             let visit = self.visit(&entry, &group, Phase::First, decision);
-            if matches!(visit, Visit::Blocked) {
-                self.claim_room(&entry, &group, decision);
+            match visit {
+                Visit::Passed => {}
+                Visit::Blocked => {
+                    self.claim_room(&entry, &group, decision);
+                }
+                Visit::Full => self.claim_room_of_full(&entry.1, &group, decision),
             }
             let following = self.waiting_steps.after(&group, Some(&entry));
             let turn = decision.turns.entry(group.clone()).or_default();
@@ -345,7 +370,8 @@
             return Visit::Passed;
         };
         // Without claims, the end does not matter.
-        let end_ms = if decision.awaited.has_claims(&group.service) {
+        let has_claims = decision.awaited.has_claims(&group.service);
+        let end_ms = if has_claims {
             self.expected_reuse_ms(job, key)
         } else {
             self.now_ms
@@ -364,13 +390,20 @@
             turn.swept_requests += 1;
         }
         let is_full = !has_reservations && turn.is_full(&need);
-        if gives_way
-            || (is_full && phase == Phase::Sweep)
-            || !(decision.awaited).fits(group, &need, end_ms, self.can_wait(&current_rank))
-        {
+        let can_wait = self.can_wait(&current_rank);
+        let may_use_kept =
+            !has_claims || (decision.awaited).has_spare_capacity(group, &need, end_ms, can_wait);
+        let has_room = may_use_kept
+            || is_full
+            || self.has_room_beside((&need, end_ms), can_wait, group, decision);
+        if gives_way || !has_room || (is_full && phase == Phase::Sweep) {
             self.set_has_capacity(key, false);
             return Visit::Passed;
         }
+        if is_full && has_claims {
+            self.set_has_capacity(key, false);
+            return Visit::Full;
+        }
         if self.is_blocked(key) {
             self.set_has_capacity(key, false);
             return Visit::Blocked;
@@ -380,10 +413,12 @@
         let (outcome, started) = if is_full {
             (TryOutcome::Blocked, 0)
         } else {
-            self.try_step(key)
+            self.place_claims(&group.service, &mut decision.awaited);
+            let awaited = &decision.awaited;
+            self.try_step(key, awaited.beside(&group.service, end_ms, may_use_kept))
         };
         let taken = need.checked_mul(started as u64).unwrap_or(need);
-        decision.awaited.take(group, &taken);
+        decision.awaited.take(&group.service, &taken);
         let is_blocked = matches!(outcome, TryOutcome::Blocked);
         self.set_has_capacity(key, !is_blocked);
         if is_blocked {
@@ -400,6 +435,25 @@
         Visit::Passed
     }
 
+    /// Whether a worker has room for a task that runs until a time in ms, beside what the steps tried so far wait for.
+    fn has_room_beside(
+        &mut self,
+        (need, end_ms): (&Resources, u64),
+        can_wait: bool,
+        group: &WorkerGroup,
+        decision: &mut Decision,
+    ) -> bool {
+        let turn = decision.turns.entry(group.clone()).or_default();
+        if turn.is_kept(need, end_ms) {
+            return false;
+        }
+        if !self.has_slot_beside(&mut decision.awaited, group, need, end_ms) {
+            turn.add_kept(*need, end_ms);
+            return false;
+        }
+        !can_wait || self.leaves_gathered(&decision.awaited, &group.service, need, end_ms)
+    }
+
     /// Delays the next attempt of a blocked step, or takes it out of the queue if no listed worker can run it.
     fn record_blocked(&mut self, key: &StepKey, started: usize) -> Visit {
         if let Some(reason) = self.refresh_slots(key)
@@ -446,4 +500,20 @@
         }
         decision.turns.entry(group.clone()).or_default().blocked += 1;
     }
+
+    /// Keeps the room that a step waits for which was not tried, because no worker has room for it.
+    fn claim_room_of_full(&mut self, key: &StepKey, group: &WorkerGroup, decision: &mut Decision) {
+        let turn = decision.turns.entry(group.clone()).or_default();
+        if turn.full_claims >= MAX_BLOCKED_STEPS {
+            return;
+        }
+        if let Some(reason) = self.refresh_slots(key) {
+            self.remove_from_queue(key, reason);
+            return;
+        }
+        if (self.jobs.get(&key.job)).is_some_and(|job| !job.lacks_workers(key)) {
+            turn.full_claims += 1;
+            self.await_blocked(key, group, &mut decision.awaited);
+        }
+    }
 }
--- a/crates/workflow/tests/kept_room.rs
+++ b/crates/workflow/tests/kept_room.rs
@@ -146,14 +146,18 @@
         check_small_job_starts(&mut cell, lasting(60_000, step(4, 5_000)));
     };
 
-    /// Guards against room that idles until long tasks end: a step that ends before may use it, and one that does not may not.
+    /// Guards against room that idles until long tasks end: a step that ends before may use it, and one that does not may not,
+    /// unless it fits beside the gang.
     room_is_kept_from_when_a_gang_can_start: || {
         let mut cell = cell();
         let long = start_all(&mut cell, "long", quarter_of_each(300_000));
         cell.accept(job("gang", queue(1), vec![lasting(300_000, gang(14, 3_500))]));
         check_small_job_starts(&mut cell, step(2, 1_000));
-        cell.accept(job("lasting", queue(2), vec![lasting(400_000, step(2, 1_000))]));
+        // The gang leaves 2 cores free: two of 16 slots.
+        cell.accept(job("lasting", queue(2), vec![lasting(400_000, step(2, 2_000))]));
         assert!(started_jobs(&mut cell).is_empty());
+        cell.accept(job("beside", queue(2), vec![lasting(400_000, step(2, 1_000))]));
+        assert_eq!(started_jobs(&mut cell), BTreeSet::from(["beside".to_owned()]));
         cell.end_runs(&long, EndCause::Done);
         let starts = cell.starts();
         let is_gang = |start: &&StartOrder| start.task.step.job == job_id("gang");
