--- a/crates/workflow/src/evacuation.rs
+++ b/crates/workflow/src/evacuation.rs
@@ -325,7 +325,7 @@
             leaving_runs: 0,
             need: Resources::ZERO,
             service: Arc::clone(&job.request.policy.service),
-            rank: job.rank(step.step, self.now_ms),
+            rank: job.rank(step, self.now_ms),
             has_answers: true,
             has_checkpoints: spec.checkpoints,
             resumes: spec.checkpoints || spec.endless,
--- a/crates/workflow/src/fair_share.rs
+++ b/crates/workflow/src/fair_share.rs
@@ -255,7 +255,7 @@
             let waiting = all.entry(workspace.clone()).or_default();
             waiting.steps += 1;
             // The stored rank of a held step may be outdated. New jobs of the workspace precede these classes.
-            let class = job.rank(key.step, self.now_ms).class;
+            let class = job.rank(key, self.now_ms).class;
             if is_held && class < RankClass::OverShare {
                 let spec = job.spec(key);
                 let work = waiting.held.entry(rank.priority).or_default();
--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -56,6 +56,8 @@
 #[derive(Debug)]
 struct WorkerSlots {
     worker: WorkerId,
+    /// Time at which the slots become free, in ms.
+    free_ms: u64,
     slots: u32,
     /// Probability that the step may use the worker: below 1 before the advice service has answered.
     share: f64,
@@ -72,20 +74,26 @@
     pub(crate) recounts: usize,
 }
 
-/// Room that is kept on one worker: expected starts in ms, and resources.
-type KeptParts = Vec<(u64, Resources)>;
+/// Room on a worker that is kept for a step.
+#[derive(Debug)]
+struct KeptPart {
+    /// Expected start of the step, in ms.
+    start_ms: u64,
+    /// Time from which the step uses this part, in ms.
+    from_ms: u64,
+    need: Resources,
+}
 
 /// Room that is kept on workers for blocked steps.
 #[derive(Debug, Default)]
 pub(crate) struct KeptRoom {
-    workers: BTreeMap<WorkerId, KeptParts>,
+    workers: BTreeMap<WorkerId, Vec<KeptPart>>,
 }
 
-/// Sum of the parts that are kept for steps expected to start before a time in ms.
-fn kept_before(parts: &[(u64, Resources)], end_ms: u64) -> Resources {
+fn sum_of<'a>(parts: impl Iterator<Item = &'a KeptPart>) -> Resources {
     let mut sum = Resources::ZERO;
-    for (_, need) in parts.iter().filter(|(start_ms, _)| *start_ms < end_ms) {
-        sum += *need;
+    for part in parts {
+        sum += part.need;
     }
     sum
 }
@@ -95,7 +103,7 @@
 pub(crate) struct Beside<'a> {
     /// `None` if no step keeps room.
     pub(crate) kept: Option<&'a KeptRoom>,
-    /// Time from which the room of the tasks can be used again, in ms.
+    /// Time from which the room of the tasks can be used again, in ms; the largest one for endless tasks.
     pub(crate) end_ms: u64,
     /// Whether the step may use kept room where it has no other. Workers without kept room come first then.
     pub(crate) may_use: bool,
@@ -109,14 +117,23 @@
         may_use: true,
     };
 
-    /// Capacity of a worker that is neither used, reserved nor kept.
+    /// Free capacity of a worker that no step needs which is expected to start before the end.
+    ///
+    /// A step also uses the room of runs that end before its start. Only endless tasks, which are few, use what it leaves of
+    /// the room that is free now: a stream of tasks that did so would put off the start by the error of each estimate.
     fn unkept_capacity(&self, worker: &Worker) -> Resources {
-        let free = worker.free_capacity();
+        let mut unkept = worker.free_capacity();
         let parts = self.kept.and_then(|kept| kept.workers.get(&worker.spec.id));
-        match parts {
-            Some(parts) => free.saturating_sub(&kept_before(parts, self.end_ms)),
-            None => free,
+        let parts = || (parts.into_iter().flatten()).filter(|it| it.start_ms < self.end_ms);
+        if self.end_ms < u64::MAX {
+            return unkept.saturating_sub(&sum_of(parts()));
+        }
+        for part in parts() {
+            let needed = sum_of(parts().filter(|it| it.from_ms <= part.from_ms));
+            let rest = (worker.free_capacity_at(part.from_ms)).saturating_sub(&needed);
+            unkept = unkept.zip_with(&rest, u64::min);
         }
+        unkept
     }
 
     /// Capacity of a worker for tasks with a need, and whether such a task would use kept room.
@@ -290,8 +307,7 @@
                     continue;
                 };
                 let parts = room.kept.workers.entry(it.worker.clone()).or_default();
-                let rest = (worker.capacity_beside_endless())
-                    .saturating_sub(&kept_before(parts, u64::MAX));
+                let rest = (worker.capacity_beside_endless()).saturating_sub(&sum_of(parts.iter()));
                 #[expect(
                     clippy::cast_possible_truncation,
                     clippy::cast_sign_loss,
@@ -301,7 +317,11 @@
                 let tasks = slots_in(&claim.need, &rest, wanted.min(it.slots));
                 if tasks > 0 {
                     let need = claim.need.checked_mul(u64::from(tasks));
-                    parts.push((claim.start_ms, need.unwrap_or(claim.need)));
+                    parts.push(KeptPart {
+                        start_ms: claim.start_ms,
+                        from_ms: claim.start_ms.max(it.free_ms),
+                        need: need.unwrap_or(claim.need),
+                    });
                     left -= it.share * f64::from(tasks);
                 }
                 if left <= 0.0 {
@@ -343,7 +363,7 @@
             Some(_) => self.expected_allowed_share(&policy.name),
             None => 1.0,
         };
-        let mut slots: Vec<(u64, WorkerSlots)> = Vec::new();
+        let mut slots: Vec<WorkerSlots> = Vec::new();
         for worker in self.group_workers(group) {
             let share = match step.advice.is_allowed(&worker.spec.id) {
                 Some(false) => continue,
@@ -352,18 +372,15 @@
             };
             let times = worker.slot_times(&need, allowance.new_runs(worker), self.now_ms);
             let times = times.filter(|(_, count)| *count > 0);
-            slots.extend(times.map(|(time_ms, slots)| {
-                let worker = &worker.spec.id;
-                let slots = WorkerSlots {
-                    worker: worker.clone(),
-                    slots,
-                    share,
-                };
-                (time_ms, slots)
+            slots.extend(times.map(|(free_ms, slots)| WorkerSlots {
+                worker: worker.spec.id.clone(),
+                free_ms,
+                slots,
+                share,
             }));
         }
-        slots.sort_by_key(|(time_ms, _)| *time_ms);
-        slots.into_iter().map(|(_, slots)| slots).collect()
+        slots.sort_by_key(|it| it.free_ms);
+        slots.into()
     }
 
     /// Records the need of a step that is not blocked if it is a gang that gathers room. Of its room only a share is on
--- a/crates/workflow/src/job_state.rs
+++ b/crates/workflow/src/job_state.rs
@@ -64,6 +64,8 @@
     pub(crate) blocked_until_freed_milli_cores: u64,
     /// Rank in the queue of waiting steps; `None` if the step is not in it.
     pub(crate) rank: Option<Rank>,
+    /// Time since which tasks of the step wait to be started, in ms; `None` if none waits.
+    pub(crate) waiting_since_ms: Option<u64>,
     /// Whether the step ever waited for the limit of its workspace.
     pub(crate) has_waited_for_limit: bool,
     /// Whether the step ever needed more than the limit of its workspace.
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -5,9 +5,13 @@
 //! job, then those of jobs beyond the share of their workspace, and last those whose job can no longer earn anything.
 //! What counts is the end of the job, not the present time: a step that needs 6 s is late when less than 6 s are left.
 //! Within a class, steps are ordered by the priority of their queue and by the latest time at which they must start.
-//! The keys of a step change only when its class does, so the order of the waiting steps is stable.
+//! The keys of a step change only when its class does, so the order of the waiting steps is stable. Endless steps are never
+//! late by their job; they are ordered by the time since which their tasks wait.
 
-use crate::{JobRequest, Scheduler, Step, job_state::Job};
+use crate::{
+    JobRequest, Scheduler, Step, StepKey,
+    job_state::{Job, StepState},
+};
 
 /// Largest part of a service's capacity that gangs may gather, in percent (see `gang_room`). With 10 to 20 percent, wide
 /// gangs earn less in a burst; without a bound, homework loses 5% of its value in an overload (`docs/design/order.md`).
@@ -68,9 +72,42 @@
     remaining
 }
 
+/// Rank of an endless step, whose job has no end that could be late: what counts is the time since which its tasks wait. A
+/// step whose tasks fail before they are at work, as often as the attempts of its queue allow, counts as late, so that it
+/// does not keep other steps from starting.
+pub(crate) fn endless_rank(
+    request: &JobRequest,
+    over_share: bool,
+    step: &StepState,
+    now_ms: u64,
+) -> Rank {
+    let policy = &request.policy;
+    let tasks = u32::try_from(step.tasks.len()).unwrap_or(u32::MAX);
+    let class = if over_share {
+        RankClass::OverShare
+    } else if step.failures.count() >= policy.attempts.saturating_mul(tasks) {
+        RankClass::Late
+    } else {
+        RankClass::InTime
+    };
+    Rank {
+        class,
+        priority: policy.priority,
+        latest_start_ms: step.waiting_since_ms.unwrap_or(now_ms) + policy.slack_ms,
+    }
+}
+
 impl Job {
     /// Rank of a step of the job.
-    pub(crate) fn rank(&self, step: u32, now_ms: u64) -> Rank {
+    pub(crate) fn rank(&self, key: &StepKey, now_ms: u64) -> Rank {
+        match self.step(key).filter(|_| self.spec(key).endless) {
+            Some(step) => endless_rank(&self.request, self.over_share, step, now_ms),
+            None => self.finite_rank(key.step, now_ms),
+        }
+    }
+
+    /// Rank of a step by the end of the job.
+    pub(crate) fn finite_rank(&self, step: u32, now_ms: u64) -> Rank {
         let remaining_ms = self.remaining_ms.get(step as usize).copied().unwrap_or(0);
         let end_ms = now_ms + remaining_ms;
         let class = if end_ms > self.no_value_ms {
@@ -97,7 +134,7 @@
         let (mut late, mut hopeless) = (0, 0);
         for (_, key) in self.waiting_steps.iter() {
             let job = self.jobs.get(&key.job);
-            match job.map(|job| job.rank(key.step, self.now_ms).class) {
+            match job.map(|job| job.rank(key, self.now_ms).class) {
                 Some(RankClass::Late) => late += 1,
                 Some(RankClass::NoValue) => hopeless += 1,
                 _ => {}
--- a/crates/workflow/src/quarantine.rs
+++ b/crates/workflow/src/quarantine.rs
@@ -163,6 +163,11 @@
 }
 
 impl StepFailures {
+    /// Number of failed runs.
+    pub(crate) fn count(&self) -> u32 {
+        self.workers.values().map(|it| it.runs).sum()
+    }
+
     /// Whether the step may start only some tasks on workers that it failed on.
     pub(crate) fn limits_starts(&self) -> bool {
         self.is_at_fault
--- a/crates/workflow/src/room_forecast.rs
+++ b/crates/workflow/src/room_forecast.rs
@@ -132,6 +132,16 @@
         (self.spec.capacity).saturating_sub(&self.expected_ends.endless)
     }
 
+    /// Free capacity of the worker at a time in ms, if nothing more starts.
+    pub(crate) fn free_capacity_at(&self, time_ms: u64) -> Resources {
+        let mut free = self.free_capacity();
+        let releases = self.expected_ends.releases.iter();
+        for (_, released) in releases.take_while(|(end_ms, _)| *end_ms <= time_ms) {
+            free += *released;
+        }
+        free
+    }
+
     /// Times in ms at which tasks fit on the worker, now or at the end of runs, and the number of further tasks that fit then.
     pub(crate) fn slot_times(
         &self,
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -13,8 +13,8 @@
         fair_share::FairShare,
         gang_room::{Beside, KeptRoom, SlotLists},
         job_state::{Job, NO_VALUE_FACTOR, Placement, StepState, is_finished},
-        order::{OrderRules, Rank, remaining_ms},
-        quarantine::QuarantineNotice,
+        order::{OrderRules, Rank, endless_rank, remaining_ms},
+        quarantine::{QuarantineNotice, StepFailures},
         run_times::RunTimes,
         segments::{FinishedOccurrences, StoredForm},
         stalls::{RunProgress, StuckRun},
@@ -709,6 +709,13 @@
                 if cause == EndCause::Failed && removed.has_worked(self.now_ms) {
                     // Endless tasks may fail at any time, also many at once.
                     cause = EndCause::Interrupted;
+                    if let Some(step) = self
+                        .jobs
+                        .get_mut(&task.step.job)
+                        .and_then(|job| job.step_mut(&task.step))
+                    {
+                        step.failures = StepFailures::default();
+                    }
                 }
                 progress = Some(removed.progress);
             }
@@ -892,11 +899,11 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let is_final = job.state.is_final();
+        let (is_final, over_share) = (job.state.is_final(), job.over_share);
         let request = Arc::clone(&job.request);
         let ranks: Vec<Rank> = (0..)
             .take(request.steps.len())
-            .map(|step| job.rank(step, now_ms))
+            .map(|step| job.finite_rank(step, now_ms))
             .collect();
         for (occurrence, steps) in &mut job.occurrences {
             for number in 0..steps.len() {
@@ -912,7 +919,14 @@
                     } else {
                         waiting > 0
                     };
-                let rank = is_ready.then_some(ranks[number]);
+                step.waiting_since_ms = is_ready.then(|| step.waiting_since_ms.unwrap_or(now_ms));
+                let rank = is_ready.then(|| {
+                    if spec.endless {
+                        endless_rank(&request, over_share, step, now_ms)
+                    } else {
+                        ranks[number]
+                    }
+                });
                 if step.rank == rank {
                     continue;
                 }
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -351,7 +351,7 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return Visit::Passed;
         };
-        let current_rank = job.rank(key.step, self.now_ms);
+        let current_rank = job.rank(key, self.now_ms);
         if current_rank != *rank {
             self.update_waiting_steps(&key.job.clone());
             if current_rank > *rank {
@@ -492,7 +492,7 @@
             return;
         }
         self.await_blocked(key, group, &mut decision.awaited);
-        if job.rank(key.step, self.now_ms).class < RankClass::OverShare {
+        if job.rank(key, self.now_ms).class < RankClass::OverShare {
             let start_ms = job.step(key).map_or(u64::MAX, |step| step.forecast_ms);
             let earliest_ms = decision.contended.entry(group.workers());
             let earliest_ms = earliest_ms.or_insert(start_ms);
--- a/crates/workflow/src/workspaces/held_steps.rs
+++ b/crates/workflow/src/workspaces/held_steps.rs
@@ -72,7 +72,7 @@
         let is_stale = |(_, held): &(&Workspace, &BTreeSet<WaitingStep>)| {
             held.first().is_some_and(|(rank, key)| {
                 let job = self.jobs.get(&key.job);
-                job.is_some_and(|job| job.rank(key.step, self.now_ms) != *rank)
+                job.is_some_and(|job| job.rank(key, self.now_ms) != *rank)
             })
         };
         let stale: Vec<(Workspace, JobId)> = (self.workspaces.held.iter())
--- /dev/null
+++ b/crates/workflow/tests/endless_tasks.rs
@@ -0,0 +1,148 @@
+//! Endless tasks beside waiting work: their order, and their restart after a failure.
+
+mod support;
+
+use {
+    ragwortreel_workflow::{EndCause, RunningTask, StartOrder, Step, WorkerSpec},
+    std::sync::Arc,
+    support::{Cell, cases, ended, gang, job, queue, step, worker},
+};
+
+/// Interval between two decisions, in ms.
+const DECISION_INTERVAL_MS: u64 = 50;
+/// Time for which the endless tasks have run before others come, in ms: far more than the objective of their job.
+const WORKED_MS: u64 = 25_000;
+
+/// Workers `w1` to `wN` of 16 cores.
+fn workers(number: u32) -> Vec<WorkerSpec> {
+    (1..=number)
+        .map(|number| worker(&format!("w{number}"), 16_000))
+        .collect()
+}
+
+fn endless(tasks: u32) -> Step {
+    Step {
+        endless: true,
+        max_per_worker: Some(1),
+        ..step(tasks, 1_000)
+    }
+}
+
+fn lasting_18_s(step: Step) -> Step {
+    Step {
+        estimate_ms: 18_000,
+        ..step
+    }
+}
+
+/// Reports endless runs as at work.
+fn report_at_work(cell: &mut Cell, starts: &[StartOrder]) {
+    for start in starts {
+        let running = RunningTask {
+            task: start.task.clone(),
+            run: start.run,
+            checkpoint: Arc::from(""),
+            percent: 100,
+        };
+        cell.report(&start.worker, vec![running], Vec::new());
+    }
+}
+
+/// Cell with endless tasks of a queue that have been at work for long.
+fn cell_with_endless_tasks(number: u32, priority: u32) -> (Cell, Vec<StartOrder>) {
+    let mut cell = Cell::new(1);
+    cell.list_reachable_workers(&workers(number));
+    cell.accept(job("endless", queue(priority), vec![endless(4)]));
+    let starts = cell.starts();
+    assert_eq!(starts.len(), 4);
+    cell.confirm_starts(&starts);
+    report_at_work(&mut cell, &starts);
+    cell.now_ms += WORKED_MS;
+    report_at_work(&mut cell, &starts);
+    (cell, starts)
+}
+
+/// Starts what has room, and confirms it.
+fn start_all(cell: &mut Cell) -> Vec<StartOrder> {
+    let starts = cell.starts();
+    cell.confirm_starts(&starts);
+    starts
+}
+
+/// Has a task fail; returns the jobs of the tasks that are started within a second.
+fn fail_and_start(cell: &mut Cell, failed: &StartOrder) -> Vec<String> {
+    cell.report(
+        &failed.worker,
+        Vec::new(),
+        vec![ended(failed, EndCause::Failed, "")],
+    );
+    let mut jobs = Vec::new();
+    for _ in 0..20 {
+        let starts = start_all(cell);
+        jobs.extend(starts.iter().map(|start| start.task.step.job.to_string()));
+        cell.now_ms += DECISION_INTERVAL_MS;
+    }
+    jobs
+}
+
+cases! {
+    /// Guards against an endless task that fails and is started again only after all work that waits, because its job's
+    /// objective has long passed (review/12).
+    failed_task_starts_before_waiting_work: || {
+        let (mut cell, endless) = cell_with_endless_tasks(8, 0);
+        cell.accept(job("large", queue(2), vec![lasting_18_s(step(60, 2_900))]));
+        assert_eq!(start_all(&mut cell).len(), 40);
+        assert_eq!(fail_and_start(&mut cell, &endless[1]), ["endless"]);
+    };
+
+    /// Guards against the same where the waiting tasks could use the room of the failed one.
+    failed_task_starts_before_tasks_that_fit_in_its_place: || {
+        let (mut cell, endless) = cell_with_endless_tasks(8, 0);
+        cell.accept(job("large", queue(2), vec![lasting_18_s(step(200, 1_000))]));
+        assert_eq!(start_all(&mut cell).len(), 124);
+        assert_eq!(fail_and_start(&mut cell, &endless[1]), ["endless"]);
+    };
+
+    /// Guards against the same for a queue of less importance: the waiting work leaves it room that it cannot use.
+    failed_task_starts_beside_waiting_work: || {
+        let (mut cell, endless) = cell_with_endless_tasks(8, 2);
+        cell.accept(job("large", queue(0), vec![lasting_18_s(step(60, 2_900))]));
+        assert_eq!(start_all(&mut cell).len(), 40);
+        assert_eq!(fail_and_start(&mut cell, &endless[1]), ["endless"]);
+    };
+
+    /// Guards against the same beside a gang that waits for all workers, and that the task does not delay.
+    failed_task_starts_beside_a_waiting_gang: || {
+        let (mut cell, endless) = cell_with_endless_tasks(8, 2);
+        cell.accept(job("busy", queue(0), vec![lasting_18_s(step(8, 14_000))]));
+        assert_eq!(start_all(&mut cell).len(), 8);
+        cell.accept(job("gang", queue(0), vec![lasting_18_s(gang(16, 7_000))]));
+        assert_eq!(start_all(&mut cell).len(), 0);
+        assert_eq!(fail_and_start(&mut cell, &endless[1]), ["endless"]);
+    };
+
+    /// Guards against endless tasks that never get to work and keep usual work from starting: after their attempts, they count
+    /// as late.
+    tasks_that_fail_in_a_row_starve_no_other: || {
+        let mut cell = Cell::new(1);
+        cell.list_reachable_workers(&[worker("w1", 16_000), worker("w2", 16_000)]);
+        let large = Step { endless: true, ..step(2, 16_000) };
+        cell.accept(job("endless", queue(0), vec![large]));
+        for number in 0..40 {
+            let usual = Step { estimate_ms: 60_000, ..step(1, 16_000) };
+            cell.accept(job(&format!("usual-{number}"), queue(1), vec![usual]));
+        }
+        let mut done = 0;
+        for _ in 0..400 {
+            let starts = start_all(&mut cell);
+            for start in starts {
+                let is_endless = start.task.step.job.as_str() == "endless";
+                let cause = if is_endless { EndCause::Failed } else { EndCause::Done };
+                cell.end_runs(&[start], cause);
+                done += u32::from(!is_endless);
+            }
+            cell.now_ms += DECISION_INTERVAL_MS;
+        }
+        assert_eq!(done, 40);
+    };
+}
