--- a/crates/workflow/src/evacuation.rs
+++ b/crates/workflow/src/evacuation.rs
@@ -16,6 +16,7 @@
 use {
     crate::{
         Scheduler, StepKey, TaskKey, WorkerSpec,
+        gang_room::Beside,
         job_state::Job,
         order::Rank,
         restart_slots::RestartSlots,
@@ -49,6 +50,8 @@
 /// Longest time for which a leaving worker may delay its answer to a heartbeat, in ms. It bounds the age of the
 /// checkpoint from which a run resumes that could not be stopped in time, at 240 calls a second for 120 workers.
 pub(crate) const MAX_HEARTBEAT_WAIT_MS: u64 = 500;
+/// End of endless runs, in ms; times can be added to it.
+const ENDLESS_MS: u64 = u64::MAX / 2;
 /// Most waiting steps that are counted as ahead of a moved run; more need far more room than there is.
 const MAX_STEPS_AHEAD: usize = 1_000;
 
@@ -130,6 +133,11 @@
     }
 
     /// Whether a worker has announced when it leaves.
+    pub(crate) fn is_active(&self) -> bool {
+        !self.leaving.is_empty()
+    }
+
+    /// Whether this worker has announced when it leaves.
     pub(crate) fn is_leaving(&self, id: &WorkerId) -> bool {
         self.leaving.contains_key(id)
     }
@@ -182,11 +190,15 @@
             .saturating_sub(&self.taken);
         let has_room = need.fits_in(&available);
         if has_room {
-            self.taken += *need;
+            self.add_taken(need);
         }
         has_room
     }
 
+    fn add_taken(&mut self, need: &Resources) {
+        self.taken += *need;
+    }
+
     /// Returns room that was taken for runs that are not moved.
     fn give_back(&mut self, need: &Resources) {
         self.taken = self.taken.saturating_sub(need);
@@ -271,17 +283,34 @@
                 0
             };
             let has_room = room.take(&unit.need, unit.rank, wait_ms);
-            // A stop saves the work since the last checkpoint. An endless run without checkpoints would only end earlier.
-            let must_stop = has_room || (unit.has_checkpoints && now_ms >= last_ms);
-            if !must_stop {
-                continue;
-            }
-            if !unit.has_checkpoints {
+            if unit.has_checkpoints {
+                // A stop saves the work since the last checkpoint.
+                if !has_room && now_ms < last_ms {
+                    continue;
+                }
+            } else {
+                // An endless run would only end earlier, so it needs a slot. It has one also where the steps ahead wait for
+                // other workers, or for more room than is left on this one.
+                let kept = self.kept_room.get(&unit.service);
+                let may_be_beside = self.is_kept_room_complete && unit.end_ms >= ENDLESS_MS;
+                if !has_room && !may_be_beside {
+                    continue;
+                }
+                let beside = Beside {
+                    kept,
+                    end_ms: u64::MAX,
+                    may_use: has_room,
+                };
                 let slots = slots.get_or_insert_with(|| self.slots_of_stopping_runs());
-                if !self.take_restart_slots(slots, &unit.step, unit.leaving_runs) {
-                    room.give_back(&unit.need);
+                if !self.take_restart_slots(slots, &unit.step, unit.leaving_runs, beside) {
+                    if has_room {
+                        room.give_back(&unit.need);
+                    }
                     continue;
                 }
+                if !has_room {
+                    room.add_taken(&unit.need);
+                }
             }
             self.move_unit(unit);
         }
@@ -321,7 +350,7 @@
             step: step.clone(),
             worker: runs.first()?.0.clone(),
             leaves_at_ms: u64::MAX,
-            end_ms: if spec.endless { u64::MAX / 2 } else { 0 },
+            end_ms: if spec.endless { ENDLESS_MS } else { 0 },
             leaving_runs: 0,
             need: Resources::ZERO,
             service: Arc::clone(&job.request.policy.service),
@@ -440,7 +469,7 @@
         let mut slots = RestartSlots::default();
         for (job, task, _) in self.stopping_runs() {
             if !job.spec(&task.step).checkpoints {
-                self.take_restart_slots(&mut slots, &task.step, 1);
+                self.take_restart_slots(&mut slots, &task.step, 1, Beside::NOTHING);
             }
         }
         slots
--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -216,6 +216,11 @@
         }
     }
 
+    /// Services for which steps wait.
+    pub(crate) fn services(&self) -> Vec<Arc<str>> {
+        self.services.keys().cloned().collect()
+    }
+
     /// Room that is kept on the workers of each service.
     pub(crate) fn into_kept_room(self) -> BTreeMap<Arc<str>, KeptRoom> {
         let services = self.services.into_iter();
--- a/crates/workflow/src/restart_slots.rs
+++ b/crates/workflow/src/restart_slots.rs
@@ -22,12 +22,13 @@
 }
 
 impl Scheduler {
-    /// Takes slots for runs of a step; returns false and takes none if there are too few.
+    /// Takes slots for runs of a step beside kept room; returns false and takes none if there are too few.
     pub(crate) fn take_restart_slots(
         &self,
         slots: &mut RestartSlots,
         key: &StepKey,
         runs: usize,
+        beside: Beside<'_>,
     ) -> bool {
         if slots.without_slots.contains(key) {
             return false;
@@ -40,7 +41,7 @@
         let need = job.spec(key).need;
         let workers = self.schedulable_workers(&job.request.policy.service);
         let not_refused = workers.filter(|it| step.advice.is_allowed(&it.spec.id) != Some(false));
-        let mut candidates = self.candidates(key, not_refused, Beside::NOTHING);
+        let mut candidates = self.candidates(key, not_refused, beside);
         // Best fit, as at the start of a task.
         candidates.sort_by_key(|it| it.free_milli_cores);
         let mut chosen: Vec<&WorkerId> = Vec::new();
@@ -51,7 +52,7 @@
             let max = it
                 .slots
                 .saturating_sub(u32::try_from(same_step).unwrap_or(u32::MAX));
-            let mut free = it.worker.free_capacity();
+            let mut free = beside.free_capacity(it.worker, &need).0;
             for (_, need) in taken {
                 free = free.saturating_sub(need);
             }
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -82,6 +82,8 @@
     pub(crate) slot_lists: SlotLists,
     /// Room that steps kept in the last decision, by service.
     pub(crate) kept_room: BTreeMap<Arc<str>, KeptRoom>,
+    /// Whether `kept_room` has the room of all blocked steps, not only of those that were in the way of others.
+    pub(crate) is_kept_room_complete: bool,
     pub(crate) order_rules: OrderRules,
     /// Time of the next estimate of the ends of all runs, in ms.
     pub(crate) ends_due_ms: u64,
@@ -119,6 +121,7 @@
             evacuation: Evacuation::default(),
             slot_lists: SlotLists::default(),
             kept_room: BTreeMap::new(),
+            is_kept_room_complete: false,
             order_rules: OrderRules::default(),
             ends_due_ms: 0,
         }
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -256,6 +256,12 @@
                 self.sweep(&mut decision);
             }
         }
+        self.is_kept_room_complete = self.evacuation.is_active();
+        if self.is_kept_room_complete {
+            for service in decision.awaited.services() {
+                self.place_claims(&service, &mut decision.awaited);
+            }
+        }
         self.kept_room = decision.awaited.into_kept_room();
     }
 
--- a/crates/workflow/tests/endless_tasks.rs
+++ b/crates/workflow/tests/endless_tasks.rs
@@ -1,4 +1,4 @@
-//! Endless tasks beside waiting work: their order, and their restart after a failure.
+//! Endless tasks beside waiting work: their order, their restart after a failure, and their move off leaving workers.
 
 mod support;
 
@@ -145,4 +145,40 @@
         }
         assert_eq!(done, 40);
     };
+
+    /// Guards against an endless task that is not moved off a leaving worker while others wait, and is away until the lease
+    /// of its run has expired (review/14).
+    task_is_moved_while_others_wait: || {
+        for priority in [0, 2] {
+            let (mut cell, endless) = cell_with_endless_tasks(16, priority);
+            cell.accept(job("large", queue(1), vec![lasting_18_s(step(100, 2_900))]));
+            assert_eq!(start_all(&mut cell).len(), 80);
+            let leaves = endless[0].worker.clone();
+            let listed = workers(16).into_iter().map(|spec| WorkerSpec {
+                draining: spec.id == leaves,
+                leaves_in_ms: (spec.id == leaves).then_some(4_000),
+                ..spec
+            });
+            let listed: Vec<WorkerSpec> = listed.collect();
+            cell.list_workers(&listed);
+            let leaves_ms = cell.now_ms + 4_000;
+            let mut restarted_ms = None;
+            while cell.now_ms < leaves_ms && restarted_ms.is_none() {
+                let (starts, stops) = cell.decide();
+                cell.confirm_starts(&starts);
+                for stop in stops {
+                    assert_eq!(stop.task, endless[0].task, "priority {priority}");
+                    let run = endless[0].clone();
+                    cell.report(&leaves, Vec::new(), vec![ended(&run, EndCause::Interrupted, "")]);
+                }
+                let moved = starts.iter().find(|start| start.task == endless[0].task);
+                restarted_ms = moved.map(|start| {
+                    assert_ne!(start.worker, leaves);
+                    cell.now_ms
+                });
+                cell.now_ms += DECISION_INTERVAL_MS;
+            }
+            assert!(restarted_ms.is_some(), "priority {priority}: the task stays on the leaving worker");
+        }
+    };
 }
