--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -203,6 +203,7 @@
             term: number,
             renewal: 0,
             released: false,
+            extends_no_leases: false,
             leader_capacity: self.cell.cfg.leader_capacity,
             takeover_ms: Timing::MAX_TAKEOVER_MS,
         };
@@ -229,7 +230,15 @@
                 found.version
             }
         };
-        let term = Term::new(Arc::clone(&self.cell), row, version, sent_ms);
+        // The version proves that the former leader has stored nothing since this row was read.
+        let former = former.map(|(former, _)| former);
+        let term = Term::new(
+            Arc::clone(&self.cell),
+            row,
+            version,
+            sent_ms,
+            former.as_ref(),
+        );
         term.spawn_task("decisions", Arc::clone(&term).run())
             .detach();
         Ok(Some(term))
--- a/crates/dispatch/src/journal.rs
+++ b/crates/dispatch/src/journal.rs
@@ -131,6 +131,7 @@
         let released = timeout_ms(RELEASE_TIMEOUT_MS, async {
             let mut last_commit = self.last_commit.lock().await;
             last_commit.row.released = true;
+            last_commit.row.extends_no_leases = true;
             let published = term.published_writes(&mut last_commit).into_iter();
             let rows = published.map(|it| it.write).collect();
             let result = term.commit_with_renewal(&mut last_commit, rows).await;
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -164,6 +164,9 @@
     pub renewal: u64,
     /// Whether the leader has released leadership.
     pub released: bool,
+    /// Whether the leader had stopped to extend leases before it released leadership. Earlier versions ignore it, and did not.
+    #[serde(default, skip_serializing_if = "Not::not")]
+    pub extends_no_leases: bool,
     /// Capacity of the leader; an instance with as much capacity does not delay its takeover in favor of others.
     #[serde(default, rename = "strength")]
     pub leader_capacity: LeaderCapacity,
--- a/crates/dispatch/src/term.rs
+++ b/crates/dispatch/src/term.rs
@@ -85,6 +85,10 @@
     /// Numbers of the stored segments of jobs that have any.
     pub(crate) stored_segments: Mutex<BTreeMap<JobId, BTreeSet<u64>>>,
     recovered: AtomicBool,
+    /// Set before the release of leadership is sent to the store: nothing is started and no lease is extended any more.
+    is_releasing: AtomicBool,
+    /// Time by which all leases of a former leader that released leadership have expired, in ms.
+    released_leases_end_ms: Option<u64>,
     /// Time at which the last successful read of the jobs table was sent, in ms.
     jobs_read_ms: AtomicU64,
     /// Time at which the last successful renewal was sent, in ms.
@@ -99,7 +103,14 @@
 }
 
 impl Term {
-    pub(crate) fn new(cell: Arc<Cell>, row: LeaderRow, version: u64, sent_ms: u64) -> Arc<Self> {
+    /// Begins a term. `sent_ms` is the time at which the takeover was sent, and `former` the row that it replaced.
+    pub(crate) fn new(
+        cell: Arc<Cell>,
+        row: LeaderRow,
+        version: u64,
+        sent_ms: u64,
+        former: Option<&LeaderRow>,
+    ) -> Arc<Self> {
         let lease_bound_ms = cell.cfg.timing.lease_bound_ms();
         let start_window_ms = Timing::start_window_ms(row.takeover_ms);
         let (wake_tx, wake_rx) = async_channel::bounded(1);
@@ -118,6 +129,10 @@
             stored_states: Mutex::default(),
             stored_segments: Mutex::default(),
             recovered: AtomicBool::new(false),
+            is_releasing: AtomicBool::new(false),
+            released_leases_end_ms: former
+                .filter(|row| row.extends_no_leases)
+                .map(|_| sent_ms + lease_bound_ms),
             jobs_read_ms: AtomicU64::new(0),
             renewed_ms: AtomicU64::new(sent_ms),
             start_window_ms: AtomicU64::new(start_window_ms),
@@ -175,12 +190,27 @@
 
     /// Whether tasks may be started, because no other instance can lead yet.
     pub(crate) fn may_start(&self) -> bool {
-        !self.is_over() && self.since_renewal_ms() < self.start_window_ms.load(Ordering::Relaxed)
+        let window_ms = self.start_window_ms.load(Ordering::Relaxed);
+        !self.is_over() && !self.is_releasing() && self.since_renewal_ms() < window_ms
     }
 
     /// Whether the leases of running tasks may be extended.
     pub(crate) fn may_extend_leases(&self) -> bool {
-        !self.is_over() && self.since_renewal_ms() < self.cell.cfg.timing.keep_alive_ms
+        let keep_alive_ms = self.cell.cfg.timing.keep_alive_ms;
+        !self.is_over() && !self.is_releasing() && self.since_renewal_ms() < keep_alive_ms
+    }
+
+    fn is_releasing(&self) -> bool {
+        self.is_releasing.load(Ordering::SeqCst)
+    }
+
+    /// Time by which all leases of former leaders have expired on workers that have not answered, in ms, for a recovery that
+    /// read the stored state at `read_ms`.
+    pub(crate) fn former_leases_end_ms(&self, read_ms: u64) -> u64 {
+        let latest_ms = read_ms + self.cell.cfg.timing.unreached_lease_bound_ms();
+        self.released_leases_end_ms
+            .unwrap_or(latest_ms)
+            .min(latest_ms)
     }
 
     /// Spawns an async task of this term. Its panic ends the term but not the process: shared state may be
@@ -218,6 +248,8 @@
         if self.is_over() {
             return;
         }
+        // The next leader counts on leases that end by its takeover. The others, which are alive, hear of it at once.
+        self.is_releasing.store(true, Ordering::SeqCst);
         let stored = self.journal.release(self).await;
         log_event!(self.cell.deps.log, LEADERSHIP_RELEASED; "term" => self.number,
             "reason" => reason.to_owned(), "stored" => stored);
@@ -291,7 +323,7 @@
             let state = states.decode(&row.key);
             self.apply_job_row(&mut scheduler, row, state, JobOrigin::Recovered);
         }
-        let latest_ms = boot_ms() + self.cell.cfg.timing.unreached_lease_bound_ms();
+        let latest_ms = self.former_leases_end_ms(boot_ms());
         for worker in scheduler.worker_ids() {
             let until_ms = leases.get(&worker).copied().unwrap_or(latest_ms);
             scheduler.set_unreached_lease(&worker, until_ms);
@@ -513,7 +545,7 @@
             // On a timeout, the scheduler handles what expires without an event, such as leases and tickets.
             let _ = timeout_ms(DECISION_INTERVAL_MS, self.wake_rx.recv()).await;
             if !self.may_start() {
-                if !self.may_extend_leases() {
+                if !self.is_releasing() && !self.may_extend_leases() {
                     self.step_down("the store has not taken a renewal for too long");
                 }
                 sleep_ms(DECISION_INTERVAL_MS).await;
--- a/crates/dispatch/src/term/reads.rs
+++ b/crates/dispatch/src/term/reads.rs
@@ -65,8 +65,8 @@
     ) -> BTreeMap<WorkerId, u64> {
         let workers = listed.chain(stored.addresses.keys().cloned());
         let former = stored.clock_ms.map(|clock_ms| (&stored.leases, clock_ms));
-        let timing = &self.cell.cfg.timing;
-        lock(&self.unanswered).begin_term(self.number, workers, former, stored.read_ms, timing)
+        let latest_ms = self.former_leases_end_ms(stored.read_ms);
+        lock(&self.unanswered).begin_term(self.number, workers, former, stored.read_ms, latest_ms)
     }
 
     /// Reads the run times that former leaders have learned; without them this leader learns them again.
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/timing.rs
@@ -101,7 +101,8 @@
         self.lease_ms + drift_ms(MAX_CLOCK_AGE_MS + self.lease_ms)
     }
 
-    /// Time after a takeover by which all leases have expired on workers that only an earlier leader reached, in ms.
+    /// Time after the recovery of a new leader by which all leases have expired on workers that only an earlier leader reached,
+    /// in ms. If the former one released leadership, it had stopped to extend leases before.
     #[must_use]
     pub const fn unreached_lease_bound_ms(&self) -> u64 {
         self.keep_alive_ms + self.lease_bound_ms()
--- a/crates/dispatch/src/unanswered.rs
+++ b/crates/dispatch/src/unanswered.rs
@@ -73,17 +73,17 @@
 
 impl UnansweredWorkers {
     /// Begins a term in which none of the workers has answered yet. `former` is the stored row, read by `read_ms` with this
-    /// time of the store's clock. Returns the local times by which the leases have certainly expired.
+    /// time of the store's clock. All leases have expired by `latest_ms`. Returns the local times by which the leases of each
+    /// worker have certainly expired.
     pub(crate) fn begin_term(
         &mut self,
         term: u32,
         workers: impl IntoIterator<Item = WorkerId>,
         former: Option<(&LeasesRow, u64)>,
         read_ms: u64,
-        timing: &Timing,
+        latest_ms: u64,
     ) -> BTreeMap<WorkerId, u64> {
         let former = former.filter(|(row, _)| row.term.checked_add(1) == Some(term));
-        let latest_ms = read_ms + timing.unreached_lease_bound_ms();
         let mut ends = BTreeMap::new();
         for worker in workers {
             let mut entry = Unanswered {
--- a/crates/dispatch/src/unanswered/tests.rs
+++ b/crates/dispatch/src/unanswered/tests.rs
@@ -18,6 +18,11 @@
     Timing::new(10_000)
 }
 
+/// End of all leases for a leader that read the stored state at this time.
+fn latest_ms(read_ms: u64) -> u64 {
+    read_ms + timing().unreached_lease_bound_ms()
+}
+
 fn store_time(now_ms: u64) -> StoreTime {
     StoreTime {
         store_ms: now_ms + STORE_OFFSET_MS,
@@ -28,7 +33,7 @@
 /// Workers of a first term, of which one fell silent at this time.
 fn silent_since(now_ms: u64) -> UnansweredWorkers {
     let mut workers = UnansweredWorkers::default();
-    workers.begin_term(1, [id("w")], None, 0, &timing());
+    workers.begin_term(1, [id("w")], None, 0, latest_ms(0));
     workers.remove(&id("w"));
     workers.record_store_time(store_time(now_ms));
     workers.record_silence(&id("w"), now_ms, &timing());
@@ -99,9 +104,9 @@
         let until = |term| {
             let mut workers = UnansweredWorkers::default();
             let former = Some((&row, store_ms));
-            workers.begin_term(term, [id("w"), id("other")], former, 700, &timing())
+            workers.begin_term(term, [id("w"), id("other")], former, 700, latest_ms(700))
         };
-        let latest_ms = 700 + timing().unreached_lease_bound_ms();
+        let latest_ms = latest_ms(700);
         let next = until(2);
         assert!(next[&id("w")] < 700 + 4_500, "{next:?}");
         assert_eq!(next[&id("other")], latest_ms);
@@ -121,7 +126,7 @@
         assert!(row.until_ms[&id("w")] >= STORE_OFFSET_MS + until_ms * 102 / 100);
         let store_ms = row.until_ms[&id("w")] - 9_800;
         let mut workers = UnansweredWorkers::default();
-        let ends = workers.begin_term(2, [id("w")], Some((&row, store_ms)), 700, &timing());
+        let ends = workers.begin_term(2, [id("w")], Some((&row, store_ms)), 700, latest_ms(700));
         assert!(ends[&id("w")] >= 700 + 10_000, "{ends:?}");
     };
 
@@ -130,7 +135,7 @@
         let row = stored_row();
         let mut workers = UnansweredWorkers::default();
         let former = Some((&row, STORE_OFFSET_MS + 60_000));
-        let ends = workers.begin_term(2, [id("w")], former, 700, &timing());
+        let ends = workers.begin_term(2, [id("w")], former, 700, latest_ms(700));
         assert_eq!(ends[&id("w")], 700 + FIRST_ANSWER_MS);
     };
 
@@ -157,7 +162,7 @@
                 let former = Some((&row, store_clock(changed_ms)));
                 let read_ms = changed_ms + ANSWER_MS - zero_ms;
                 let ends: BTreeMap<_, _> =
-                    workers.begin_term(term, [id("w")], former, read_ms, &timing());
+                    workers.begin_term(term, [id("w")], former, read_ms, latest_ms(read_ms));
                 let until_ms = ends[&id("w")] + zero_ms;
                 assert!(until_ms >= lease_ends_ms, "{store_percent}, {term}: {until_ms}");
                 assert!(until_ms <= lease_ends_ms + 2_000, "{store_percent}, {term}: {until_ms}");
--- a/crates/dispatch/tests/row_format.rs
+++ b/crates/dispatch/tests/row_format.rs
@@ -24,10 +24,11 @@
         term: 2,
         renewal: 9,
         released: true,
+        extends_no_leases: true,
         leader_capacity: LeaderCapacity::new(0.125, 1_000.0),
         takeover_ms: 700,
     };
-    let json = r#"{"instance":"a-1","address":"10.0.0.1:7000","life":5,"term":2,"renewal":9,"released":true,"strength":0.5,"takeover_ms":700}"#;
+    let json = r#"{"instance":"a-1","address":"10.0.0.1:7000","life":5,"term":2,"renewal":9,"released":true,"extends_no_leases":true,"strength":0.5,"takeover_ms":700}"#;
     assert_eq!(serde_json::to_string(&row).expect("a row"), json);
     assert_eq!(serde_json::from_str::<LeaderRow>(json).expect("a row"), row);
 }
@@ -37,6 +38,10 @@
 fn leader_row_without_later_fields_gets_defaults() {
     let json = r#"{"instance":"a-1","address":"10.0.0.1:7000","life":5,"term":2,"renewal":9,"released":false}"#;
     let row: LeaderRow = serde_json::from_str(json).expect("a row");
+    assert!(
+        !row.extends_no_leases,
+        "a former version extends leases until it stops"
+    );
     assert_eq!(row.leader_capacity, LeaderCapacity::default());
     assert_eq!(row.takeover_ms, Timing::MAX_TAKEOVER_MS);
 }
