--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -25,7 +25,7 @@
         worker::{Worker, slots_in},
     },
     ragwortreel_model::{Resources, WorkerId},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{collections::BTreeMap, iter, sync::Arc},
 };
 
 /// Time until its latest start above which a step leaves room to gathering gangs, in ms: a gang waits for its advice and
@@ -55,7 +55,10 @@
 /// Slots for tasks of a step that become free on a worker at the same time.
 #[derive(Debug)]
 struct WorkerSlots {
-    worker: WorkerId,
+    /// Position of the worker in the order of the identifiers.
+    worker: usize,
+    /// Capacity of the worker beside endless tasks.
+    room: Resources,
     /// Time at which the slots become free, in ms.
     free_ms: u64,
     slots: u32,
@@ -84,10 +87,30 @@
     need: Resources,
 }
 
-/// Room that is kept on workers for blocked steps.
+/// Room that is kept on workers for blocked steps. It is built in most decisions, so it has few allocations.
 #[derive(Debug, Default)]
 pub(crate) struct KeptRoom {
-    workers: BTreeMap<WorkerId, Vec<KeptPart>>,
+    /// Position in `parts` of the last part on each worker, by the position of the worker.
+    last: Vec<Option<usize>>,
+    /// Parts, each with the position of the one before it on the same worker.
+    parts: Vec<(KeptPart, Option<usize>)>,
+}
+
+impl KeptRoom {
+    fn push(&mut self, worker: usize, part: KeptPart) {
+        if self.last.len() <= worker {
+            self.last.resize(worker + 1, None);
+        }
+        let before = self.last[worker].replace(self.parts.len());
+        self.parts.push((part, before));
+    }
+
+    /// Parts on a worker, the last one first.
+    fn on_worker(&self, worker: usize) -> impl Iterator<Item = &KeptPart> {
+        let last = self.last.get(worker).copied().flatten();
+        let before = |(_, before): &&(KeptPart, Option<usize>)| before.map(|it| &self.parts[it]);
+        iter::successors(last.map(|it| &self.parts[it]), before).map(|(part, _)| part)
+    }
 }
 
 fn sum_of<'a>(parts: impl Iterator<Item = &'a KeptPart>) -> Resources {
@@ -123,8 +146,10 @@
     /// the room that is free now: a stream of tasks that did so would put off the start by the error of each estimate.
     fn unkept_capacity(&self, worker: &Worker) -> Resources {
         let mut unkept = worker.free_capacity();
-        let parts = self.kept.and_then(|kept| kept.workers.get(&worker.spec.id));
-        let parts = || (parts.into_iter().flatten()).filter(|it| it.start_ms < self.end_ms);
+        let Some(kept) = self.kept else {
+            return unkept;
+        };
+        let parts = || (kept.on_worker(worker.position)).filter(|it| it.start_ms < self.end_ms);
         if self.end_ms < u64::MAX {
             return unkept.saturating_sub(&sum_of(parts()));
         }
@@ -299,6 +324,35 @@
         self.service_room(group, awaited).claims.push(claim);
     }
 
+    /// Adds a worker, or replaces one with the same identifier.
+    pub(crate) fn insert_worker(&mut self, worker: Worker) {
+        self.workers.insert(worker.spec.id.clone(), worker);
+        self.forget_positions();
+    }
+
+    /// Removes a worker that has no runs.
+    pub(crate) fn forget_worker(&mut self, id: &WorkerId) {
+        self.workers.remove(id);
+        self.forget_positions();
+    }
+
+    fn forget_positions(&mut self) {
+        self.are_workers_numbered = false;
+        self.slot_lists.steps.clear();
+        self.kept_room.clear();
+    }
+
+    /// Numbers the workers if some were added or removed.
+    pub(crate) fn number_workers(&mut self) {
+        if self.are_workers_numbered {
+            return;
+        }
+        for (position, worker) in self.workers.values_mut().enumerate() {
+            worker.position = position;
+        }
+        self.are_workers_numbered = true;
+    }
+
     /// Places the claims on workers that are not placed yet.
     pub(crate) fn place_claims(&mut self, service: &str, awaited: &mut AwaitedRoom) {
         let Some(room) = awaited.services.get_mut(service) else {
@@ -308,25 +362,23 @@
             room.placed_claims += 1;
             let mut left = f64::from(claim.tasks);
             for it in self.slot_list(&claim.step, &claim.group).iter() {
-                let Some(worker) = self.workers.get(&it.worker) else {
-                    continue;
-                };
-                let parts = room.kept.workers.entry(it.worker.clone()).or_default();
-                let rest = (worker.capacity_beside_endless()).saturating_sub(&sum_of(parts.iter()));
+                let kept = sum_of(room.kept.on_worker(it.worker));
                 #[expect(
                     clippy::cast_possible_truncation,
                     clippy::cast_sign_loss,
                     reason = "a positive number of tasks"
                 )]
                 let wanted = (left / it.share).ceil() as u32;
+                let rest = it.room.saturating_sub(&kept);
                 let tasks = slots_in(&claim.need, &rest, wanted.min(it.slots));
                 if tasks > 0 {
                     let need = claim.need.checked_mul(u64::from(tasks));
-                    parts.push(KeptPart {
+                    let part = KeptPart {
                         start_ms: claim.start_ms,
                         from_ms: claim.start_ms.max(it.free_ms),
                         need: need.unwrap_or(claim.need),
-                    });
+                    };
+                    room.kept.push(it.worker, part);
                     left -= it.share * f64::from(tasks);
                 }
                 if left <= 0.0 {
@@ -378,7 +430,8 @@
             let times = worker.slot_times(&need, allowance.new_runs(worker), self.now_ms);
             let times = times.filter(|(_, count)| *count > 0);
             slots.extend(times.map(|(free_ms, slots)| WorkerSlots {
-                worker: worker.spec.id.clone(),
+                worker: worker.position,
+                room: worker.capacity_beside_endless(),
                 free_ms,
                 slots,
                 share,
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -35,7 +35,7 @@
         let mut worker = Worker::new(spec);
         worker.listed = false;
         worker.lease_until_ms = self.now_ms + self.lease_bound_ms;
-        self.workers.insert(id.clone(), worker);
+        self.insert_worker(worker);
     }
 
     /// Sets the time by which all leases of former leaders have certainly expired on a worker; without effect once it has
--- a/crates/workflow/src/scheduler.rs
+++ b/crates/workflow/src/scheduler.rs
@@ -79,6 +79,8 @@
     /// Usage and limits of the workspaces.
     pub(crate) workspaces: Workspaces,
     pub(crate) evacuation: Evacuation,
+    /// Whether the positions of the workers are those of all workers at present.
+    pub(crate) are_workers_numbered: bool,
     pub(crate) slot_lists: SlotLists,
     /// Room that steps kept in the last decision, by service.
     pub(crate) kept_room: BTreeMap<Arc<str>, KeptRoom>,
@@ -119,6 +121,7 @@
             fair_share: FairShare::default(),
             workspaces: Workspaces::default(),
             evacuation: Evacuation::default(),
+            are_workers_numbered: false,
             slot_lists: SlotLists::default(),
             kept_room: BTreeMap::new(),
             is_kept_room_complete: false,
@@ -226,7 +229,7 @@
                 worker.spec = spec;
                 worker.listed = true;
             } else {
-                self.workers.insert(spec.id.clone(), Worker::new(spec));
+                self.insert_worker(Worker::new(spec));
             }
         }
         for (id, worker) in &mut self.workers {
@@ -264,7 +267,7 @@
     pub fn remove_worker(&mut self, worker: &WorkerId, now_ms: u64) {
         self.now_ms = now_ms;
         self.drop_runs(worker);
-        self.workers.remove(worker);
+        self.forget_worker(worker);
     }
 
     /// Extends a worker's lease; to be called also when it is unknown whether the worker received the renewal.
@@ -569,6 +572,7 @@
     pub fn decide(&mut self, now_ms: u64, wall_ms: u64) -> Vec<Action> {
         self.now_ms = now_ms;
         self.expire_leases();
+        self.number_workers();
         self.open_due_occurrences(wall_ms);
         self.classify_jobs();
         self.evacuate();
@@ -609,7 +613,7 @@
         for id in expired {
             self.drop_runs(&id);
             if self.workers.get(&id).is_some_and(|worker| !worker.listed) {
-                self.workers.remove(&id);
+                self.forget_worker(&id);
             }
         }
     }
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -40,6 +40,10 @@
 const MAX_SWEPT_STEPS: usize = 512;
 /// Most steps for which a sweep makes an attempt.
 const MAX_SWEEP_ATTEMPTS: usize = 32;
+/// Most steps without an attempt whose slots a decision counts. Each count visits all workers.
+const MAX_COUNTS: usize = 2;
+/// Most searches of a sweep for a worker with room beside what steps wait for. Each one visits all workers.
+const MAX_SWEPT_SEARCHES: usize = 32;
 /// Most task sizes without room that a decision remembers for a group.
 const MAX_FULL_SIZES: usize = 8;
 
@@ -182,6 +186,10 @@
     /// such a step, in ms.
     contended: BTreeMap<(Arc<str>, Option<Arc<str>>), u64>,
     attempts: usize,
+    /// Steps without an attempt whose slots were counted.
+    counts: usize,
+    /// Searches for a worker with room beside what steps wait for.
+    searches: usize,
     /// Steps visited that need advice.
     advised: usize,
     /// Most steps of a group that a sweep tries if they may request advice.
@@ -312,6 +320,7 @@
     /// Visits steps behind the first ones of their groups, from where the last sweep ended. They keep no room.
     fn sweep(&mut self, decision: &mut Decision) {
         let max_attempts = decision.attempts + MAX_SWEEP_ATTEMPTS;
+        let max_searches = decision.searches + MAX_SWEPT_SEARCHES;
         decision.max_swept_requests = self.idle_instances_per_group();
         let mut visited = 0;
         let mut groups: Vec<WorkerGroup> = self.waiting_steps.groups.keys().cloned().collect();
@@ -325,7 +334,10 @@
             let first = turn.and_then(|turn| turn.last.clone());
             let mut last = first.max(from.and_then(|(_, entry)| entry));
             while let Some(entry) = self.waiting_steps.after(&group, last.as_ref()) {
-                if visited >= MAX_SWEPT_STEPS || decision.attempts >= max_attempts {
+                if visited >= MAX_SWEPT_STEPS
+                    || decision.attempts >= max_attempts
+                    || decision.searches >= max_searches
+                {
                     self.waiting_steps.swept = Some((group, last));
                     return;
                 }
@@ -453,6 +465,7 @@
         if turn.is_kept(need, end_ms) {
             return false;
         }
+        decision.searches += 1;
         if !self.has_slot_beside(&mut decision.awaited, group, need, end_ms) {
             turn.add_kept(*need, end_ms);
             return false;
@@ -513,9 +526,17 @@
         if turn.full_claims >= MAX_BLOCKED_STEPS {
             return;
         }
-        if let Some(reason) = self.refresh_slots(key) {
-            self.remove_from_queue(key, reason);
-            return;
+        let due_ms = (self.jobs.get(&key.job)).and_then(|job| Some(job.step(key)?.slots_due_ms));
+        if due_ms.is_some_and(|due_ms| due_ms <= self.now_ms) {
+            if decision.counts < MAX_COUNTS {
+                decision.counts += 1;
+                if let Some(reason) = self.refresh_slots(key) {
+                    self.remove_from_queue(key, reason);
+                    return;
+                }
+            } else if due_ms == Some(0) {
+                return;
+            }
         }
         if (self.jobs.get(&key.job)).is_some_and(|job| !job.lacks_workers(key)) {
             turn.full_claims += 1;
--- a/crates/workflow/src/worker.rs
+++ b/crates/workflow/src/worker.rs
@@ -156,6 +156,8 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) spec: WorkerSpec,
+    /// Position in the order of the identifiers of all workers.
+    pub(crate) position: usize,
     /// Whether the platform lists the worker.
     pub(crate) listed: bool,
     /// Whether the worker answered the last heartbeat of this leader.
@@ -189,6 +191,7 @@
     pub(crate) fn new(spec: WorkerSpec) -> Self {
         Self {
             spec,
+            position: 0,
             listed: true,
             reachable: false,
             incarnation: None,
