--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -39,6 +39,7 @@
 mod reservations;
 mod restart_slots;
 mod room_forecast;
+mod run_ends;
 mod run_times;
 mod scheduler;
 mod segments;
