--- a/crates/workflow/tests/endless_tasks.rs
+++ b/crates/workflow/tests/endless_tasks.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use {
-    ragwortreel_workflow::{EndCause, RunningTask, StartOrder, Step, WorkerSpec},
+    ragwortreel_workflow::{EndCause, QueuePolicy, RunningTask, StartOrder, Step, WorkerSpec},
     std::sync::Arc,
-    support::{Cell, cases, ended, gang, job, queue, step, worker},
+    support::{Cell, cases, ended, gang, job, leaving, queue, step, worker},
 };
 
 /// Interval between two decisions, in ms.
@@ -181,4 +181,70 @@
             assert!(restarted_ms.is_some(), "priority {priority}: the task stays on the leaving worker");
         }
     };
+
+    /// Guards against the stop of an endless run without checkpoints that has no room elsewhere, also because a step of
+    /// better rank waits for it, and against one that stays although it has room, also because such a step waits for another
+    /// worker (review/14). With checkpoints it is stopped in any case.
+    endless_run_without_checkpoints_needs_room: || {
+        // Checkpoints, capacity of `b`, need of the step that waits (9 cores fit on `c` only, 8 on `b` once it is empty, too),
+        // and whether the run is stopped.
+        let cases = [
+            (false, 500, None, false),
+            (false, 4_000, None, true),
+            (false, 4_000, Some(9_000), true),
+            (false, 8_000, Some(8_000), false),
+            (true, 500, None, true),
+            (true, 4_000, Some(9_000), true),
+            (true, 8_000, Some(8_000), true),
+        ];
+        for (checkpoints, spare_milli_cores, waiting, expected) in cases {
+            let endless = Step {
+                endless: true,
+                checkpoints,
+                ..step(1, 1_000)
+            };
+            let mut cell = Cell::new(1);
+            let a = worker("a", 4_000);
+            cell.list_reachable_workers(std::slice::from_ref(&a));
+            cell.accept(job("moved", queue(1), vec![endless]));
+            let starts = cell.starts();
+            cell.confirm_starts(&starts);
+            let b = worker("b", spare_milli_cores);
+            let mut others = vec![b];
+            if waiting.is_some() {
+                let c = worker("c", 9_000);
+                cell.list_reachable_workers(&[a.clone(), c.clone()]);
+                let busy = Step {
+                    estimate_ms: 60_000,
+                    ..step(1, 9_000)
+                };
+                cell.accept(job("busy", queue(0), vec![busy]));
+                let starts = cell.starts();
+                cell.confirm_starts(&starts);
+                others.push(c);
+            }
+            cell.list_reachable_workers(&[&[a], &others[..]].concat());
+            if let Some(milli_cores) = waiting {
+                if milli_cores < 9_000 {
+                    // A part of `b` is used for a moment.
+                    cell.accept(job("short", queue(0), vec![step(1, 3_500)]));
+                    let starts = cell.starts();
+                    assert_eq!((starts.len(), starts[0].worker.as_str()), (1, "b"));
+                    cell.confirm_starts(&starts);
+                }
+                let patient = QueuePolicy {
+                    slack_ms: 60_000,
+                    ..queue(0)
+                };
+                cell.accept(job("wide", patient, vec![step(1, milli_cores)]));
+                assert!(cell.starts().is_empty());
+            }
+            cell.list_workers(&[&[leaving("a", 4_000, 2_000)], &others[..]].concat());
+            let is_stopped = cell.stops_within(3_000).is_some();
+            assert_eq!(
+                is_stopped, expected,
+                "{checkpoints} {spare_milli_cores} {waiting:?}"
+            );
+        }
+    };
 }
--- a/crates/workflow/tests/evacuation.rs
+++ b/crates/workflow/tests/evacuation.rs
@@ -5,25 +5,15 @@
 use {
     ragwortreel_model::Resources,
     ragwortreel_workflow::{
-        EndCause, EndedRun, MoveReason, QueuePolicy, RunningTask, StartOrder, Step, StopOrder,
-        WorkerSpec,
+        EndCause, EndedRun, MoveReason, RunningTask, StartOrder, Step, StopOrder, WorkerSpec,
     },
     std::sync::Arc,
     support::{
-        ATTEMPTS, Cell, LEASE_BOUND_MS, advised_queue, gang, job, job_id, queue, step, worker,
-        worker_id,
+        ATTEMPTS, Cell, LEASE_BOUND_MS, advised_queue, gang, job, job_id, leaving, queue, step,
+        worker, worker_id,
     },
 };
 
-/// Worker that leaves after at least this time.
-fn leaving(name: &str, milli_cores: u64, leaves_in_ms: u64) -> WorkerSpec {
-    WorkerSpec {
-        draining: true,
-        leaves_in_ms: Some(leaves_in_ms),
-        ..worker(name, milli_cores)
-    }
-}
-
 /// Step with an estimate of 10 s whose tasks write checkpoints.
 fn long_step(tasks: u32) -> Step {
     Step {
@@ -71,19 +61,6 @@
     cell.list_workers(&[leaving("a", 4_000, leaves_in_ms), worker("b", 4_000)]);
 }
 
-/// Decides every 10 ms for `for_ms`; returns the first stops and their time from now.
-fn stops_within(cell: &mut Cell, for_ms: u64) -> Option<(u64, Vec<StopOrder>)> {
-    let begin_ms = cell.now_ms;
-    while cell.now_ms < begin_ms + for_ms {
-        let (_, stops) = cell.decide();
-        if !stops.is_empty() {
-            return Some((cell.now_ms - begin_ms, stops));
-        }
-        cell.now_ms += 10;
-    }
-    None
-}
-
 /// Guards against work that is lost with its worker: a run with checkpoints works until shortly before, and its task
 /// continues elsewhere from the checkpoint that the stop has written. The move is not a failed attempt.
 #[test]
@@ -99,7 +76,7 @@
         cell.list_workers(&[worker("a", 4_000), worker("b", 4_000)]);
         cell.list_workers(&[leaving(from, 4_000, 5_000), worker(to, 4_000)]);
         assert!(cell.scheduler.max_heartbeat_wait_ms(&worker_id(from)) <= 500);
-        let (after_ms, stops) = stops_within(&mut cell, 10_000).expect("a stop");
+        let (after_ms, stops) = cell.stops_within(10_000).expect("a stop");
         assert!((4_000..=4_600).contains(&after_ms), "after {after_ms} ms");
         let moved = cell.scheduler.take_moved_runs();
         assert_eq!((moved.len(), moved[0].reason), (1, MoveReason::Resume));
@@ -119,13 +96,13 @@
 fn run_that_ends_in_time_is_left_alone() {
     let (mut cell, _) = start_on_a(step(1, 1_000), 4_000);
     list_leaving_a(&mut cell, 2_000);
-    assert_eq!(stops_within(&mut cell, 900), None);
+    assert_eq!(cell.stops_within(900), None);
 
     let (mut cell, starts) = start_on_a(long_step(1), 4_000);
     cell.now_ms += 500;
     report(&mut cell, &starts[0], 50);
     list_leaving_a(&mut cell, 1_800);
-    assert_eq!(stops_within(&mut cell, 850), None);
+    assert_eq!(cell.stops_within(850), None);
 }
 
 /// Guards against a run that ends in time by its estimate, but not by the speed that it has shown.
@@ -139,7 +116,7 @@
     cell.now_ms += 1_000;
     report(&mut cell, &starts[0], 10);
     list_leaving_a(&mut cell, 2_000);
-    assert!(stops_within(&mut cell, 600).is_some());
+    assert!(cell.stops_within(600).is_some());
 }
 
 /// Guards against a run that resumed at 60% and counts as fast because of that.
@@ -147,7 +124,7 @@
 fn speed_of_a_resumed_run_counts_from_its_first_report() {
     let (mut cell, starts) = start_on_a(long_step(1), 4_000);
     list_leaving_a(&mut cell, 1_000);
-    let (_, stops) = stops_within(&mut cell, 2_000).expect("a stop");
+    let (_, stops) = cell.stops_within(2_000).expect("a stop");
     report_stopped(&mut cell, &stops[0], "saved");
     let starts_again = cell.starts();
     assert_ne!(starts_again[0].worker, starts[0].worker);
@@ -158,7 +135,7 @@
     report(&mut cell, &starts_again[0], 66);
     cell.list_workers(&[worker("a", 4_000), worker("b", 4_000)]);
     cell.list_workers(&[worker("a", 4_000), leaving("b", 4_000, 900)]);
-    assert!(stops_within(&mut cell, 500).is_some());
+    assert!(cell.stops_within(500).is_some());
 }
 
 /// Guards against a run without checkpoints that works on until its worker leaves, and starts from zero only then.
@@ -170,7 +147,7 @@
     };
     let (mut cell, _) = start_on_a(plain, 4_000);
     list_leaving_a(&mut cell, 3_000);
-    let (after_ms, stops) = stops_within(&mut cell, 3_000).expect("a stop");
+    let (after_ms, stops) = cell.stops_within(3_000).expect("a stop");
     assert_eq!((after_ms, stops.len()), (0, 2));
     assert_eq!(
         cell.scheduler.take_moved_runs()[0].reason,
@@ -188,13 +165,13 @@
     };
     let (mut cell, _) = start_on_a(plain.clone(), 500);
     cell.list_workers(&[leaving("a", 4_000, 3_000), worker("b", 500)]);
-    assert_eq!(stops_within(&mut cell, 6_000), None);
+    assert_eq!(cell.stops_within(6_000), None);
 
     // The result would have no value: the objective is 9 s, and there is none after 27 s.
     let (mut cell, _) = start_on_a(plain.clone(), 4_000);
     cell.now_ms += 26_000;
     list_leaving_a(&mut cell, 3_000);
-    assert_eq!(stops_within(&mut cell, 6_000), None);
+    assert_eq!(cell.stops_within(6_000), None);
 
     // The step could be in time, but the one after it could not: the objective is 29 s.
     let mut cell = Cell::new(1);
@@ -209,7 +186,7 @@
     cell.now_ms += 20_000;
     cell.list_reachable_workers(&[worker("a", 4_000), worker("b", 4_000)]);
     list_leaving_a(&mut cell, 3_000);
-    assert_eq!(stops_within(&mut cell, 6_000), None);
+    assert_eq!(cell.stops_within(6_000), None);
 }
 
 /// Guards against runs without checkpoints that are stopped because runs elsewhere end before the worker leaves: their
@@ -273,7 +250,7 @@
         }
         cell.list_workers(&[leaving("a", 300_000, 2_000), b]);
         // 500 ms before the worker leaves, all runs are stopped in any case.
-        let early = stops_within(&mut cell, 1_400);
+        let early = cell.stops_within(1_400);
         assert_eq!(early.is_none(), has_waiting);
     }
 }
@@ -301,7 +278,7 @@
         }
     }
     cell.list_workers(&specs);
-    let (_, stops) = stops_within(&mut cell, 2_000).expect("a stop");
+    let (_, stops) = cell.stops_within(2_000).expect("a stop");
     assert_eq!(stops.len(), 3);
     assert_eq!(cell.scheduler.take_moved_runs()[0].runs, 3);
     for (number, stop) in stops.iter().enumerate() {
@@ -320,11 +297,11 @@
     let (mut cell, _) = start_on_a(long_step(1), 4_000);
     cell.now_ms += 800;
     list_leaving_a(&mut cell, 5_000);
-    assert_eq!(stops_within(&mut cell, 800), None);
+    assert_eq!(cell.stops_within(800), None);
     list_leaving_a(&mut cell, 5_000);
-    assert_eq!(stops_within(&mut cell, 800), None);
+    assert_eq!(cell.stops_within(800), None);
     list_leaving_a(&mut cell, 4_500);
-    let (after_ms, _) = stops_within(&mut cell, 5_000).expect("a stop");
+    let (after_ms, _) = cell.stops_within(5_000).expect("a stop");
     assert!(after_ms + 1_600 <= 4_200, "after {after_ms} ms");
 }
 
@@ -333,9 +310,9 @@
 fn shortened_notice_is_followed() {
     let (mut cell, _) = start_on_a(long_step(1), 4_000);
     list_leaving_a(&mut cell, 9_000);
-    assert_eq!(stops_within(&mut cell, 500), None);
+    assert_eq!(cell.stops_within(500), None);
     list_leaving_a(&mut cell, 1_000);
-    assert!(stops_within(&mut cell, 600).is_some());
+    assert!(cell.stops_within(600).is_some());
 }
 
 /// Guards against stops on workers that drain without a time, or no longer drain.
@@ -347,10 +324,10 @@
         ..leaving("a", 4_000, 0)
     };
     cell.list_workers(&[drains, worker("b", 4_000)]);
-    assert_eq!(stops_within(&mut cell, 8_000), None);
+    assert_eq!(cell.stops_within(8_000), None);
     list_leaving_a(&mut cell, 9_000);
     cell.list_workers(&[worker("a", 4_000), worker("b", 4_000)]);
-    assert_eq!(stops_within(&mut cell, 8_000), None);
+    assert_eq!(cell.stops_within(8_000), None);
 }
 
 /// Guards against stops at one moment that the rest of the fleet has no room for: the costliest runs move first, while
@@ -371,7 +348,7 @@
     cell.list_workers(&[leaving("a", 800_000, 2_000), worker("b", 99_000)]);
     let mut stops: Vec<(u64, StopOrder)> = Vec::new();
     let begin_ms = cell.now_ms;
-    while let Some((_, now)) = stops_within(&mut cell, 2_000) {
+    while let Some((_, now)) = cell.stops_within(2_000) {
         stops.extend(now.into_iter().map(|it| (cell.now_ms - begin_ms, it)));
         cell.now_ms += 10;
     }
@@ -398,7 +375,7 @@
 fn unanswered_stop_is_resolved_by_the_lease() {
     let (mut cell, starts) = start_on_a(long_step(1), 4_000);
     list_leaving_a(&mut cell, 1_000);
-    let (_, stops) = stops_within(&mut cell, 2_000).expect("a stop");
+    let (_, stops) = cell.stops_within(2_000).expect("a stop");
     assert_eq!(stops.len(), 1);
     cell.list_workers(&[worker("b", 4_000)]);
     cell.scheduler.mark_unreachable(&starts[0].worker);
@@ -431,7 +408,7 @@
     let resumed = cell.starts();
     assert_eq!((resumed.len(), &*resumed[0].checkpoint), (1, "saved"));
     assert_eq!(resumed[0].worker.as_str(), "b");
-    let (after_ms, stops) = stops_within(&mut cell, 3_000).expect("a stop");
+    let (after_ms, stops) = cell.stops_within(3_000).expect("a stop");
     assert!(after_ms <= 1_000, "the age of the entry is unknown");
     assert_eq!((stops.len(), &stops[0].task), (1, &starts[1].task));
 }
@@ -463,7 +440,7 @@
 fn extreme_reports_of_a_resumed_run_do_not_overflow() {
     let (mut cell, _) = start_on_a(long_step(1), 4_000);
     list_leaving_a(&mut cell, 5_000);
-    let (_, stops) = stops_within(&mut cell, 10_000).expect("a stop");
+    let (_, stops) = cell.stops_within(10_000).expect("a stop");
     report_stopped(&mut cell, &stops[0], "saved");
     let starts = cell.starts();
     cell.confirm_starts(&starts);
@@ -523,7 +500,7 @@
         a.leaves_in_ms = Some(3_000);
         cell.list_workers(&all);
         let mut stopped = 0;
-        while let Some((_, stops)) = stops_within(&mut cell, 2_500) {
+        while let Some((_, stops)) = cell.stops_within(2_500) {
             stopped += stops.len();
             cell.now_ms += 10;
         }
@@ -558,74 +535,7 @@
     }
     cell.confirm_starts(&starts);
     list_leaving_a(&mut cell, 3_000);
-    assert_eq!(stops_within(&mut cell, 2_500), None);
-}
-
-/// Guards against the stop of an endless run without checkpoints that has no room elsewhere, also because a step of
-/// better rank waits for it, and against one that stays although it has room, also because such a step waits for another
-/// worker (review/14). With checkpoints it is stopped in any case.
-#[test]
-fn endless_run_without_checkpoints_needs_room() {
-    // Checkpoints, capacity of `b`, need of the step that waits (9 cores fit on `c` only, 8 on `b` once it is empty, too),
-    // and whether the run is stopped.
-    let cases = [
-        (false, 500, None, false),
-        (false, 4_000, None, true),
-        (false, 4_000, Some(9_000), true),
-        (false, 8_000, Some(8_000), false),
-        (true, 500, None, true),
-        (true, 4_000, Some(9_000), true),
-        (true, 8_000, Some(8_000), true),
-    ];
-    for (checkpoints, spare_milli_cores, waiting, expected) in cases {
-        let endless = Step {
-            endless: true,
-            checkpoints,
-            ..step(1, 1_000)
-        };
-        let mut cell = Cell::new(1);
-        let a = worker("a", 4_000);
-        cell.list_reachable_workers(std::slice::from_ref(&a));
-        cell.accept(job("moved", queue(1), vec![endless]));
-        let starts = cell.starts();
-        cell.confirm_starts(&starts);
-        let b = worker("b", spare_milli_cores);
-        let mut others = vec![b];
-        if waiting.is_some() {
-            let c = worker("c", 9_000);
-            cell.list_reachable_workers(&[a.clone(), c.clone()]);
-            let busy = Step {
-                estimate_ms: 60_000,
-                ..step(1, 9_000)
-            };
-            cell.accept(job("busy", queue(0), vec![busy]));
-            let starts = cell.starts();
-            cell.confirm_starts(&starts);
-            others.push(c);
-        }
-        cell.list_reachable_workers(&[&[a], &others[..]].concat());
-        if let Some(milli_cores) = waiting {
-            if milli_cores < 9_000 {
-                // A part of `b` is used for a moment.
-                cell.accept(job("short", queue(0), vec![step(1, 3_500)]));
-                let starts = cell.starts();
-                assert_eq!((starts.len(), starts[0].worker.as_str()), (1, "b"));
-                cell.confirm_starts(&starts);
-            }
-            let patient = QueuePolicy {
-                slack_ms: 60_000,
-                ..queue(0)
-            };
-            cell.accept(job("wide", patient, vec![step(1, milli_cores)]));
-            assert!(cell.starts().is_empty());
-        }
-        cell.list_workers(&[&[leaving("a", 4_000, 2_000)], &others[..]].concat());
-        let is_stopped = stops_within(&mut cell, 3_000).is_some();
-        assert_eq!(
-            is_stopped, expected,
-            "{checkpoints} {spare_milli_cores} {waiting:?}"
-        );
-    }
+    assert_eq!(cell.stops_within(2_500), None);
 }
 
 /// Guards against a new leader that stops a restored run before its worker has answered: the run has done a part of its
@@ -645,12 +555,12 @@
         cell.list_workers(&all);
         cell.report(&all[1].id, Vec::new(), Vec::new());
         cell.recover(job("j", queue(0), vec![plain]), &change.progress);
-        assert_eq!(stops_within(&mut cell, 500), None);
+        assert_eq!(cell.stops_within(500), None);
         if has_answer {
             report(&mut cell, &starts[0], 60);
-            assert_eq!(stops_within(&mut cell, 3_500), None);
+            assert_eq!(cell.stops_within(3_500), None);
         } else {
-            let (after_ms, _) = stops_within(&mut cell, 7_000).expect("a stop");
+            let (after_ms, _) = cell.stops_within(7_000).expect("a stop");
             // The entry may be 1.5 s old, and a stop takes up to 500 ms.
             assert!((4_400..=4_600).contains(&after_ms), "after {after_ms} ms");
         }
@@ -708,7 +618,7 @@
     };
     cell.list_reachable_workers(&[a, b.clone()]);
     cell.list_workers(&[leaving("a", 700_000, 3_000), b]);
-    let (after_ms, stops) = stops_within(&mut cell, 3_000).expect("a stop");
+    let (after_ms, stops) = cell.stops_within(3_000).expect("a stop");
     assert_eq!(stops.len(), 1);
     assert!((2_400..=2_600).contains(&after_ms), "after {after_ms} ms");
 }
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -126,6 +126,15 @@
     }
 }
 
+/// Worker that leaves after at least this time.
+pub fn leaving(name: &str, milli_cores: u64, leaves_in_ms: u64) -> WorkerSpec {
+    WorkerSpec {
+        draining: true,
+        leaves_in_ms: Some(leaves_in_ms),
+        ..worker(name, milli_cores)
+    }
+}
+
 /// End of a started run.
 pub fn ended(start: &StartOrder, cause: EndCause, checkpoint: &str) -> EndedRun {
     EndedRun {
@@ -198,6 +207,19 @@
         self.decide().0
     }
 
+    /// Decides every 10 ms for `for_ms`; returns the first stops and their time from now.
+    pub fn stops_within(&mut self, for_ms: u64) -> Option<(u64, Vec<StopOrder>)> {
+        let begin_ms = self.now_ms;
+        while self.now_ms < begin_ms + for_ms {
+            let (_, stops) = self.decide();
+            if !stops.is_empty() {
+                return Some((self.now_ms - begin_ms, stops));
+            }
+            self.now_ms += 10;
+        }
+        None
+    }
+
     pub fn advice_requests(&mut self) -> Vec<AdviceRequest> {
         let requests = self
             .actions()
