workflow: Bound the lists of slots of steps that keep room

A list had an entry for each worker and time, 56 bytes each: up to 250 KB for a step on 1,100 workers, and 256 lists were remembered. They now have 256 entries, or 8 for each task of a wide step, and 64 are remembered.

--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -37,7 +37,11 @@
 /// Most steps of which a decision counts these slots again, so that its duration stays bounded.
 const MAX_RECOUNTS: usize = 2;
 /// Most steps of which these slots are remembered; few steps keep room at a time.
-const MAX_SLOT_LISTS: usize = 256;
+const MAX_SLOT_LISTS: usize = 64;
+/// Most entries of a list of slots, and most for each task of a wide step: some are kept for earlier steps, and some are on
+/// workers that the advice service will refuse.
+const MAX_LISTED_SLOTS: usize = 256;
+const SLOTS_PER_TASK: usize = 8;
 
 /// Room that a blocked step waits for.
 #[derive(Debug)]
@@ -437,6 +441,11 @@
                 share,
             }));
         }
+        let max = MAX_LISTED_SLOTS.max(job.spec(key).tasks as usize * SLOTS_PER_TASK);
+        if slots.len() > max {
+            slots.select_nth_unstable_by_key(max, |it| it.free_ms);
+            slots.truncate(max);
+        }
         slots.sort_by_key(|it| it.free_ms);
         slots.into()
     }
