--- a/crates/workflow/src/gang_room.rs
+++ b/crates/workflow/src/gang_room.rs
@@ -34,10 +34,13 @@
 const MIN_SLACK_MS: u64 = 6_000;
 /// Time for which the slots that a step is expected to use are remembered, in ms. They are counted on all its workers.
 const SLOTS_INTERVAL_MS: u64 = 250;
-/// Most steps of which a decision counts these slots again, so that its duration stays bounded.
+/// Most steps of which a decision counts these slots again, and most for which it counts them first, so that its duration
+/// stays bounded. Further ones keep no room until the next decision.
 const MAX_RECOUNTS: usize = 2;
-/// Most steps of which these slots are remembered; few steps keep room at a time.
-const MAX_SLOT_LISTS: usize = 64;
+const MAX_FIRST_COUNTS: usize = 12;
+/// Most steps of which these slots are remembered, and time after which those of steps that keep no room are forgotten, in ms.
+const MAX_SLOT_LISTS: usize = 512;
+const FORGET_SLOTS_MS: u64 = 5_000;
 /// Most entries of a list of slots, and most for each task of a wide step: some are kept for earlier steps, and some are on
 /// workers that the advice service will refuse.
 const MAX_LISTED_SLOTS: usize = 256;
@@ -78,7 +81,18 @@
 pub(crate) struct SlotLists {
     steps: BTreeMap<StepKey, (u64, SlotList)>,
     /// Number of lists that the present decision has counted again.
-    pub(crate) recounts: usize,
+    recounts: usize,
+    /// Number of lists that the present decision has counted first.
+    first_counts: usize,
+}
+
+impl SlotLists {
+    pub(crate) fn begin_decision(&mut self, now_ms: u64) {
+        (self.recounts, self.first_counts) = (0, 0);
+        if self.steps.len() >= MAX_SLOT_LISTS {
+            (self.steps).retain(|_, (due_ms, _)| *due_ms + FORGET_SLOTS_MS > now_ms);
+        }
+    }
 }
 
 /// Room on a worker that is kept for a step.
@@ -365,7 +379,8 @@
         while let Some(claim) = room.claims.get(room.placed_claims) {
             room.placed_claims += 1;
             let mut left = f64::from(claim.tasks);
-            for it in self.slot_list(&claim.step, &claim.group).iter() {
+            let slots = self.slot_list(&claim.step, &claim.group);
+            for it in slots.iter().flat_map(|slots| slots.iter()) {
                 let kept = sum_of(room.kept.on_worker(it.worker));
                 #[expect(
                     clippy::cast_possible_truncation,
@@ -392,23 +407,28 @@
         }
     }
 
-    /// Workers that a step may use, in the order in which they have room; counted again after some time.
-    fn slot_list(&mut self, key: &StepKey, group: &WorkerGroup) -> SlotList {
+    /// Slots that a step may use, in the order in which they become free; counted again after some time. `None` if they are not
+    /// counted yet.
+    fn slot_list(&mut self, key: &StepKey, group: &WorkerGroup) -> Option<SlotList> {
         let now_ms = self.now_ms;
         if let Some((due_ms, slots)) = self.slot_lists.steps.get(key) {
             let is_due = now_ms >= *due_ms && self.slot_lists.recounts < MAX_RECOUNTS;
             if !is_due {
-                return Arc::clone(slots);
+                return Some(Arc::clone(slots));
             }
             self.slot_lists.recounts += 1;
+        } else {
+            let lists = &mut self.slot_lists;
+            let is_full = lists.steps.len() >= MAX_SLOT_LISTS;
+            if is_full || lists.first_counts >= MAX_FIRST_COUNTS {
+                return None;
+            }
+            lists.first_counts += 1;
         }
         let slots = self.count_slots(key, group);
-        if self.slot_lists.steps.len() >= MAX_SLOT_LISTS {
-            self.slot_lists.steps.clear();
-        }
         let entry = (now_ms + SLOTS_INTERVAL_MS, Arc::clone(&slots));
         self.slot_lists.steps.insert(key.clone(), entry);
-        slots
+        Some(slots)
     }
 
     fn count_slots(&self, key: &StepKey, group: &WorkerGroup) -> SlotList {
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -252,7 +252,7 @@
         self.release_held_steps();
         self.return_placeable_steps();
         let mut decision = Decision::default();
-        self.slot_lists.recounts = 0;
+        self.slot_lists.begin_decision(self.now_ms);
         if self.visit_first_steps(&mut decision) {
             self.waiting_steps.swept = None;
             self.waiting_steps.sweep_ms = None;
@@ -462,7 +462,8 @@
         decision: &mut Decision,
     ) -> bool {
         let turn = decision.turns.entry(group.clone()).or_default();
-        if turn.is_kept(need, end_ms) {
+        // Endless tasks may use room that others leave free.
+        if end_ms < u64::MAX && turn.is_kept(need, end_ms) {
             return false;
         }
         decision.searches += 1;
--- a/crates/workflow/tests/endless_tasks.rs
+++ b/crates/workflow/tests/endless_tasks.rs
@@ -117,6 +117,8 @@
         cell.accept(job("busy", queue(0), vec![lasting_18_s(step(8, 14_000))]));
         assert_eq!(start_all(&mut cell).len(), 8);
         cell.accept(job("gang", queue(0), vec![lasting_18_s(gang(16, 7_000))]));
+        // Tasks with an end leave free all that the gang needs.
+        cell.accept(job("small", queue(1), vec![Step { estimate_ms: 60_000, ..step(1, 1_000) }]));
         assert_eq!(start_all(&mut cell).len(), 0);
         assert_eq!(fail_and_start(&mut cell, &endless[1]), ["endless"]);
     };
